--- a/internal/command/commander/serve.go
+++ b/internal/command/commander/serve.go
@@ -94,6 +94,12 @@
 	if err != nil {
 		level = zerolog.InfoLevel
 	}
+	return keyValueLogger(w).Level(level).With().Timestamp().
+		Str("instance", string(s.InstanceID)).Str("data_centre", string(s.DataCentre)).Logger()
+}
+
+// keyValueLogger writes each event as one line of key=value pairs.
+func keyValueLogger(w io.Writer) zerolog.Logger {
 	console := zerolog.ConsoleWriter{
 		Out: w, NoColor: true, TimeFormat: "2006-01-02T15:04:05.000Z07:00",
 		PartsOrder:       []string{zerolog.TimestampFieldName, zerolog.LevelFieldName},
@@ -102,6 +108,5 @@
 		FormatFieldName:  func(v any) string { return text(v) + "=" },
 		FormatFieldValue: text,
 	}
-	return zerolog.New(console).Level(level).With().Timestamp().
-		Str("instance", string(s.InstanceID)).Str("data_centre", string(s.DataCentre)).Logger()
+	return zerolog.New(console)
 }
--- /dev/null
+++ b/internal/command/starter/peers.go
@@ -0,0 +1,151 @@
+package starter
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"oleanderpulley/internal/coordination/allotter"
+	"oleanderpulley/internal/protocol/encoder"
+	"oleanderpulley/internal/state/cataloger"
+	"oleanderpulley/internal/state/identifier"
+	"oleanderpulley/internal/state/sampler"
+	"oleanderpulley/internal/transport/messenger"
+)
+
+const (
+	// peerPing is the period of the pings of an idle link.
+	peerPing = 2 * time.Second
+	// sampleTimeout bounds the question for a position sample.
+	sampleTimeout = 120 * time.Millisecond
+	// sampleAsks is the number of peers that are asked for one.
+	sampleAsks = 3
+)
+
+var errUnexpected = errors.New("unexpected type of message")
+
+// sampleAsk asks for the newest position sample of a service.
+type sampleAsk struct {
+	Service identifier.ServiceName `cbor:"service"`
+}
+
+// sampleReply tells a sample with its age, which the receiver counts from
+// before its question. A zero position stands for none.
+type sampleReply struct {
+	Position identifier.Position        `cbor:"position"`
+	Age      time.Duration              `cbor:"age"`
+	Leader   identifier.BackendServerID `cbor:"leader"`
+}
+
+func (s *Starter) startPeers() error {
+	var e encoder.Encoder
+	e.Register("tokens_ask", allotter.Ask{})
+	e.Register("tokens_grant", allotter.Grant{})
+	e.Register("sample_ask", sampleAsk{})
+	e.Register("sample_reply", sampleReply{})
+	s.peers = messenger.Messenger{
+		Self:    encoder.Hello{Instance: s.Settings.InstanceID, DataCentre: s.Settings.DataCentre},
+		Encoder: &e,
+		Handle:  s.handlePeer,
+		Private: true,
+		Logger:  s.Logger,
+		Ping:    peerPing,
+	}
+	_, err := s.peers.Start(s.Settings.PeerAddress)
+	return err
+}
+
+// handlePeer answers a question of another instance.
+func (s *Starter) handlePeer(_ context.Context, _ encoder.Hello, body any) (any, error) {
+	switch m := body.(type) {
+	case allotter.Ask:
+		return s.allotter.Give(m), nil
+	case sampleAsk:
+		return s.newestSample(m.Service), nil
+	default:
+		return nil, errors.Wrapf(errUnexpected, "%T", body)
+	}
+}
+
+func (s *Starter) newestSample(service identifier.ServiceName) sampleReply {
+	n, ok := s.sessions.Sampler(service).Latest()
+	if !ok {
+		return sampleReply{}
+	}
+	leader, term, _ := s.placer.LastLed(service)
+	if term != n.Position.Term {
+		leader = ""
+	}
+	return sampleReply{Position: n.Position, Age: time.Since(n.Asked), Leader: leader}
+}
+
+// requestTokens sends an ask to a peer.
+func (s *Starter) requestTokens(ctx context.Context, to identifier.InstanceID, ask allotter.Ask) (allotter.Grant, error) {
+	reply, err := s.peers.Request(ctx, to, ask)
+	if err != nil {
+		return allotter.Grant{}, err
+	}
+	g, ok := reply.(allotter.Grant)
+	if !ok {
+		return allotter.Grant{}, errors.Wrapf(errUnexpected, "%T", reply)
+	}
+	return g, nil
+}
+
+// askPeersForSample asks some peers for a sample and reports whether one of
+// them had one that is young enough.
+func (s *Starter) askPeersForSample(service identifier.ServiceName, since time.Time) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), sampleTimeout)
+	defer cancel()
+	peers := s.peers.Peers() // In the random order of a map.
+	peers = peers[:min(len(peers), sampleAsks)]
+	found := make(chan bool, len(peers))
+	for _, p := range peers {
+		go func() { found <- s.askSample(ctx, p.ID, service, since) }()
+	}
+	for range peers {
+		if <-found {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Starter) askSample(ctx context.Context, to identifier.InstanceID, service identifier.ServiceName, since time.Time) bool {
+	asked := time.Now()
+	reply, err := s.peers.Request(ctx, to, sampleAsk{Service: service})
+	if err != nil {
+		s.Logger.Debug().Str("event", "sample_not_answered").Str("peer", string(to)).Err(err).Send()
+		return false
+	}
+	r, ok := reply.(sampleReply)
+	if !ok || r.Position.IsZero() || r.Age < 0 {
+		return false
+	}
+	n := sampler.Sample{Position: r.Position, Asked: asked.Add(-r.Age)}
+	if n.Asked.Before(since) {
+		return false
+	}
+	s.sessions.Sampler(service).Add(n)
+	if r.Leader != "" {
+		s.placer.Led(service, r.Leader, r.Position.Term, n.Asked)
+	}
+	return true
+}
+
+// setPeers takes the other instances over from the catalog.
+func (s *Starter) setPeers(c *cataloger.Catalog) {
+	book := make([]messenger.Peer, 0, len(c.Members))
+	sharing := make([]allotter.Peer, 0, len(c.Members))
+	for _, m := range c.Members {
+		book = append(book, messenger.Peer{ID: m.ID, DataCentre: m.DataCentre, Address: m.Address})
+		sharing = append(sharing, allotter.Peer{ID: m.ID, DataCentre: m.DataCentre})
+	}
+	s.peers.SetPeers(book)
+	limits := make(map[identifier.WorkspaceName]allotter.Limit, len(c.Configuration.Workspaces))
+	for name, w := range c.Configuration.Workspaces {
+		limits[name] = allotter.Limit{Rate: w.Rate, Burst: w.Burst}
+	}
+	s.allotter.Set(limits, s.Settings.InstanceID, sharing)
+}
--- /dev/null
+++ b/internal/command/starter/replace.go
@@ -0,0 +1,61 @@
+package starter
+
+import (
+	"context"
+	"time"
+
+	"oleanderpulley/internal/coordination/replacer"
+	"oleanderpulley/internal/state/identifier"
+	"oleanderpulley/platform"
+)
+
+// sightTimeout bounds the question whether a peer has seen a primary.
+const sightTimeout = 250 * time.Millisecond
+
+// sightAsks bounds the peers that are asked, so that the cost of a failover
+// does not grow with the fleet.
+const sightAsks = 24
+
+func (s *Starter) assembleReplacer() {
+	cloud := &platform.Cloud{Address: s.Settings.CloudAddress, HTTP: platform.NewHTTPClient()}
+	r := &s.replacer
+	r.Self = s.Settings.InstanceID
+	r.Catalog = s.holder.Catalog
+	r.Logger = s.Logger
+	r.LastLed = s.placer.LastLed
+	r.Confirm = s.sessions.Confirm
+	r.Status = s.sessions.Status
+	r.StepDown = s.sessions.StepDown
+	r.Sight = s.sight
+	r.ReadLease = s.store.ReadLease
+	r.WriteLease = s.store.WriteLease
+	r.Promote = cloud.Promote
+}
+
+// sight asks peers whether they have seen the service led since the time.
+func (s *Starter) sight(ctx context.Context, service identifier.ServiceName, since time.Time) replacer.Sight {
+	ctx, cancel := context.WithTimeout(ctx, sightTimeout)
+	defer cancel()
+	peers := s.peers.Peers()
+	peers = peers[:min(len(peers), sightAsks)]
+	type answer struct{ answered, led bool }
+	answers := make(chan answer, len(peers))
+	for _, p := range peers {
+		go func() {
+			asked := time.Now()
+			reply, err := s.peers.Request(ctx, p.ID, sampleAsk{Service: service})
+			r, ok := reply.(sampleReply)
+			led := ok && !r.Position.IsZero() && asked.Add(-r.Age).After(since)
+			answers <- answer{err == nil && ok, led}
+		}()
+	}
+	result := replacer.Sight{Asked: len(peers)}
+	for range peers {
+		a := <-answers
+		if a.answered {
+			result.Answered++
+		}
+		result.Led = result.Led || a.led
+	}
+	return result
+}
--- /dev/null
+++ b/internal/command/starter/starter.go
@@ -0,0 +1,178 @@
+package starter
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"oleanderpulley/internal/coordination/allotter"
+	"oleanderpulley/internal/coordination/follower"
+	"oleanderpulley/internal/coordination/placer"
+	"oleanderpulley/internal/coordination/replacer"
+	"oleanderpulley/internal/state/cataloger"
+	"oleanderpulley/internal/transport/lender"
+	"oleanderpulley/internal/transport/messenger"
+	"oleanderpulley/internal/transport/reporter"
+	"oleanderpulley/internal/transport/sessioner"
+	"oleanderpulley/platform"
+)
+
+const (
+	// proofMargin is taken off the time within which a withdrawn key stops
+	// working, for the way of a statement to its backend server.
+	proofMargin = 400 * time.Millisecond
+	// acceptPause follows a failed accept, such as one without a descriptor
+	// left.
+	acceptPause = 20 * time.Millisecond
+)
+
+// Starter runs one instance. Settings is required.
+type Starter struct {
+	Settings platform.Settings
+	Logger   zerolog.Logger
+
+	holder   cataloger.Holder
+	registry reporter.Registry
+	placer   placer.Placer
+	lender   lender.Lender
+	sessions sessioner.Server
+	allotter allotter.Allotter
+	peers    messenger.Messenger
+	replacer replacer.Replacer
+	store    *platform.Store
+	follower follower.Follower
+	clients  net.Listener
+	probes   *http.Server
+	draining atomic.Bool
+	done     chan struct{}
+	cancel   context.CancelFunc
+	tasks    sync.WaitGroup
+}
+
+// Start opens the listeners and begins to follow the store.
+func (s *Starter) Start(ctx context.Context) error {
+	ctx, s.cancel = context.WithCancel(ctx)
+	s.done = make(chan struct{})
+	s.assemble()
+	if err := s.listen(ctx); err != nil {
+		return err
+	}
+	if err := s.startPeers(); err != nil {
+		return err
+	}
+	s.tasks.Go(func() { s.replacer.Run(ctx) })
+	s.tasks.Go(func() { s.follower.Run(ctx) })
+	s.Logger.Info().Str("event", "started").Str("address", s.Settings.ClientAddress).Send()
+	return nil
+}
+
+func (s *Starter) assemble() {
+	t := s.Settings
+	s.store = &platform.Store{Address: t.StoreAddress, HTTP: platform.NewHTTPClient()}
+	s.holder.MaxAge = t.KeyWithdrawal - proofMargin
+	s.lender.Dial = platform.Dial
+	s.lender.Limit = s.connectionLimit
+	s.placer.DataCentre = t.DataCentre
+	s.placer.HasIdle = s.lender.HasIdle
+	s.sessions.Holder = &s.holder
+	s.sessions.Lender = &s.lender
+	s.sessions.Placer = &s.placer
+	s.sessions.Registry = &s.registry
+	s.sessions.Logger = s.Logger
+	asker := &allotter.Asker{Allotter: &s.allotter, Request: s.requestTokens, Logger: s.Logger}
+	s.sessions.Admit = asker.Admit
+	s.sessions.AskPeers = s.askPeersForSample
+	s.sessions.ParseMember = platform.ParseMember
+	s.sessions.Need = s.replacer.Need
+	s.assembleReplacer()
+	s.follower = follower.Follower{
+		Store:    s.store.FollowerStore(),
+		Holder:   &s.holder,
+		Self:     cataloger.Member{ID: t.InstanceID, DataCentre: t.DataCentre, Address: t.PeerAddress},
+		Logger:   s.Logger,
+		OnChange: s.changed,
+	}
+}
+
+func (s *Starter) changed(c *cataloger.Catalog) {
+	s.lender.Keep(c)
+	s.setPeers(c)
+}
+
+// connectionLimit is this instance's part of the connections that the server
+// takes from all instances together.
+func (s *Starter) connectionLimit(b cataloger.BackendServer) int {
+	c := s.holder.Catalog()
+	if c == nil || c.Configuration == nil {
+		return 1
+	}
+	return c.Configuration.Services[b.Service].MaxConnections / max(1, len(c.Members))
+}
+
+func (s *Starter) listen(ctx context.Context) error {
+	var err error
+	if s.clients, err = net.Listen("tcp4", s.Settings.ClientAddress); err != nil {
+		return errors.Wrap(err, "listening for clients")
+	}
+	probes, err := net.Listen("tcp4", s.Settings.ProbeAddress)
+	if err != nil {
+		return errors.Wrap(err, "listening for the readiness probe")
+	}
+	s.probes = &http.Server{Handler: platform.Probe(s.Ready), ReadHeaderTimeout: time.Second}
+	s.tasks.Go(func() {
+		if err := s.probes.Serve(probes); !errors.Is(err, http.ErrServerClosed) {
+			s.Logger.Error().Str("event", "probe_listener_ended").Err(err).Send()
+		}
+	})
+	go s.accept(ctx)
+	return nil
+}
+
+func (s *Starter) accept(ctx context.Context) {
+	defer close(s.done)
+	for {
+		conn, err := s.clients.Accept()
+		switch {
+		case ctx.Err() != nil || errors.Is(err, net.ErrClosed):
+			return
+		case err != nil:
+			s.Logger.Warn().Str("event", "accept_failed").Err(err).Send()
+			time.Sleep(acceptPause)
+		default:
+			go s.sessions.Serve(platform.NewClient(conn.(*net.TCPConn)))
+		}
+	}
+}
+
+// Ready reports whether new sessions should come to this instance.
+func (s *Starter) Ready() bool {
+	return !s.draining.Load() && s.holder.Fresh()
+}
+
+// Done is closed when the listener for clients has ended.
+func (s *Starter) Done() <-chan struct{} {
+	return s.done
+}
+
+// Close ends everything at once.
+func (s *Starter) Close() {
+	if s.cancel != nil {
+		s.cancel()
+	}
+	if s.clients != nil {
+		_ = s.clients.Close()
+	}
+	if s.probes != nil {
+		_ = s.probes.Close()
+	}
+	s.peers.Close()
+	s.lender.Close()
+	s.tasks.Wait()
+	s.Logger.Info().Str("event", "stopped").Send()
+}
--- /dev/null
+++ b/internal/coordination/allotter/allotter.go
@@ -0,0 +1,180 @@
+package allotter
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"oleanderpulley/internal/state/identifier"
+)
+
+const (
+	// ahead is the time of its own demand for which an instance holds tokens.
+	ahead = 400 * time.Millisecond
+	// kept is the time of its own demand that a giver keeps.
+	kept = 200 * time.Millisecond
+	// demandWindow is the time over which demand is averaged.
+	demandWindow = time.Second
+	// exhausted is how long nobody is asked after all asked peers had no
+	// tokens.
+	exhausted = 150 * time.Millisecond
+	// surplusLife is the time in which tokens above the bucket's capacity
+	// are dropped if they are not spent, so that tokens handed over for a
+	// demand that has ended do not add to the burst.
+	surplusLife = time.Second
+	// asksInRow is the number of peers that are asked for one shortage.
+	asksInRow = 3
+)
+
+// Limit is the rate in operations a second and the burst in operations of a
+// workspace over all instances.
+type Limit struct {
+	Rate, Burst float64
+}
+
+// Allotter holds the buckets of one instance. The zero value admits nothing
+// until [Allotter.Set]. It is safe for concurrent use.
+type Allotter struct {
+	Now func() time.Time // Nil selects time.Now.
+
+	mu      sync.Mutex
+	part    float64 // Of each rate that this instance owns.
+	limits  map[identifier.WorkspaceName]Limit
+	buckets map[identifier.WorkspaceName]*bucket
+	peers   peers
+}
+
+type bucket struct {
+	tokens  float64
+	filled  time.Time
+	demand  float64 // Operations a second, averaged.
+	seen    time.Time
+	asks    int // Peers asked for the present shortage.
+	asking  bool
+	pauseTo time.Time
+	changed chan struct{} // Closed when tokens arrive or an ask ends.
+}
+
+// Set replaces the limits and the instances that share them.
+func (a *Allotter) Set(limits map[identifier.WorkspaceName]Limit, self identifier.InstanceID, members []Peer) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for w := range a.buckets {
+		a.bucket(w) // Fills by the old limits up to now.
+	}
+	a.limits = limits
+	a.part = 1 / float64(max(1, len(members)))
+	a.peers.set(self, members)
+	for w := range a.buckets {
+		if _, ok := limits[w]; !ok {
+			delete(a.buckets, w)
+		}
+	}
+}
+
+// Take removes a token for one operation and reports whether there was one.
+func (a *Allotter) Take(w identifier.WorkspaceName) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b := a.bucket(w)
+	if b == nil {
+		return false
+	}
+	b.arrive(a.now())
+	return b.take()
+}
+
+// TakeAgain is [Allotter.Take] for an operation that was counted as demand
+// before.
+func (a *Allotter) TakeAgain(w identifier.WorkspaceName) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b := a.bucket(w)
+	return b != nil && b.take()
+}
+
+func (b *bucket) take() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// arrive averages the demand.
+func (b *bucket) arrive(now time.Time) {
+	b.settle(now)
+	b.demand += 1 / demandWindow.Seconds()
+}
+
+func (b *bucket) settle(now time.Time) {
+	gone := now.Sub(b.seen)
+	if gone <= 0 {
+		return
+	}
+	b.demand *= math.Exp(-gone.Seconds() / demandWindow.Seconds())
+	b.seen = now
+}
+
+// RetryAfter returns the time after which the instance's own part of the rate
+// gives the next token.
+func (a *Allotter) RetryAfter(w identifier.WorkspaceName) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b := a.bucket(w)
+	if b == nil {
+		return time.Second
+	}
+	rate := a.limits[w].Rate * a.part
+	if rate <= 0 {
+		return time.Second
+	}
+	wait := time.Duration((1 - b.tokens) / rate * float64(time.Second))
+	return min(max(wait, 10*time.Millisecond), time.Second)
+}
+
+// bucket returns the filled bucket of a workspace, nil for an unknown one.
+func (a *Allotter) bucket(w identifier.WorkspaceName) *bucket {
+	limit, ok := a.limits[w]
+	if !ok {
+		return nil
+	}
+	now := a.now()
+	b, ok := a.buckets[w]
+	if !ok {
+		if a.buckets == nil {
+			a.buckets = map[identifier.WorkspaceName]*bucket{}
+		}
+		// A new bucket starts empty: this instance may have spent its
+		// burst just before a restart.
+		b = &bucket{filled: now, seen: now}
+		a.buckets[w] = b
+	}
+	b.fill(now, limit, a.part)
+	return b
+}
+
+// fill adds what the time since the last call gives. Tokens above the capacity
+// were handed over by others and fade.
+func (b *bucket) fill(now time.Time, limit Limit, part float64) {
+	elapsed := now.Sub(b.filled).Seconds()
+	if elapsed <= 0 {
+		return
+	}
+	b.filled = now
+	capacity := max(limit.Burst*part, min(1, limit.Burst))
+	gained := limit.Rate * part * elapsed
+	if b.tokens <= capacity {
+		b.tokens = min(b.tokens+gained, capacity)
+		return
+	}
+	surplus := (b.tokens - capacity) * math.Exp(-elapsed/surplusLife.Seconds())
+	b.tokens = capacity + surplus
+}
+
+func (a *Allotter) now() time.Time {
+	if a.Now != nil {
+		return a.Now()
+	}
+	return time.Now()
+}
--- /dev/null
+++ b/internal/coordination/allotter/exchange.go
@@ -0,0 +1,141 @@
+package allotter
+
+import (
+	"time"
+
+	"oleanderpulley/internal/state/identifier"
+)
+
+// Ask asks a peer for tokens.
+type Ask struct {
+	Wants map[identifier.WorkspaceName]float64 `cbor:"wants"`
+}
+
+// Grant hands tokens over. Left is what the giver could still give.
+type Grant struct {
+	Given map[identifier.WorkspaceName]float64 `cbor:"given"`
+	Left  map[identifier.WorkspaceName]float64 `cbor:"left"`
+}
+
+// IsShort reports whether the workspace should ask a peer now, because its
+// tokens do not last for the demand ahead.
+func (a *Allotter) IsShort(w identifier.WorkspaceName) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b := a.bucket(w)
+	return b != nil && a.short(b)
+}
+
+func (a *Allotter) short(b *bucket) bool {
+	now := a.now()
+	if b.asking || now.Before(b.pauseTo) {
+		return false
+	}
+	b.settle(now)
+	return b.tokens < 1 || b.tokens < b.demand*ahead.Seconds()/2
+}
+
+// Next returns a question and the peer to send it to, or false if there is
+// nobody to ask. The caller ends it with [Allotter.Receive].
+func (a *Allotter) Next(w identifier.WorkspaceName) (identifier.InstanceID, Ask, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b := a.bucket(w)
+	if b == nil || !a.short(b) {
+		return "", Ask{}, false
+	}
+	peer, ok := a.peers.best(w, a.now())
+	if !ok {
+		b.pauseTo = a.now().Add(exhausted)
+		return "", Ask{}, false
+	}
+	ask := Ask{Wants: map[identifier.WorkspaceName]float64{}}
+	for name := range a.buckets {
+		if o := a.bucket(name); o == b || a.short(o) {
+			ask.Wants[name] = o.want()
+		}
+	}
+	b.asking = true
+	return peer, ask, true
+}
+
+// want is the number of tokens that the demand ahead lacks.
+func (b *bucket) want() float64 {
+	return max(1, b.demand*ahead.Seconds()) - min(b.tokens, 0.5)
+}
+
+// Receive ends a question for the workspace with the peer's grant, or with nil
+// if no answer came.
+func (a *Allotter) Receive(w identifier.WorkspaceName, from identifier.InstanceID, g *Grant) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.now()
+	if g == nil {
+		a.peers.silent(from, now)
+	} else {
+		for name, given := range g.Given {
+			if b := a.bucket(name); b != nil && given > 0 {
+				b.tokens += given
+			}
+		}
+		a.peers.learn(from, g.Left, now)
+	}
+	b := a.bucket(w)
+	if b == nil {
+		return
+	}
+	b.asking = false
+	b.asks++
+	if b.tokens >= 1 {
+		b.asks = 0
+	} else if b.asks >= asksInRow {
+		b.asks = 0
+		b.pauseTo = now.Add(exhausted)
+	}
+	if b.changed != nil {
+		close(b.changed)
+		b.changed = nil
+	}
+}
+
+// Changed returns a channel that is closed when the question of the workspace
+// that is under way ends, or nil if none is.
+func (a *Allotter) Changed(w identifier.WorkspaceName) <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b := a.bucket(w)
+	if b == nil || !b.asking {
+		return nil
+	}
+	if b.changed == nil {
+		b.changed = make(chan struct{})
+	}
+	return b.changed
+}
+
+// Give takes out of the buckets what a peer asks for, as far as this instance
+// does not need it itself.
+func (a *Allotter) Give(ask Ask) Grant {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	g := Grant{Given: map[identifier.WorkspaceName]float64{}, Left: map[identifier.WorkspaceName]float64{}}
+	now := a.now()
+	for w, wanted := range ask.Wants {
+		b := a.bucket(w)
+		if b == nil || !(wanted > 0) {
+			continue
+		}
+		b.settle(now)
+		spare := max(0, b.tokens-b.demand*kept.Seconds())
+		given := min(wanted, spare)
+		b.tokens -= given
+		if given > 0 {
+			g.Given[w] = given
+		}
+		g.Left[w] = spare - given
+	}
+	return g
+}
+
+// askTimeout bounds the wait for a peer's grant.
+const askTimeout = 150 * time.Millisecond
--- /dev/null
+++ b/internal/coordination/follower/follower.go
@@ -0,0 +1,177 @@
+package follower
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"oleanderpulley/internal/state/cataloger"
+	"oleanderpulley/internal/state/identifier"
+)
+
+// ErrNoConfiguration reports that the operators have not written any yet.
+var ErrNoConfiguration = errors.New("store holds no configuration")
+
+// Periods of the rounds.
+const (
+	defaultPeriod = 1500 * time.Millisecond
+	startPeriod   = 200 * time.Millisecond // Until the first configuration.
+	retryPeriod   = 250 * time.Millisecond // After a failed round.
+	callTimeout   = 1200 * time.Millisecond
+	// firstTimeout bounds the first try of a round; an answer usually takes
+	// milliseconds, and a connection that went silent is found by it.
+	firstTimeout = 500 * time.Millisecond
+)
+
+// Store reads the lists. Each function returns the store's revision as of the
+// answer. All calls are linearizable.
+type Store struct {
+	Revision      func(ctx context.Context) (uint64, error)
+	Configuration func(ctx context.Context) (*cataloger.Configuration, uint64, error)
+	Servers       func(ctx context.Context) (map[identifier.ServiceName][]cataloger.BackendServer, uint64, error)
+	Members       func(ctx context.Context) (map[identifier.InstanceID]cataloger.Member, uint64, error)
+	// Join registers this instance.
+	Join func(ctx context.Context, m cataloger.Member) error
+}
+
+// Follower runs the rounds. Store, Holder and Self are required.
+type Follower struct {
+	Store  Store
+	Holder *cataloger.Holder
+	Self   cataloger.Member
+	Logger zerolog.Logger
+	// OnChange is called with each new catalog. Nil calls nothing.
+	OnChange func(*cataloger.Catalog)
+	Period   time.Duration // 0 means 1.5 s.
+
+	known    uint64
+	reached  bool
+	failures int
+}
+
+// Run runs rounds until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		started := time.Now()
+		err := f.Round(ctx)
+		f.report(err)
+		pause := f.pause(err) - time.Since(started)
+		select {
+		case <-ctx.Done():
+		case <-time.After(max(pause, 10*time.Millisecond)):
+		}
+	}
+}
+
+func (f *Follower) pause(err error) time.Duration {
+	period := f.Period
+	if period == 0 {
+		period = defaultPeriod
+	}
+	c := f.Holder.Catalog()
+	switch {
+	case errors.Is(err, ErrNoConfiguration):
+		period = startPeriod
+	case err != nil:
+		period = min(retryPeriod<<min(f.failures, 2), period)
+	case c == nil || c.Configuration == nil:
+		period = startPeriod
+	}
+	return period*7/8 + rand.N(period/4)
+}
+
+// report logs when the store is lost and regained.
+func (f *Follower) report(err error) {
+	switch {
+	case err != nil && !errors.Is(err, ErrNoConfiguration):
+		f.failures++
+		if f.reached {
+			f.reached = false
+			f.Logger.Warn().Str("event", "store_lost").Err(err).Send()
+		}
+	case !f.reached:
+		f.reached = true
+		f.failures = 0
+		f.Logger.Info().Str("event", "store_reached").Uint64("revision", f.known).Send()
+	default:
+		f.failures = 0
+	}
+}
+
+// Round brings the catalog up to date and proves it.
+func (f *Follower) Round(ctx context.Context) error {
+	asked := f.Holder.Clock()
+	limit := callTimeout
+	if f.failures == 0 {
+		limit = firstTimeout
+	}
+	call, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	revision, err := f.Store.Revision(call)
+	if err != nil {
+		return err
+	}
+	c := f.Holder.Catalog()
+	if revision == f.known && c != nil && c.Configuration != nil {
+		f.Holder.Prove(asked)
+		return nil
+	}
+	return f.read(ctx)
+}
+
+// read reads all lists. The proof counts from before the first call.
+func (f *Follower) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	asked := f.Holder.Clock()
+	configuration, revision, err := f.Store.Configuration(ctx)
+	if err != nil {
+		return err
+	}
+	f.replace(func(c *cataloger.Catalog) { c.Configuration = newer(c.Configuration, configuration) })
+	f.Holder.Prove(asked)
+	servers, _, err := f.Store.Servers(ctx)
+	if err != nil {
+		return err
+	}
+	members, _, err := f.Store.Members(ctx)
+	if err != nil {
+		return err
+	}
+	f.replace(func(c *cataloger.Catalog) { c.Servers, c.Members = servers, members })
+	f.known = revision
+	if members[f.Self.ID].Address != f.Self.Address {
+		return f.Store.Join(ctx, f.Self)
+	}
+	return nil
+}
+
+// newer keeps the configuration with the higher revision, so that an answer
+// that was overtaken does not bring an older one back.
+func newer(old, read *cataloger.Configuration) *cataloger.Configuration {
+	if old != nil && old.Revision > read.Revision {
+		return old
+	}
+	return read
+}
+
+func (f *Follower) replace(change func(*cataloger.Catalog)) {
+	next := &cataloger.Catalog{}
+	old := f.Holder.Catalog()
+	if old != nil {
+		*next = *old
+	}
+	change(next)
+	if old == nil || old.Configuration == nil || old.Configuration.Version != next.Configuration.Version {
+		f.Logger.Info().Str("event", "configuration_read").
+			Uint64("version", uint64(next.Configuration.Version)).
+			Uint64("revision", next.Configuration.Revision).Send()
+	}
+	f.Holder.Replace(next)
+	if f.OnChange != nil {
+		f.OnChange(next)
+	}
+}
--- /dev/null
+++ b/internal/coordination/replacer/replacer.go
@@ -0,0 +1,372 @@
+package replacer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"oleanderpulley/internal/protocol/requester"
+	"oleanderpulley/internal/state/cataloger"
+	"oleanderpulley/internal/state/identifier"
+)
+
+// Sentinel errors of the calls that a replacer makes.
+var (
+	// ErrNoLease reports that the service has no lease object yet.
+	ErrNoLease = errors.New("lease does not exist")
+	// ErrLeaseTaken reports that the lease has changed meanwhile.
+	ErrLeaseTaken = errors.New("lease was taken by another instance")
+	// ErrRefused reports that a promotion was refused: a newer token was seen,
+	// or the server is not running.
+	ErrRefused = errors.New("promotion was refused")
+	// ErrPromotionUnknown reports a promotion without an answer. It may still
+	// be executed.
+	ErrPromotionUnknown = errors.New("promotion has an unknown outcome")
+
+	errAlive       = errors.New("primary leads")
+	errNoCandidate = errors.New("no server can take over")
+	errBehind      = errors.New("successor has not received the whole log")
+)
+
+// Periods of the work.
+const (
+	tick          = 250 * time.Millisecond
+	freshLead     = 900 * time.Millisecond // A lead seen this recently needs no question.
+	storeTimeout  = 800 * time.Millisecond
+	cloudTimeout  = 1500 * time.Millisecond
+	catchUpLimit  = 1200 * time.Millisecond
+	catchUpPause  = 20 * time.Millisecond
+	promoteTries  = 4
+	promotePause  = 150 * time.Millisecond
+	leadLimit     = 3 * time.Second // From a promotion to the lead of the new primary.
+	leadPause     = 40 * time.Millisecond
+	afterFailure  = 700 * time.Millisecond
+	peerWindow    = time.Second // A peer's sight of the primary this recent counts.
+	demandForgets = 10 * time.Second
+)
+
+// Replacer watches the primaries of the services that this instance uses and
+// replaces them. All function fields are required.
+type Replacer struct {
+	Self    identifier.InstanceID
+	Catalog func() *cataloger.Catalog
+	Logger  zerolog.Logger
+
+	// LastLed returns who was last seen leading a service, and when.
+	LastLed func(identifier.ServiceName) (identifier.BackendServerID, identifier.Term, time.Time)
+	// Confirm asks a server whether it leads and records the answer.
+	Confirm func(cataloger.BackendServer) error
+	// Status asks a server for its role and position.
+	Status func(cataloger.BackendServer) (requester.Member, error)
+	// StepDown makes a primary below the term a replica.
+	StepDown func(cataloger.BackendServer, identifier.Term) (requester.Member, error)
+	// Sight asks the peers who has seen the service led since the time.
+	Sight func(ctx context.Context, service identifier.ServiceName, since time.Time) Sight
+
+	ReadLease  func(ctx context.Context, service identifier.ServiceName) (Lease, error)
+	WriteLease func(ctx context.Context, service identifier.ServiceName, l Lease) (Lease, error)
+	Promote    func(ctx context.Context, service identifier.ServiceName, id identifier.BackendServerID, l Lease) error
+
+	mu       sync.Mutex
+	watches  map[identifier.ServiceName]*watch
+	demanded map[identifier.ServiceName]time.Time
+}
+
+// Sight is what the peers answered.
+type Sight struct {
+	Asked, Answered int
+	Led             bool
+}
+
+// isMajority reports whether the instances that take part, this one included,
+// are more than half.
+func (s Sight) isMajority() bool {
+	return 2*(s.Answered+1) > s.Asked+1
+}
+
+// watch is the state of one service.
+type watch struct {
+	running  bool
+	failing  time.Time // Since when the primary shows no sign; zero if it does.
+	lease    Lease     // Last seen.
+	leaseAt  time.Time // When its revision was first seen.
+	pausedTo time.Time
+}
+
+// Need records that the instance uses the service. Only such services are
+// watched, so that the cost does not grow with all services of the fleet.
+func (r *Replacer) Need(service identifier.ServiceName) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.demanded == nil {
+		r.demanded = map[identifier.ServiceName]time.Time{}
+	}
+	r.demanded[service] = time.Now()
+}
+
+// Run watches until the context ends.
+func (r *Replacer) Run(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, service := range r.due() {
+			w := r.start(service)
+			if w == nil {
+				continue
+			}
+			tasks.Go(func() {
+				defer r.stop(w)
+				r.check(ctx, service, w)
+			})
+		}
+	}
+}
+
+// due returns the services in use. Services that nobody has asked for since the
+// start are watched as well, so that an idle one gets its primary replaced.
+func (r *Replacer) due() []identifier.ServiceName {
+	c := r.Catalog()
+	if c == nil || c.Configuration == nil {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var names []identifier.ServiceName
+	for name := range c.Configuration.Services {
+		used := time.Since(r.demanded[name]) < demandForgets
+		if used || Delay(name, r.Self, c.Members) == 0 {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func (r *Replacer) start(service identifier.ServiceName) *watch {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.watches == nil {
+		r.watches = map[identifier.ServiceName]*watch{}
+	}
+	w, ok := r.watches[service]
+	if !ok {
+		w = &watch{}
+		r.watches[service] = w
+	}
+	if w.running || time.Now().Before(w.pausedTo) {
+		return nil
+	}
+	w.running = true
+	return w
+}
+
+func (r *Replacer) stop(w *watch) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w.running = false
+}
+
+// check looks at one service once and acts if its primary has to be replaced.
+func (r *Replacer) check(ctx context.Context, service identifier.ServiceName, w *watch) {
+	c := r.Catalog()
+	id, term, at := r.LastLed(service)
+	primary, registered := c.Server(service, id)
+	if registered && primary.Draining {
+		r.act(ctx, service, w, term, &primary)
+		return
+	}
+	if registered && (time.Since(at) < freshLead || r.Confirm(primary) == nil) {
+		w.failing = time.Time{}
+		return
+	}
+	if r.findLeader(c, service) {
+		w.failing = time.Time{}
+		return
+	}
+	now := time.Now()
+	if w.failing.IsZero() {
+		w.failing = now
+		r.Logger.Warn().Str("event", "primary_lost").Str("service", string(service)).Str("server", string(id)).
+			Bool("registered", registered).Uint64("term", uint64(term)).Dur("last_seen_ms", now.Sub(at)).Send()
+	}
+	if now.Sub(w.failing) < suspicion+Delay(service, r.Self, c.Members) {
+		return
+	}
+	sight := r.Sight(ctx, service, now.Add(-peerWindow))
+	if sight.Led || !sight.isMajority() {
+		r.Logger.Info().Str("event", "replacement_withheld").Str("service", string(service)).
+			Int("peers_asked", sight.Asked).Int("peers_answered", sight.Answered).Bool("led", sight.Led).Send()
+		w.pausedTo = now.Add(afterFailure)
+		return
+	}
+	r.act(ctx, service, w, term, nil)
+}
+
+// findLeader asks the other servers whether one of them leads.
+func (r *Replacer) findLeader(c *cataloger.Catalog, service identifier.ServiceName) bool {
+	found := make(chan bool, len(c.Servers[service]))
+	for _, b := range c.Servers[service] {
+		go func() { found <- r.Confirm(b) == nil }()
+	}
+	led := false
+	for range c.Servers[service] {
+		led = <-found || led
+	}
+	return led
+}
+
+// act replaces the primary and logs the outcome. leaving is the primary if it
+// can be asked to step down.
+func (r *Replacer) act(ctx context.Context, service identifier.ServiceName, w *watch, term identifier.Term, leaving *cataloger.BackendServer) {
+	started := time.Now()
+	l, err := r.take(ctx, service, w, term)
+	if err == nil {
+		err = r.replace(ctx, service, l, leaving)
+	}
+	level := zerolog.InfoLevel
+	if err != nil {
+		level = zerolog.WarnLevel
+		w.pausedTo = time.Now().Add(afterFailure)
+	} else {
+		w.failing = time.Time{}
+	}
+	r.Logger.WithLevel(level).Err(err).Str("event", "replacement").Str("service", string(service)).Uint64("term", uint64(term)).
+		Uint64("token", l.Revision).Bool("planned", leaving != nil).Dur("took_ms", time.Since(started)).Send()
+}
+
+// take takes the lease. It returns [ErrLeaseTaken] while another instance is at
+// work.
+func (r *Replacer) take(ctx context.Context, service identifier.ServiceName, w *watch, term identifier.Term) (Lease, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	l, err := r.ReadLease(ctx, service)
+	if err != nil && !errors.Is(err, ErrNoLease) {
+		return Lease{}, err
+	}
+	if l.Revision != w.lease.Revision || w.leaseAt.IsZero() {
+		w.lease, w.leaseAt = l, time.Now()
+	}
+	if !l.isFree(r.Self, term, time.Since(w.leaseAt)) {
+		return Lease{}, errors.Wrapf(ErrLeaseTaken, "holder %s", l.Holder)
+	}
+	l, err = r.WriteLease(ctx, service, Lease{Holder: r.Self, Term: term, Revision: l.Revision})
+	if err == nil {
+		w.lease, w.leaseAt = l, time.Now()
+	}
+	return l, err
+}
+
+// replace promotes a successor under the lease and waits until it leads.
+func (r *Replacer) replace(ctx context.Context, service identifier.ServiceName, l Lease, leaving *cataloger.BackendServer) error {
+	c := r.Catalog()
+	if leaving == nil && r.findLeader(c, service) {
+		return errAlive
+	}
+	next, ok := Choose(r.candidates(c.Servers[service], leaving))
+	if !ok {
+		return errNoCandidate
+	}
+	if leaving != nil {
+		if err := r.handOver(ctx, service, l, *leaving, next.Server); err != nil {
+			return err
+		}
+	}
+	if err := r.promote(ctx, service, next.Server.ID, l); err != nil {
+		return err
+	}
+	return r.awaitLead(ctx, next.Server)
+}
+
+// candidates asks all servers but the leaving one for their positions.
+func (r *Replacer) candidates(servers []cataloger.BackendServer, leaving *cataloger.BackendServer) []Candidate {
+	var all []Candidate
+	var mu sync.Mutex
+	var tasks sync.WaitGroup
+	for _, b := range servers {
+		if leaving != nil && b.ID == leaving.ID {
+			continue
+		}
+		tasks.Go(func() {
+			m, err := r.Status(b)
+			if err != nil {
+				r.Logger.Info().Str("event", "candidate_silent").Str("server", string(b.ID)).Err(err).Send()
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, Candidate{b, m})
+		})
+	}
+	tasks.Wait()
+	return all
+}
+
+// handOver makes the leaving primary step down and waits until the successor
+// has received its whole log. It first checks that promotions are answered,
+// because the service has no primary in between.
+func (r *Replacer) handOver(ctx context.Context, service identifier.ServiceName, l Lease, leaving, next cataloger.BackendServer) error {
+	if err := r.promote(ctx, service, leaving.ID, l); err != nil {
+		return err
+	}
+	_, term, _ := r.LastLed(service)
+	last, err := r.StepDown(leaving, term+1)
+	if err != nil {
+		return err
+	}
+	limit := time.Now().Add(catchUpLimit)
+	for time.Now().Before(limit) {
+		m, err := r.Status(next)
+		if err == nil && compare(m.Received, last.Received) >= 0 {
+			return nil
+		}
+		pause(ctx, catchUpPause)
+	}
+	r.Logger.Warn().Str("event", "successor_behind").Str("server", string(next.ID)).Err(errBehind).Send()
+	return r.promote(ctx, service, leaving.ID, l)
+}
+
+// promote makes the call until it is answered. The same call under the same
+// token may be made twice.
+func (r *Replacer) promote(ctx context.Context, service identifier.ServiceName, id identifier.BackendServerID, l Lease) error {
+	var err error
+	for range promoteTries {
+		call, cancel := context.WithTimeout(ctx, cloudTimeout)
+		err = r.Promote(call, service, id, l)
+		cancel()
+		if err == nil || errors.Is(err, ErrRefused) {
+			return err
+		}
+		pause(ctx, promotePause)
+	}
+	return err
+}
+
+// awaitLead waits until the new primary leads.
+func (r *Replacer) awaitLead(ctx context.Context, b cataloger.BackendServer) error {
+	limit := time.Now().Add(leadLimit)
+	for ctx.Err() == nil && time.Now().Before(limit) {
+		if r.Confirm(b) == nil {
+			return nil
+		}
+		pause(ctx, leadPause)
+	}
+	return errors.Wrapf(errNoCandidate, "server %s does not lead after its promotion", b.ID)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/state/cataloger/clock.go
@@ -0,0 +1,17 @@
+package cataloger
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// BootTime reads a steady clock that goes on while the machine is suspended,
+// unlike the monotonic clock of package time.
+func BootTime() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		panic(err) // Linux has had the clock since 2.6.39.
+	}
+	return time.Duration(t.Nano())
+}
--- /dev/null
+++ b/internal/transport/lender/lender.go
@@ -0,0 +1,276 @@
+package lender
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"oleanderpulley/internal/state/cataloger"
+	"oleanderpulley/internal/state/identifier"
+)
+
+// Sentinel errors of borrowing.
+var (
+	// ErrNoConnection reports that no connection became free in time.
+	ErrNoConnection = errors.New("no connection to the backend server became free")
+	// ErrServerFull reports that the backend server takes no more connections.
+	ErrServerFull = errors.New("backend server takes no more connections")
+	// ErrWrongServer reports that another backend server answers at the address.
+	ErrWrongServer = errors.New("another backend server answers at the address")
+	// ErrUnreachable reports that the connection could not be opened.
+	ErrUnreachable = errors.New("backend server cannot be reached")
+)
+
+// fullPause is the time for which no new connection is tried after the server
+// refused one for its limit.
+const fullPause = 300 * time.Millisecond
+
+// Lender lends connections. Dial is required; it returns [ErrServerFull],
+// [ErrWrongServer] or [ErrUnreachable]. It is safe for concurrent use.
+type Lender struct {
+	Dial func(deadline time.Time, s cataloger.BackendServer, w identifier.WorkspaceName) (Link, error)
+	// Limit is the number of connections that this instance may keep to the
+	// server.
+	Limit func(s cataloger.BackendServer) int
+
+	mu      sync.Mutex
+	shelves map[identifier.BackendServerID]*shelf
+	dials   uint64
+}
+
+// shelf holds the connections to one backend server.
+type shelf struct {
+	server    cataloger.BackendServer
+	idle      []*Conn // Least recently returned first.
+	lent      map[*Conn]struct{}
+	opening   int
+	waiters   []chan struct{}
+	fullUntil time.Time
+	ended     bool // The server's incarnation is over.
+}
+
+func (s *shelf) total() int {
+	return len(s.idle) + len(s.lent) + s.opening
+}
+
+// Wish says what a borrower needs.
+type Wish struct {
+	Server    cataloger.BackendServer
+	Workspace identifier.WorkspaceName
+	Values    Values // Preferred, not required.
+	Deadline  time.Time
+}
+
+// Borrow lends a connection. The borrower returns it with [Lender.Return] in
+// every case.
+func (l *Lender) Borrow(w Wish) (*Conn, error) {
+	for {
+		c, room, wait := l.pick(w)
+		switch {
+		case c != nil && c.link.Open():
+			return c, nil
+		case c != nil:
+			c.Break()
+			l.Return(c)
+		case room != nil:
+			return l.open(w, room)
+		default:
+			if err := l.await(w, wait); err != nil {
+				return nil, err
+			}
+		}
+		if !time.Now().Before(w.Deadline) {
+			return nil, errors.Wrapf(ErrNoConnection, "server %s", w.Server.ID)
+		}
+	}
+}
+
+// pick takes an idle connection, or reserves room on a shelf for a new one, or
+// returns a channel to wait on.
+func (l *Lender) pick(w Wish) (*Conn, *shelf, chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.shelf(w.Server)
+	if i := s.best(w); i >= 0 {
+		c := s.idle[i]
+		s.idle = slices.Delete(s.idle, i, i+1)
+		s.lent[c] = struct{}{}
+		return c, nil, nil
+	}
+	limit := max(1, l.Limit(w.Server))
+	full := time.Now().Before(s.fullUntil)
+	if s.total() < limit && !full {
+		s.opening++
+		return nil, s, nil
+	}
+	if len(s.idle) > 0 {
+		s.idle[0].link.Close()
+		s.idle = slices.Delete(s.idle, 0, 1)
+		s.opening++
+		return nil, s, nil
+	}
+	wait := make(chan struct{})
+	s.waiters = append(s.waiters, wait)
+	return nil, nil, wait
+}
+
+// best returns the index of the idle connection that suits the wish, the most
+// recently used one of those with the right values, or -1.
+func (s *shelf) best(w Wish) int {
+	found := -1
+	for i := len(s.idle) - 1; i >= 0; i-- {
+		c := s.idle[i]
+		if c.Workspace != w.Workspace {
+			continue
+		}
+		if c.values.Equal(w.Values) {
+			return i
+		}
+		if found < 0 {
+			found = i
+		}
+	}
+	return found
+}
+
+func (l *Lender) await(w Wish, wait chan struct{}) error {
+	timer := time.NewTimer(time.Until(w.Deadline))
+	defer timer.Stop()
+	select {
+	case <-wait:
+		return nil
+	case <-timer.C:
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.shelf(w.Server)
+	i := slices.Index(s.waiters, wait)
+	if i >= 0 {
+		s.waiters = slices.Delete(s.waiters, i, i+1)
+	} else {
+		s.wake() // The wake-up came with the deadline and is for the next.
+	}
+	return errors.Wrapf(ErrNoConnection, "server %s", w.Server.ID)
+}
+
+// open dials in the room that pick reserved.
+func (l *Lender) open(w Wish, s *shelf) (*Conn, error) {
+	link, err := l.Dial(w.Deadline, w.Server, w.Workspace)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s.opening--
+	l.dials++
+	if err != nil {
+		if errors.Is(err, ErrServerFull) {
+			s.fullUntil = time.Now().Add(fullPause)
+		}
+		s.wake()
+		return nil, err
+	}
+	now := time.Now()
+	c := &Conn{Server: w.Server, Workspace: w.Workspace, LastAnswer: now, link: link, shelf: s, stale: s.ended}
+	s.lent[c] = struct{}{}
+	return c, nil
+}
+
+// Return takes a connection back. It closes one that is broken.
+func (l *Lender) Return(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := c.shelf
+	delete(s.lent, c)
+	if c.broken || c.stale || s.total() >= max(1, l.Limit(c.Server)) {
+		c.link.Close()
+	} else {
+		c.returned = time.Now()
+		s.idle = append(s.idle, c)
+	}
+	s.wake()
+}
+
+func (s *shelf) wake() {
+	if len(s.waiters) > 0 {
+		close(s.waiters[0])
+		s.waiters = slices.Delete(s.waiters, 0, 1)
+	}
+}
+
+// shelf returns the shelf of the server's incarnation. Connections to an
+// earlier incarnation are closed.
+func (l *Lender) shelf(server cataloger.BackendServer) *shelf {
+	s, ok := l.shelves[server.ID]
+	if ok && s.server.Born == server.Born && s.server.Address == server.Address {
+		return s
+	}
+	if l.shelves == nil {
+		l.shelves = map[identifier.BackendServerID]*shelf{}
+	}
+	if ok {
+		s.end()
+	}
+	s = &shelf{server: server, lent: map[*Conn]struct{}{}}
+	l.shelves[server.ID] = s
+	return s
+}
+
+// end closes the idle connections and marks the lent ones.
+func (s *shelf) end() {
+	s.ended = true
+	for _, c := range s.idle {
+		c.link.Close()
+	}
+	s.idle = nil
+	for c := range s.lent {
+		c.stale = true
+	}
+	for len(s.waiters) > 0 {
+		s.wake()
+	}
+}
+
+// Keep drops the connections to servers that are no longer registered.
+func (l *Lender) Keep(catalog *cataloger.Catalog) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, s := range l.shelves {
+		if _, ok := catalog.Server(s.server.Service, id); !ok {
+			s.end()
+			delete(l.shelves, id)
+		}
+	}
+}
+
+// HasIdle reports whether an idle connection of the workspace stands.
+func (l *Lender) HasIdle(server identifier.BackendServerID, w identifier.WorkspaceName) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s, ok := l.shelves[server]
+	if !ok {
+		return false
+	}
+	return slices.ContainsFunc(s.idle, func(c *Conn) bool { return c.Workspace == w })
+}
+
+// Borrowed returns the number of lent connections to the server and of
+// borrowers that wait for one.
+func (l *Lender) Borrowed(server identifier.BackendServerID) (lent, waiting int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s, ok := l.shelves[server]
+	if !ok {
+		return 0, 0
+	}
+	return len(s.lent) + s.opening, len(s.waiters)
+}
+
+// Close closes the idle connections and marks the lent ones.
+func (l *Lender) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, s := range l.shelves {
+		s.end()
+		delete(l.shelves, id)
+	}
+}
--- a/internal/transport/messenger/messenger.go
+++ b/internal/transport/messenger/messenger.go
@@ -56,8 +56,11 @@
 	// an empty reply.
 	Handle func(ctx context.Context, from encoder.Hello, body any) (any, error)
 	// TLS is required off loopback; it must ask for and present certificates.
-	TLS    *tls.Config
-	Logger zerolog.Logger
+	TLS *tls.Config
+	// Private allows a listener without TLS off loopback, for a network that
+	// only instances reach.
+	Private bool
+	Logger  zerolog.Logger
 	// Dial opens the TCP connection to a peer; nil means net.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	Ping time.Duration // 0 means [DefaultPing].
@@ -88,7 +91,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listening for peers")
 	}
-	if tcp, ok := listener.Addr().(*net.TCPAddr); ok && !tcp.IP.IsLoopback() && m.TLS == nil {
+	if tcp, ok := listener.Addr().(*net.TCPAddr); ok && !tcp.IP.IsLoopback() && m.TLS == nil && !m.Private {
 		_ = listener.Close()
 		return nil, errors.Errorf("peer address %s is not on loopback and has no TLS", address)
 	}
--- /dev/null
+++ b/internal/transport/sessioner/run.go
@@ -0,0 +1,224 @@
+package sessioner
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"oleanderpulley/internal/protocol/requester"
+	"oleanderpulley/internal/state/cataloger"
+	"oleanderpulley/internal/state/identifier"
+	"oleanderpulley/internal/transport/lender"
+)
+
+// retryPause separates two tries at servers that refused for their load.
+const retryPause = 15 * time.Millisecond
+
+// write runs a single write on the primary.
+func (n *session) write(o operation, w work) requester.Result {
+	return n.onPrimary(o, w, func(c *lender.Conn, w work) (requester.Result, error) {
+		asked := time.Now()
+		r, err := c.Run(o.deadline, w.statement)
+		if err == nil && r.Code == requester.OK {
+			n.server.learn(c, r, asked)
+			n.written, n.writtenAt = r.Position, asked
+		}
+		return r, err
+	})
+}
+
+// readPrimary runs a single read inside a transaction of its own, because a
+// server that has lost the lead would run a plain read as a replica.
+func (n *session) readPrimary(o operation, w work) requester.Result {
+	return n.onPrimary(o, w, func(c *lender.Conn, w work) (requester.Result, error) {
+		asked := time.Now()
+		r, err := c.Run(o.deadline, requester.Statement{Kind: requester.Begin})
+		if err != nil {
+			return r, errors.Wrap(lender.ErrNotSent, err.Error())
+		}
+		if r.Code != requester.OK {
+			return r, nil
+		}
+		n.server.learn(c, r, asked)
+		if err := c.Send(o.deadline, w.statement, requester.Statement{Kind: requester.Rollback}); err != nil {
+			return r, errors.Wrap(lender.ErrNotSent, err.Error())
+		}
+		r, err = c.Receive(o.deadline)
+		if err != nil {
+			return r, errors.Wrap(lender.ErrNotSent, err.Error())
+		}
+		if _, err = c.Receive(o.deadline); err != nil {
+			c.Break()
+		}
+		return r, nil
+	})
+}
+
+// onPrimary runs the work on the primary and runs it again where it is known
+// not to have run. The run returns [lender.ErrNotSent] if it may be repeated.
+func (n *session) onPrimary(o operation, w work, run func(*lender.Conn, work) (requester.Result, error)) requester.Result {
+	last := n.refusal(requester.Overloaded, "no primary is known")
+	for first := true; first || time.Now().Before(o.patience); first = false {
+		p, ok := n.server.primary(o)
+		if !ok {
+			return last
+		}
+		c, err := n.primaryConn(o, p)
+		if err != nil {
+			last = n.refusal(requester.Overloaded, err.Error())
+			if errors.Is(err, lender.ErrNoConnection) {
+				return last
+			}
+			n.pauseAfter(err, o)
+			continue
+		}
+		r, err := n.runOn(c, o, w, run)
+		switch {
+		case errors.Is(err, lender.ErrNotSent):
+			last = n.refusal(requester.Overloaded, err.Error())
+			if !time.Now().Before(o.deadline) {
+				return last
+			}
+		case err != nil:
+			return n.refusal(requester.OutcomeUnknown, err.Error())
+		case r.Code == requester.ReadOnly:
+			n.server.Placer.NotLeading(p.Service, p.ID)
+			last = r
+		case r.Code.NotRun():
+			last = r
+			sleepUntil(nil, retryPause, o.patience)
+		default:
+			return r
+		}
+	}
+	return last
+}
+
+func (n *session) pauseAfter(err error, o operation) {
+	if !errors.Is(err, errNotLeading) {
+		sleepUntil(n.server.Placer.LeaderChanged(o.route.Service), retryPause, o.patience)
+	}
+}
+
+// primaryConn borrows a connection to the primary and, if its last answer is
+// old, asks on it first whether the server still answers and leads.
+func (n *session) primaryConn(o operation, p cataloger.BackendServer) (*lender.Conn, error) {
+	c, err := n.server.borrow(lender.Wish{Server: p, Workspace: o.workspace, Values: n.values, Deadline: o.patience})
+	if err != nil {
+		if errors.Is(err, lender.ErrUnreachable) {
+			n.server.Placer.NotLeading(p.Service, p.ID)
+		}
+		return nil, err
+	}
+	if time.Since(c.LastAnswer) < trustedFor {
+		return c, nil
+	}
+	if err := n.server.confirm(c); err != nil {
+		n.server.Lender.Return(c)
+		return nil, err
+	}
+	return c, nil
+}
+
+// runOn adapts the connection to the session, runs the work and returns the
+// connection.
+func (n *session) runOn(c *lender.Conn, o operation, w work, run func(*lender.Conn, work) (requester.Result, error)) (requester.Result, error) {
+	s := n.server
+	defer s.Lender.Return(c)
+	s.Placer.Start(c.Server.ID)
+	started := time.Now()
+	w, err := n.adapt(c, o.deadline, w)
+	if err != nil {
+		s.Placer.Fail(c.Server.ID)
+		return requester.Result{}, err
+	}
+	r, err := run(c, w)
+	if err != nil {
+		c.Break()
+		s.Placer.Fail(c.Server.ID)
+		return r, err
+	}
+	s.Placer.Finish(c.Server.ID, time.Since(started))
+	s.observeLag(c, r)
+	return r, nil
+}
+
+// adapt prepares the connection for the work and names the prepared statement
+// as the connection knows it.
+func (n *session) adapt(c *lender.Conn, deadline time.Time, w work) (work, error) {
+	name, err := c.Adapt(deadline, n.values, w.shape)
+	if err == nil && w.shape != nil {
+		w.statement.Name = name
+	}
+	return w, err
+}
+
+// readReplica runs a single read on any server whose log holds the floor. A
+// read may be sent again, so a server without an answer is followed by another.
+func (n *session) readReplica(o operation, w work) requester.Result {
+	var tried []identifier.BackendServerID
+	last := n.refusal(requester.Lagging, "no primary showed a position in time")
+	for time.Now().Before(o.deadline) {
+		floor, ok := n.floor(o)
+		if !ok {
+			return last
+		}
+		b, ok := n.nextReader(o, floor.age, tried)
+		if !ok {
+			if !time.Now().Before(o.patience) || !sleepUntil(nil, retryPause, o.patience) {
+				return last
+			}
+			tried = nil
+			continue
+		}
+		tried = append(tried, b.ID)
+		w.statement.After = floor.position
+		r, err := n.readOn(b, o, w, len(tried))
+		switch {
+		case err != nil:
+			last = n.refusal(requester.Overloaded, err.Error())
+		case r.Code == requester.Lagging:
+			last = r
+			n.forgetDiscarded(o.route.Service)
+		case r.Code.NotRun():
+			last = r
+		case r.Code == requester.RunFailed && len(tried) == 1:
+			last = r
+		default:
+			return r
+		}
+	}
+	return last
+}
+
+// nextReader returns the best server that was not tried yet.
+func (n *session) nextReader(o operation, age time.Duration, tried []identifier.BackendServerID) (cataloger.BackendServer, bool) {
+	for _, b := range n.server.Placer.Readers(o.route.Service, o.servers, age, o.workspace) {
+		if !slices.Contains(tried, b.ID) {
+			return b, true
+		}
+	}
+	return cataloger.BackendServer{}, false
+}
+
+// readOn runs a read on one server. Every try but a third gets a part of the
+// remaining time, so that another server can be asked if this one is silent.
+func (n *session) readOn(b cataloger.BackendServer, o operation, w work, try int) (requester.Result, error) {
+	limit := time.Now().Add(time.Until(o.deadline) * 3 / 5)
+	if try >= 3 {
+		limit = o.deadline
+	}
+	o.deadline = limit
+	wait := limit
+	if o.patience.Before(wait) {
+		wait = o.patience
+	}
+	c, err := n.server.borrow(lender.Wish{Server: b, Workspace: o.workspace, Values: n.values, Deadline: wait})
+	if err != nil {
+		return requester.Result{}, err
+	}
+	return n.runOn(c, o, w, func(c *lender.Conn, w work) (requester.Result, error) {
+		return c.Run(o.deadline, w.statement)
+	})
+}
