--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -176,3 +176,13 @@
 	s.tasks.Wait()
 	s.Logger.Info().Str("event", "stopped").Send()
 }
+
+// ConfigVersion returns the version of the configuration in force, 0 before the
+// first.
+func (s *Starter) ConfigVersion() uint64 {
+	c := s.holder.Catalog()
+	if c == nil || c.Configuration == nil {
+		return 0
+	}
+	return uint64(c.Configuration.Version)
+}
--- a/internal/coordination/allotter/allotter.go
+++ b/internal/coordination/allotter/allotter.go
@@ -24,6 +24,9 @@
 	surplusLife = time.Second
 	// asksInRow is the number of peers that are asked for one shortage.
 	asksInRow = 3
+	// Bounds of the time that a refused caller is told to wait.
+	minRetryAfter = 5 * time.Millisecond
+	maxRetryAfter = time.Second
 )
 
 // Limit is the rate in operations a second and the burst in operations of a
@@ -51,6 +54,7 @@
 	seen    time.Time
 	asks    int // Peers asked for the present shortage.
 	asking  bool
+	waiting int // Operations that wait for the own part of the rate.
 	pauseTo time.Time
 	changed chan struct{} // Closed when tokens arrive or an ask ends.
 }
@@ -70,6 +74,9 @@
 			delete(a.buckets, w)
 		}
 	}
+	for w := range limits {
+		a.bucket(w) // Begins to fill, so that the first operation finds a token.
+	}
 }
 
 // Take removes a token for one operation and reports whether there was one.
@@ -117,20 +124,50 @@
 }
 
 // RetryAfter returns the time after which the instance's own part of the rate
-// gives the next token.
+// gives a token to one more operation than those that wait already.
 func (a *Allotter) RetryAfter(w identifier.WorkspaceName) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	b := a.bucket(w)
 	if b == nil {
-		return time.Second
+		return maxRetryAfter
+	}
+	return a.refillTime(w, b, 1)
+}
+
+// Queue lets an operation wait for the own part of the rate if a token comes
+// within the limit. The caller calls [Allotter.Leave] after the wait.
+func (a *Allotter) Queue(w identifier.WorkspaceName, limit time.Duration) (wait time.Duration, ok bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b := a.bucket(w)
+	if b == nil {
+		return 0, false
 	}
+	wait = a.refillTime(w, b, float64(b.waiting)+1)
+	if wait > limit {
+		return wait, false
+	}
+	b.waiting++
+	return wait, true
+}
+
+// Leave ends a wait.
+func (a *Allotter) Leave(w identifier.WorkspaceName) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if b := a.bucket(w); b != nil {
+		b.waiting--
+	}
+}
+
+func (a *Allotter) refillTime(w identifier.WorkspaceName, b *bucket, tokens float64) time.Duration {
 	rate := a.limits[w].Rate * a.part
 	if rate <= 0 {
-		return time.Second
+		return maxRetryAfter
 	}
-	wait := time.Duration((1 - b.tokens) / rate * float64(time.Second))
-	return min(max(wait, 10*time.Millisecond), time.Second)
+	wait := time.Duration((tokens - b.tokens) / rate * float64(time.Second))
+	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
 
 // bucket returns the filled bucket of a workspace, nil for an unknown one.
--- a/internal/coordination/allotter/asker.go
+++ b/internal/coordination/allotter/asker.go
@@ -18,29 +18,50 @@
 }
 
 // Admit takes a token of the workspace. Without one it waits at most for the
-// limit while peers are asked, and then returns the time after which to try
-// again. It does not wait when the peers have just had none.
+// limit, while peers are asked or until the own part of the rate gives one, and
+// then returns the time after which to try again. It does not wait where
+// neither will help in time.
 func (k *Asker) Admit(w identifier.WorkspaceName, limit time.Duration) (retryAfter time.Duration, ok bool) {
 	a := k.Allotter
 	if a.Take(w) {
 		k.askIfShort(w)
 		return 0, true
 	}
+	end := time.Now().Add(limit)
+	if k.awaitGrant(w, limit) {
+		return 0, true
+	}
+	wait, ok := a.Queue(w, time.Until(end))
+	if !ok {
+		return a.RetryAfter(w), false
+	}
+	defer a.Leave(w)
+	time.Sleep(wait)
+	if a.TakeAgain(w) {
+		return 0, true
+	}
+	return a.RetryAfter(w), false
+}
+
+// awaitGrant waits while a question to a peer is under way and reports whether
+// it got a token.
+func (k *Asker) awaitGrant(w identifier.WorkspaceName, limit time.Duration) bool {
+	a := k.Allotter
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	for {
 		k.askIfShort(w)
 		changed := a.Changed(w)
 		if a.TakeAgain(w) {
-			return 0, true
+			return true
 		}
 		if changed == nil {
-			return a.RetryAfter(w), false
+			return false
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return a.RetryAfter(w), false
+			return a.TakeAgain(w)
 		}
 	}
 }
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -259,7 +259,9 @@
 	}
 	cost := latency + latency*time.Duration(state.running)/time.Duration(max(1, s.Slots))
 	if isLeader {
-		cost += latency // Leaves the primary's slots to what only it can serve.
+		// Leaves the primary's slots to what only it can serve, also
+		// where a replica needs a new connection for it.
+		cost += latency + handshake
 	}
 	if s.DataCentre != p.DataCentre {
 		cost += distance
--- /dev/null
+++ b/internal/coordination/placer/placer_test.go
@@ -0,0 +1,94 @@
+package placer_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oleanderpulley/internal/coordination/placer"
+	"oleanderpulley/internal/state/cataloger"
+	"oleanderpulley/internal/state/identifier"
+)
+
+const service identifier.ServiceName = "rentals"
+
+func servers() []cataloger.BackendServer {
+	return []cataloger.BackendServer{
+		{ID: "a", Service: service, DataCentre: "one", Slots: 3, SaysPrimary: true},
+		{ID: "b", Service: service, DataCentre: "one", Slots: 3},
+		{ID: "c", Service: service, DataCentre: "two", Slots: 3},
+	}
+}
+
+func ids(all []cataloger.BackendServer) string {
+	text := ""
+	for _, s := range all {
+		text += string(s.ID)
+	}
+	return text
+}
+
+// clock is a settable clock.
+type clock struct{ now time.Time }
+
+func newPlacer() (*placer.Placer, *clock) {
+	c := &clock{time.Unix(1000, 0)}
+	return &placer.Placer{DataCentre: "one", Now: func() time.Time { return c.now }}, c
+}
+
+// Guards against reads that take the primary's slots while a replica is free,
+// and against bytes between data centres without need.
+func TestReadersPreferTheOwnReplica(t *testing.T) {
+	p, _ := newPlacer()
+	order := ids(p.Readers(service, servers(), time.Second, "shop"))
+	qt.Assert(t, order, qt.Equals, "bca")
+}
+
+// Guards against a replica that lags by more than a read accepts being asked
+// first, and against it being left out for good.
+func TestLaggingReplicaComesLast(t *testing.T) {
+	p, c := newPlacer()
+	p.Lags("b", 3*time.Second)
+	qt.Assert(t, ids(p.Readers(service, servers(), time.Second, "shop")), qt.Equals, "cab")
+	qt.Assert(t, ids(p.Readers(service, servers(), 4*time.Second, "shop")), qt.Equals, "bca")
+	c.now = c.now.Add(time.Second)
+	qt.Assert(t, ids(p.Readers(service, servers(), time.Second, "shop")), qt.Equals, "bca")
+}
+
+// Guards against every statement being sent to a dark server first, and
+// against one lost answer putting a server aside for long.
+func TestSilentServerIsPutAsideForLongerEachTime(t *testing.T) {
+	p, c := newPlacer()
+	for _, pause := range []time.Duration{200, 400, 800, 1600, 2000, 2000} {
+		p.Start("b")
+		p.Fail("b")
+		c.now = c.now.Add(pause*time.Millisecond - time.Millisecond)
+		qt.Assert(t, ids(p.Readers(service, servers(), time.Second, "shop")), qt.Equals, "cab")
+		c.now = c.now.Add(time.Millisecond)
+		qt.Assert(t, ids(p.Readers(service, servers(), time.Second, "shop")), qt.Equals, "bca")
+	}
+	p.Start("b")
+	p.Finish("b", 10*time.Millisecond)
+	p.Start("b")
+	p.Fail("b")
+	c.now = c.now.Add(200 * time.Millisecond)
+	qt.Assert(t, ids(p.Readers(service, servers(), time.Second, "shop")), qt.Equals, "bca")
+}
+
+// Guards against an old primary, which still says that it leads, being taken
+// for the primary again.
+func TestPrimaryFollowsWhatWasSeen(t *testing.T) {
+	p, c := newPlacer()
+	first, ok := p.Primary(service, servers())
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, first.ID, qt.Equals, identifier.BackendServerID("a"))
+	p.NotLeading(service, "a")
+	_, ok = p.Primary(service, servers())
+	qt.Assert(t, ok, qt.IsFalse)
+	p.Led(service, "c", 2, c.now)
+	p.Led(service, "a", 1, c.now.Add(time.Second)) // A late answer of the old term.
+	next, ok := p.Primary(service, servers())
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, next.ID, qt.Equals, identifier.BackendServerID("c"))
+}
--- a/internal/transport/sessioner/session.go
+++ b/internal/transport/sessioner/session.go
@@ -202,7 +202,7 @@
 // handle serves one statement.
 func (n *session) handle(st requester.Statement) requester.Result {
 	if n.tx != nil && n.tx.failed && st.Kind != requester.Commit && st.Kind != requester.Rollback {
-		return n.refusal(requester.Malformed, "the transaction has failed; end it first")
+		return n.refuseFailed()
 	}
 	switch st.Kind {
 	case requester.Set:
--- a/internal/transport/sessioner/transaction.go
+++ b/internal/transport/sessioner/transaction.go
@@ -20,6 +20,7 @@
 	conn      *lender.Conn
 	wrote     bool
 	failed    bool
+	expired   bool // Failed while no statement was outstanding.
 }
 
 // begin admits a transaction and answers for it; the backend server sees it at
@@ -286,6 +287,16 @@
 	return r
 }
 
+// refuseFailed answers a statement of a failed transaction. The first one after
+// an expiry learns of the rollback.
+func (n *session) refuseFailed() requester.Result {
+	if n.tx.expired {
+		n.tx.expired = false
+		return n.refusal(requester.Aborted, "the transaction was idle for too long and was rolled back")
+	}
+	return n.refusal(requester.Malformed, "the transaction has failed; end it first")
+}
+
 // expireTransaction ends a transaction that was idle for too long. The client
 // learns of it at its next statement.
 func (n *session) expireTransaction() {
@@ -294,5 +305,6 @@
 	}
 	n.tx.drop(n)
 	n.tx.failed = true
+	n.tx.expired = true
 	n.server.Logger.Info().Str("event", "transaction_expired").Str("database", n.database).Send()
 }
