sessioner: forward statements to homes of their workspace; keep idle connections

Two causes: every idle connection whose last deadline had passed was taken for closed, because RawConn.Read fails after a passed deadline; and every instance needs connections for all workspaces.

--- a/internal/command/starter/drain.go
+++ b/internal/command/starter/drain.go
@@ -21,14 +21,16 @@
 // first half of it to end.
 func (s *Starter) Drain(ctx context.Context) {
 	s.draining.Store(true)
+	s.sessions.Draining.Store(true)
 	grace := s.Settings.Grace
 	started := time.Now()
 	s.Logger.Info().Str("event", "drain_started").Int("sessions", s.sessions.Sessions()).Send()
 	for {
 		elapsed := time.Since(started)
-		left := s.sessions.EndIdle(1 + s.sessions.Sessions()/8)
+		left := s.sessions.EndIdle(1+s.sessions.Sessions()/8) + s.sessions.ForeignTransactions()
 		if elapsed > grace/2 {
 			s.sessions.EndTransactions()
+			s.sessions.ExpireForeign(0)
 		}
 		if (left == 0 && elapsed > announce) || elapsed > grace-drainReserve {
 			s.Logger.Info().Str("event", "drain_ended").Int("sessions", left).Send()
--- /dev/null
+++ b/internal/command/starter/forward.go
@@ -0,0 +1,110 @@
+package starter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"oleanderpulley/internal/coordination/homer"
+	"oleanderpulley/internal/state/cataloger"
+	"oleanderpulley/internal/state/identifier"
+	"oleanderpulley/internal/transport/messenger"
+	"oleanderpulley/internal/transport/sessioner"
+)
+
+// avoidance is the time for which nothing is forwarded to a peer that left a
+// statement without an answer.
+const avoidance = 2 * time.Second
+
+// plans keeps the homes of each service for the newest catalog, and the peers
+// that are avoided.
+type plans struct {
+	mu      sync.Mutex
+	catalog *cataloger.Catalog
+	plans   map[identifier.ServiceName]*homer.Plan
+	avoided map[identifier.InstanceID]time.Time
+}
+
+func (p *plans) plan(c *cataloger.Catalog, service identifier.ServiceName) *homer.Plan {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.catalog != c {
+		p.catalog = c
+		p.plans = map[identifier.ServiceName]*homer.Plan{}
+	}
+	plan, ok := p.plans[service]
+	if !ok {
+		plan = homer.Make(service, c)
+		p.plans[service] = plan
+	}
+	return plan
+}
+
+func (p *plans) avoid(id identifier.InstanceID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.avoided == nil {
+		p.avoided = map[identifier.InstanceID]time.Time{}
+	}
+	p.avoided[id] = time.Now().Add(avoidance)
+}
+
+func (p *plans) isAvoided(id identifier.InstanceID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Now().Before(p.avoided[id])
+}
+
+// homes returns the peers that statements of the workspace are forwarded to,
+// none if they run here.
+func (s *Starter) homes(service identifier.ServiceName, w identifier.WorkspaceName) []identifier.InstanceID {
+	plan := s.plans.plan(s.holder.Catalog(), service)
+	if plan.Everywhere {
+		return nil
+	}
+	var usable []identifier.InstanceID
+	for _, m := range plan.Homes(w, s.Settings.DataCentre) {
+		if m.ID == s.Settings.InstanceID {
+			return nil
+		}
+		if !s.plans.isAvoided(m.ID) && s.peers.Connected(m.ID) {
+			usable = append(usable, m.ID)
+		}
+	}
+	return usable
+}
+
+// forward sends a statement to a peer.
+func (s *Starter) forward(ctx context.Context, to identifier.InstanceID, f sessioner.Forward) (sessioner.Forwarded, error) {
+	asked := time.Now()
+	reply, err := s.peers.Request(ctx, to, f)
+	switch {
+	case errors.Is(err, messenger.ErrBusy), errors.Is(err, messenger.ErrUnknownPeer), errors.Is(err, messenger.ErrClosed):
+		return sessioner.Forwarded{}, errors.Wrap(sessioner.ErrNotForwarded, err.Error())
+	case err != nil:
+		s.plans.avoid(to)
+		s.peers.Reconnect(to, asked)
+		return sessioner.Forwarded{}, err
+	}
+	r, ok := reply.(sessioner.Forwarded)
+	if !ok {
+		return sessioner.Forwarded{}, errors.Wrapf(errUnexpected, "%T", reply)
+	}
+	return r, nil
+}
+
+// expireForeign ends the transactions of peers that are gone.
+func (s *Starter) expireForeign(ctx context.Context) {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.sessions.ExpireForeign(sessioner.ForeignLimit)
+		}
+	}
+}
--- a/internal/command/starter/peers.go
+++ b/internal/command/starter/peers.go
@@ -12,6 +12,7 @@
 	"oleanderpulley/internal/state/identifier"
 	"oleanderpulley/internal/state/sampler"
 	"oleanderpulley/internal/transport/messenger"
+	"oleanderpulley/internal/transport/sessioner"
 )
 
 const (
@@ -44,6 +45,8 @@
 	e.Register("tokens_grant", allotter.Grant{})
 	e.Register("sample_ask", sampleAsk{})
 	e.Register("sample_reply", sampleReply{})
+	e.Register("forward", sessioner.Forward{})
+	e.Register("forwarded", sessioner.Forwarded{})
 	s.peers = messenger.Messenger{
 		Self:    encoder.Hello{Instance: s.Settings.InstanceID, DataCentre: s.Settings.DataCentre},
 		Encoder: &e,
@@ -57,8 +60,10 @@
 }
 
 // handlePeer answers a question of another instance.
-func (s *Starter) handlePeer(_ context.Context, _ encoder.Hello, body any) (any, error) {
+func (s *Starter) handlePeer(_ context.Context, from encoder.Hello, body any) (any, error) {
 	switch m := body.(type) {
+	case sessioner.Forward:
+		return s.sessions.Execute(from.Instance, m), nil
 	case allotter.Ask:
 		return s.allotter.Give(m), nil
 	case sampleAsk:
--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -45,6 +45,7 @@
 	allotter allotter.Allotter
 	peers    messenger.Messenger
 	replacer replacer.Replacer
+	plans    plans
 	store    *platform.Store
 	follower follower.Follower
 	clients  net.Listener
@@ -67,6 +68,7 @@
 		return err
 	}
 	s.tasks.Go(func() { s.replacer.Run(ctx) })
+	s.tasks.Go(func() { s.expireForeign(ctx) })
 	s.tasks.Go(func() { s.follower.Run(ctx) })
 	s.Logger.Info().Str("event", "started").Str("address", s.Settings.ClientAddress).Send()
 	return nil
@@ -90,6 +92,8 @@
 	s.sessions.AskPeers = s.askPeersForSample
 	s.sessions.ParseMember = platform.ParseMember
 	s.sessions.Need = s.replacer.Need
+	s.sessions.Homes = s.homes
+	s.sessions.Forward = s.forward
 	s.assembleReplacer()
 	s.follower = follower.Follower{
 		Store:    s.store.FollowerStore(),
@@ -112,7 +116,9 @@
 	if c == nil || c.Configuration == nil {
 		return 1
 	}
-	return c.Configuration.Services[b.Service].MaxConnections / max(1, len(c.Members))
+	part := c.Configuration.Services[b.Service].MaxConnections / max(1, len(c.Members))
+	plan := s.plans.plan(c, b.Service)
+	return max(part, plan.Load(s.Settings.InstanceID))
 }
 
 func (s *Starter) listen(ctx context.Context) error {
--- /dev/null
+++ b/internal/coordination/homer/homer.go
@@ -0,0 +1,120 @@
+package homer
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"oleanderpulley/internal/state/cataloger"
+	"oleanderpulley/internal/state/identifier"
+)
+
+// usable is the part of a backend server's connections that homes plan with.
+// The rest is for questions of this system and for instances that have not
+// seen the latest members.
+const usable = 0.9
+
+// Plan holds the homes of all workspaces for one service.
+type Plan struct {
+	// Everywhere is true if the server's connections suffice for every
+	// workspace at every instance.
+	Everywhere bool
+
+	homes map[identifier.WorkspaceName][]cataloger.Member
+	loads map[identifier.InstanceID]int
+}
+
+// Homes returns the homes of a workspace, those of the data centre first.
+func (p *Plan) Homes(w identifier.WorkspaceName, near identifier.DataCentre) []cataloger.Member {
+	homes := slices.Clone(p.homes[w])
+	slices.SortStableFunc(homes, func(a, b cataloger.Member) int {
+		return cmp.Compare(remote(a, near), remote(b, near))
+	})
+	return homes
+}
+
+func remote(m cataloger.Member, near identifier.DataCentre) int {
+	if m.DataCentre == near {
+		return 0
+	}
+	return 1
+}
+
+// Load returns the number of workspaces that have a home at the instance.
+func (p *Plan) Load(id identifier.InstanceID) int {
+	return p.loads[id]
+}
+
+// Make plans the homes for a service. No instance is the home of more than one
+// workspace over the mean.
+func Make(service identifier.ServiceName, c *cataloger.Catalog) *Plan {
+	workspaces := slices.Sorted(maps.Keys(c.Configuration.Workspaces))
+	connections := c.Configuration.Services[service].MaxConnections
+	members := len(c.Members)
+	p := &Plan{}
+	if members == 0 || len(workspaces) == 0 {
+		p.Everywhere = true
+		return p
+	}
+	each := max(1, int(usable*float64(connections))/len(workspaces))
+	if each >= members {
+		p.Everywhere = true
+		return p
+	}
+	p.homes = make(map[identifier.WorkspaceName][]cataloger.Member, len(workspaces))
+	p.loads = make(map[identifier.InstanceID]int, members)
+	most := (len(workspaces)*each + members - 1) / members
+	byDataCentre, names := group(c.Members)
+	for _, w := range workspaces {
+		p.homes[w] = p.choose(service, w, each, most, byDataCentre, names)
+	}
+	return p
+}
+
+func group(members map[identifier.InstanceID]cataloger.Member) (map[identifier.DataCentre][]cataloger.Member, []identifier.DataCentre) {
+	all := map[identifier.DataCentre][]cataloger.Member{}
+	for _, m := range members {
+		all[m.DataCentre] = append(all[m.DataCentre], m)
+	}
+	return all, slices.Sorted(maps.Keys(all))
+}
+
+// choose takes homes from the data centres in turn, in each the instance with
+// the highest weight that has room.
+func (p *Plan) choose(service identifier.ServiceName, w identifier.WorkspaceName, each, most int,
+	all map[identifier.DataCentre][]cataloger.Member, names []identifier.DataCentre,
+) []cataloger.Member {
+	var homes []cataloger.Member
+	taken := map[identifier.InstanceID]bool{}
+	key := string(service) + "/" + string(w) + "/"
+	start := int(xxhash.Sum64String(key) % uint64(len(names)))
+	for misses := 0; len(homes) < each && misses < len(names); start++ {
+		m, ok := p.best(key, all[names[start%len(names)]], taken, most)
+		if !ok {
+			misses++
+			continue
+		}
+		misses = 0
+		taken[m.ID] = true
+		p.loads[m.ID]++
+		homes = append(homes, m)
+	}
+	return homes
+}
+
+func (p *Plan) best(key string, members []cataloger.Member, taken map[identifier.InstanceID]bool, most int) (cataloger.Member, bool) {
+	var found cataloger.Member
+	var weight uint64
+	ok := false
+	for _, m := range members {
+		if taken[m.ID] || p.loads[m.ID] >= most {
+			continue
+		}
+		if own := xxhash.Sum64String(key + string(m.ID)); !ok || own > weight || (own == weight && m.ID < found.ID) {
+			found, weight, ok = m, own, true
+		}
+	}
+	return found, ok
+}
--- /dev/null
+++ b/internal/coordination/homer/homer_test.go
@@ -0,0 +1,69 @@
+package homer_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"oleanderpulley/internal/coordination/homer"
+	"oleanderpulley/internal/state/cataloger"
+	"oleanderpulley/internal/state/identifier"
+)
+
+func catalog(members, dataCentres, workspaces, connections int) *cataloger.Catalog {
+	c := &cataloger.Catalog{
+		Members: map[identifier.InstanceID]cataloger.Member{},
+		Configuration: &cataloger.Configuration{
+			Services:   map[identifier.ServiceName]cataloger.Service{"rentals": {MaxConnections: connections}},
+			Workspaces: map[identifier.WorkspaceName]cataloger.Workspace{},
+		},
+	}
+	for i := range members {
+		id := identifier.InstanceID(fmt.Sprint("i", i))
+		c.Members[id] = cataloger.Member{ID: id, DataCentre: identifier.DataCentre(fmt.Sprint("dc", i%dataCentres))}
+	}
+	for i := range workspaces {
+		c.Configuration.Workspaces[identifier.WorkspaceName(fmt.Sprint("w", i))] = cataloger.Workspace{}
+	}
+	return c
+}
+
+// Guards against more planned connections than a backend server takes, and
+// against a workspace without a home.
+func TestPlansFitTheConnections(t *testing.T) {
+	for _, test := range []struct{ members, dataCentres, workspaces, connections int }{
+		{15, 3, 8, 47}, {12, 4, 8, 100}, {139, 3, 86, 97}, {129, 5, 82, 460}, {1, 1, 1, 1}, {3, 1, 500, 40},
+	} {
+		t.Run(fmt.Sprint(test), func(t *testing.T) {
+			c := catalog(test.members, test.dataCentres, test.workspaces, test.connections)
+			p := homer.Make("rentals", c)
+			if p.Everywhere {
+				qt.Assert(t, test.members*test.workspaces <= test.connections, qt.IsTrue)
+				return
+			}
+			planned, most := 0, 0
+			for w := range c.Configuration.Workspaces {
+				homes := p.Homes(w, "dc0")
+				qt.Assert(t, len(homes) > 0, qt.IsTrue)
+				planned += len(homes)
+			}
+			for id := range c.Members {
+				most = max(most, p.Load(id))
+			}
+			qt.Check(t, planned <= max(test.connections, test.workspaces), qt.IsTrue, qt.Commentf("planned %d", planned))
+			qt.Check(t, most <= planned/test.members+1, qt.IsTrue, qt.Commentf("most %d", most))
+		})
+	}
+}
+
+// Guards against instances that disagree on the homes, and against statements
+// that cross data centres without need.
+func TestPlansAgreeAndPreferNearHomes(t *testing.T) {
+	c := catalog(15, 3, 8, 47)
+	first, second := homer.Make("rentals", c), homer.Make("rentals", catalog(15, 3, 8, 47))
+	for w := range c.Configuration.Workspaces {
+		qt.Assert(t, second.Homes(w, "dc1"), qt.DeepEquals, first.Homes(w, "dc1"))
+		qt.Assert(t, first.Homes(w, "dc1")[0].DataCentre, qt.Equals, identifier.DataCentre("dc1"))
+	}
+}
--- a/internal/protocol/requester/result.go
+++ b/internal/protocol/requester/result.go
@@ -58,12 +58,12 @@
 
 // Result answers one statement.
 type Result struct {
-	Rows      []string
-	Signature string // Of the backend server that ran the statement.
-	Code      Code
-	Text      string // Explains a code other than OK.
-	State     TransactionState
-	Position  identifier.Position // Of the backend server's log; zero if not told.
+	Rows      []string            `cbor:"rows,omitempty"`
+	Signature string              `cbor:"signature,omitempty"` // Of the backend server that ran the statement.
+	Code      Code                `cbor:"code,omitempty"`
+	Text      string              `cbor:"text,omitempty"` // Explains a code other than OK.
+	State     TransactionState    `cbor:"state"`
+	Position  identifier.Position `cbor:"position"` // Of the backend server's log; zero if not told.
 }
 
 // Member is what a backend server says of itself in answer to [Status].
--- a/internal/protocol/requester/statement.go
+++ b/internal/protocol/requester/statement.go
@@ -31,28 +31,28 @@
 
 // Shape is what a prepared statement does, apart from its values.
 type Shape struct {
-	Writes bool
-	Text   string
+	Writes bool   `cbor:"writes,omitempty"`
+	Text   string `cbor:"text"`
 }
 
 // Statement is one request of a session.
 type Statement struct {
-	ID   StatementID
-	Kind Kind
+	ID   StatementID `cbor:"id,omitempty"`
+	Kind Kind        `cbor:"kind"`
 
 	// Text is the statement as the client wrote it, for the kinds that are
 	// sent on unchanged.
-	Text string
+	Text string `cbor:"text,omitempty"`
 
-	Name  string // Of a session value or a prepared statement.
-	Value string // Of a session value, or the arguments of an execution.
-	Shape Shape  // Of a statement to prepare.
+	Name  string `cbor:"name,omitempty"`  // Of a session value or a prepared statement.
+	Value string `cbor:"value,omitempty"` // Of a session value, or the arguments of an execution.
+	Shape Shape  `cbor:"-"`               // Of a statement to prepare.
 
 	// After asks the backend server to refuse unless its log holds the
 	// position. It applies to reads and to both kinds of begin.
-	After identifier.Position
+	After identifier.Position `cbor:"-"`
 
-	Term identifier.Term // Of StepDown and Pause.
+	Term identifier.Term `cbor:"-"` // Of StepDown and Pause.
 }
 
 // IsBegin reports whether the statement opens a transaction.
--- a/internal/transport/lender/conn.go
+++ b/internal/transport/lender/conn.go
@@ -100,7 +100,8 @@
 
 // Value is one session value.
 type Value struct {
-	Name, Value string
+	Name  string `cbor:"name"`
+	Value string `cbor:"value"`
 }
 
 // With returns the values with one set.
--- a/internal/transport/lender/lender.go
+++ b/internal/transport/lender/lender.go
@@ -59,6 +59,7 @@
 type Wish struct {
 	Server    cataloger.BackendServer
 	Workspace identifier.WorkspaceName
+	Any       bool   // A connection of any workspace will do.
 	Values    Values // Preferred, not required.
 	Deadline  time.Time
 }
@@ -122,7 +123,7 @@
 	found := -1
 	for i := len(s.idle) - 1; i >= 0; i-- {
 		c := s.idle[i]
-		if c.Workspace != w.Workspace {
+		if c.Workspace != w.Workspace && !w.Any {
 			continue
 		}
 		if c.values.Equal(w.Values) {
--- a/internal/transport/messenger/link.go
+++ b/internal/transport/messenger/link.go
@@ -25,7 +25,10 @@
 	done      chan struct{}
 	once      sync.Once
 	lastUse   atomic.Int64 // Unix nanoseconds of the last request.
-	nextID    atomic.Uint64
+	// lastAnswer is the time of the last message from the peer, in Unix
+	// nanoseconds.
+	lastAnswer atomic.Int64
+	nextID     atomic.Uint64
 
 	mu      sync.Mutex
 	conn    *websocket.Conn
@@ -230,6 +233,7 @@
 }
 
 func (l *link) deliver(id uint64, a answer) {
+	l.lastAnswer.Store(time.Now().UnixNano())
 	l.mu.Lock()
 	result, ok := l.pending[id]
 	delete(l.pending, id)
--- a/internal/transport/messenger/messenger.go
+++ b/internal/transport/messenger/messenger.go
@@ -165,6 +165,35 @@
 	return l.request(ctx, body)
 }
 
+// Connected reports whether a link to the peer stands. Without one it starts
+// one, so that a later call may find it.
+func (m *Messenger) Connected(to identifier.InstanceID) bool {
+	l, err := m.link(to)
+	if err != nil {
+		return false
+	}
+	l.lastUse.Store(time.Now().UnixNano())
+	select {
+	case <-l.done:
+		return false
+	case <-l.ready:
+		return true
+	default:
+		return false
+	}
+}
+
+// Reconnect ends the link to a peer that has sent nothing since the time. A
+// connection that has gone silent is found sooner by it than by pings.
+func (m *Messenger) Reconnect(to identifier.InstanceID, since time.Time) {
+	m.mu.Lock()
+	l, ok := m.links[to]
+	m.mu.Unlock()
+	if ok && l.lastAnswer.Load() < since.UnixNano() {
+		l.close(ErrUnreachable)
+	}
+}
+
 // Close ends all links and waits for their tasks.
 func (m *Messenger) Close() {
 	m.mu.Lock()
--- a/internal/transport/sessioner/ask.go
+++ b/internal/transport/sessioner/ask.go
@@ -32,7 +32,7 @@
 
 func (s *Server) askMember(b cataloger.BackendServer, st requester.Statement) (requester.Member, error) {
 	deadline := time.Now().Add(askTimeout)
-	c, err := s.borrow(lender.Wish{Server: b, Workspace: s.anyWorkspace(), Deadline: deadline})
+	c, err := s.borrow(lender.Wish{Server: b, Workspace: s.anyWorkspace(), Any: true, Deadline: deadline})
 	if err != nil {
 		return requester.Member{}, err
 	}
--- a/internal/transport/sessioner/lead.go
+++ b/internal/transport/sessioner/lead.go
@@ -102,7 +102,7 @@
 
 // askServer borrows a connection and asks the server whether it leads.
 func (s *Server) askServer(b cataloger.BackendServer, w identifier.WorkspaceName) error {
-	c, err := s.borrow(lender.Wish{Server: b, Workspace: w, Deadline: time.Now().Add(askTimeout)})
+	c, err := s.borrow(lender.Wish{Server: b, Workspace: w, Any: true, Deadline: time.Now().Add(askTimeout)})
 	if err != nil {
 		return err
 	}
--- a/internal/transport/sessioner/server.go
+++ b/internal/transport/sessioner/server.go
@@ -1,7 +1,9 @@
 package sessioner
 
 import (
+	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -57,6 +59,19 @@
 	// Need is told each service that needs a primary. Nil is not told.
 	Need func(service identifier.ServiceName)
 
+	// Homes returns the peers to forward the statements of a workspace to,
+	// the best one first. None means that they run here.
+	Homes func(service identifier.ServiceName, w identifier.WorkspaceName) []identifier.InstanceID
+	// Forward sends a statement to a peer. [ErrNotForwarded] means that the
+	// peer has not seen it.
+	Forward func(ctx context.Context, to identifier.InstanceID, f Forward) (Forwarded, error)
+
+	// Draining makes the server refuse statements of peers that begin
+	// something new.
+	Draining atomic.Bool
+
+	foreign foreignTransactions
+
 	mu       sync.Mutex
 	sessions map[*session]struct{}
 	samplers map[identifier.ServiceName]*sampler.Sampler
--- a/internal/transport/sessioner/session.go
+++ b/internal/transport/sessioner/session.go
@@ -36,6 +36,10 @@
 	writtenAt time.Time
 	tx        *transaction // Nil outside of a transaction.
 
+	// forwarded is true for the session of a peer's client, whose statements
+	// the peer has authorized.
+	forwarded bool
+
 	leaving atomic.Bool // Close when idle.
 	expired atomic.Bool // Close even inside a transaction.
 }
@@ -265,18 +269,29 @@
 		return refusal
 	}
 	started := time.Now()
-	var r requester.Result
+	r := n.place(o, w)
+	r.State = requester.Idle
+	n.finished(st.ID, o, r, time.Since(started))
+	return r
+}
+
+// place runs a single statement at a home of its workspace, or here.
+func (n *session) place(o operation, w work) requester.Result {
+	if r, ok := n.forward(o, w); ok {
+		return r
+	}
+	return n.runHere(o, w)
+}
+
+func (n *session) runHere(o operation, w work) requester.Result {
 	switch {
 	case w.writes:
-		r = n.write(o, w)
+		return n.write(o, w)
 	case o.route.Consistency == cataloger.PrimaryOnly:
-		r = n.readPrimary(o, w)
+		return n.readPrimary(o, w)
 	default:
-		r = n.readReplica(o, w)
+		return n.readReplica(o, w)
 	}
-	r.State = requester.Idle
-	n.finished(st.ID, o, r, time.Since(started))
-	return r
 }
 
 // admit authorizes an operation and takes it from the workspace's rate.
--- a/internal/transport/sessioner/transaction.go
+++ b/internal/transport/sessioner/transaction.go
@@ -18,6 +18,7 @@
 	kind      requester.Kind // Begin or BeginReadOnly, as the client asked.
 	plain     bool           // Opened on the primary as a plain transaction.
 	conn      *lender.Conn
+	remote    *remote // Set while the transaction is open at a peer.
 	wrote     bool
 	failed    bool
 	expired   bool // Failed while no statement was outstanding.
@@ -34,15 +35,25 @@
 		n.refused("statement_refused", st.ID, refusal)
 		return refusal
 	}
-	n.tx = &transaction{operation: o, kind: st.Kind}
-	n.tx.plain = st.Kind == requester.Begin || o.route.Consistency == cataloger.PrimaryOnly
+	n.tx = newTransaction(o, st.Kind)
 	return n.done()
 }
 
+// newTransaction returns a transaction that is not open at a backend server
+// yet. On routes to the primary a read-only one is plain as well, so that a
+// server that has lost the lead refuses it.
+func newTransaction(o operation, kind requester.Kind) *transaction {
+	plain := kind == requester.Begin || o.route.Consistency == cataloger.PrimaryOnly
+	return &transaction{operation: o, kind: kind, plain: plain}
+}
+
 // statementOperation is the operation of the next statement of the transaction.
 func (n *session) statementOperation() (operation, requester.Result) {
-	now, refusal := n.authorize()
 	o := n.tx.operation
+	if n.forwarded {
+		return o, requester.Result{}
+	}
+	now, refusal := n.authorize()
 	if refusal.Code == requester.OK && now.workspace != o.workspace {
 		refusal = n.refusal(requester.NoAccess, "the key has changed its owner")
 	}
@@ -58,6 +69,13 @@
 	if refusal.Code != requester.OK {
 		return n.fail(w.statement.ID, refusal)
 	}
+	if r, ok := n.forwardInTransaction(o, w); ok {
+		n.tx.wrote = n.tx.wrote || w.writes
+		if r.Code != requester.OK || r.State != requester.InTransaction {
+			return n.fail(w.statement.ID, r)
+		}
+		return r
+	}
 	if n.tx.conn == nil {
 		if r := n.open(o); r.Code != requester.OK {
 			return n.fail(w.statement.ID, r)
@@ -115,6 +133,10 @@
 
 // drop rolls the transaction back and returns its connection.
 func (t *transaction) drop(n *session) {
+	if t.remote != nil {
+		n.rollbackRemote(t.remote)
+		t.remote = nil
+	}
 	c := t.conn
 	if c == nil {
 		return
@@ -261,6 +283,10 @@
 		t.drop(n)
 		return refusal
 	}
+	if r, ok := n.forwardInTransaction(o, work{statement: st}); ok {
+		t.remote = nil
+		return r
+	}
 	if t.conn == nil {
 		if r := n.open(o); r.Code != requester.OK {
 			return r
