replacer: act on the time since the primary was last seen; put a silent primary aside

The suspicion of 1 s counted from the first failed question, which came 1.2 to 1.9 s after the last sign; ranks added up to 1.5 s; each replacement asked the lost primary again, 400 ms twice; connecting waited for a second SYN.

--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -127,6 +127,13 @@
 	s.asideUntil = now.Add(min(pause, lastPause))
 }
 
+// IsAside reports whether the server is put aside for its silence.
+func (p *Placer) IsAside(id identifier.BackendServerID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.now().Before(p.server(id).asideUntil)
+}
+
 // Led records that a server led the term at the time at which it was asked.
 func (p *Placer) Led(service identifier.ServiceName, id identifier.BackendServerID, term identifier.Term, asked time.Time) {
 	p.mu.Lock()
--- a/internal/coordination/replacer/decide.go
+++ b/internal/coordination/replacer/decide.go
@@ -13,14 +13,15 @@
 )
 
 const (
-	// suspicion is the time without any sign of the primary after which the
-	// first instance acts. It is longer than a lost connection takes to be
-	// replaced and than an answer under load takes.
-	suspicion = time.Second
-	// rankDelay is added for each instance that is to act earlier.
-	rankDelay = 300 * time.Millisecond
+	// suspicion is the time since the last sign of the primary after which the
+	// first instance acts. It is longer than a lost packet takes to be sent
+	// again and than two questions on new connections take.
+	suspicion = 1100 * time.Millisecond
+	// rankDelay is added for each instance that is to act earlier. The lease
+	// keeps two from acting together, so it only saves calls.
+	rankDelay = 120 * time.Millisecond
 	// maxDelay bounds the added delay.
-	maxDelay = 1500 * time.Millisecond
+	maxDelay = 600 * time.Millisecond
 	// takeover is the time after which the unfinished lease of another holder
 	// is taken over.
 	takeover = 6 * time.Second
--- a/internal/coordination/replacer/replacer.go
+++ b/internal/coordination/replacer/replacer.go
@@ -33,8 +33,8 @@
 
 // Periods of the work.
 const (
-	tick          = 250 * time.Millisecond
-	freshLead     = 900 * time.Millisecond // A lead seen this recently needs no question.
+	tick          = 150 * time.Millisecond
+	freshLead     = 700 * time.Millisecond // A lead seen this recently needs no question.
 	storeTimeout  = 800 * time.Millisecond
 	cloudTimeout  = 1500 * time.Millisecond
 	catchUpLimit  = 1200 * time.Millisecond
@@ -44,7 +44,7 @@
 	leadLimit     = 3 * time.Second // From a promotion to the lead of the new primary.
 	leadPause     = 40 * time.Millisecond
 	afterFailure  = 700 * time.Millisecond
-	peerWindow    = time.Second // A peer's sight of the primary this recent counts.
+	peerWindow    = 800 * time.Millisecond // A peer's sight of the primary this recent counts.
 	demandForgets = 10 * time.Second
 )
 
@@ -184,7 +184,7 @@
 		r.act(ctx, service, w, term, &primary)
 		return
 	}
-	if registered && (time.Since(at) < freshLead || r.Confirm(primary) == nil) {
+	if registered && time.Since(at) < freshLead {
 		w.failing = time.Time{}
 		return
 	}
@@ -194,7 +194,7 @@
 	}
 	now := time.Now()
 	if w.failing.IsZero() {
-		w.failing = now
+		w.failing = firstSign(at, now)
 		r.Logger.Warn().Str("event", "primary_lost").Str("service", string(service)).Str("server", string(id)).
 			Bool("registered", registered).Uint64("term", uint64(term)).Dur("last_seen_ms", now.Sub(at)).Send()
 	}
@@ -211,17 +211,29 @@
 	r.act(ctx, service, w, term, nil)
 }
 
-// findLeader asks the other servers whether one of them leads.
+// firstSign is when the primary began to show no sign: just after it was last
+// seen, but not long before its loss was noticed, since an idle service is not
+// looked at all the time.
+func firstSign(lastLed, noticed time.Time) time.Time {
+	if earliest := noticed.Add(-suspicion * 4 / 5); lastLed.Before(earliest) {
+		return earliest
+	}
+	return lastLed
+}
+
+// findLeader asks all servers whether one of them leads. It returns at the
+// first that does.
 func (r *Replacer) findLeader(c *cataloger.Catalog, service identifier.ServiceName) bool {
 	found := make(chan bool, len(c.Servers[service]))
 	for _, b := range c.Servers[service] {
 		go func() { found <- r.Confirm(b) == nil }()
 	}
-	led := false
 	for range c.Servers[service] {
-		led = <-found || led
+		if <-found {
+			return true
+		}
 	}
-	return led
+	return false
 }
 
 // act replaces the primary and logs the outcome. leaving is the primary if it
@@ -268,10 +280,13 @@
 // replace promotes a successor under the lease and waits until it leads.
 func (r *Replacer) replace(ctx context.Context, service identifier.ServiceName, l Lease, leaving *cataloger.BackendServer) error {
 	c := r.Catalog()
-	if leaving == nil && r.findLeader(c, service) {
-		return errAlive
+	all := r.candidates(c.Servers[service], leaving)
+	for _, m := range all {
+		if leaving == nil && m.Member.Leads && r.Confirm(m.Server) == nil {
+			return errAlive
+		}
 	}
-	next, ok := Choose(r.candidates(c.Servers[service], leaving))
+	next, ok := Choose(all)
 	if !ok {
 		return errNoCandidate
 	}
--- a/internal/transport/sessioner/lead.go
+++ b/internal/transport/sessioner/lead.go
@@ -19,7 +19,7 @@
 	// no slot, so it comes within a round trip or not at all.
 	askTimeout = 400 * time.Millisecond
 	// searchPause separates two searches over all servers of a service.
-	searchPause = 100 * time.Millisecond
+	searchPause = 60 * time.Millisecond
 	// trustedFor is the time since the last answer for which a connection
 	// is used without a question first. After it a connection may have gone
 	// silent, which costs a write its known outcome.
@@ -129,14 +129,17 @@
 	service := o.route.Service
 	for {
 		servers := s.Holder.Catalog().Servers[service]
-		if p, ok := s.Placer.Primary(service, servers); ok {
-			return p, true
-		}
 		changed := s.Placer.LeaderChanged(service)
-		s.searchPrimary(service, o.workspace)
-		if p, ok := s.Placer.Primary(service, servers); ok {
+		p, ok := s.Placer.Primary(service, servers)
+		if ok && !s.Placer.IsAside(p.ID) {
 			return p, true
 		}
+		if !ok {
+			s.searchPrimary(service, o.workspace)
+			if p, ok = s.Placer.Primary(service, servers); ok {
+				return p, true
+			}
+		}
 		if !sleepUntil(changed, searchPause, o.patience) {
 			return cataloger.BackendServer{}, false
 		}
