--- a/internal/coordination/allotter/allotter.go
+++ b/internal/coordination/allotter/allotter.go
@@ -22,6 +22,9 @@
 	// are dropped if they are not spent, so that tokens handed over for a
 	// demand that has ended do not add to the burst.
 	surplusLife = time.Second
+	// restart is the least time from the end of a process to the first
+	// operation of its successor.
+	restart = 250 * time.Millisecond
 	// asksInRow is the number of peers that are asked for one shortage.
 	asksInRow = 3
 	// Bounds of the time that a refused caller is told to wait.
@@ -182,9 +185,9 @@
 		if a.buckets == nil {
 			a.buckets = map[identifier.WorkspaceName]*bucket{}
 		}
-		// A new bucket starts empty: this instance may have spent its
-		// burst just before a restart.
-		b = &bucket{filled: now, seen: now}
+		// A new bucket starts with what a restart takes, not with its
+		// burst, which this instance may have spent just before.
+		b = &bucket{filled: now.Add(-restart), seen: now}
 		a.buckets[w] = b
 	}
 	b.fill(now, limit, a.part)
--- a/internal/transport/lender/lender.go
+++ b/internal/transport/lender/lender.go
@@ -245,7 +245,7 @@
 
 // idleLimit is the time after which an unused connection is closed, so that
 // servers have connections left for instances that restart.
-const idleLimit = 5 * time.Second
+const idleLimit = 3 * time.Second
 
 // Trim closes the connections that have been idle for long.
 func (l *Lender) Trim() {
