--- a/internal/command/starter/session_test.go
+++ b/internal/command/starter/session_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -103,6 +104,15 @@
 		w.members[event[1]].Refuse("")
 	case "lose":
 		w.members[event[1]].LoseAnswers(1)
+	case "silence":
+		w.members[event[1]].Silence(true)
+	case "fence":
+		w.store.SetFault(func(_, path string) int {
+			if path == "/promote" {
+				return http.StatusServiceUnavailable
+			}
+			return 0
+		})
 	case "promote":
 		w.group.Promote(event[1])
 	case "leave":
--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -80,6 +80,7 @@
 	s.holder.MaxAge = t.KeyWithdrawal - proofMargin
 	s.lender.Dial = platform.Dial
 	s.lender.Limit = s.connectionLimit
+	s.lender.Width = func(b cataloger.BackendServer) int { return s.placer.Width(b.ID) }
 	s.placer.DataCentre = t.DataCentre
 	s.placer.HasIdle = s.lender.HasIdle
 	s.sessions.Holder = &s.holder
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -59,6 +59,7 @@
 	failures   int
 	asideUntil time.Time
 	deniedAt   time.Time
+	window     window
 }
 
 type leader struct {
@@ -84,6 +85,9 @@
 	s.running--
 	s.failures = 0
 	s.asideUntil = time.Time{}
+	if took > 0 {
+		s.window.answered(took, p.now())
+	}
 	switch {
 	case took == 0:
 	case s.latency == 0:
@@ -107,9 +111,24 @@
 	defer p.mu.Unlock()
 	s := p.server(id)
 	s.running--
+	s.window.lose(p.now())
 	p.setAside(s)
 }
 
+// Overloaded counts a refusal of a server for its load.
+func (p *Placer) Overloaded(id identifier.BackendServerID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.server(id).window.lose(p.now())
+}
+
+// Width returns the number of statements to keep outstanding at the server.
+func (p *Placer) Width(id identifier.BackendServerID) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.server(id).window.current()
+}
+
 // Unreachable counts a connection that could not be opened.
 func (p *Placer) Unreachable(id identifier.BackendServerID) {
 	p.mu.Lock()
--- a/internal/protocol/requester/result.go
+++ b/internal/protocol/requester/result.go
@@ -64,6 +64,10 @@
 	Text      string              `cbor:"text,omitempty"` // Explains a code other than OK.
 	State     TransactionState    `cbor:"state"`
 	Position  identifier.Position `cbor:"position"` // Of the backend server's log; zero if not told.
+
+	// Unreached is set if the statement did not run because this instance
+	// reached no backend server for it. Another instance may.
+	Unreached bool `cbor:"unreached,omitempty"`
 }
 
 // Member is what a backend server says of itself in answer to [Status].
--- a/internal/transport/lender/conn.go
+++ b/internal/transport/lender/conn.go
@@ -45,6 +45,7 @@
 	shelf    *shelf
 	values   Values
 	prepared map[requester.Shape]string
+	pinned   bool // Lent to a transaction.
 	broken   bool
 	stale    bool // The server's incarnation is over; close on return.
 	returned time.Time
--- a/internal/transport/lender/lender.go
+++ b/internal/transport/lender/lender.go
@@ -34,6 +34,9 @@
 	// Limit is the number of connections that this instance may keep to the
 	// server.
 	Limit func(s cataloger.BackendServer) int
+	// Width is the number of connections to the server that may be lent at
+	// the same time. Nil bounds them by Limit alone.
+	Width func(s cataloger.BackendServer) int
 
 	mu      sync.Mutex
 	shelves map[identifier.BackendServerID]*shelf
@@ -46,7 +49,8 @@
 	idle      []*Conn // Least recently returned first.
 	lent      map[*Conn]struct{}
 	opening   int
-	waiters   []chan struct{}
+	pinned    int // Of lent, those of transactions.
+	waiters   []waiter // In the order in which they go on.
 	fullUntil time.Time
 	ended     bool // The server's incarnation is over.
 }
@@ -55,10 +59,22 @@
 	return len(s.idle) + len(s.lent) + s.opening
 }
 
+// waiter is a borrower that waits.
+type waiter struct {
+	wake     chan struct{}
+	priority int
+}
+
+// maxWaiters is the number of waiters for a server beyond which a borrower is
+// refused at once: it would not get a connection in time.
+const maxWaiters = 24
+
 // Wish says what a borrower needs.
 type Wish struct {
 	Server    cataloger.BackendServer
 	Workspace identifier.WorkspaceName
+	Pinned    bool   // For a transaction, which rests most of the time.
+	Priority  int    // 0 goes first among those that wait.
 	Any       bool   // A connection of any workspace will do.
 	Values    Values // Preferred, not required.
 	Deadline  time.Time
@@ -77,6 +93,8 @@
 			l.Return(c)
 		case room != nil:
 			return l.open(w, room)
+		case wait == nil:
+			return nil, errors.Wrapf(ErrNoConnection, "server %s: too many wait", w.Server.ID)
 		default:
 			if err := l.await(w, wait); err != nil {
 				return nil, err
@@ -94,10 +112,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.shelf(w.Server)
+	if l.Width != nil && !w.Any && !w.Pinned && len(s.lent)+s.opening-s.pinned >= max(1, l.Width(w.Server)) {
+		return nil, nil, s.wait(w.Priority)
+	}
 	if i := s.best(w); i >= 0 {
 		c := s.idle[i]
 		s.idle = slices.Delete(s.idle, i, i+1)
-		s.lent[c] = struct{}{}
+		s.lend(c, w)
 		return c, nil, nil
 	}
 	limit := max(1, l.Limit(w.Server))
@@ -112,9 +133,22 @@
 		s.opening++
 		return nil, s, nil
 	}
-	wait := make(chan struct{})
-	s.waiters = append(s.waiters, wait)
-	return nil, nil, wait
+	return nil, nil, s.wait(w.Priority)
+}
+
+// wait queues a borrower behind those of its priority. It returns nil if there
+// are too many.
+func (s *shelf) wait(priority int) chan struct{} {
+	if len(s.waiters) >= maxWaiters {
+		return nil
+	}
+	w := waiter{make(chan struct{}), priority}
+	i := len(s.waiters)
+	for i > 0 && s.waiters[i-1].priority > priority {
+		i--
+	}
+	s.waiters = slices.Insert(s.waiters, i, w)
+	return w.wake
 }
 
 // best returns the index of the idle connection that suits the wish, the most
@@ -147,7 +181,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.shelf(w.Server)
-	i := slices.Index(s.waiters, wait)
+	i := slices.IndexFunc(s.waiters, func(o waiter) bool { return o.wake == wait })
 	if i >= 0 {
 		s.waiters = slices.Delete(s.waiters, i, i+1)
 	} else {
@@ -172,16 +206,27 @@
 	}
 	now := time.Now()
 	c := &Conn{Server: w.Server, Workspace: w.Workspace, LastAnswer: now, link: link, shelf: s, stale: s.ended}
-	s.lent[c] = struct{}{}
+	s.lend(c, w)
 	return c, nil
 }
 
+func (s *shelf) lend(c *Conn, w Wish) {
+	c.pinned = w.Pinned
+	if w.Pinned {
+		s.pinned++
+	}
+	s.lent[c] = struct{}{}
+}
+
 // Return takes a connection back. It closes one that is broken.
 func (l *Lender) Return(c *Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := c.shelf
 	delete(s.lent, c)
+	if c.pinned {
+		s.pinned--
+	}
 	if c.broken || c.stale || s.total() >= max(1, l.Limit(c.Server)) {
 		c.link.Close()
 	} else {
@@ -193,7 +238,7 @@
 
 func (s *shelf) wake() {
 	if len(s.waiters) > 0 {
-		close(s.waiters[0])
+		close(s.waiters[0].wake)
 		s.waiters = slices.Delete(s.waiters, 0, 1)
 	}
 }
--- a/internal/transport/sessioner/floor.go
+++ b/internal/transport/sessioner/floor.go
@@ -19,7 +19,7 @@
 
 // floor returns the position that the log must hold for a read on a replica.
 // Without a young enough sample it asks the primary, then the peers, until the
-// operation's patience ends.
+// search of the operation ends.
 func (n *session) floor(o operation) (floor, bool) {
 	s := n.server
 	k := s.Sampler(o.route.Service)
@@ -36,7 +36,7 @@
 		if s.AskPeers != nil && s.AskPeers(o.route.Service, since) {
 			continue
 		}
-		if !sleepUntil(s.Placer.LeaderChanged(o.route.Service), floorPause, o.patience) {
+		if !sleepUntil(s.Placer.LeaderChanged(o.route.Service), floorPause, o.search) {
 			return floor{}, false
 		}
 	}
--- a/internal/transport/sessioner/forward.go
+++ b/internal/transport/sessioner/forward.go
@@ -70,7 +70,7 @@
 		}
 		reply, err := n.send(peer, limit, n.ask(o, w))
 		switch {
-		case err == nil && !reply.Refused:
+		case err == nil && !reply.Refused && !reply.Result.Unreached:
 			return reply.Result, true
 		case err == nil || errors.Is(err, ErrNotForwarded):
 		case w.writes:
@@ -142,7 +142,8 @@
 // the peer has not seen it.
 func (n *session) forwardOpen(r remote, o operation, f Forward) (requester.Result, bool) {
 	reply, err := n.send(r.peer, o.deadline.Add(forwardSlack), f)
-	if (err == nil && reply.Refused) || errors.Is(err, ErrNotForwarded) {
+	unplaced := err == nil && (reply.Refused || reply.Result.Unreached)
+	if unplaced || errors.Is(err, ErrNotForwarded) {
 		return requester.Result{}, false
 	}
 	return n.outcome(reply, err), true
--- a/internal/transport/sessioner/home.go
+++ b/internal/transport/sessioner/home.go
@@ -13,6 +13,10 @@
 // when the peer is gone or its message was lost.
 const ForeignLimit = 6 * time.Second
 
+// foreignSearch bounds the search for a server that leads, for a statement that
+// its sender can take to another instance.
+const foreignSearch = 40 * time.Millisecond
+
 // foreignTransactions are the open transactions of peers.
 type foreignTransactions struct {
 	mu  sync.Mutex
@@ -73,6 +77,7 @@
 		arrived:   arrived,
 		deadline:  arrived.Add(f.Route.StatementTimeout),
 		patience:  arrived.Add(patience(f.Route)),
+		search:    time.Now().Add(foreignSearch),
 	}
 }
 
--- a/internal/transport/sessioner/lead.go
+++ b/internal/transport/sessioner/lead.go
@@ -61,6 +61,17 @@
 	s.Sampler(c.Server.Service).Add(sampler.Sample{Position: r.Position, Asked: asked})
 }
 
+// finish tells the placer of an answer.
+func (s *Server) finish(id identifier.BackendServerID, took time.Duration, r requester.Result) {
+	if r.Code.NotRun() {
+		took = 0 // Tells nothing of the time of a run.
+	}
+	s.Placer.Finish(id, took)
+	if r.Code == requester.Overloaded {
+		s.Placer.Overloaded(id)
+	}
+}
+
 // observeLag derives from the position that a server showed how far it is
 // behind the primary.
 func (s *Server) observeLag(c *lender.Conn, r requester.Result) {
@@ -124,7 +135,7 @@
 }
 
 // primary returns the server to send a write to. It waits for one until the
-// operation's patience ends.
+// operation's search ends.
 func (s *Server) primary(o operation) (cataloger.BackendServer, bool) {
 	service := o.route.Service
 	for {
@@ -140,7 +151,7 @@
 				return p, true
 			}
 		}
-		if !sleepUntil(changed, searchPause, o.patience) {
+		if !sleepUntil(changed, searchPause, o.search) {
 			return cataloger.BackendServer{}, false
 		}
 	}
@@ -212,7 +223,9 @@
 	}
 	f.ask = make(chan struct{})
 	f.mu.Unlock()
-	if p, ok := s.Placer.Primary(o.route.Service, o.servers); ok {
+	if p, ok := s.Placer.Primary(o.route.Service, o.servers); ok && s.Placer.IsAside(p.ID) {
+		s.Logger.Debug().Str("event", "sample_skipped").Str("server", string(p.ID)).Send()
+	} else if ok {
 		if err := s.askServer(p, o.workspace); err != nil {
 			s.Logger.Debug().Str("event", "sample_failed").Str("server", string(p.ID)).Err(err).Send()
 		}
--- a/internal/transport/sessioner/run.go
+++ b/internal/transport/sessioner/run.go
@@ -58,7 +58,7 @@
 // onPrimary runs the work on the primary and runs it again where it is known
 // not to have run. The run returns [lender.ErrNotSent] if it may be repeated.
 func (n *session) onPrimary(o operation, w work, run func(*lender.Conn, work) (requester.Result, error)) requester.Result {
-	last := n.refusal(requester.Overloaded, "no primary is known")
+	last := n.unreached(requester.Overloaded, "no primary is known")
 	for first := true; first || time.Now().Before(o.patience); first = false {
 		p, ok := n.server.primary(o)
 		if !ok {
@@ -66,8 +66,8 @@
 		}
 		c, err := n.primaryConn(o, p)
 		if err != nil {
-			last = n.refusal(requester.Overloaded, err.Error())
-			if errors.Is(err, lender.ErrNoConnection) {
+			last = n.borrowRefusal(err)
+			if errors.Is(err, lender.ErrNoConnection) || !time.Now().Before(o.search) {
 				return last
 			}
 			n.pauseAfter(err, o)
@@ -95,6 +95,14 @@
 	return last
 }
 
+// borrowRefusal is the refusal of a statement that got no connection.
+func (n *session) borrowRefusal(err error) requester.Result {
+	if errors.Is(err, lender.ErrNoConnection) {
+		return n.refusal(requester.Overloaded, err.Error())
+	}
+	return n.unreached(requester.Overloaded, err.Error())
+}
+
 func (n *session) pauseAfter(err error, o operation) {
 	if !errors.Is(err, errNotLeading) {
 		sleepUntil(n.server.Placer.LeaderChanged(o.route.Service), retryPause, o.patience)
@@ -104,7 +112,7 @@
 // primaryConn borrows a connection to the primary and, if its last answer is
 // old, asks on it first whether the server still answers and leads.
 func (n *session) primaryConn(o operation, p cataloger.BackendServer) (*lender.Conn, error) {
-	c, err := n.server.borrow(lender.Wish{Server: p, Workspace: o.workspace, Values: n.values, Deadline: o.patience})
+	c, err := n.server.borrow(lender.Wish{Server: p, Workspace: o.workspace, Values: n.values, Priority: o.route.Priority, Deadline: o.patience})
 	if err != nil {
 		if errors.Is(err, lender.ErrUnreachable) {
 			n.server.Placer.NotLeading(p.Service, p.ID)
@@ -139,7 +147,7 @@
 		s.Placer.Fail(c.Server.ID)
 		return r, err
 	}
-	s.Placer.Finish(c.Server.ID, time.Since(started))
+	s.finish(c.Server.ID, time.Since(started), r)
 	s.observeLag(c, r)
 	return r, nil
 }
@@ -158,7 +166,7 @@
 // read may be sent again, so a server without an answer is followed by another.
 func (n *session) readReplica(o operation, w work) requester.Result {
 	var tried []identifier.BackendServerID
-	last := n.refusal(requester.Lagging, "no primary showed a position in time")
+	last := n.unreached(requester.Lagging, "no primary showed a position in time")
 	for time.Now().Before(o.deadline) {
 		floor, ok := n.floor(o)
 		if !ok {
@@ -214,7 +222,7 @@
 	if o.patience.Before(wait) {
 		wait = o.patience
 	}
-	c, err := n.server.borrow(lender.Wish{Server: b, Workspace: o.workspace, Values: n.values, Deadline: wait})
+	c, err := n.server.borrow(lender.Wish{Server: b, Workspace: o.workspace, Values: n.values, Priority: o.route.Priority, Deadline: wait})
 	if err != nil {
 		return requester.Result{}, err
 	}
--- a/internal/transport/sessioner/session.go
+++ b/internal/transport/sessioner/session.go
@@ -52,6 +52,7 @@
 	arrived   time.Time
 	deadline  time.Time // Of the statement.
 	patience  time.Time // Until when it may wait without running.
+	search    time.Time // Until when a server that leads is looked for.
 }
 
 // start reads the first message and answers it.
@@ -176,6 +177,7 @@
 		arrived:  now,
 		deadline: now.Add(route.StatementTimeout),
 		patience: now.Add(patience(route)),
+		search:   now.Add(patience(route)),
 	}
 	if n.server.Need != nil {
 		n.server.Need(route.Service)
@@ -203,6 +205,13 @@
 	return requester.Result{Code: c, Text: text, State: n.state()}
 }
 
+// unreached is the refusal of a statement for which no server was reached.
+func (n *session) unreached(c requester.Code, text string) requester.Result {
+	r := n.refusal(c, text)
+	r.Unreached = true
+	return r
+}
+
 // handle serves one statement.
 func (n *session) handle(st requester.Statement) requester.Result {
 	if n.tx != nil && n.tx.failed && st.Kind != requester.Commit && st.Kind != requester.Rollback {
--- a/internal/transport/sessioner/transaction.go
+++ b/internal/transport/sessioner/transaction.go
@@ -60,6 +60,7 @@
 	o.arrived = time.Now()
 	o.deadline = o.arrived.Add(o.route.StatementTimeout)
 	o.patience = o.arrived.Add(patience(o.route))
+	o.search = o.patience
 	return o, refusal
 }
 
@@ -107,9 +108,11 @@
 		s.Placer.Fail(c.Server.ID)
 		return r, err
 	}
-	s.Placer.Finish(c.Server.ID, time.Since(asked))
+	s.finish(c.Server.ID, time.Since(asked), r)
 	switch {
-	case r.Code == requester.OK && n.tx.plain:
+	case r.Code == requester.OK && n.tx.plain && (n.tx.wrote || st.Kind != requester.Commit):
+		// A server that has lost the lead still commits a transaction
+		// that wrote nothing, so that is no proof of the lead.
 		s.learn(c, r, asked)
 	case r.Code == requester.ReadOnly:
 		s.Placer.NotLeading(c.Server.Service, c.Server.ID)
@@ -161,16 +164,16 @@
 }
 
 func (n *session) onPrimaryOpen(o operation) requester.Result {
-	last := n.refusal(requester.Overloaded, "no primary is known")
+	last := n.unreached(requester.Overloaded, "no primary is known")
 	for first := true; first || time.Now().Before(o.patience); first = false {
 		p, ok := n.server.primary(o)
 		if !ok {
 			return last
 		}
-		c, err := n.server.borrow(lender.Wish{Server: p, Workspace: o.workspace, Values: n.values, Deadline: o.patience})
+		c, err := n.server.borrow(lender.Wish{Server: p, Workspace: o.workspace, Values: n.values, Pinned: true, Priority: o.route.Priority, Deadline: o.patience})
 		if err != nil {
-			last = n.refusal(requester.Overloaded, err.Error())
-			if errors.Is(err, lender.ErrNoConnection) {
+			last = n.borrowRefusal(err)
+			if errors.Is(err, lender.ErrNoConnection) || !time.Now().Before(o.search) {
 				return last
 			}
 			n.server.Placer.NotLeading(p.Service, p.ID)
@@ -191,7 +194,7 @@
 
 func (n *session) onReplicaOpen(o operation) requester.Result {
 	var tried []identifier.BackendServerID
-	last := n.refusal(requester.Lagging, "no primary showed a position in time")
+	last := n.unreached(requester.Lagging, "no primary showed a position in time")
 	for time.Now().Before(o.deadline) {
 		floor, ok := n.floor(o)
 		if !ok {
@@ -206,7 +209,7 @@
 			continue
 		}
 		tried = append(tried, b.ID)
-		c, err := n.server.borrow(lender.Wish{Server: b, Workspace: o.workspace, Values: n.values, Deadline: o.patience})
+		c, err := n.server.borrow(lender.Wish{Server: b, Workspace: o.workspace, Values: n.values, Pinned: true, Priority: o.route.Priority, Deadline: o.patience})
 		if err != nil {
 			last = n.refusal(requester.Overloaded, err.Error())
 			continue
