--- a/internal/transport/lender/lender.go
+++ b/internal/transport/lender/lender.go
@@ -49,7 +49,7 @@
 	idle      []*Conn // Least recently returned first.
 	lent      map[*Conn]struct{}
 	opening   int
-	pinned    int // Of lent, those of transactions.
+	pinned    int      // Of lent, those of transactions.
 	waiters   []waiter // In the order in which they go on.
 	fullUntil time.Time
 	ended     bool // The server's incarnation is over.
