entry: logs that never block, metrics, status and explain

Cause: an on-call engineer has only logs and metrics; the entry instances wrote unbounded lines in the request path, did not say what had been tried for a statement, and served no metrics.

Change: transport/logger queues events, bounds each kind of event and counts what it drops; refused, failed and late statements are logged with their tries, floor, proof age, configuration version and the peer that they went to, served ones are sampled; histograms by workspace and by class, /metrics and /status at the port of deploy/entry.jsonc; `oleanderpulley explain --id` shows the lines of a request with the changes of belief around it.

--- a/internal/command/commander/config.go
+++ b/internal/command/commander/config.go
@@ -1,6 +1,8 @@
 package commander
 
 import (
+	"encoding/json"
+
 	"github.com/spf13/cobra"
 
 	"oleanderpulley/internal/protocol/loader"
@@ -13,7 +15,7 @@
 		Args:  exactArgs(0),
 		RunE:  func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
-	c.AddCommand(newConfigCheck())
+	c.AddCommand(newConfigCheck(), newConfigCheckEntry())
 	return c
 }
 
@@ -41,3 +43,25 @@
 	}
 	return c
 }
+
+func newConfigCheckEntry() *cobra.Command {
+	return &cobra.Command{
+		Use:     "check-entry FILE",
+		Short:   "Check the settings file of an instance on the users' platform",
+		Long:    "Check the settings that the platform's own file does not give and print the effective ones.",
+		Example: "  oleanderpulley config check-entry deploy/entry.jsonc",
+		Args:    exactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			e, err := loader.LoadEntry(args[0])
+			if err != nil {
+				return err
+			}
+			printed, err := json.MarshalIndent(e, "", "  ")
+			if err != nil {
+				return err
+			}
+			_, err = c.OutOrStdout().Write(append(printed, '\n'))
+			return err
+		},
+	}
+}
--- a/internal/command/commander/root.go
+++ b/internal/command/commander/root.go
@@ -46,7 +46,7 @@
 		RunE:          func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return errors.Wrap(errUsage, err.Error()) })
-	root.AddCommand(newServe(), newEntry(), newConfig(), newAdmin(), newDemo(), newVersion())
+	root.AddCommand(newServe(), newEntry(), newExplain(), newConfig(), newAdmin(), newDemo(), newVersion())
 	return root
 }
 
--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,8 +35,9 @@
 
 // Starter runs one instance. Settings is required.
 type Starter struct {
-	Settings platform.Settings
-	Logger   zerolog.Logger
+	Settings    platform.Settings
+	MetricsPort int // On the instance's address; 0 serves no metrics.
+	Logger      zerolog.Logger
 
 	holder   cataloger.Holder
 	registry reporter.Registry
@@ -50,6 +52,7 @@
 	follower follower.Follower
 	clients  net.Listener
 	probes   *http.Server
+	reporter *reporter.Reporter
 	draining atomic.Bool
 	done     chan struct{}
 	cancel   context.CancelFunc
@@ -138,7 +141,12 @@
 		}
 	})
 	go s.accept(ctx)
-	return nil
+	if s.MetricsPort == 0 {
+		return nil
+	}
+	s.reporter = s.newReporter()
+	_, err = s.reporter.Start(net.JoinHostPort(s.Settings.IP, strconv.Itoa(s.MetricsPort)))
+	return err
 }
 
 func (s *Starter) accept(ctx context.Context) {
@@ -159,7 +167,7 @@
 
 // Ready reports whether new sessions should come to this instance.
 func (s *Starter) Ready() bool {
-	return !s.draining.Load() && s.holder.Fresh()
+	return len(s.notReady()) == 0
 }
 
 // Done is closed when the listener for clients has ended.
@@ -178,6 +186,9 @@
 	if s.probes != nil {
 		_ = s.probes.Close()
 	}
+	if s.reporter != nil {
+		s.reporter.Close()
+	}
 	s.peers.Close()
 	s.lender.Close()
 	s.tasks.Wait()
--- /dev/null
+++ b/internal/coordination/follower/follower_test.go
@@ -0,0 +1,119 @@
+package follower_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"oleanderpulley/internal/coordination/follower"
+	"oleanderpulley/internal/state/cataloger"
+	"oleanderpulley/internal/state/identifier"
+)
+
+var errAway = errors.New("store is away")
+
+// source is a store that can be told to fail.
+type source struct {
+	revision uint64
+	version  identifier.ConfigVersion
+	changed  uint64 // Revision of the configuration.
+	away     bool
+	listAway bool
+	reads    int
+	members  map[identifier.InstanceID]cataloger.Member
+}
+
+func (s *source) store() follower.Store {
+	return follower.Store{
+		Revision: func(context.Context) (uint64, error) {
+			if s.away {
+				return 0, errAway
+			}
+			return s.revision, nil
+		},
+		Configuration: func(context.Context) (*cataloger.Configuration, uint64, error) {
+			if s.away {
+				return nil, 0, errAway
+			}
+			s.reads++
+			return &cataloger.Configuration{Version: s.version, Revision: s.changed}, s.revision, nil
+		},
+		Servers: func(context.Context) (map[identifier.ServiceName][]cataloger.BackendServer, uint64, error) {
+			if s.listAway {
+				return nil, 0, errAway
+			}
+			return map[identifier.ServiceName][]cataloger.BackendServer{}, s.revision, nil
+		},
+		Members: func(context.Context) (map[identifier.InstanceID]cataloger.Member, uint64, error) {
+			return s.members, s.revision, nil
+		},
+		Join: func(_ context.Context, m cataloger.Member) error {
+			s.members = map[identifier.InstanceID]cataloger.Member{m.ID: m}
+			s.revision++
+			return nil
+		},
+	}
+}
+
+func follow(s *source) (*follower.Follower, *cataloger.Holder, *time.Duration) {
+	now := new(time.Duration)
+	h := &cataloger.Holder{Now: func() time.Duration { return *now }, MaxAge: 4 * time.Second}
+	return &follower.Follower{Store: s.store(), Holder: h, Self: cataloger.Member{ID: "one", Address: "x"}}, h, now
+}
+
+// Guards against keys that are honoured on the word of a store that has not
+// answered, and against a suspended instance that takes its proof for fresh.
+func TestProofAgesWhileTheStoreIsAway(t *testing.T) {
+	s := &source{revision: 5, version: 1, changed: 3}
+	f, h, now := follow(s)
+	qt.Assert(t, f.Round(context.Background()), qt.IsNil)
+	qt.Assert(t, h.Fresh(), qt.IsTrue)
+	s.away = true
+	*now += 4 * time.Second
+	qt.Assert(t, f.Round(context.Background()), qt.ErrorIs, errAway)
+	qt.Assert(t, h.Fresh(), qt.IsTrue)
+	*now++
+	qt.Assert(t, h.Fresh(), qt.IsFalse)
+	s.away = false
+	qt.Assert(t, f.Round(context.Background()), qt.IsNil)
+	qt.Assert(t, h.Fresh(), qt.IsTrue)
+}
+
+// Guards against calls for lists that have not changed.
+func TestUnchangedRevisionReadsNothing(t *testing.T) {
+	s := &source{revision: 5, version: 1, changed: 3}
+	f, _, _ := follow(s)
+	qt.Assert(t, f.Round(context.Background()), qt.IsNil)
+	qt.Assert(t, f.Round(context.Background()), qt.IsNil) // Sees its own registration.
+	reads := s.reads
+	for range 10 {
+		qt.Assert(t, f.Round(context.Background()), qt.IsNil)
+	}
+	qt.Assert(t, s.reads, qt.Equals, reads)
+}
+
+// Guards against a configuration that reverts because an older answer came
+// later.
+func TestConfigurationNeverReverts(t *testing.T) {
+	s := &source{revision: 5, version: 7, changed: 5}
+	f, h, _ := follow(s)
+	qt.Assert(t, f.Round(context.Background()), qt.IsNil)
+	s.revision, s.version, s.changed = 9, 6, 4
+	qt.Assert(t, f.Round(context.Background()), qt.IsNil)
+	qt.Assert(t, h.Catalog().Configuration.Version, qt.Equals, identifier.ConfigVersion(7))
+}
+
+// Guards against a change that is missed because the round that saw it failed
+// halfway.
+func TestFailedRoundIsRepeated(t *testing.T) {
+	s := &source{revision: 5, version: 1, changed: 3}
+	f, h, _ := follow(s)
+	s.listAway = true
+	qt.Assert(t, f.Round(context.Background()), qt.ErrorIs, errAway)
+	s.listAway = false
+	qt.Assert(t, f.Round(context.Background()), qt.IsNil)
+	qt.Assert(t, h.Catalog().Members, qt.HasLen, 1)
+}
--- /dev/null
+++ b/internal/transport/logger/logger_test.go
@@ -0,0 +1,93 @@
+package logger_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"oleanderpulley/internal/transport/logger"
+)
+
+func ExampleFormat() {
+	event := `{"level":"info","event":"statement_failed","reason":"no primary is known","led":false,"tries":["a","b"]}`
+	fmt.Print(string(logger.Format(nil, []byte(event))))
+	// Output: level=info event=statement_failed reason="no primary is known" led=false tries=["a","b"]
+}
+
+// Guards against values that change between the event and what a reader of the
+// log makes of the line.
+func TestLinesCanBeReadBack(t *testing.T) {
+	var b bytes.Buffer
+	text := "a \"quoted\" = text\\ with, all {of} it\n"
+	l := zerolog.New(&b)
+	l.Info().Str("event", "e").Str("text", text).Str("empty", "").Float64("n", 1.5).Bool("yes", true).Send()
+	line := string(logger.Format(nil, b.Bytes()))
+	qt.Assert(t, strings.Count(line, "\n"), qt.Equals, 1)
+	qt.Assert(t, logger.Fields(line), qt.DeepEquals, map[string]string{
+		"level": "info", "event": "e", "text": text, "empty": "", "n": "1.5", "yes": "true",
+	})
+}
+
+// blocked blocks writes until it is released.
+type blocked struct {
+	release chan struct{}
+	mu      sync.Mutex
+	b       bytes.Buffer
+}
+
+func (o *blocked) Write(p []byte) (int, error) {
+	<-o.release
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.b.Write(p)
+}
+
+// Guards against a request that waits for a reader of the log, against a volume
+// that grows with the load, and against lines that vanish unnoticed.
+func TestWriterNeverBlocksAndCountsWhatItDrops(t *testing.T) {
+	out := &blocked{release: make(chan struct{})}
+	now := time.Unix(1000, 0)
+	w := &logger.Writer{Out: out, Rate: 10, Burst: 50, Buffer: 20, Now: func() time.Time { return now }}
+	l := zerolog.New(w)
+	const flood, rare = 5000, 3
+	for range flood {
+		l.Info().Str("event", "flood").Send()
+	}
+	for range rare {
+		l.Info().Str("event", "rare").Send()
+	}
+	close(out.release)
+	w.Close()
+	text := out.b.String()
+	written := strings.Count(text, "event=flood")
+	qt.Assert(t, written <= 50, qt.IsTrue)
+	var floodDropped, rareDropped int
+	for line := range strings.Lines(text) {
+		if f := logger.Fields(line); f["event"] == "lines_dropped" {
+			var n int
+			if _, err := fmt.Sscan(f["flood"], &n); err == nil {
+				floodDropped += n
+			}
+			if _, err := fmt.Sscan(f["rare"], &n); err == nil {
+				rareDropped += n
+			}
+		}
+	}
+	qt.Assert(t, written+floodDropped, qt.Equals, flood)
+	qt.Assert(t, strings.Count(text, "event=rare")+rareDropped, qt.Equals, rare)
+}
+
+func FuzzFormat(f *testing.F) {
+	f.Add([]byte(`{"a":"b","c":[1,{"d":"}"}],"e":null}`))
+	f.Fuzz(func(t *testing.T, event []byte) {
+		line := logger.Format(nil, event)
+		qt.Assert(t, bytes.HasSuffix(line, []byte("\n")), qt.IsTrue)
+		logger.Fields(string(line))
+	})
+}
--- a/internal/transport/sessioner/floor.go
+++ b/internal/transport/sessioner/floor.go
@@ -27,7 +27,9 @@
 	for {
 		if general, ok := k.Floor(since); ok {
 			n.refreshEarly(o)
-			return n.withOwnWrites(o, general), true
+			f := n.withOwnWrites(o, general)
+			o.trace.floor = f
+			return f, true
 		}
 		s.refresh(o)
 		if _, ok := k.Floor(since); ok {
--- a/internal/transport/sessioner/forward.go
+++ b/internal/transport/sessioner/forward.go
@@ -68,6 +68,7 @@
 		if !w.writes {
 			limit = time.Now().Add(time.Duration(readForwardPart * float64(time.Until(o.deadline))))
 		}
+		o.trace.peer = peer
 		reply, err := n.send(peer, limit, n.ask(o, w))
 		switch {
 		case err == nil && !reply.Refused && !reply.Result.Unreached:
@@ -129,6 +130,7 @@
 		f := n.ask(o, w)
 		f.Transaction, f.Begin = r.id, n.tx.kind
 		n.tx.remote = &r
+		o.trace.peer = peer
 		result, ok := n.forwardOpen(r, o, f)
 		if ok {
 			return result, true
--- a/internal/transport/sessioner/home.go
+++ b/internal/transport/sessioner/home.go
@@ -45,7 +45,10 @@
 		return Forwarded{Refused: true}
 	}
 	n := s.foreignSession(f)
-	return n.reply(n.runHere(n.foreignOperation(f), f.work()))
+	o := n.foreignOperation(f)
+	r := n.runHere(o, f.work())
+	n.forwardedFailed(from, f.Statement.ID, o, r)
+	return n.reply(r)
 }
 
 func (f Forward) work() work {
@@ -78,6 +81,7 @@
 		deadline:  arrived.Add(f.Route.StatementTimeout),
 		patience:  arrived.Add(patience(f.Route)),
 		search:    time.Now().Add(foreignSearch),
+		trace:     &trace{},
 	}
 }
 
--- a/internal/transport/sessioner/run.go
+++ b/internal/transport/sessioner/run.go
@@ -114,6 +114,7 @@
 func (n *session) primaryConn(o operation, p cataloger.BackendServer) (*lender.Conn, error) {
 	c, err := n.server.borrow(lender.Wish{Server: p, Workspace: o.workspace, Values: n.values, Priority: o.route.Priority, Deadline: o.patience})
 	if err != nil {
+		o.trace.add(p.ID, requester.Result{}, err, time.Since(o.arrived))
 		if errors.Is(err, lender.ErrUnreachable) {
 			n.server.Placer.NotLeading(p.Service, p.ID)
 		}
@@ -139,9 +140,11 @@
 	w, err := n.adapt(c, o.deadline, w)
 	if err != nil {
 		s.Placer.Fail(c.Server.ID)
+		o.trace.add(c.Server.ID, requester.Result{}, err, time.Since(started))
 		return requester.Result{}, err
 	}
 	r, err := run(c, w)
+	o.trace.add(c.Server.ID, r, err, time.Since(started))
 	if err != nil {
 		c.Break()
 		s.Placer.Fail(c.Server.ID)
@@ -224,6 +227,7 @@
 	}
 	c, err := n.server.borrow(lender.Wish{Server: b, Workspace: o.workspace, Values: n.values, Priority: o.route.Priority, Deadline: wait})
 	if err != nil {
+		o.trace.add(b.ID, requester.Result{}, err, time.Since(o.arrived))
 		return requester.Result{}, err
 	}
 	return n.runOn(c, o, w, func(c *lender.Conn, w work) (requester.Result, error) {
--- a/internal/transport/sessioner/session.go
+++ b/internal/transport/sessioner/session.go
@@ -53,6 +53,7 @@
 	deadline  time.Time // Of the statement.
 	patience  time.Time // Until when it may wait without running.
 	search    time.Time // Until when a server that leads is looked for.
+	trace     *trace
 }
 
 // start reads the first message and answers it.
@@ -178,6 +179,7 @@
 		deadline: now.Add(route.StatementTimeout),
 		patience: now.Add(patience(route)),
 		search:   now.Add(patience(route)),
+		trace:    &trace{},
 	}
 	if n.server.Need != nil {
 		n.server.Need(route.Service)
@@ -313,11 +315,20 @@
 		return o, requester.Result{}
 	}
 	retryAfter, ok := n.server.Admit(o.workspace, patience(o.route)/4)
+	waited := time.Since(o.arrived)
 	if !ok {
 		return o, n.refusal(requester.Overloaded, "over the rate; retry after "+retryAfter.Round(time.Millisecond).String())
 	}
+	if waited < time.Millisecond {
+		return o, requester.Result{}
+	}
 	// The wait for the rate may have outlasted the proof.
-	return n.authorize()
+	again, refusal := n.authorize()
+	again.arrived = o.arrived
+	if again.trace != nil {
+		again.trace.admitted = waited
+	}
+	return again, refusal
 }
 
 // abandon ends what the session left open.
--- a/internal/transport/sessioner/transaction.go
+++ b/internal/transport/sessioner/transaction.go
@@ -104,6 +104,7 @@
 	s.Placer.Start(c.Server.ID)
 	asked := time.Now()
 	r, err := c.Run(o.deadline, st)
+	o.trace.add(c.Server.ID, r, err, time.Since(asked))
 	if err != nil {
 		s.Placer.Fail(c.Server.ID)
 		return r, err
@@ -130,10 +131,26 @@
 	if r.Code == requester.OK {
 		r = n.refusal(requester.Aborted, "the backend server ended the transaction")
 	}
-	n.finished(id, n.tx.operation, r, time.Since(n.tx.operation.arrived))
+	n.finishedInTransaction(id, r)
 	return r
 }
 
+// finishedInTransaction counts and logs the end of a transaction. At a home the
+// sender does it.
+func (n *session) finishedInTransaction(id requester.StatementID, r requester.Result) {
+	o := n.tx.operation
+	if n.forwarded {
+		return
+	}
+	// The pauses of the client do not count, so that the time tells nothing
+	// unless the transaction failed.
+	took := time.Duration(0)
+	if r.Code != requester.OK {
+		took = time.Since(o.arrived)
+	}
+	n.finished(id, o, r, took)
+}
+
 // drop rolls the transaction back and returns its connection.
 func (t *transaction) drop(n *session) {
 	if t.remote != nil {
@@ -271,9 +288,9 @@
 		return n.refusal(requester.Aborted, "the transaction had failed and was rolled back")
 	}
 	r := n.commit(st)
+	n.finishedInTransaction(st.ID, r)
 	n.tx = nil
 	r.State = requester.Idle
-	n.finished(st.ID, t.operation, r, time.Since(t.operation.arrived))
 	return r
 }
 
