follower: keep lapsed servers for 2.5 s after an outage of the store

Ruled out: the back ends themselves; they answered all the while.

Change: after 2.5 s without an answer of the store, servers that are missing from the first lists are kept for 2.5 s, then the lists are read again. TestLapsedServersAreKeptForAMoment fails before (1 server in place of 2).

--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,6 +25,13 @@
 	// firstTimeout bounds the first try of a round; an answer usually takes
 	// milliseconds, and a connection that went silent is found by it.
 	firstTimeout = 500 * time.Millisecond
+
+	// outage is the time without an answer after which entries of backend
+	// servers may have lapsed because the store was away.
+	outage = 2500 * time.Millisecond
+	// lapse is the time within which such entries are back. A server that is
+	// missing longer is gone.
+	lapse = 2500 * time.Millisecond
 )
 
 // Store reads the lists. Each function returns the store's revision as of the
@@ -47,9 +55,11 @@
 	OnChange func(*cataloger.Catalog)
 	Period   time.Duration // 0 means 1.5 s.
 
-	known    uint64
-	reached  bool
-	failures int
+	known     uint64
+	reached   bool
+	failures  int
+	succeeded time.Duration // Clock reading at the last round that succeeded.
+	lapseEnd  time.Duration // Until when missing servers are kept.
 }
 
 // Run runs rounds until the context ends.
@@ -114,6 +124,7 @@
 	if err != nil {
 		return err
 	}
+	f.noteOutage(asked)
 	c := f.Holder.Catalog()
 	if revision == f.known && c != nil && c.Configuration != nil {
 		f.Holder.Prove(asked)
@@ -122,6 +133,35 @@
 	return f.read(ctx)
 }
 
+// noteOutage begins the time in which missing servers are kept if the store was
+// away until now, and has the lists read again at its end.
+func (f *Follower) noteOutage(now time.Duration) {
+	if f.succeeded > 0 && now-f.succeeded > outage {
+		f.lapseEnd = now + lapse
+	}
+	f.succeeded = now
+	if f.lapseEnd > 0 && now > f.lapseEnd {
+		f.lapseEnd = 0
+		f.known = 0
+	}
+}
+
+// keepLapsed adds the servers that are missing from the list to it while they
+// may come back.
+func (f *Follower) keepLapsed(read map[identifier.ServiceName][]cataloger.BackendServer) {
+	old := f.Holder.Catalog()
+	if f.lapseEnd == 0 || old == nil {
+		return
+	}
+	for service, servers := range old.Servers {
+		for _, s := range servers {
+			if !slices.ContainsFunc(read[service], func(o cataloger.BackendServer) bool { return o.ID == s.ID }) {
+				read[service] = append(read[service], s)
+			}
+		}
+	}
+}
+
 // read reads all lists. The proof counts from before the first call.
 func (f *Follower) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -141,6 +181,7 @@
 	if err != nil {
 		return err
 	}
+	f.keepLapsed(servers)
 	f.replace(func(c *cataloger.Catalog) { c.Servers, c.Members = servers, members })
 	f.known = revision
 	return nil
--- a/internal/coordination/follower/follower_test.go
+++ b/internal/coordination/follower/follower_test.go
@@ -24,6 +24,7 @@
 	listAway bool
 	reads    int
 	members  map[identifier.InstanceID]cataloger.Member
+	servers  []cataloger.BackendServer
 }
 
 func (s *source) store() follower.Store {
@@ -45,7 +46,11 @@
 			if s.listAway {
 				return nil, 0, errAway
 			}
-			return map[identifier.ServiceName][]cataloger.BackendServer{}, s.revision, nil
+			all := map[identifier.ServiceName][]cataloger.BackendServer{}
+			for _, b := range s.servers {
+				all["rentals"] = append(all["rentals"], b)
+			}
+			return all, s.revision, nil
 		},
 		Members: func(context.Context) (map[identifier.InstanceID]cataloger.Member, uint64, error) {
 			return s.members, s.revision, nil
@@ -117,3 +122,29 @@
 	qt.Assert(t, f.Round(context.Background()), qt.IsNil)
 	qt.Assert(t, h.Catalog().Members, qt.HasLen, 1)
 }
+
+// Guards against an instance without any backend server after an outage of the
+// store, in which the entries of all servers lapsed, and against a server that
+// is gone being used for long.
+func TestLapsedServersAreKeptForAMoment(t *testing.T) {
+	s := &source{revision: 5, version: 1, changed: 3, servers: []cataloger.BackendServer{{ID: "a"}, {ID: "b"}}}
+	f, h, now := follow(s)
+	*now = time.Second
+	qt.Assert(t, f.Round(context.Background()), qt.IsNil)
+	s.away = true
+	*now += 4 * time.Second
+	qt.Assert(t, f.Round(context.Background()), qt.ErrorIs, errAway)
+	s.away, s.servers, s.revision = false, []cataloger.BackendServer{{ID: "b"}}, 8
+	qt.Assert(t, f.Round(context.Background()), qt.IsNil)
+	qt.Assert(t, h.Catalog().Servers["rentals"], qt.HasLen, 2)
+	*now += 2 * time.Second
+	qt.Assert(t, f.Round(context.Background()), qt.IsNil)
+	qt.Assert(t, h.Catalog().Servers["rentals"], qt.HasLen, 2)
+	*now += time.Second
+	qt.Assert(t, f.Round(context.Background()), qt.IsNil)
+	qt.Assert(t, h.Catalog().Servers["rentals"], qt.HasLen, 1)
+	s.servers, s.revision = nil, 9
+	*now += time.Second
+	qt.Assert(t, f.Round(context.Background()), qt.IsNil)
+	qt.Assert(t, h.Catalog().Servers["rentals"], qt.HasLen, 0)
+}
