--- a/internal/command/starter/forward.go
+++ b/internal/command/starter/forward.go
@@ -85,7 +85,7 @@
 		return sessioner.Forwarded{}, errors.Wrap(sessioner.ErrNotForwarded, err.Error())
 	case err != nil:
 		s.plans.avoid(to)
-		s.peers.Reconnect(to, asked)
+		s.peers.Check(to, asked)
 		return sessioner.Forwarded{}, err
 	}
 	r, ok := reply.(sessioner.Forwarded)
--- a/internal/transport/messenger/link.go
+++ b/internal/transport/messenger/link.go
@@ -28,6 +28,7 @@
 	// lastAnswer is the time of the last message from the peer, in Unix
 	// nanoseconds.
 	lastAnswer atomic.Int64
+	checking   atomic.Bool // A ping outside of the regular ones is under way.
 	nextID     atomic.Uint64
 
 	mu      sync.Mutex
@@ -217,6 +218,22 @@
 	}
 }
 
+// check pings once, with a short deadline, and ends the link without an answer.
+func (l *link) check() {
+	defer l.checking.Store(false)
+	l.mu.Lock()
+	conn := l.conn
+	l.mu.Unlock()
+	if conn == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+	defer cancel()
+	if err := conn.Ping(ctx); err != nil {
+		l.close(errors.Wrapf(ErrUnreachable, "instance %s: no answer to a ping", l.peer.ID))
+	}
+}
+
 // expect registers a request before it is sent.
 func (l *link) expect(id uint64) (chan answer, *websocket.Conn, error) {
 	l.mu.Lock()
--- a/internal/transport/messenger/messenger.go
+++ b/internal/transport/messenger/messenger.go
@@ -22,8 +22,9 @@
 	DefaultIdle = 30 * time.Second // A link without requests for this long is closed.
 
 	missedPings    = 3
-	maxInFlight    = 256 // Requests without an answer on one link.
-	maxHandlers    = 32  // Handlers running for one inbound link.
+	checkTimeout   = 400 * time.Millisecond // Of a ping after a request without an answer.
+	maxInFlight    = 256                    // Requests without an answer on one link.
+	maxHandlers    = 32                     // Handlers running for one inbound link.
 	dialTimeout    = time.Second
 	headerTimeout  = 5 * time.Second
 	redialMinimum  = 50 * time.Millisecond
@@ -183,14 +184,16 @@
 	}
 }
 
-// Reconnect ends the link to a peer that has sent nothing since the time. A
-// connection that has gone silent is found sooner by it than by pings.
-func (m *Messenger) Reconnect(to identifier.InstanceID, since time.Time) {
+// Check pings a peer that has sent nothing since the time and ends the link if
+// no answer comes. A connection that has gone silent is found sooner by it than
+// by the regular pings, and the requests on the link of a peer that is only
+// slow are not lost.
+func (m *Messenger) Check(to identifier.InstanceID, since time.Time) {
 	m.mu.Lock()
 	l, ok := m.links[to]
 	m.mu.Unlock()
-	if ok && l.lastAnswer.Load() < since.UnixNano() {
-		l.close(ErrUnreachable)
+	if ok && l.lastAnswer.Load() < since.UnixNano() && l.checking.CompareAndSwap(false, true) {
+		go l.check()
 	}
 }
 
--- a/internal/transport/messenger/messenger_test.go
+++ b/internal/transport/messenger/messenger_test.go
@@ -181,3 +181,51 @@
 		}
 	}
 }
+
+// Guards against requests that are lost because another one to the same peer
+// took long: the link of a slow peer stands.
+func TestCheckKeepsTheLinkOfASlowPeer(t *testing.T) {
+	release := make(chan struct{})
+	_, peer := start(t, "b", func(q question) (any, error) {
+		<-release
+		return reply(q), nil
+	})
+	a, _ := start(t, "a", echo)
+	a.SetPeers([]messenger.Peer{peer})
+	asked := time.Now()
+	waiting := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		_, err := a.Request(ctx, "b", question{Text: "slow"})
+		waiting <- err
+	}()
+	for !a.Connected("b") {
+		time.Sleep(time.Millisecond)
+	}
+	a.Check("b", asked.Add(time.Hour))
+	a.Check("b", asked.Add(time.Hour))
+	time.Sleep(50 * time.Millisecond) // Time for the ping.
+	close(release)
+	qt.Assert(t, <-waiting, qt.IsNil)
+}
+
+// Guards against a connection that has gone silent being kept until the regular
+// pings find it.
+func TestCheckEndsASilentLink(t *testing.T) {
+	_, peer := start(t, "b", echo)
+	s := newSilencer(t, peer.Address)
+	peer.Address = s.address
+	a, _ := start(t, "a", echo)
+	a.Ping = time.Hour
+	a.SetPeers([]messenger.Peer{peer})
+	_, err := a.Request(context.Background(), "b", question{Text: "x"})
+	qt.Assert(t, err, qt.IsNil)
+	s.silent.Store(true)
+	a.Check("b", time.Now().Add(time.Hour))
+	end := time.Now().Add(5 * time.Second)
+	for a.Connected("b") && time.Now().Before(end) {
+		time.Sleep(time.Millisecond)
+	}
+	qt.Assert(t, time.Now().Before(end), qt.IsTrue)
+}
