reaper: remove the registrations of instances that are gone

Cause: nothing in the store expires by itself; an instance that was replaced kept its parts of rates (a third of a small one) and its homes for good.

Change: each instance watches the two after it; one that is not reached for 8 s, nor by the peers that are asked, is removed; others keep counting it for as long as it may serve without having seen that. It registers again if it was wrong.

--- a/internal/command/runner/trial_fault_test.go
+++ b/internal/command/runner/trial_fault_test.go
@@ -70,7 +70,7 @@
 // victim returns an instance of a data centre in which none has died. When two
 // of the three instances of a data centre die within seconds, its roster has no
 // majority, and a replacement cannot join before an operator retires the
-// roster (docs/operators.md). Seed 5 showed that with deaths 2.2 s apart.
+// roster (docs/OPERATIONS.md). Seed 5 showed that with deaths 2.2 s apart.
 func (tr *trial) victim(target int) *launcher.Instance {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
--- a/internal/command/starter/peers.go
+++ b/internal/command/starter/peers.go
@@ -46,6 +46,8 @@
 	e.Register("tokens_grant", allotter.Grant{})
 	e.Register("sample_ask", sampleAsk{})
 	e.Register("sample_reply", sampleReply{})
+	e.Register("reach_ask", reachAsk{})
+	e.Register("reach_reply", reachReply{})
 	e.Register("forward", sessioner.Forward{})
 	e.Register("forwarded", sessioner.Forwarded{})
 	s.peers = messenger.Messenger{
@@ -67,6 +69,8 @@
 		return s.sessions.Execute(from.Instance, m), nil
 	case allotter.Ask:
 		return s.allotter.Give(m), nil
+	case reachAsk:
+		return s.reaches(m.Instance), nil
 	case sampleAsk:
 		return s.newestSample(m.Service), nil
 	default:
--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -15,6 +15,7 @@
 	"oleanderpulley/internal/coordination/allotter"
 	"oleanderpulley/internal/coordination/follower"
 	"oleanderpulley/internal/coordination/placer"
+	"oleanderpulley/internal/coordination/reaper"
 	"oleanderpulley/internal/coordination/replacer"
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/transport/lender"
@@ -47,6 +48,7 @@
 	allotter allotter.Allotter
 	peers    messenger.Messenger
 	replacer replacer.Replacer
+	reaper   reaper.Reaper
 	plans    plans
 	store    *platform.Store
 	follower follower.Follower
@@ -72,6 +74,7 @@
 	}
 	s.tasks.Go(func() { s.replacer.Run(ctx) })
 	s.tasks.Go(func() { s.tidy(ctx) })
+	s.tasks.Go(func() { s.reaper.Run(ctx) })
 	s.tasks.Go(func() { s.follower.Run(ctx) })
 	s.Logger.Info().Str("event", "started").Str("address", s.Settings.ClientAddress).Send()
 	return nil
@@ -99,6 +102,7 @@
 	s.sessions.Homes = s.homes
 	s.sessions.Forward = s.forward
 	s.assembleReplacer()
+	s.assembleReaper()
 	s.follower = follower.Follower{
 		Store:    s.store.FollowerStore(),
 		Holder:   &s.holder,
--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -60,6 +60,8 @@
 	failures  int
 	succeeded time.Duration // Clock reading at the last round that succeeded.
 	lapseEnd  time.Duration // Until when missing servers are kept.
+
+	removed map[identifier.InstanceID]time.Duration // When each was first missing.
 }
 
 // Run runs rounds until the context ends.
@@ -140,6 +142,11 @@
 		f.lapseEnd = now + lapse
 	}
 	f.succeeded = now
+	for _, since := range f.removed {
+		if now-since >= f.Holder.MaxAge+defaultPeriod {
+			f.known = 0
+		}
+	}
 	if f.lapseEnd > 0 && now > f.lapseEnd {
 		f.lapseEnd = 0
 		f.known = 0
@@ -182,6 +189,7 @@
 		return err
 	}
 	f.keepLapsed(servers)
+	f.keepRemoved(members, asked)
 	f.replace(func(c *cataloger.Catalog) { c.Servers, c.Members = servers, members })
 	f.known = revision
 	return nil
@@ -201,6 +209,31 @@
 	return members, err
 }
 
+// keepRemoved keeps instances that were removed for as long as they may go on
+// serving without having seen it, so that their parts of rates are not given
+// to others at the same time.
+func (f *Follower) keepRemoved(read map[identifier.InstanceID]cataloger.Member, now time.Duration) {
+	old := f.Holder.Catalog()
+	if old == nil {
+		return
+	}
+	removed := map[identifier.InstanceID]time.Duration{}
+	for id, m := range old.Members {
+		if _, ok := read[id]; ok {
+			continue
+		}
+		since, known := f.removed[id]
+		if !known {
+			since = now
+		}
+		if now-since < f.Holder.MaxAge+defaultPeriod {
+			removed[id] = since
+			read[id] = m
+		}
+	}
+	f.removed = removed
+}
+
 // newer keeps the configuration with the higher revision, so that an answer
 // that was overtaken does not bring an older one back.
 func newer(old, read *cataloger.Configuration) *cataloger.Configuration {
--- a/internal/coordination/follower/follower_test.go
+++ b/internal/coordination/follower/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"testing"
 	"time"
 
@@ -47,13 +48,11 @@
 				return nil, 0, errAway
 			}
 			all := map[identifier.ServiceName][]cataloger.BackendServer{}
-			for _, b := range s.servers {
-				all["rentals"] = append(all["rentals"], b)
-			}
+			all["rentals"] = append(all["rentals"], s.servers...)
 			return all, s.revision, nil
 		},
 		Members: func(context.Context) (map[identifier.InstanceID]cataloger.Member, uint64, error) {
-			return s.members, s.revision, nil
+			return maps.Clone(s.members), s.revision, nil
 		},
 		Join: func(_ context.Context, m cataloger.Member) error {
 			s.members = map[identifier.InstanceID]cataloger.Member{m.ID: m}
@@ -148,3 +147,23 @@
 	qt.Assert(t, f.Round(context.Background()), qt.IsNil)
 	qt.Assert(t, h.Catalog().Servers["rentals"], qt.HasLen, 0)
 }
+
+// Guards against the part of a rate of a removed instance being spent twice, by
+// it and by those that take it over, while it has not seen its removal.
+func TestRemovedInstanceIsKeptWhileItMayServe(t *testing.T) {
+	s := &source{revision: 5, version: 1, changed: 3, members: map[identifier.InstanceID]cataloger.Member{
+		"one": {ID: "one", Address: "x"}, "two": {ID: "two", Address: "y"},
+	}}
+	f, h, now := follow(s)
+	*now = time.Second
+	qt.Assert(t, f.Round(context.Background()), qt.IsNil)
+	s.members, s.revision = map[identifier.InstanceID]cataloger.Member{"one": {ID: "one", Address: "x"}}, 6
+	for range 4 {
+		*now += time.Second
+		qt.Assert(t, f.Round(context.Background()), qt.IsNil)
+		qt.Assert(t, h.Catalog().Members, qt.HasLen, 2)
+	}
+	*now += 4 * time.Second
+	qt.Assert(t, f.Round(context.Background()), qt.IsNil)
+	qt.Assert(t, h.Catalog().Members, qt.HasLen, 1)
+}
