follower: relays ask the store for their data centre

Ruled out: a longer period; the proof and a configuration's bound of 3 s allow little more.

Change: one instance for each 24 of a data centre asks the store, the others ask it for the catalog and its proof, whose age counts from before the question; an old proof or no answer sends them to the store. The limit of connections is the plan's; a service is watched where its statements run.

--- a/internal/command/starter/peers.go
+++ b/internal/command/starter/peers.go
@@ -4,9 +4,11 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"oleanderpulley/internal/coordination/allotter"
+	"oleanderpulley/internal/coordination/follower"
 	"oleanderpulley/internal/coordination/homer"
 	"oleanderpulley/internal/protocol/encoder"
 	"oleanderpulley/internal/state/cataloger"
@@ -46,6 +48,8 @@
 	e.Register("tokens_grant", allotter.Grant{})
 	e.Register("sample_ask", sampleAsk{})
 	e.Register("sample_reply", sampleReply{})
+	e.Register("relay_ask", follower.RelayAsk{})
+	e.Register("relayed", follower.Relayed{})
 	e.Register("reach_ask", reachAsk{})
 	e.Register("reach_reply", reachReply{})
 	e.Register("forward", sessioner.Forward{})
@@ -69,6 +73,8 @@
 		return s.sessions.Execute(from.Instance, m), nil
 	case allotter.Ask:
 		return s.allotter.Give(m), nil
+	case follower.RelayAsk:
+		return s.follower.Answer(m), nil
 	case reachAsk:
 		return s.reaches(m.Instance), nil
 	case sampleAsk:
@@ -144,6 +150,37 @@
 	return true
 }
 
+// relay asks a relay of the own data centre for the catalog.
+func (s *Starter) relay(ctx context.Context, known uint64) (follower.Relayed, error) {
+	relays := follower.Relays(s.holder.Catalog().Members, s.Settings.DataCentre)
+	for _, m := range relays {
+		if m.ID == s.Settings.InstanceID {
+			return follower.Relayed{}, follower.ErrNoRelay
+		}
+	}
+	if len(relays) == 0 {
+		return follower.Relayed{}, follower.ErrNoRelay
+	}
+	own := xxhash.Sum64String(string(s.Settings.InstanceID))
+	m := relays[own%uint64(len(relays))]
+	if !s.peers.Connected(m.ID) {
+		return follower.Relayed{}, follower.ErrNoRelay
+	}
+	ctx, cancel := context.WithTimeout(ctx, follower.RelayTimeout)
+	defer cancel()
+	asked := time.Now()
+	reply, err := s.peers.Request(ctx, m.ID, follower.RelayAsk{Known: known})
+	if err != nil {
+		s.peers.Check(m.ID, asked)
+		return follower.Relayed{}, err
+	}
+	r, ok := reply.(follower.Relayed)
+	if !ok {
+		return follower.Relayed{}, errors.Wrapf(errUnexpected, "%T", reply)
+	}
+	return r, nil
+}
+
 // setPeers takes the other instances over from the catalog.
 func (s *Starter) setPeers(c *cataloger.Catalog) {
 	book := make([]messenger.Peer, 0, len(c.Members))
--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -109,6 +109,7 @@
 		Self:     cataloger.Member{ID: t.InstanceID, DataCentre: t.DataCentre, Address: t.PeerAddress},
 		Logger:   s.Logger,
 		OnChange: s.changed,
+		Relay:    s.relay,
 	}
 }
 
@@ -124,9 +125,8 @@
 	if c == nil || c.Configuration == nil {
 		return 1
 	}
-	part := c.Configuration.Services[b.Service].MaxConnections * 9 / 10 / max(1, len(c.Members))
 	plan := s.plans.plan(c, b.Service)
-	return max(part, plan.Load(s.Settings.InstanceID)+1)
+	return plan.Limit(s.Settings.InstanceID, c.Configuration.Services[b.Service].MaxConnections, len(c.Members))
 }
 
 func (s *Starter) listen(ctx context.Context) error {
--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -18,7 +18,7 @@
 
 // Periods of the rounds.
 const (
-	defaultPeriod = 1500 * time.Millisecond
+	defaultPeriod = time.Second
 	startPeriod   = 200 * time.Millisecond // Until the first configuration.
 	retryPeriod   = 250 * time.Millisecond // After a failed round.
 	callTimeout   = 1200 * time.Millisecond
@@ -53,7 +53,11 @@
 	Logger zerolog.Logger
 	// OnChange is called with each new catalog. Nil calls nothing.
 	OnChange func(*cataloger.Catalog)
-	Period   time.Duration // 0 means 1.5 s.
+	// Relay asks a relay for the catalog if it differs from the revision. It
+	// returns [ErrNoRelay] if this instance has to ask the store itself. Nil
+	// always asks the store.
+	Relay  func(ctx context.Context, known uint64) (Relayed, error)
+	Period time.Duration // 0 means 1 s.
 
 	known     uint64
 	reached   bool
@@ -115,6 +119,9 @@
 
 // Round brings the catalog up to date and proves it.
 func (f *Follower) Round(ctx context.Context) error {
+	if f.askRelay(ctx) {
+		return nil
+	}
 	asked := f.Holder.Clock()
 	limit := callTimeout
 	if f.failures == 0 {
@@ -127,14 +134,20 @@
 		return err
 	}
 	f.noteOutage(asked)
-	c := f.Holder.Catalog()
-	if revision == f.known && c != nil && c.Configuration != nil {
+	if f.isWhole() && revision == f.known {
 		f.Holder.Prove(asked)
 		return nil
 	}
 	return f.read(ctx)
 }
 
+// isWhole reports whether the catalog has been read once, this instance
+// included.
+func (f *Follower) isWhole() bool {
+	c := f.Holder.Catalog()
+	return c != nil && c.Configuration != nil && f.known != 0
+}
+
 // noteOutage begins the time in which missing servers are kept if the store was
 // away until now, and has the lists read again at its end.
 func (f *Follower) noteOutage(now time.Duration) {
@@ -178,7 +191,10 @@
 	if err != nil {
 		return err
 	}
-	f.replace(func(c *cataloger.Catalog) { c.Configuration = newer(c.Configuration, configuration) })
+	f.replace(func(c *cataloger.Catalog) {
+		c.Configuration = newer(c.Configuration, configuration)
+		c.Revision = 0
+	})
 	f.Holder.Prove(asked)
 	servers, _, err := f.Store.Servers(ctx)
 	if err != nil {
@@ -190,7 +206,7 @@
 	}
 	f.keepLapsed(servers)
 	f.keepRemoved(members, asked)
-	f.replace(func(c *cataloger.Catalog) { c.Servers, c.Members = servers, members })
+	f.replace(func(c *cataloger.Catalog) { c.Servers, c.Members, c.Revision = servers, members, revision })
 	f.known = revision
 	return nil
 }
--- a/internal/coordination/homer/homer.go
+++ b/internal/coordination/homer/homer.go
@@ -46,6 +46,22 @@
 	return p.loads[id]
 }
 
+// Limit returns the number of connections that the instance may keep to a
+// server: one for each workspace at home there, and an equal part of what is
+// left, one at least.
+func (p *Plan) Limit(id identifier.InstanceID, connections, members int) int {
+	planned := 0
+	for _, load := range p.loads {
+		planned += load
+	}
+	spare := int(limited*float64(connections)) - planned
+	return max(1, p.loads[id]+max(0, spare)/max(1, members))
+}
+
+// limited is the part of a server's connections that all instances may keep
+// together.
+const limited = 0.9
+
 // Make plans the homes for a service. No instance is the home of more than one
 // workspace over the mean.
 func Make(service identifier.ServiceName, c *cataloger.Catalog) *Plan {
--- a/internal/state/cataloger/catalog.go
+++ b/internal/state/cataloger/catalog.go
@@ -22,65 +22,69 @@
 
 // Route tells how the statements for a database are served.
 type Route struct {
-	Service          identifier.ServiceName
-	Consistency      Consistency
-	MaxStaleness     time.Duration
-	StatementTimeout time.Duration // Of one statement.
-	TargetLatency    time.Duration // Of a whole operation.
-	Priority         int           // 0 is the highest.
-	Public           bool          // Needs no key.
+	Service          identifier.ServiceName `cbor:"service"`
+	Consistency      Consistency            `cbor:"consistency,omitempty"`
+	MaxStaleness     time.Duration          `cbor:"max_staleness,omitempty"`
+	StatementTimeout time.Duration          `cbor:"statement_timeout"` // Of one statement.
+	TargetLatency    time.Duration          `cbor:"target_latency"`    // Of a whole operation.
+	Priority         int                    `cbor:"priority,omitempty"`
+	Public           bool                   `cbor:"public,omitempty"` // Needs no key.
 }
 
 // Workspace is the owner of keys and of a rate.
 type Workspace struct {
-	Name  identifier.WorkspaceName
-	Rate  float64 // Operations a second over all instances.
-	Burst float64 // Operations.
+	Name  identifier.WorkspaceName `cbor:"name"`
+	Rate  float64                  `cbor:"rate"`  // Operations a second over all instances.
+	Burst float64                  `cbor:"burst"` // Operations.
 }
 
 // Service is a database group.
 type Service struct {
-	MaxConnections int // Of one backend server, from all callers together.
-	SyncReplicas   int // Replicas that receive a commit before it is acknowledged.
+	MaxConnections int `cbor:"max_connections"` // Of one backend server, from all callers together.
+	SyncReplicas   int `cbor:"sync_replicas"`   // Replicas that receive a commit before it is acknowledged.
 }
 
 // BackendServer is a registered member of a database group.
 type BackendServer struct {
-	ID          identifier.BackendServerID
-	Service     identifier.ServiceName
-	DataCentre  identifier.DataCentre
-	Address     string
-	Slots       int
-	Draining    bool
-	SaysPrimary bool  // How the server sees itself.
-	Born        int64 // Unix milliseconds of its start; another value is another incarnation.
-	Revision    uint64
+	ID          identifier.BackendServerID `cbor:"id"`
+	Service     identifier.ServiceName     `cbor:"service"`
+	DataCentre  identifier.DataCentre      `cbor:"data_centre"`
+	Address     string                     `cbor:"address"`
+	Slots       int                        `cbor:"slots"`
+	Draining    bool                       `cbor:"draining,omitempty"`
+	SaysPrimary bool                       `cbor:"says_primary,omitempty"` // How the server sees itself.
+	Born        int64                      `cbor:"born"`                   // Unix milliseconds of its start; another value is another incarnation.
+	Revision    uint64                     `cbor:"revision"`
 }
 
 // Configuration is one version of what the operators set.
 type Configuration struct {
-	Version     identifier.ConfigVersion
-	Revision    uint64
-	Routes      map[string]Route // By database.
-	Services    map[identifier.ServiceName]Service
-	Workspaces  map[identifier.WorkspaceName]Workspace
-	Keys        map[string]identifier.WorkspaceName
-	IdleTxLimit time.Duration // A transaction idle for longer may be ended.
+	Version     identifier.ConfigVersion               `cbor:"version"`
+	Revision    uint64                                 `cbor:"revision"`
+	Routes      map[string]Route                       `cbor:"routes"` // By database.
+	Services    map[identifier.ServiceName]Service     `cbor:"services"`
+	Workspaces  map[identifier.WorkspaceName]Workspace `cbor:"workspaces"`
+	Keys        map[string]identifier.WorkspaceName    `cbor:"keys"`
+	IdleTxLimit time.Duration                          `cbor:"idle_tx_limit"` // A transaction idle for longer may be ended.
 }
 
 // Member is a registered instance of this system.
 type Member struct {
-	ID         identifier.InstanceID `json:"id"`
-	DataCentre identifier.DataCentre `json:"data_centre"`
-	Address    string                `json:"address"` // For peers.
-	Revision   uint64                `json:"-"`
+	ID         identifier.InstanceID `json:"id" cbor:"id"`
+	DataCentre identifier.DataCentre `json:"data_centre" cbor:"data_centre"`
+	Address    string                `json:"address" cbor:"address"` // For peers.
+	Revision   uint64                `json:"-" cbor:"revision"`
 }
 
 // Catalog is one consistent view.
 type Catalog struct {
-	Configuration *Configuration // Nil until the first one was read.
-	Servers       map[identifier.ServiceName][]BackendServer
-	Members       map[identifier.InstanceID]Member
+	Configuration *Configuration                             `cbor:"configuration"` // Nil until the first one was read.
+	Servers       map[identifier.ServiceName][]BackendServer `cbor:"servers"`
+	Members       map[identifier.InstanceID]Member           `cbor:"members"`
+
+	// Revision is the store's as of which the catalog is whole; 0 while it is
+	// being read.
+	Revision uint64 `cbor:"revision"`
 }
 
 // Route returns the route of a database.
--- a/internal/transport/sessioner/home.go
+++ b/internal/transport/sessioner/home.go
@@ -70,9 +70,6 @@
 
 func (n *session) foreignOperation(f Forward) operation {
 	arrived := time.Now().Add(-f.Spent)
-	if n.server.Need != nil {
-		n.server.Need(f.Route.Service)
-	}
 	return operation{
 		route:     f.Route,
 		workspace: f.Workspace,
--- a/internal/transport/sessioner/session.go
+++ b/internal/transport/sessioner/session.go
@@ -181,9 +181,6 @@
 		search:   now.Add(patience(route)),
 		trace:    &trace{},
 	}
-	if n.server.Need != nil {
-		n.server.Need(route.Service)
-	}
 	owner, known := c.Owner(n.key)
 	o.workspace = owner
 	switch {
@@ -295,6 +292,7 @@
 }
 
 func (n *session) runHere(o operation, w work) requester.Result {
+	n.need(o)
 	switch {
 	case w.writes:
 		return n.write(o, w)
@@ -305,6 +303,13 @@
 	}
 }
 
+// need tells that the service is used here, so that its primary is watched.
+func (n *session) need(o operation) {
+	if n.server.Need != nil {
+		n.server.Need(o.route.Service)
+	}
+}
+
 // admit authorizes an operation and takes it from the workspace's rate.
 func (n *session) admit() (operation, requester.Result) {
 	o, refusal := n.authorize()
--- a/internal/transport/sessioner/transaction.go
+++ b/internal/transport/sessioner/transaction.go
@@ -174,6 +174,7 @@
 
 // open borrows the connection of the transaction and begins it there.
 func (n *session) open(o operation) requester.Result {
+	n.need(o)
 	if n.tx.plain {
 		return n.onPrimaryOpen(o)
 	}
