starter: wait for the link to a home; follower: wait for the link to a relay

Change: a statement waits up to 150 ms for the link to its home, which the start of its session opens; a round of the follower waits for the relay while its proof is under 1.4 s old; until the first configuration the store is asked once a second.

--- a/internal/command/starter/forward.go
+++ b/internal/command/starter/forward.go
@@ -18,6 +18,9 @@
 // statement without an answer.
 const avoidance = 2 * time.Second
 
+// linkWait is the time for which a statement waits for the link to its home.
+const linkWait = 150 * time.Millisecond
+
 // plans keeps the homes of each service for the newest catalog, and the peers
 // that are avoided.
 type plans struct {
@@ -64,18 +67,34 @@
 	if plan.Everywhere {
 		return nil
 	}
-	var usable []identifier.InstanceID
+	var usable, missing []identifier.InstanceID
 	for _, m := range plan.Homes(w, s.Settings.DataCentre) {
-		if m.ID == s.Settings.InstanceID {
+		switch {
+		case m.ID == s.Settings.InstanceID:
 			return nil
-		}
-		if !s.plans.isAvoided(m.ID) && s.peers.Connected(m.ID) {
+		case s.plans.isAvoided(m.ID):
+		case s.peers.Connected(m.ID):
 			usable = append(usable, m.ID)
+		default:
+			missing = append(missing, m.ID)
 		}
 	}
+	if len(usable) == 0 && len(missing) > 0 {
+		return s.awaitHome(missing[0])
+	}
 	return usable
 }
 
+// awaitHome waits for a link to a home. Running the statement here at once would
+// cost a connection that the server may not have.
+func (s *Starter) awaitHome(id identifier.InstanceID) []identifier.InstanceID {
+	if s.peers.Await(id, linkWait) {
+		return []identifier.InstanceID{id}
+	}
+	s.plans.avoid(id)
+	return nil
+}
+
 // forward sends a statement to a peer.
 func (s *Starter) forward(ctx context.Context, to identifier.InstanceID, f sessioner.Forward) (sessioner.Forwarded, error) {
 	asked := time.Now()
--- a/internal/command/starter/peers.go
+++ b/internal/command/starter/peers.go
@@ -164,7 +164,7 @@
 	own := xxhash.Sum64String(string(s.Settings.InstanceID))
 	m := relays[own%uint64(len(relays))]
 	if !s.peers.Connected(m.ID) {
-		return follower.Relayed{}, follower.ErrNoRelay
+		return follower.Relayed{}, follower.ErrConnecting
 	}
 	ctx, cancel := context.WithTimeout(ctx, follower.RelayTimeout)
 	defer cancel()
--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -19,7 +19,8 @@
 // Periods of the rounds.
 const (
 	defaultPeriod = time.Second
-	startPeriod   = 200 * time.Millisecond // Until the first configuration.
+	startPeriod   = time.Second // Until the first configuration.
+	linkPeriod    = 100 * time.Millisecond // While a link to the relay is opened.
 	retryPeriod   = 250 * time.Millisecond // After a failed round.
 	callTimeout   = 1200 * time.Millisecond
 	// firstTimeout bounds the first try of a round; an answer usually takes
@@ -91,6 +92,8 @@
 	switch {
 	case errors.Is(err, ErrNoConfiguration):
 		period = startPeriod
+	case errors.Is(err, ErrConnecting):
+		period = linkPeriod
 	case err != nil:
 		period = min(retryPeriod<<min(f.failures, 2), period)
 	case c == nil || c.Configuration == nil:
@@ -102,6 +105,7 @@
 // report logs when the store is lost and regained.
 func (f *Follower) report(err error) {
 	switch {
+	case errors.Is(err, ErrConnecting):
 	case err != nil && !errors.Is(err, ErrNoConfiguration):
 		f.failures++
 		if f.reached {
@@ -119,8 +123,8 @@
 
 // Round brings the catalog up to date and proves it.
 func (f *Follower) Round(ctx context.Context) error {
-	if f.askRelay(ctx) {
-		return nil
+	if done, err := f.askRelay(ctx); done {
+		return err
 	}
 	asked := f.Holder.Clock()
 	limit := callTimeout
--- a/internal/coordination/follower/relay.go
+++ b/internal/coordination/follower/relay.go
@@ -13,8 +13,13 @@
 	"oleanderpulley/internal/state/identifier"
 )
 
-// ErrNoRelay reports that an instance has to ask the store itself.
-var ErrNoRelay = errors.New("no relay answers")
+// Sentinel errors of the question to a relay.
+var (
+	// ErrNoRelay reports that an instance has to ask the store itself.
+	ErrNoRelay = errors.New("no relay answers")
+	// ErrConnecting reports that a link to the relay is being opened.
+	ErrConnecting = errors.New("link to the relay is being opened")
+)
 
 const (
 	// servedByRelay is the number of instances of a data centre for which
@@ -23,6 +28,9 @@
 	// relayMaxAge is the age of a relay's proof above which the store is asked
 	// directly: the relay may have lost the store alone.
 	relayMaxAge = 2200 * time.Millisecond
+	// connectMaxAge is the age of the own proof up to which the link to a
+	// relay is waited for.
+	connectMaxAge = 1400 * time.Millisecond
 	// RelayTimeout bounds a question to a relay.
 	RelayTimeout = 250 * time.Millisecond
 )
@@ -76,27 +84,31 @@
 
 // askRelay brings the catalog up to date from a relay and reports whether that
 // took the place of a question to the store. The age of the relay's proof is
-// counted from before the question.
-func (f *Follower) askRelay(ctx context.Context) bool {
+// counted from before the question. While a link to the relay is opened and the
+// proof is young, the round ends with [ErrConnecting].
+func (f *Follower) askRelay(ctx context.Context) (done bool, err error) {
 	if f.Relay == nil || !f.isWhole() || f.failures > 0 {
-		return false
+		return false, nil
 	}
 	asked := f.Holder.Clock()
 	r, err := f.Relay(ctx, f.known)
 	switch {
 	case errors.Is(err, ErrNoRelay):
-		return false
+		return false, nil
+	case errors.Is(err, ErrConnecting):
+		age, ok := f.Holder.Age()
+		return ok && age < connectMaxAge, err
 	case err != nil:
 		f.Logger.Debug().Str("event", "relay_silent").Err(err).Send()
-		return false
+		return false, nil
 	case !r.Proven || r.Age < 0 || r.Age > relayMaxAge:
-		return false
+		return false, nil
 	case r.Catalog != nil && !f.take(r.Catalog):
-		return false
+		return false, nil
 	}
 	f.succeeded = asked
 	f.Holder.Prove(asked - r.Age)
-	return true
+	return true, nil
 }
 
 // take takes a relay's catalog over. A catalog that is older than the present
--- a/internal/transport/messenger/messenger.go
+++ b/internal/transport/messenger/messenger.go
@@ -184,6 +184,26 @@
 	}
 }
 
+// Await waits until a link to the peer stands, at most for the time, and reports
+// whether one does. It starts one if there is none.
+func (m *Messenger) Await(to identifier.InstanceID, limit time.Duration) bool {
+	l, err := m.link(to)
+	if err != nil {
+		return false
+	}
+	l.lastUse.Store(time.Now().UnixNano())
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-l.ready:
+		return m.Connected(to)
+	case <-l.done:
+		return false
+	case <-timer.C:
+		return false
+	}
+}
+
 // Check pings a peer that has sent nothing since the time and ends the link if
 // no answer comes. A connection that has gone silent is found sooner by it than
 // by the regular pings, and the requests on the link of a peer that is only
--- a/internal/transport/sessioner/session.go
+++ b/internal/transport/sessioner/session.go
@@ -65,11 +65,13 @@
 	}
 	n.database, n.key = first.Database, first.Caller
 	n.waitForCatalog(deadline)
-	if _, refusal := n.authorize(); refusal.Code != requester.OK {
+	o, refusal := n.authorize()
+	if refusal.Code != requester.OK {
 		n.refused("session_refused", "", refusal)
 		n.client.Refuse(refusal)
 		return false
 	}
+	go n.homes(o) // Opens the links to the homes before the first statement.
 	return n.client.Reply(requester.Result{State: requester.Idle, Signature: startupMark}) == nil
 }
 
