--- a/internal/command/starter/forward.go
+++ b/internal/command/starter/forward.go
@@ -119,13 +119,28 @@
 func (s *Starter) tidy(ctx context.Context) {
 	ticker := time.NewTicker(time.Second)
 	defer ticker.Stop()
-	for {
+	for i := 1; ; i++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			s.sessions.ExpireForeign(sessioner.ForeignLimit)
-			s.lender.Trim()
+		}
+		s.sessions.ExpireForeign(sessioner.ForeignLimit)
+		s.lender.Trim()
+		if i%activityPeriod == 0 {
+			s.logActivity()
 		}
 	}
 }
+
+// activityPeriod is the number of seconds between two lines that count what the
+// instance has done.
+const activityPeriod = 10
+
+func (s *Starter) logActivity() {
+	a := &s.sessions.Activity
+	s.Logger.Info().Str("event", "activity").Int("sessions", s.sessions.Sessions()).
+		Uint64("served", a.Served.Load()).Uint64("late", a.Late.Load()).
+		Uint64("failed", a.Failed.Load()).Uint64("refused", a.Refused.Load()).
+		Uint64("replica_reads", a.ReplicaReads.Load()).Uint64("primary_reads", a.PrimaryReads.Load()).Send()
+}
--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -19,7 +19,7 @@
 // Periods of the rounds.
 const (
 	defaultPeriod = time.Second
-	startPeriod   = time.Second // Until the first configuration.
+	startPeriod   = time.Second            // Until the first configuration.
 	linkPeriod    = 100 * time.Millisecond // While a link to the relay is opened.
 	retryPeriod   = 250 * time.Millisecond // After a failed round.
 	callTimeout   = 1200 * time.Millisecond
--- a/internal/coordination/replacer/replacer.go
+++ b/internal/coordination/replacer/replacer.go
@@ -37,6 +37,7 @@
 	freshLead     = 700 * time.Millisecond // A lead seen this recently needs no question.
 	storeTimeout  = 800 * time.Millisecond
 	cloudTimeout  = 1500 * time.Millisecond
+	lastWait      = 120 * time.Millisecond
 	catchUpLimit  = 1200 * time.Millisecond
 	catchUpPause  = 20 * time.Millisecond
 	promoteTries  = 4
@@ -301,27 +302,42 @@
 	return r.awaitLead(ctx, next.Server)
 }
 
-// candidates asks all servers but the leaving one for their positions.
+// candidates asks all servers but the leaving one for their positions. When all
+// but one have answered, the last one, which may be the lost primary, gets
+// lastWait more.
 func (r *Replacer) candidates(servers []cataloger.BackendServer, leaving *cataloger.BackendServer) []Candidate {
-	var all []Candidate
-	var mu sync.Mutex
-	var tasks sync.WaitGroup
+	answers := make(chan *Candidate, len(servers))
+	open := 0
 	for _, b := range servers {
 		if leaving != nil && b.ID == leaving.ID {
 			continue
 		}
-		tasks.Go(func() {
+		open++
+		go func() {
 			m, err := r.Status(b)
 			if err != nil {
 				r.Logger.Info().Str("event", "candidate_silent").Str("server", string(b.ID)).Err(err).Send()
+				answers <- nil
 				return
 			}
-			mu.Lock()
-			defer mu.Unlock()
-			all = append(all, Candidate{b, m})
-		})
+			answers <- &Candidate{b, m}
+		}()
+	}
+	var all []Candidate
+	var enough <-chan time.Time
+	for ; open > 0; open-- {
+		if open == 1 && len(all) > 0 && leaving == nil {
+			enough = time.After(lastWait)
+		}
+		select {
+		case c := <-answers:
+			if c != nil {
+				all = append(all, *c)
+			}
+		case <-enough:
+			return all
+		}
 	}
-	tasks.Wait()
 	return all
 }
 
--- a/internal/transport/sessioner/log.go
+++ b/internal/transport/sessioner/log.go
@@ -15,11 +15,15 @@
 // servedSample is the number of served statements of which one is logged.
 const servedSample = 512
 
-// served counts the served statements of this process.
-var served atomic.Uint64
+// Activity counts statements since the start of a server.
+type Activity struct {
+	Served, Late, Failed, Refused atomic.Uint64
+	ReplicaReads, PrimaryReads    atomic.Uint64 // Single reads, by the server that ran them.
+}
 
 // refused logs and counts a statement that was not run.
 func (n *session) refused(event string, id requester.StatementID, r requester.Result) {
+	n.server.Activity.Refused.Add(1)
 	n.count("statements_refused", r.Code)
 	n.server.Logger.Info().Str("event", event).Func(func(e *zerolog.Event) { n.explain(e, id, r) }).Send()
 }
@@ -46,11 +50,13 @@
 	var event string
 	switch {
 	case r.Code != requester.OK:
+		n.server.Activity.Failed.Add(1)
 		n.count("statements_failed", r.Code)
 		event = "statement_failed"
 	case o.route.TargetLatency > 0 && took > o.route.TargetLatency:
+		n.server.Activity.Late.Add(1)
 		event = "statement_late"
-	case served.Add(1)%servedSample == 0:
+	case n.server.Activity.Served.Add(1)%servedSample == 0:
 		event = "statement_served"
 	default:
 		return
--- a/internal/transport/sessioner/run.go
+++ b/internal/transport/sessioner/run.go
@@ -197,12 +197,22 @@
 		case r.Code == requester.RunFailed && len(tried) == 1:
 			last = r
 		default:
+			n.server.countRead(b)
 			return r
 		}
 	}
 	return last
 }
 
+// countRead counts a read by the role of the server that ran it.
+func (s *Server) countRead(b cataloger.BackendServer) {
+	if leader, _, _ := s.Placer.LastLed(b.Service); leader == b.ID {
+		s.Activity.PrimaryReads.Add(1)
+	} else {
+		s.Activity.ReplicaReads.Add(1)
+	}
+}
+
 // nextReader returns the best server that was not tried yet.
 func (n *session) nextReader(o operation, age time.Duration, tried []identifier.BackendServerID) (cataloger.BackendServer, bool) {
 	for _, b := range n.server.Placer.Readers(o.route.Service, o.servers, age, o.workspace) {
--- a/internal/transport/sessioner/server.go
+++ b/internal/transport/sessioner/server.go
@@ -70,6 +70,9 @@
 	// something new.
 	Draining atomic.Bool
 
+	// Activity counts what the server has done.
+	Activity Activity
+
 	foreign foreignTransactions
 
 	mu       sync.Mutex
