--- /dev/null
+++ b/internal/bench/soaker/fault.go
@@ -0,0 +1,124 @@
+package soaker
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Bounds of the schedule.
+const (
+	leastGap  = 200 * time.Millisecond
+	mostGap   = 1500 * time.Millisecond
+	leastSpan = 500 * time.Millisecond
+	mostSpan  = 4 * time.Second
+	killWait  = 500 * time.Millisecond // From a kill to the restart.
+	graceTime = 3 * time.Second
+)
+
+// fault is one disruption; it lasts for the span.
+type fault struct {
+	name string
+	run  func(w *world, random *rand.Rand, span time.Duration)
+}
+
+var faults = []fault{
+	{"kill", func(w *world, r *rand.Rand, _ time.Duration) { w.restart(w.any(r), syscall.SIGKILL) }},
+	{"stop", func(w *world, r *rand.Rand, _ time.Duration) { w.restart(w.any(r), syscall.SIGTERM) }},
+	{"pause", func(w *world, r *rand.Rand, span time.Duration) {
+		p := w.any(r)
+		p.signal(syscall.SIGSTOP)
+		time.Sleep(span)
+		p.signal(syscall.SIGCONT)
+	}},
+	{"hangup", func(w *world, r *rand.Rand, _ time.Duration) { w.any(r).signal(syscall.SIGHUP) }},
+	{"store away", func(w *world, _ *rand.Rand, span time.Duration) {
+		w.store.SetFault(func(string, string) int { return http.StatusServiceUnavailable })
+		time.Sleep(span)
+		w.store.SetFault(nil)
+	}},
+	{"store answers lost", func(w *world, _ *rand.Rand, span time.Duration) {
+		calls := 0
+		w.store.SetFault(func(string, string) int {
+			calls++
+			if calls%3 == 0 {
+				return -1
+			}
+			return 0
+		})
+		time.Sleep(span)
+		w.store.SetFault(nil)
+	}},
+	{"store silent", func(w *world, _ *rand.Rand, span time.Duration) { w.proxies["store"].cutFor(span) }},
+	{"server silent", func(w *world, r *rand.Rand, span time.Duration) { w.proxies[w.server(r)].cutFor(span) }},
+	{"connections silent", func(w *world, r *rand.Rand, _ time.Duration) { w.proxies[w.server(r)].silence() }},
+	{"connections reset", func(w *world, r *rand.Rand, _ time.Duration) { w.proxies[w.server(r)].reset() }},
+	{"slow link", func(w *world, r *rand.Rand, span time.Duration) {
+		p := w.proxies[w.server(r)]
+		p.setDelay(60 * time.Millisecond)
+		time.Sleep(span)
+		p.setDelay(0)
+	}},
+	{"replica held", func(w *world, r *rand.Rand, span time.Duration) {
+		id := w.server(r)
+		if id == w.group.Leader() {
+			return
+		}
+		w.members[id].Hold(true)
+		time.Sleep(span)
+		w.members[id].Hold(false)
+	}},
+	{"answers lost", func(w *world, r *rand.Rand, _ time.Duration) { w.members[w.server(r)].LoseAnswers(3) }},
+	{"promotion", func(w *world, r *rand.Rand, _ time.Duration) {
+		w.group.Promote(w.server(r))
+		w.register()
+	}},
+	{"key withdrawn", func(w *world, _ *rand.Rand, _ time.Duration) { w.withdraw("key-old") }},
+	{"configuration", func(w *world, _ *rand.Rand, _ time.Duration) { w.configure() }},
+}
+
+// injectAll plays the schedule of the random source for the time and returns
+// what it did. Faults overlap.
+func (w *world) injectAll(random *rand.Rand, length time.Duration) []string {
+	var names []string
+	var running sync.WaitGroup
+	start := time.Now()
+	for time.Since(start) < length {
+		time.Sleep(leastGap + time.Duration(random.Int64N(int64(mostGap-leastGap))))
+		f := faults[random.IntN(len(faults))]
+		own := rand.New(rand.NewPCG(random.Uint64(), 0))
+		span := leastSpan + time.Duration(random.Int64N(int64(mostSpan-leastSpan)))
+		names = append(names, fmt.Sprintf("%.1f %s", time.Since(start).Seconds(), f.name))
+		running.Go(func() { f.run(w, own, span) })
+	}
+	running.Wait()
+	return names
+}
+
+func (w *world) any(r *rand.Rand) *process {
+	return w.instances[r.IntN(len(w.instances))]
+}
+
+func (w *world) server(r *rand.Rand) string {
+	return string(rune('a' + r.IntN(len(w.members))))
+}
+
+func (w *world) restart(p *process, s syscall.Signal) {
+	p.restarting.Lock()
+	defer p.restarting.Unlock()
+	p.signal(s)
+	p.await(graceTime + time.Second)
+	time.Sleep(killWait)
+	if err := p.start(); err != nil {
+		fmt.Println("fault:", err)
+	}
+}
+
+func (p *proxy) cutFor(span time.Duration) {
+	p.setCut(true)
+	time.Sleep(span)
+	p.setCut(false)
+}
--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -29,6 +29,9 @@
 	// proofMargin is taken off the time within which a withdrawn key stops
 	// working, for the way of a statement to its backend server.
 	proofMargin = 400 * time.Millisecond
+	// drainMargin is taken off the time within which a leaving server gets
+	// statements, for the way of the news through the store and a relay.
+	drainMargin = 3 * time.Second
 	// acceptPause follows a failed accept, such as one without a descriptor
 	// left.
 	acceptPause = 20 * time.Millisecond
@@ -89,6 +92,7 @@
 	s.lender.Width = func(b cataloger.BackendServer) int { return s.placer.Width(b.ID) }
 	s.placer.DataCentre = t.DataCentre
 	s.placer.HasIdle = s.lender.HasIdle
+	s.placer.DrainLimit = t.DrainLimit - drainMargin
 	s.sessions.Holder = &s.holder
 	s.sessions.Lender = &s.lender
 	s.sessions.Placer = &s.placer
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -42,6 +42,9 @@
 type Placer struct {
 	DataCentre identifier.DataCentre
 	Now        func() time.Time // Nil selects time.Now.
+	// DrainLimit is the time after which a primary that drains gets no more
+	// statements. 0 sets no limit.
+	DrainLimit time.Duration
 	// HasIdle reports whether a connection of the workspace is ready. Nil
 	// counts as always.
 	HasIdle func(identifier.BackendServerID, identifier.WorkspaceName) bool
@@ -59,6 +62,7 @@
 	failures   int
 	asideUntil time.Time
 	deniedAt   time.Time
+	drainingAt time.Time // When the server was first seen draining.
 	window     window
 }
 
@@ -192,6 +196,9 @@
 	var best cataloger.BackendServer
 	found := false
 	for _, s := range servers {
+		if p.isLeaving(s) {
+			continue
+		}
 		if s.ID == l.id {
 			return s, true
 		}
@@ -205,6 +212,20 @@
 	return best, found
 }
 
+// isLeaving reports whether a server that drains has had its time. A successor
+// takes over from a primary within it.
+func (p *Placer) isLeaving(s cataloger.BackendServer) bool {
+	state := p.server(s.ID)
+	if !s.Draining {
+		state.drainingAt = time.Time{}
+		return false
+	}
+	if state.drainingAt.IsZero() {
+		state.drainingAt = p.now()
+	}
+	return p.DrainLimit > 0 && p.now().Sub(state.drainingAt) > p.DrainLimit
+}
+
 // LeaderChanged returns a channel that is closed when another server is seen
 // leading the service.
 func (p *Placer) LeaderChanged(service identifier.ServiceName) <-chan struct{} {
@@ -227,7 +248,7 @@
 
 // Readers orders the servers for a read that must find everything older than
 // the age, the one with the least expected cost first. Servers that lag by
-// more, that drain or that are put aside come last.
+// more or are put aside come last, those that drain are left out.
 func (p *Placer) Readers(service identifier.ServiceName, servers []cataloger.BackendServer,
 	age time.Duration, w identifier.WorkspaceName,
 ) []cataloger.BackendServer {
@@ -241,6 +262,9 @@
 	leads := p.leader(service).id
 	choices := make([]choice, 0, len(servers))
 	for _, s := range servers {
+		if s.Draining {
+			continue
+		}
 		isLeader := s.ID == leads || (leads == "" && s.SaysPrimary)
 		choices = append(choices, choice{s, p.rank(s, isLeader, age), p.cost(s, isLeader, w)})
 	}
@@ -258,7 +282,6 @@
 const (
 	rankGood = iota
 	rankBehind
-	rankDraining
 	rankAside
 )
 
@@ -268,8 +291,6 @@
 	switch {
 	case now.Before(state.asideUntil):
 		return rankAside
-	case s.Draining:
-		return rankDraining
 	case !isLeader && state.lag > age && now.Sub(state.lagAt) < lagLife:
 		return rankBehind
 	default:
--- a/internal/coordination/placer/placer_test.go
+++ b/internal/coordination/placer/placer_test.go
@@ -92,3 +92,19 @@
 	qt.Assert(t, ok, qt.IsTrue)
 	qt.Assert(t, next.ID, qt.Equals, identifier.BackendServerID("c"))
 }
+
+// Guards against statements that reach a leaving server after its time, which it
+// cuts when it ends (DRAIN on trouble-1 of obiseda-pool-grown).
+func TestLeavingServersGetNothingNew(t *testing.T) {
+	p, c := newPlacer()
+	p.DrainLimit = 4 * time.Second
+	all := servers()
+	all[0].Draining, all[1].Draining = true, true
+	qt.Assert(t, ids(p.Readers(service, all, time.Second, "shop")), qt.Equals, "c")
+	primary, ok := p.Primary(service, all)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, primary.ID, qt.Equals, identifier.BackendServerID("a"))
+	c.now = c.now.Add(4*time.Second + 1)
+	_, ok = p.Primary(service, all)
+	qt.Assert(t, ok, qt.IsFalse)
+}
--- a/internal/transport/lender/lender.go
+++ b/internal/transport/lender/lender.go
@@ -1,6 +1,7 @@
 package lender
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -35,7 +36,7 @@
 	// server.
 	Limit func(s cataloger.BackendServer) int
 	// Width is the number of connections to the server that may be lent at
-	// the same time. Nil bounds them by Limit alone.
+	// the same time. Nil bounds them by Limit alone. It may call the lender.
 	Width func(s cataloger.BackendServer) int
 
 	mu      sync.Mutex
@@ -84,7 +85,7 @@
 // every case.
 func (l *Lender) Borrow(w Wish) (*Conn, error) {
 	for {
-		c, room, wait := l.pick(w)
+		c, room, wait := l.pick(w, l.width(w))
 		switch {
 		case c != nil && c.link.Open():
 			return c, nil
@@ -106,13 +107,22 @@
 	}
 }
 
+// width returns the number of connections that may be lent for the wish to be
+// granted. It is called without the lock, because who decides it may ask back.
+func (l *Lender) width(w Wish) int {
+	if l.Width == nil || w.Any || w.Pinned {
+		return math.MaxInt
+	}
+	return max(1, l.Width(w.Server))
+}
+
 // pick takes an idle connection, or reserves room on a shelf for a new one, or
 // returns a channel to wait on.
-func (l *Lender) pick(w Wish) (*Conn, *shelf, chan struct{}) {
+func (l *Lender) pick(w Wish, width int) (*Conn, *shelf, chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.shelf(w.Server)
-	if l.Width != nil && !w.Any && !w.Pinned && len(s.lent)+s.opening-s.pinned >= max(1, l.Width(w.Server)) {
+	if len(s.lent)+s.opening-s.pinned >= width {
 		return nil, nil, s.wait(w.Priority)
 	}
 	if i := s.best(w); i >= 0 {
--- a/internal/transport/lender/lender_test.go
+++ b/internal/transport/lender/lender_test.go
@@ -146,3 +146,24 @@
 	qt.Assert(t, <-order, qt.Equals, 0)
 	qt.Assert(t, <-order, qt.Equals, 2)
 }
+
+// Guards against an instance that stands still for good: the placer asked the
+// lender under its own lock, and the lender the placer under its own (seeds 1
+// and 2 of the soak).
+func TestWidthMayAskTheLender(t *testing.T) {
+	b := newBank(2)
+	b.lender.Width = func(s cataloger.BackendServer) int {
+		b.lender.HasIdle(s.ID, "shops")
+		return 1
+	}
+	borrowed := make(chan struct{})
+	go func() {
+		defer close(borrowed)
+		b.borrow(t, "shops")
+	}()
+	select {
+	case <-borrowed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("borrowing does not return")
+	}
+}
--- a/internal/transport/sessioner/forward.go
+++ b/internal/transport/sessioner/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -57,8 +58,13 @@
 	id   uint64
 }
 
-// transactions numbers the forwarded transactions of this process.
-var transactions atomic.Uint64
+// transactions numbers the forwarded transactions of this process. It begins at
+// random, so that the numbers of an earlier process are not used again.
+var transactions = func() *atomic.Uint64 {
+	var n atomic.Uint64
+	n.Store(rand.Uint64())
+	return &n
+}()
 
 // forward runs a single statement at a home of its workspace. It returns false
 // if it has to run here.
--- a/internal/transport/sessioner/home.go
+++ b/internal/transport/sessioner/home.go
@@ -125,13 +125,16 @@
 // foreignTransaction returns the transaction, which a first statement opens.
 func (s *Server) foreignTransaction(key foreignKey, f Forward) (t *foreignTransaction, refused bool) {
 	s.foreign.mu.Lock()
-	defer s.foreign.mu.Unlock()
-	if t, ok := s.foreign.all[key]; ok {
-		return t, false
-	}
+	old, ok := s.foreign.all[key]
+	s.foreign.mu.Unlock()
 	if f.Begin == requester.Unknown {
-		return nil, false
+		return old, false
+	}
+	if ok {
+		s.endForeign(key, old) // Left open by the peer's earlier process.
 	}
+	s.foreign.mu.Lock()
+	defer s.foreign.mu.Unlock()
 	if s.Draining.Load() || s.Holder.Catalog() == nil {
 		return nil, true
 	}
@@ -145,6 +148,17 @@
 	return t, false
 }
 
+// endForeign rolls a transaction of a peer back.
+func (s *Server) endForeign(key foreignKey, t *foreignTransaction) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.ended {
+		t.session.abandon()
+		t.ended = true
+		s.foreign.remove(key)
+	}
+}
+
 func (f *foreignTransactions) remove(key foreignKey) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- /dev/null
+++ b/internal/transport/sessioner/home_test.go
@@ -0,0 +1,96 @@
+package sessioner
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oleanderpulley/internal/coordination/placer"
+	"oleanderpulley/internal/protocol/requester"
+	"oleanderpulley/internal/state/cataloger"
+	"oleanderpulley/internal/state/identifier"
+	"oleanderpulley/internal/transport/lender"
+)
+
+// newHome returns a server with one backend server that leads, and a record of
+// the statements that reach it by workspace.
+func newHome() (*Server, map[identifier.WorkspaceName][]requester.Kind) {
+	seen := map[identifier.WorkspaceName][]requester.Kind{}
+	s := &Server{Holder: &cataloger.Holder{MaxAge: time.Hour}, Placer: &placer.Placer{}, Lender: &lender.Lender{}}
+	s.Holder.Replace(&cataloger.Catalog{
+		Configuration: &cataloger.Configuration{},
+		Servers: map[identifier.ServiceName][]cataloger.BackendServer{
+			"rentals": {{ID: "a", Service: "rentals", SaysPrimary: true, Slots: 3}},
+		},
+	})
+	s.Lender.Limit = func(cataloger.BackendServer) int { return 4 }
+	s.Lender.Dial = func(_ time.Time, _ cataloger.BackendServer, w identifier.WorkspaceName) (lender.Link, error) {
+		var answers []requester.TransactionState
+		return lender.Link{
+			Send: func(_ time.Time, statements ...requester.Statement) error {
+				for _, st := range statements {
+					seen[w] = append(seen[w], st.Kind)
+					state := requester.InTransaction
+					if st.Kind == requester.Rollback || st.Kind == requester.Commit {
+						state = requester.Idle
+					}
+					answers = append(answers, state)
+				}
+				return nil
+			},
+			Receive: func(time.Time) (requester.Result, error) {
+				r := requester.Result{State: answers[0], Position: identifier.Position{Term: 1, Offset: 1}}
+				answers = answers[1:]
+				return r, nil
+			},
+			Open:  func() bool { return true },
+			Close: func() {},
+		}, nil
+	}
+	return s, seen
+}
+
+func first(w identifier.WorkspaceName, id uint64) Forward {
+	return Forward{
+		Transaction: id, Begin: requester.Begin, Workspace: w, Writes: true,
+		Route:     cataloger.Route{Service: "rentals", StatementTimeout: time.Second, TargetLatency: time.Second},
+		Statement: requester.Statement{ID: "i1", Kind: requester.Write, Text: "WRITE x 1"},
+	}
+}
+
+// Guards against the transaction of a client being continued in one that the
+// peer's earlier process left open under the same number (soak, seed 3: a write
+// of one workspace was committed by another).
+func TestNumberOfAnEarlierProcessOpensANewTransaction(t *testing.T) {
+	s, seen := newHome()
+	qt.Assert(t, s.Execute("peer", first("shops", 1)).Result.Code, qt.Equals, requester.OK)
+	qt.Assert(t, s.Execute("peer", first("desks", 1)).Result.Code, qt.Equals, requester.OK)
+	qt.Assert(t, seen["shops"], qt.DeepEquals, []requester.Kind{requester.Begin, requester.Write, requester.Rollback})
+	qt.Assert(t, seen["desks"], qt.DeepEquals, []requester.Kind{requester.Begin, requester.Write})
+	qt.Assert(t, s.ForeignTransactions(), qt.Equals, 1)
+}
+
+// Guards against a statement of a transaction that is not open here running
+// outside of any.
+func TestUnknownTransactionRunsNothing(t *testing.T) {
+	s, seen := newHome()
+	f := first("shops", 7)
+	f.Begin = requester.Unknown
+	r := s.Execute("peer", f)
+	qt.Assert(t, r.Result.Code, qt.Equals, requester.Aborted)
+	qt.Assert(t, r.Result.State, qt.Equals, requester.Failed)
+	qt.Assert(t, seen, qt.HasLen, 0)
+}
+
+// Guards against the transaction of a peer that is gone holding its connection
+// and its locks for good.
+func TestForeignTransactionExpires(t *testing.T) {
+	s, seen := newHome()
+	s.Execute("peer", first("shops", 1))
+	s.ExpireForeign(time.Hour)
+	qt.Assert(t, s.ForeignTransactions(), qt.Equals, 1)
+	s.ExpireForeign(0)
+	qt.Assert(t, s.ForeignTransactions(), qt.Equals, 0)
+	qt.Assert(t, seen["shops"][2], qt.Equals, requester.Rollback)
+}
