follower: give the first proof with the whole catalog

An instance was ready as soon as it had read the configuration; its registration, and with it its part of the rates, came some calls later.

Ruled out: the rate itself; the limit of the test is 1,000 a second.

Change: the first proof is given when the lists and the registration are read. TestFailedRoundIsRepeated asserts it and fails before.

--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -199,7 +199,9 @@
 		c.Configuration = newer(c.Configuration, configuration)
 		c.Revision = 0
 	})
-	f.Holder.Prove(asked)
+	if f.known != 0 {
+		f.Holder.Prove(asked)
+	}
 	servers, _, err := f.Store.Servers(ctx)
 	if err != nil {
 		return err
@@ -212,6 +214,9 @@
 	f.keepRemoved(members, asked)
 	f.replace(func(c *cataloger.Catalog) { c.Servers, c.Members, c.Revision = servers, members, revision })
 	f.known = revision
+	// The first proof comes with the whole catalog: without its registration
+	// an instance has no part of any rate.
+	f.Holder.Prove(asked)
 	return nil
 }
 
--- a/internal/coordination/follower/follower_test.go
+++ b/internal/coordination/follower/follower_test.go
@@ -111,12 +111,14 @@
 }
 
 // Guards against a change that is missed because the round that saw it failed
-// halfway.
+// halfway, and against an instance that serves before it is registered, whose
+// first operations are refused for the rate.
 func TestFailedRoundIsRepeated(t *testing.T) {
 	s := &source{revision: 5, version: 1, changed: 3}
 	f, h, _ := follow(s)
 	s.listAway = true
 	qt.Assert(t, f.Round(context.Background()), qt.ErrorIs, errAway)
+	qt.Assert(t, h.Fresh(), qt.IsFalse) // It has no part of any rate yet.
 	s.listAway = false
 	qt.Assert(t, f.Round(context.Background()), qt.IsNil)
 	qt.Assert(t, h.Catalog().Members, qt.HasLen, 1)
