sessioner, replacer, starter: one walk over servers, complete answers before a promotion

Ruled out: removing Service.SyncReplicas as unused; it is what the decision lacked.

Change: onPrimary and onReaders serve single statements and transactions; singleflight in place of the finder; askEach in place of three loops.

--- a/internal/command/starter/peers.go
+++ b/internal/command/starter/peers.go
@@ -114,38 +114,28 @@
 func (s *Starter) askPeersForSample(service identifier.ServiceName, since time.Time) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), sampleTimeout)
 	defer cancel()
-	peers := s.peers.Peers() // In the random order of a map.
-	peers = peers[:min(len(peers), sampleAsks)]
-	found := make(chan bool, len(peers))
-	for _, p := range peers {
-		go func() { found <- s.askSample(ctx, p.ID, service, since) }()
-	}
+	peers := s.somePeers(sampleAsks, "")
+	answers := askEach[sampleReply](ctx, s, peers, sampleAsk{Service: service})
 	for range peers {
-		if <-found {
+		if s.takeSample(service, <-answers, since) {
 			return true
 		}
 	}
 	return false
 }
 
-func (s *Starter) askSample(ctx context.Context, to identifier.InstanceID, service identifier.ServiceName, since time.Time) bool {
-	asked := time.Now()
-	reply, err := s.peers.Request(ctx, to, sampleAsk{Service: service})
-	if err != nil {
-		s.Logger.Debug().Str("event", "sample_not_answered").Str("peer", string(to)).Err(err).Send()
-		return false
-	}
-	r, ok := reply.(sampleReply)
-	if !ok || r.Position.IsZero() || r.Age < 0 {
+// takeSample records a peer's sample if it is young enough.
+func (s *Starter) takeSample(service identifier.ServiceName, a answer[sampleReply], since time.Time) bool {
+	if a.body == nil || a.body.Position.IsZero() || a.body.Age < 0 {
 		return false
 	}
-	n := sampler.Sample{Position: r.Position, Asked: asked.Add(-r.Age)}
+	n := sampler.Sample{Position: a.body.Position, Asked: a.asked.Add(-a.body.Age)}
 	if n.Asked.Before(since) {
 		return false
 	}
 	s.sessions.Sampler(service).Add(n)
-	if r.Leader != "" {
-		s.placer.Led(service, r.Leader, r.Position.Term, n.Asked)
+	if a.body.Leader != "" {
+		s.placer.Led(service, a.body.Leader, n.Position.Term, n.Asked)
 	}
 	return true
 }
--- a/internal/command/starter/reap.go
+++ b/internal/command/starter/reap.go
@@ -47,32 +47,20 @@
 func (s *Starter) askReach(ctx context.Context, id identifier.InstanceID) reaper.Answers {
 	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
-	var a reaper.Answers
-	replies := make(chan *reachReply, reachAsks)
-	for _, p := range s.peers.Peers() { // In the random order of a map.
-		if p.ID == id || a.Asked >= reachAsks {
+	peers := s.somePeers(reachAsks, id)
+	answers := askEach[reachReply](ctx, s, peers, reachAsk{Instance: id})
+	result := reaper.Answers{Asked: len(peers)}
+	for range peers {
+		a := <-answers
+		if a.body == nil {
 			continue
 		}
-		a.Asked++
-		go func() {
-			reply, err := s.peers.Request(ctx, p.ID, reachAsk{Instance: id})
-			r, ok := reply.(reachReply)
-			if err != nil || !ok {
-				replies <- nil
-				return
-			}
-			replies <- &r
-		}()
-	}
-	for range a.Asked {
-		if r := <-replies; r != nil {
-			a.Answered++
-			if r.Reached {
-				a.Reached++
-			}
+		result.Answered++
+		if a.body.Reached {
+			result.Reached++
 		}
 	}
-	return a
+	return result
 }
 
 // reaches tries to connect to an instance.
--- a/internal/command/starter/replace.go
+++ b/internal/command/starter/replace.go
@@ -36,26 +36,18 @@
 func (s *Starter) sight(ctx context.Context, service identifier.ServiceName, since time.Time) replacer.Sight {
 	ctx, cancel := context.WithTimeout(ctx, sightTimeout)
 	defer cancel()
-	peers := s.peers.Peers()
-	peers = peers[:min(len(peers), sightAsks)]
-	type answer struct{ answered, led bool }
-	answers := make(chan answer, len(peers))
-	for _, p := range peers {
-		go func() {
-			asked := time.Now()
-			reply, err := s.peers.Request(ctx, p.ID, sampleAsk{Service: service})
-			r, ok := reply.(sampleReply)
-			led := ok && !r.Position.IsZero() && asked.Add(-r.Age).After(since)
-			answers <- answer{err == nil && ok, led}
-		}()
-	}
+	peers := s.somePeers(sightAsks, "")
+	answers := askEach[sampleReply](ctx, s, peers, sampleAsk{Service: service})
 	result := replacer.Sight{Asked: len(peers)}
 	for range peers {
 		a := <-answers
-		if a.answered {
-			result.Answered++
+		if a.body == nil {
+			continue
+		}
+		result.Answered++
+		if !a.body.Position.IsZero() && a.asked.Add(-a.body.Age).After(since) {
+			result.Led = true
 		}
-		result.Led = result.Led || a.led
 	}
 	return result
 }
--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -19,7 +19,6 @@
 // Periods of the rounds.
 const (
 	defaultPeriod = time.Second
-	startPeriod   = time.Second            // Until the first configuration.
 	linkPeriod    = 100 * time.Millisecond // While a link to the relay is opened.
 	retryPeriod   = 250 * time.Millisecond // After a failed round.
 	callTimeout   = 1200 * time.Millisecond
@@ -89,16 +88,13 @@
 	if period == 0 {
 		period = defaultPeriod
 	}
-	c := f.Holder.Catalog()
 	switch {
 	case errors.Is(err, ErrNoConfiguration):
-		period = startPeriod
+		period = defaultPeriod
 	case errors.Is(err, ErrConnecting):
 		period = linkPeriod
 	case err != nil:
 		period = min(retryPeriod<<min(f.failures, 2), period)
-	case c == nil || c.Configuration == nil:
-		period = startPeriod
 	}
 	return period*7/8 + rand.N(period/4)
 }
--- a/internal/coordination/replacer/decide.go
+++ b/internal/coordination/replacer/decide.go
@@ -46,6 +46,26 @@
 	}), true
 }
 
+// isComplete reports whether the most advanced candidate has every acknowledged
+// commit: the lost primary is among them, or so many of its replicas that they
+// include one of those that received the commit before it was acknowledged.
+func isComplete(all []Candidate, servers []cataloger.BackendServer, primary identifier.BackendServerID, syncReplicas int) bool {
+	answered := 0
+	for _, c := range all {
+		if c.Server.ID == primary {
+			return true
+		}
+		answered++
+	}
+	replicas := 0
+	for _, s := range servers {
+		if s.ID != primary {
+			replicas++
+		}
+	}
+	return syncReplicas == 0 || answered > replicas-syncReplicas
+}
+
 func compare(p, q identifier.Position) int {
 	return cmp.Or(cmp.Compare(p.Term, q.Term), cmp.Compare(p.Offset, q.Offset))
 }
--- a/internal/coordination/replacer/replace.go
+++ b/internal/coordination/replacer/replace.go
@@ -55,7 +55,11 @@
 // replace promotes a successor under the lease and waits until it leads.
 func (r *Replacer) replace(ctx context.Context, service identifier.ServiceName, l Lease, leaving *cataloger.BackendServer) error {
 	c := r.Catalog()
-	all := r.candidates(c.Servers[service], leaving)
+	lost, _, _ := r.LastLed(service)
+	complete := func(all []Candidate) bool {
+		return isComplete(all, c.Servers[service], lost, c.Configuration.Services[service].SyncReplicas)
+	}
+	all := r.candidates(c.Servers[service], leaving, complete)
 	for _, m := range all {
 		if leaving == nil && m.Member.Leads && r.Confirm(m.Server) == nil {
 			return errAlive
@@ -65,6 +69,9 @@
 	if !ok {
 		return errNoCandidate
 	}
+	if leaving == nil && !complete(all) {
+		return errors.Wrapf(errIncomplete, "%d of %d servers answered", len(all), len(c.Servers[service]))
+	}
 	if leaving != nil {
 		if err := r.handOver(ctx, service, l, *leaving, next.Server); err != nil {
 			return err
@@ -78,8 +85,8 @@
 
 // candidates asks all servers but the leaving one for their positions. When all
 // but one have answered, the last one, which may be the lost primary, gets
-// lastWait more.
-func (r *Replacer) candidates(servers []cataloger.BackendServer, leaving *cataloger.BackendServer) []Candidate {
+// lastWait more if it is not needed.
+func (r *Replacer) candidates(servers []cataloger.BackendServer, leaving *cataloger.BackendServer, complete func([]Candidate) bool) []Candidate {
 	answers := make(chan *Candidate, len(servers))
 	open := 0
 	for _, b := range servers {
@@ -100,7 +107,7 @@
 	var all []Candidate
 	var enough <-chan time.Time
 	for ; open > 0; open-- {
-		if open == 1 && len(all) > 0 && leaving == nil {
+		if open == 1 && len(all) > 0 && leaving == nil && complete(all) {
 			enough = time.After(lastWait)
 		}
 		select {
--- a/internal/coordination/replacer/replacer.go
+++ b/internal/coordination/replacer/replacer.go
@@ -28,6 +28,7 @@
 
 	errAlive       = errors.New("primary leads")
 	errNoCandidate = errors.New("no server can take over")
+	errIncomplete  = errors.New("too few servers answered to know every acknowledged commit")
 	errBehind      = errors.New("successor has not received the whole log")
 )
 
--- a/internal/coordination/replacer/replacer_test.go
+++ b/internal/coordination/replacer/replacer_test.go
@@ -212,3 +212,16 @@
 	w.leaseAt = time.Now().Add(-takeover)
 	qt.Assert(t, s.check(r, w), qt.DeepEquals, []string{"lease 11", "promote c under 11"})
 }
+
+// Guards against the loss of acknowledged commits of a service that waits for a
+// replica: the only one that received the newest of them does not answer.
+func TestPromotionWaitsForTheReplicaThatMayBeAhead(t *testing.T) {
+	s := newStage()
+	s.catalog.Configuration.Services = map[identifier.ServiceName]cataloger.Service{"rentals": {SyncReplicas: 1}}
+	s.down["a"], s.down["c"] = true, true
+	w := &watch{failing: overdue()}
+	qt.Assert(t, s.check(s.replacer(), w), qt.DeepEquals, []string{"lease 11"})
+	qt.Assert(t, w.pausedTo.IsZero(), qt.IsFalse)
+	s.down["c"] = false
+	qt.Assert(t, s.check(s.replacer(), w), qt.DeepEquals, []string{"lease 12", "promote c under 12"})
+}
--- a/internal/protocol/requester/result.go
+++ b/internal/protocol/requester/result.go
@@ -15,8 +15,7 @@
 // Code says why a statement has no success.
 type Code uint8
 
-// Codes of results. [Code.KeepsNothing] tells which of them promise that
-// nothing of the attempt is kept.
+// Codes of results.
 const (
 	OK             Code = iota
 	Overloaded          // Not run; the client may return later.
@@ -35,16 +34,6 @@
 	OtherError          // A code that this release does not know.
 )
 
-// KeepsNothing reports whether the code promises that nothing was kept.
-func (c Code) KeepsNothing() bool {
-	switch c {
-	case Overloaded, Aborted, Lagging, ReadOnly, WrongServer, TooMany, NoDatabase, NoAccess, NoStatement, Malformed:
-		return true
-	default:
-		return false
-	}
-}
-
 // NotRun reports whether a backend server that answers with the code has not
 // run the statement, so that it may be sent to another one.
 func (c Code) NotRun() bool {
--- a/internal/protocol/requester/statement.go
+++ b/internal/protocol/requester/statement.go
@@ -22,7 +22,6 @@
 	Discard
 	Status
 	StepDown
-	Pause
 )
 
 // StatementID is the client's identity of one statement. It is empty on the
@@ -52,7 +51,7 @@
 	// position. It applies to reads and to both kinds of begin.
 	After identifier.Position `cbor:"-"`
 
-	Term identifier.Term `cbor:"-"` // Of StepDown and Pause.
+	Term identifier.Term `cbor:"-"` // Of StepDown.
 }
 
 // IsBegin reports whether the statement opens a transaction.
--- a/internal/transport/sessioner/lead.go
+++ b/internal/transport/sessioner/lead.go
@@ -29,28 +29,6 @@
 // errNotLeading reports that a server answered that it does not lead.
 var errNotLeading = errors.New("backend server does not lead")
 
-// finder runs one search of a kind at a time for a service.
-type finder struct {
-	mu     sync.Mutex
-	search chan struct{} // Closed at the end of the running search.
-	ended  time.Time
-	ask    chan struct{} // Closed at the end of the running question.
-}
-
-func (s *Server) finder(service identifier.ServiceName) *finder {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.finders == nil {
-		s.finders = map[identifier.ServiceName]*finder{}
-	}
-	f, ok := s.finders[service]
-	if !ok {
-		f = &finder{}
-		s.finders[service] = f
-	}
-	return f
-}
-
 // learn records what an answer inside a plain transaction, or to a write,
 // tells: the server led when it answered.
 func (s *Server) learn(c *lender.Conn, r requester.Result, asked time.Time) {
@@ -176,26 +154,29 @@
 // searchPrimary asks every server of the service whether it leads. Searches do
 // not overlap; a caller that finds one running waits for its end.
 func (s *Server) searchPrimary(service identifier.ServiceName, w identifier.WorkspaceName) {
-	f := s.finder(service)
-	f.mu.Lock()
-	if f.search != nil {
-		running := f.search
-		f.mu.Unlock()
-		<-running
-		return
-	}
-	if time.Since(f.ended) < searchPause {
-		f.mu.Unlock()
-		return
+	_, _, _ = s.searches.Do(string(service), func() (any, error) {
+		if time.Since(s.searchEnd(service)) >= searchPause {
+			s.askAll(service, w)
+			s.endSearch(service)
+		}
+		return nil, nil
+	})
+}
+
+// searchEnd is when the last search ended.
+func (s *Server) searchEnd(service identifier.ServiceName) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.searched[service]
+}
+
+func (s *Server) endSearch(service identifier.ServiceName) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.searched == nil {
+		s.searched = map[identifier.ServiceName]time.Time{}
 	}
-	f.search = make(chan struct{})
-	f.mu.Unlock()
-	s.askAll(service, w)
-	f.mu.Lock()
-	close(f.search)
-	f.search = nil
-	f.ended = time.Now()
-	f.mu.Unlock()
+	s.searched[service] = time.Now()
 }
 
 func (s *Server) askAll(service identifier.ServiceName, w identifier.WorkspaceName) {
@@ -213,27 +194,22 @@
 // refresh asks the primary of the service for a position sample. Questions of
 // one service do not overlap.
 func (s *Server) refresh(o operation) {
-	f := s.finder(o.route.Service)
-	f.mu.Lock()
-	if f.ask != nil {
-		running := f.ask
-		f.mu.Unlock()
-		<-running
-		return
-	}
-	f.ask = make(chan struct{})
-	f.mu.Unlock()
-	if p, ok := s.Placer.Primary(o.route.Service, o.servers); ok && s.Placer.IsAside(p.ID) {
+	_, _, _ = s.questions.Do(string(o.route.Service), func() (any, error) {
+		s.askPrimary(o)
+		return nil, nil
+	})
+}
+
+func (s *Server) askPrimary(o operation) {
+	p, ok := s.Placer.Primary(o.route.Service, o.servers)
+	switch {
+	case !ok:
+		s.searchPrimary(o.route.Service, o.workspace)
+	case s.Placer.IsAside(p.ID):
 		s.Logger.Debug().Str("event", "sample_skipped").Str("server", string(p.ID)).Send()
-	} else if ok {
+	default:
 		if err := s.askServer(p, o.workspace); err != nil {
 			s.Logger.Debug().Str("event", "sample_failed").Str("server", string(p.ID)).Err(err).Send()
 		}
-	} else {
-		s.searchPrimary(o.route.Service, o.workspace)
 	}
-	f.mu.Lock()
-	close(f.ask)
-	f.ask = nil
-	f.mu.Unlock()
 }
--- a/internal/transport/sessioner/run.go
+++ b/internal/transport/sessioner/run.go
@@ -17,54 +17,66 @@
 
 // write runs a single write on the primary.
 func (n *session) write(o operation, w work) requester.Result {
-	return n.onPrimary(o, w, func(c *lender.Conn, w work) (requester.Result, error) {
-		asked := time.Now()
-		r, err := c.Run(o.deadline, w.statement)
-		if err == nil && r.Code == requester.OK {
-			n.server.learn(c, r, asked)
-			n.written, n.writtenAt = r.Position, asked
-		}
-		return r, err
+	return n.onPrimary(o, false, func(c *lender.Conn) (requester.Result, error) {
+		return n.runOn(c, o, w, func(c *lender.Conn, w work) (requester.Result, error) {
+			asked := time.Now()
+			r, err := c.Run(o.deadline, w.statement)
+			if err == nil && r.Code == requester.OK {
+				n.server.learn(c, r, asked)
+				n.written, n.writtenAt = r.Position, asked
+			}
+			return r, err
+		})
 	})
 }
 
 // readPrimary runs a single read inside a transaction of its own, because a
 // server that has lost the lead would run a plain read as a replica.
 func (n *session) readPrimary(o operation, w work) requester.Result {
-	return n.onPrimary(o, w, func(c *lender.Conn, w work) (requester.Result, error) {
-		asked := time.Now()
-		r, err := c.Run(o.deadline, requester.Statement{Kind: requester.Begin})
-		if err != nil {
-			return r, errors.Wrap(lender.ErrNotSent, err.Error())
-		}
-		if r.Code != requester.OK {
-			return r, nil
-		}
-		n.server.learn(c, r, asked)
-		if err := c.Send(o.deadline, w.statement, requester.Statement{Kind: requester.Rollback}); err != nil {
-			return r, errors.Wrap(lender.ErrNotSent, err.Error())
-		}
-		r, err = c.Receive(o.deadline)
-		if err != nil {
-			return r, errors.Wrap(lender.ErrNotSent, err.Error())
-		}
-		if _, err = c.Receive(o.deadline); err != nil {
-			c.Break()
-		}
-		return r, nil
+	return n.onPrimary(o, false, func(c *lender.Conn) (requester.Result, error) {
+		return n.runOn(c, o, w, func(c *lender.Conn, w work) (requester.Result, error) {
+			return n.readLed(c, o.deadline, w.statement)
+		})
 	})
 }
 
-// onPrimary runs the work on the primary and runs it again where it is known
-// not to have run. The run returns [lender.ErrNotSent] if it may be repeated.
-func (n *session) onPrimary(o operation, w work, run func(*lender.Conn, work) (requester.Result, error)) requester.Result {
+// readLed reads if the server leads. A read may be repeated, so every error is
+// a [lender.ErrNotSent].
+func (n *session) readLed(c *lender.Conn, deadline time.Time, read requester.Statement) (requester.Result, error) {
+	asked := time.Now()
+	r, err := c.Run(deadline, requester.Statement{Kind: requester.Begin})
+	if err != nil {
+		return r, errors.Wrap(lender.ErrNotSent, err.Error())
+	}
+	if r.Code != requester.OK {
+		return r, nil
+	}
+	n.server.learn(c, r, asked)
+	if err := c.Send(deadline, read, requester.Statement{Kind: requester.Rollback}); err != nil {
+		return r, errors.Wrap(lender.ErrNotSent, err.Error())
+	}
+	r, err = c.Receive(deadline)
+	if err != nil {
+		return r, errors.Wrap(lender.ErrNotSent, err.Error())
+	}
+	if _, err = c.Receive(deadline); err != nil {
+		c.Break()
+	}
+	return r, nil
+}
+
+// onPrimary runs something on a connection to the primary and runs it again
+// where it is known not to have run. The run returns the connection to the
+// lender, unless it keeps a pinned one, and returns [lender.ErrNotSent] if it
+// may be repeated.
+func (n *session) onPrimary(o operation, pinned bool, run func(*lender.Conn) (requester.Result, error)) requester.Result {
 	last := n.unreached(requester.Overloaded, "no primary is known")
 	for first := true; first || time.Now().Before(o.patience); first = false {
 		p, ok := n.server.primary(o)
 		if !ok {
 			return last
 		}
-		c, err := n.primaryConn(o, p)
+		c, err := n.primaryConn(o, p, pinned)
 		if err != nil {
 			last = n.borrowRefusal(err)
 			if errors.Is(err, lender.ErrNoConnection) || !time.Now().Before(o.search) {
@@ -73,7 +85,7 @@
 			n.pauseAfter(err, o)
 			continue
 		}
-		r, err := n.runOn(c, o, w, run)
+		r, err := run(c)
 		switch {
 		case errors.Is(err, lender.ErrNotSent):
 			last = n.refusal(requester.Overloaded, err.Error())
@@ -109,18 +121,27 @@
 	}
 }
 
-// primaryConn borrows a connection to the primary and, if its last answer is
-// old, asks on it first whether the server still answers and leads.
-func (n *session) primaryConn(o operation, p cataloger.BackendServer) (*lender.Conn, error) {
-	c, err := n.server.borrow(lender.Wish{Server: p, Workspace: o.workspace, Values: n.values, Priority: o.route.Priority, Deadline: o.patience})
+// wish is what the operation needs of a connection to the server.
+func (n *session) wish(o operation, b cataloger.BackendServer, pinned bool, wait time.Time) lender.Wish {
+	return lender.Wish{
+		Server: b, Workspace: o.workspace, Values: n.values, Pinned: pinned,
+		Priority: o.route.Priority, Deadline: wait,
+	}
+}
+
+// primaryConn borrows a connection to the primary. If its last answer is old,
+// it asks on it first whether the server still answers and leads; the beginning
+// of a pinned transaction asks that itself.
+func (n *session) primaryConn(o operation, p cataloger.BackendServer, pinned bool) (*lender.Conn, error) {
+	c, err := n.server.borrow(n.wish(o, p, pinned, o.patience))
 	if err != nil {
 		o.trace.add(p.ID, requester.Result{}, err, time.Since(o.arrived))
-		if errors.Is(err, lender.ErrUnreachable) {
+		if errors.Is(err, lender.ErrUnreachable) || (pinned && !errors.Is(err, lender.ErrNoConnection)) {
 			n.server.Placer.NotLeading(p.Service, p.ID)
 		}
 		return nil, err
 	}
-	if time.Since(c.LastAnswer) < trustedFor {
+	if pinned || time.Since(c.LastAnswer) < trustedFor {
 		return c, nil
 	}
 	if err := n.server.confirm(c); err != nil {
@@ -168,24 +189,37 @@
 // readReplica runs a single read on any server whose log holds the floor. A
 // read may be sent again, so a server without an answer is followed by another.
 func (n *session) readReplica(o operation, w work) requester.Result {
+	return n.onReaders(o, func(b cataloger.BackendServer, f floor, try int) (requester.Result, error) {
+		w.statement.After = f.position
+		r, err := n.readOn(b, o, w, try)
+		if err == nil && r.Code == requester.OK {
+			n.server.countRead(b)
+		}
+		return r, err
+	})
+}
+
+// onReaders offers something that may be repeated to one server after the other
+// until one of them has run it. A server that ran it and failed is followed by
+// one other.
+func (n *session) onReaders(o operation, run func(b cataloger.BackendServer, f floor, try int) (requester.Result, error)) requester.Result {
 	var tried []identifier.BackendServerID
 	last := n.unreached(requester.Lagging, "no primary showed a position in time")
 	for time.Now().Before(o.deadline) {
-		floor, ok := n.floor(o)
+		f, ok := n.floor(o)
 		if !ok {
 			return last
 		}
-		b, ok := n.nextReader(o, floor.age, tried)
+		b, ok := n.nextReader(o, f.age, tried)
 		if !ok {
-			if !time.Now().Before(o.patience) || !sleepUntil(nil, retryPause, o.patience) {
+			if !sleepUntil(nil, retryPause, o.patience) {
 				return last
 			}
 			tried = nil
 			continue
 		}
 		tried = append(tried, b.ID)
-		w.statement.After = floor.position
-		r, err := n.readOn(b, o, w, len(tried))
+		r, err := run(b, f, len(tried))
 		switch {
 		case err != nil:
 			last = n.refusal(requester.Overloaded, err.Error())
@@ -197,7 +231,6 @@
 		case r.Code == requester.RunFailed && len(tried) == 1:
 			last = r
 		default:
-			n.server.countRead(b)
 			return r
 		}
 	}
@@ -235,7 +268,7 @@
 	if o.patience.Before(wait) {
 		wait = o.patience
 	}
-	c, err := n.server.borrow(lender.Wish{Server: b, Workspace: o.workspace, Values: n.values, Priority: o.route.Priority, Deadline: wait})
+	c, err := n.server.borrow(n.wish(o, b, false, wait))
 	if err != nil {
 		o.trace.add(b.ID, requester.Result{}, err, time.Since(o.arrived))
 		return requester.Result{}, err
--- a/internal/transport/sessioner/server.go
+++ b/internal/transport/sessioner/server.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/singleflight"
 
 	"oleanderpulley/internal/coordination/placer"
 	"oleanderpulley/internal/protocol/requester"
@@ -78,7 +79,9 @@
 	mu       sync.Mutex
 	sessions map[*session]struct{}
 	samplers map[identifier.ServiceName]*sampler.Sampler
-	finders  map[identifier.ServiceName]*finder
+	searched map[identifier.ServiceName]time.Time // When the last search for a primary ended.
+
+	searches, questions singleflight.Group // By service.
 }
 
 // Sampler returns the position samples of a service.
