--- a/internal/bench/soaker/caller.go
+++ b/internal/bench/soaker/caller.go
@@ -40,6 +40,8 @@
 type operation struct {
 	id, key, workspace, database string
 	writes                       []string
+	ids                          []string // Of the statements that were sent.
+	after                        string   // The last acknowledged write of the session.
 	sent, answered               time.Time
 	outcome                      outcome
 	code                         string
@@ -95,16 +97,20 @@
 	if code, _, err := c.ask("STARTUP " + database + " " + k.key); err != nil || code != "" {
 		return
 	}
+	after := ""
 	for range sessionMost {
 		select {
 		case <-stop:
 			return
 		case <-time.After(time.Duration(c.random.Int64N(int64(pauseMost)))):
 		}
-		o := operation{key: k.key, workspace: k.workspace, database: database}
+		o := operation{key: k.key, workspace: k.workspace, database: database, after: after}
 		if err := c.operate(&o); err != nil {
 			return
 		}
+		if o.outcome == acknowledged && len(o.writes) > 0 {
+			after = o.writes[0]
+		}
 	}
 }
 
@@ -135,6 +141,7 @@
 
 // statement sends the statement that decides the operation's outcome.
 func (c *caller) statement(o *operation, text string) error {
+	o.ids = append(o.ids, o.id)
 	code, state, err := c.ask("QUERY " + o.id + " " + text)
 	o.code = code
 	switch {
@@ -159,6 +166,7 @@
 			o.writes = append(o.writes, id)
 		}
 		o.id, o.code = id, code
+		o.ids = append(o.ids, id)
 		if err != nil || code != "" {
 			o.outcome = refused // Its commit is never sent.
 			if err == nil && text != "BEGIN" {
--- a/internal/bench/soaker/check_test.go
+++ b/internal/bench/soaker/check_test.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -50,12 +51,19 @@
 			commits: []imitator.Commit{{IDs: []string{"w"}, Number: 4}},
 			runs:    []imitator.Run{{ID: "r", Workspace: "shops", Text: "AFTER 1.3 READ item", Received: 3}}, want: "stale",
 		},
+		"own write": {
+			history: []operation{write("w", acknowledged), {id: "r", database: "read_own_writes", after: "w", sent: at(1.2), outcome: acknowledged}},
+			commits: []imitator.Commit{{IDs: []string{"w"}, Number: 4}},
+			runs:    []imitator.Run{{ID: "r", Text: "READ item", Received: 3}}, want: "stale",
+		},
+		"rate": {history: floodOf(300), runs: runsOf(300), want: "rate"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := &history{all: test.history}
 			broken := h.checkWrites(test.commits)
 			broken = append(broken, h.checkKeys(test.runs, test.gone)...)
 			broken = append(broken, h.checkReads(test.runs, test.commits)...)
+			broken = append(broken, h.checkRates(test.runs)...)
 			qt.Assert(t, broken, qt.HasLen, 1)
 			qt.Assert(t, strings.HasPrefix(broken[0], test.want+":"), qt.IsTrue, qt.Commentf("%s", broken[0]))
 		})
@@ -73,3 +81,32 @@
 	h.all[1].sent = at(9)
 	qt.Assert(t, h.checkReads(runs, []imitator.Commit{{IDs: []string{"w"}, Number: 4, Dropped: true}}), qt.HasLen, 0)
 }
+
+// floodOf returns operations of two statements each.
+func floodOf(n int) []operation {
+	var all []operation
+	for i := range n {
+		id := fmt.Sprint(i)
+		all = append(all, operation{id: id, ids: []string{id + "w", id}, workspace: "desks", database: "primary", sent: at(1)})
+	}
+	return all
+}
+
+func runsOf(n int) []imitator.Run {
+	var all []imitator.Run
+	for i := range n {
+		id := fmt.Sprint(i)
+		for _, id := range []string{id + "w", id} {
+			all = append(all, imitator.Run{ID: id, Workspace: "desks", Text: "COMMIT", At: at(1 + float64(i)/100)})
+		}
+	}
+	return all
+}
+
+// Guards against statements being counted as operations: a transaction takes
+// one from the rate, however many statements it has.
+func TestRateCountsOperations(t *testing.T) {
+	limit := rateLimit("desks")
+	h := &history{all: floodOf(limit)}
+	qt.Assert(t, h.checkRates(runsOf(limit)), qt.HasLen, 0)
+}
