replacer, sessioner, starter: lapsed primaries in a split, parts of a failover, waits in metrics

Ruled out: replacing without a majority while the primary is registered; the silent instances may see it.

Change: the majority is asked for only while a registered server says that it leads.

Series of workspaces that are gone are dropped.

--- a/internal/command/starter/forward.go
+++ b/internal/command/starter/forward.go
@@ -126,6 +126,7 @@
 		case <-ticker.C:
 		}
 		s.sessions.ExpireForeign(sessioner.ForeignLimit)
+		s.observeProof()
 		s.lender.Trim()
 		if i%activityPeriod == 0 {
 			s.logActivity()
@@ -142,5 +143,6 @@
 	s.Logger.Info().Str("event", "activity").Int("sessions", s.sessions.Sessions()).
 		Uint64("served", a.Served.Load()).Uint64("late", a.Late.Load()).
 		Uint64("failed", a.Failed.Load()).Uint64("refused", a.Refused.Load()).
-		Uint64("replica_reads", a.ReplicaReads.Load()).Uint64("primary_reads", a.PrimaryReads.Load()).Send()
+		Uint64("replica_reads", a.ReplicaReads.Load()).Uint64("primary_reads", a.PrimaryReads.Load()).
+		Int64("peer_bytes_sent", s.peers.Counters.BytesSent.Load()).Send()
 }
--- a/internal/command/starter/replace.go
+++ b/internal/command/starter/replace.go
@@ -6,6 +6,7 @@
 
 	"oleanderpulley/internal/coordination/replacer"
 	"oleanderpulley/internal/state/identifier"
+	"oleanderpulley/internal/transport/reporter"
 	"oleanderpulley/platform"
 )
 
@@ -30,6 +31,9 @@
 	r.ReadLease = s.store.ReadLease
 	r.WriteLease = s.store.WriteLease
 	r.Promote = cloud.Promote
+	r.Observe = func(part string, took time.Duration) {
+		s.registry.Observe(reporter.Series{Name: "replacement_seconds", Reason: part}, took)
+	}
 }
 
 // sight asks peers whether they have seen the service led since the time.
--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -18,6 +18,7 @@
 	"oleanderpulley/internal/coordination/reaper"
 	"oleanderpulley/internal/coordination/replacer"
 	"oleanderpulley/internal/state/cataloger"
+	"oleanderpulley/internal/state/identifier"
 	"oleanderpulley/internal/transport/lender"
 	"oleanderpulley/internal/transport/messenger"
 	"oleanderpulley/internal/transport/reporter"
@@ -58,6 +59,7 @@
 	clients  net.Listener
 	probes   *http.Server
 	reporter *reporter.Reporter
+	known    map[identifier.WorkspaceName]cataloger.Workspace // Those of the present catalog.
 	draining atomic.Bool
 	done     chan struct{}
 	cancel   context.CancelFunc
@@ -85,7 +87,7 @@
 
 func (s *Starter) assemble() {
 	t := s.Settings
-	s.store = &platform.Store{Address: t.StoreAddress, HTTP: platform.NewHTTPClient()}
+	s.store = &platform.Store{Address: t.StoreAddress, HTTP: platform.NewHTTPClient(), Observe: s.observeStore}
 	s.holder.MaxAge = t.KeyWithdrawal - proofMargin
 	s.lender.Dial = platform.Dial
 	s.lender.Limit = s.connectionLimit
@@ -120,6 +122,7 @@
 func (s *Starter) changed(c *cataloger.Catalog) {
 	s.lender.Keep(c)
 	s.setPeers(c)
+	s.forgetWorkspaces(c)
 }
 
 // connectionLimit is this instance's part of the connections that the server
--- a/internal/coordination/replacer/decide.go
+++ b/internal/coordination/replacer/decide.go
@@ -66,6 +66,11 @@
 	return syncReplicas == 0 || answered > replicas-syncReplicas
 }
 
+// saysPrimary reports whether one of the registered servers says that it leads.
+func saysPrimary(servers []cataloger.BackendServer) bool {
+	return slices.ContainsFunc(servers, func(s cataloger.BackendServer) bool { return s.SaysPrimary })
+}
+
 func compare(p, q identifier.Position) int {
 	return cmp.Or(cmp.Compare(p.Term, q.Term), cmp.Compare(p.Offset, q.Offset))
 }
--- a/internal/coordination/replacer/replace.go
+++ b/internal/coordination/replacer/replace.go
@@ -15,10 +15,13 @@
 // can be asked to step down.
 func (r *Replacer) act(ctx context.Context, service identifier.ServiceName, w *watch, term identifier.Term, leaving *cataloger.BackendServer) {
 	started := time.Now()
+	var p parts
+	p.begin("lease")
 	l, err := r.take(ctx, service, w, term)
 	if err == nil {
-		err = r.replace(ctx, service, l, leaving)
+		err = r.replace(ctx, service, l, leaving, &p)
 	}
+	p.begin("")
 	level := zerolog.InfoLevel
 	if err != nil {
 		level = zerolog.WarnLevel
@@ -27,7 +30,14 @@
 		w.failing = time.Time{}
 	}
 	r.Logger.WithLevel(level).Err(err).Str("event", "replacement").Str("service", string(service)).Uint64("term", uint64(term)).
-		Uint64("token", l.Revision).Bool("planned", leaving != nil).Dur("took_ms", time.Since(started)).Send()
+		Uint64("token", l.Revision).Bool("planned", leaving != nil).Dur("took_ms", time.Since(started)).
+		Func(p.explain).Send()
+	if r.Observe == nil {
+		return
+	}
+	for _, e := range p.all {
+		r.Observe(e.name, e.took)
+	}
 }
 
 // take takes the lease. It returns [ErrLeaseTaken] while another instance is at
@@ -53,7 +63,8 @@
 }
 
 // replace promotes a successor under the lease and waits until it leads.
-func (r *Replacer) replace(ctx context.Context, service identifier.ServiceName, l Lease, leaving *cataloger.BackendServer) error {
+func (r *Replacer) replace(ctx context.Context, service identifier.ServiceName, l Lease, leaving *cataloger.BackendServer, p *parts) error {
+	p.begin("positions")
 	c := r.Catalog()
 	lost, _, _ := r.LastLed(service)
 	complete := func(all []Candidate) bool {
@@ -73,13 +84,16 @@
 		return errors.Wrapf(errIncomplete, "%d of %d servers answered", len(all), len(c.Servers[service]))
 	}
 	if leaving != nil {
+		p.begin("hand_over")
 		if err := r.handOver(ctx, service, l, *leaving, next.Server); err != nil {
 			return err
 		}
 	}
+	p.begin("promotion")
 	if err := r.promote(ctx, service, next.Server.ID, l); err != nil {
 		return err
 	}
+	p.begin("lead")
 	return r.awaitLead(ctx, next.Server)
 }
 
--- a/internal/coordination/replacer/replacer.go
+++ b/internal/coordination/replacer/replacer.go
@@ -70,7 +70,9 @@
 
 	ReadLease  func(ctx context.Context, service identifier.ServiceName) (Lease, error)
 	WriteLease func(ctx context.Context, service identifier.ServiceName, l Lease) (Lease, error)
-	Promote    func(ctx context.Context, service identifier.ServiceName, id identifier.BackendServerID, l Lease) error
+	// Observe is told the time of each part of a replacement. Nil is not told.
+	Observe func(part string, took time.Duration)
+	Promote func(ctx context.Context, service identifier.ServiceName, id identifier.BackendServerID, l Lease) error
 
 	mu       sync.Mutex
 	watches  map[identifier.ServiceName]*watch
@@ -83,6 +85,14 @@
 	Led             bool
 }
 
+// allows reports whether a primary without a sign may be replaced. While one is
+// registered, most instances have to be heard, because those that are not may
+// see it. Once its entry has lapsed, every instance that reaches the store has
+// stopped using it, so that a part cut off from the others may go on.
+func (s Sight) allows(registered bool) bool {
+	return !s.Led && (!registered || s.isMajority())
+}
+
 // isMajority reports whether the instances that take part, this one included,
 // are more than half.
 func (s Sight) isMajority() bool {
@@ -204,7 +214,7 @@
 		return
 	}
 	sight := r.Sight(ctx, service, now.Add(-peerWindow))
-	if sight.Led || !sight.isMajority() {
+	if !sight.allows(saysPrimary(c.Servers[service])) {
 		r.Logger.Info().Str("event", "replacement_withheld").Str("service", string(service)).
 			Int("peers_asked", sight.Asked).Int("peers_answered", sight.Answered).Bool("led", sight.Led).Send()
 		w.pausedTo = now.Add(afterFailure)
--- a/internal/transport/sessioner/floor.go
+++ b/internal/transport/sessioner/floor.go
@@ -24,6 +24,7 @@
 	s := n.server
 	k := s.Sampler(o.route.Service)
 	since := o.arrived.Add(-o.route.MaxStaleness)
+	defer o.trace.waitPosition(time.Now())
 	for {
 		if general, ok := k.Floor(since); ok {
 			n.refreshEarly(o)
--- a/internal/transport/sessioner/home.go
+++ b/internal/transport/sessioner/home.go
@@ -47,6 +47,9 @@
 	n := s.foreignSession(f)
 	o := n.foreignOperation(f)
 	r := n.runHere(o, f.work())
+	if s.Registry != nil {
+		n.observeWaits(o.trace)
+	}
 	n.forwardedFailed(from, f.Statement.ID, o, r)
 	return n.reply(r)
 }
--- a/internal/transport/sessioner/lead.go
+++ b/internal/transport/sessioner/lead.go
@@ -40,13 +40,15 @@
 }
 
 // finish tells the placer of an answer.
-func (s *Server) finish(id identifier.BackendServerID, took time.Duration, r requester.Result) {
+func (s *Server) finish(b cataloger.BackendServer, took time.Duration, r requester.Result) {
 	if r.Code.NotRun() {
 		took = 0 // Tells nothing of the time of a run.
+	} else {
+		s.observeAnswer(b, took)
 	}
-	s.Placer.Finish(id, took)
+	s.Placer.Finish(b.ID, took)
 	if r.Code == requester.Overloaded {
-		s.Placer.Overloaded(id)
+		s.Placer.Overloaded(b.ID)
 	}
 }
 
@@ -154,7 +156,7 @@
 // searchPrimary asks every server of the service whether it leads. Searches do
 // not overlap; a caller that finds one running waits for its end.
 func (s *Server) searchPrimary(service identifier.ServiceName, w identifier.WorkspaceName) {
-	_, _, _ = s.searches.Do(string(service), func() (any, error) {
+	<-s.searches.DoChan(string(service), func() (any, error) {
 		if time.Since(s.searchEnd(service)) >= searchPause {
 			s.askAll(service, w)
 			s.endSearch(service)
@@ -194,7 +196,7 @@
 // refresh asks the primary of the service for a position sample. Questions of
 // one service do not overlap.
 func (s *Server) refresh(o operation) {
-	_, _, _ = s.questions.Do(string(o.route.Service), func() (any, error) {
+	<-s.questions.DoChan(string(o.route.Service), func() (any, error) {
 		s.askPrimary(o)
 		return nil, nil
 	})
--- a/internal/transport/sessioner/log.go
+++ b/internal/transport/sessioner/log.go
@@ -84,8 +84,12 @@
 	if t.count > 0 {
 		e.Str("tries", t.String())
 	}
-	if t.admitted > 0 {
-		e.Int64("rate_wait_ms", t.admitted.Milliseconds())
+	for name, wait := range map[string]time.Duration{
+		"rate_wait_ms": t.admitted, "position_wait_ms": t.positioned, "connection_wait_ms": t.connected,
+	} {
+		if wait >= time.Millisecond {
+			e.Int64(name, wait.Milliseconds())
+		}
 	}
 }
 
@@ -100,10 +104,15 @@
 	}).Send()
 }
 
-// observe records the time of a statement by workspace and by class. The two
-// are apart so that the number of series does not grow with their product.
+// observe records the time of a statement by workspace and by class, and its
+// waits. The labels are apart so that the number of series does not grow with
+// their product.
 func (n *session) observe(o operation, took time.Duration) {
-	if n.server.Registry == nil || took == 0 {
+	if n.server.Registry == nil {
+		return
+	}
+	n.observeWaits(o.trace)
+	if took == 0 {
 		return
 	}
 	n.server.Registry.Observe(reporter.Series{Name: "workspace_statement_seconds", Workspace: o.workspace}, took)
@@ -111,6 +120,29 @@
 	n.server.Registry.Observe(class, took)
 }
 
+// observeWaits records what an operation waited for before it ran. The wait for
+// a slot of a server is part of the server's answer.
+func (n *session) observeWaits(t *trace) {
+	if t == nil {
+		return
+	}
+	for _, wait := range []struct {
+		reason string
+		took   time.Duration
+	}{{"rate", t.admitted}, {"position", t.positioned}, {"connection", t.connected}} {
+		if wait.took > 0 {
+			n.server.Registry.Observe(reporter.Series{Name: "wait_seconds", Reason: wait.reason}, wait.took)
+		}
+	}
+}
+
+// observeAnswer records the time of a server's answer, with its wait for a slot.
+func (s *Server) observeAnswer(b cataloger.BackendServer, took time.Duration) {
+	if s.Registry != nil {
+		s.Registry.Observe(reporter.Series{Name: "backend_answer_seconds", Service: b.Service, Reason: s.role(b)}, took)
+	}
+}
+
 func className(c cataloger.Consistency) string {
 	switch c {
 	case cataloger.BoundedStaleness:
--- a/internal/transport/sessioner/open.go
+++ b/internal/transport/sessioner/open.go
@@ -20,7 +20,7 @@
 		})
 	}
 	return n.onReaders(o, func(b cataloger.BackendServer, f floor, _ int) (requester.Result, error) {
-		c, err := n.server.borrow(n.wish(o, b, true, o.patience))
+		c, err := n.borrow(o, n.wish(o, b, true, o.patience))
 		if err != nil {
 			return requester.Result{}, err
 		}
--- a/internal/transport/sessioner/run.go
+++ b/internal/transport/sessioner/run.go
@@ -129,11 +129,18 @@
 	}
 }
 
+// borrow borrows a connection for the operation and counts the wait for it.
+func (n *session) borrow(o operation, w lender.Wish) (*lender.Conn, error) {
+	started := time.Now()
+	defer o.trace.waitConnection(started)
+	return n.server.borrow(w)
+}
+
 // primaryConn borrows a connection to the primary. If its last answer is old,
 // it asks on it first whether the server still answers and leads; the beginning
 // of a pinned transaction asks that itself.
 func (n *session) primaryConn(o operation, p cataloger.BackendServer, pinned bool) (*lender.Conn, error) {
-	c, err := n.server.borrow(n.wish(o, p, pinned, o.patience))
+	c, err := n.borrow(o, n.wish(o, p, pinned, o.patience))
 	if err != nil {
 		o.trace.add(p.ID, requester.Result{}, err, time.Since(o.arrived))
 		if errors.Is(err, lender.ErrUnreachable) || (pinned && !errors.Is(err, lender.ErrNoConnection)) {
@@ -171,7 +178,7 @@
 		s.Placer.Fail(c.Server.ID)
 		return r, err
 	}
-	s.finish(c.Server.ID, time.Since(started), r)
+	s.finish(c.Server, time.Since(started), r)
 	s.observeLag(c, r)
 	return r, nil
 }
@@ -239,13 +246,27 @@
 
 // countRead counts a read by the role of the server that ran it.
 func (s *Server) countRead(b cataloger.BackendServer) {
-	if leader, _, _ := s.Placer.LastLed(b.Service); leader == b.ID {
+	if s.role(b) == rolePrimary {
 		s.Activity.PrimaryReads.Add(1)
 	} else {
 		s.Activity.ReplicaReads.Add(1)
 	}
 }
 
+// Roles of backend servers in metrics.
+const (
+	rolePrimary = "primary"
+	roleReplica = "replica"
+)
+
+// role is what the server was last seen as.
+func (s *Server) role(b cataloger.BackendServer) string {
+	if leader, _, _ := s.Placer.LastLed(b.Service); leader == b.ID {
+		return rolePrimary
+	}
+	return roleReplica
+}
+
 // nextReader returns the best server that was not tried yet.
 func (n *session) nextReader(o operation, age time.Duration, tried []identifier.BackendServerID) (cataloger.BackendServer, bool) {
 	for _, b := range n.server.Placer.Readers(o.route.Service, o.servers, age, o.workspace) {
@@ -268,7 +289,7 @@
 	if o.patience.Before(wait) {
 		wait = o.patience
 	}
-	c, err := n.server.borrow(n.wish(o, b, false, wait))
+	c, err := n.borrow(o, n.wish(o, b, false, wait))
 	if err != nil {
 		o.trace.add(b.ID, requester.Result{}, err, time.Since(o.arrived))
 		return requester.Result{}, err
--- a/internal/transport/sessioner/trace.go
+++ b/internal/transport/sessioner/trace.go
@@ -14,11 +14,29 @@
 
 // trace is what was tried for a statement, for the log.
 type trace struct {
-	peer     identifier.InstanceID // To which it was forwarded last.
-	floor    floor
-	count    int
-	tries    [maxTries]try
-	admitted time.Duration // Wait for the rate.
+	peer  identifier.InstanceID // To which it was forwarded last.
+	floor floor
+	count int
+	tries [maxTries]try
+
+	// Waits by what was waited for.
+	admitted   time.Duration // The rate.
+	positioned time.Duration // A position sample.
+	connected  time.Duration // Connections, over all tries.
+}
+
+// waitPosition counts a wait for a position sample since the time.
+func (t *trace) waitPosition(since time.Time) {
+	if t != nil {
+		t.positioned += time.Since(since)
+	}
+}
+
+// waitConnection counts a wait for a connection since the time.
+func (t *trace) waitConnection(since time.Time) {
+	if t != nil {
+		t.connected += time.Since(since)
+	}
 }
 
 // try is one answer of a server, or none.
--- a/internal/transport/sessioner/transaction.go
+++ b/internal/transport/sessioner/transaction.go
@@ -106,7 +106,7 @@
 		s.Placer.Fail(c.Server.ID)
 		return r, err
 	}
-	s.finish(c.Server.ID, time.Since(asked), r)
+	s.finish(c.Server, time.Since(asked), r)
 	switch {
 	case r.Code == requester.OK && n.tx.plain && (n.tx.wrote || st.Kind != requester.Commit):
 		// A server that has lost the lead still commits a transaction
