follower, allotter: register first, no part of the rates right after it

The counts by instance show 119 operations in the first second: five instances that start together each read a list without the others and took the whole rate.

Change: an instance registers before it looks for a configuration, which also saves a read of the list, and has no part of any rate for 2.5 s after a new registration, in which it reads the list twice; the probe says why it is not ready. A restart keeps its registration and waits for nothing. Polls before the first configuration are 2 s apart.

--- a/internal/command/starter/fixture_test.go
+++ b/internal/command/starter/fixture_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"oleanderpulley/internal/command/starter"
+	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
 	"oleanderpulley/platform"
 	"oleanderpulley/platform/imitator"
@@ -116,6 +117,8 @@
 		Starter: &starter.Starter{Settings: s, Logger: zerolog.New(logs)},
 		address: s.ClientAddress, logs: logs,
 	}
+	// Registered by an earlier process, it has its part of the rates at once.
+	w.store.Put("instances", name, cataloger.Member{ID: s.InstanceID, DataCentre: s.DataCentre, Address: s.PeerAddress})
 	qt.Assert(w.t, i.Start(context.Background()), qt.IsNil)
 	w.t.Cleanup(i.Close)
 	w.instances = append(w.instances, i)
--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -114,6 +114,7 @@
 		Holder:   &s.holder,
 		Self:     cataloger.Member{ID: t.InstanceID, DataCentre: t.DataCentre, Address: t.PeerAddress},
 		Logger:   s.Logger,
+		OnJoin:   s.allotter.Joined,
 		OnChange: s.changed,
 		Relay:    s.relay,
 	}
--- a/internal/command/starter/status.go
+++ b/internal/command/starter/status.go
@@ -37,6 +37,9 @@
 	if s.draining.Load() {
 		reasons = append(reasons, "the instance is draining")
 	}
+	if wait := time.Until(s.allotter.Begins()); wait > 0 {
+		reasons = append(reasons, "the instance was registered just now; its part of the rates begins in "+wait.Round(time.Millisecond).String())
+	}
 	switch age, ok := s.holder.Age(); {
 	case !ok:
 		reasons = append(reasons, "no configuration was read from the store")
--- a/internal/coordination/allotter/allotter.go
+++ b/internal/coordination/allotter/allotter.go
@@ -73,6 +73,7 @@
 	Now func() time.Time // Nil selects time.Now.
 
 	mu      sync.Mutex
+	begins  time.Time // Of the own part.
 	self    identifier.InstanceID
 	shares  map[identifier.WorkspaceName]Share
 	buckets map[identifier.WorkspaceName]*bucket
@@ -108,6 +109,31 @@
 	return sum
 }
 
+// JoinWait is the time after its registration within which an instance has no
+// part of any rate. Instances that start together read lists without each other
+// and would all take parts that are too large; they have read the whole list
+// twice within it.
+const JoinWait = 2500 * time.Millisecond
+
+// Joined tells that this instance was registered just now.
+func (a *Allotter) Joined() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.begins = a.now().Add(JoinWait)
+	for _, b := range a.buckets {
+		b.tokens = 0
+		b.filled = a.begins
+	}
+}
+
+// Begins returns when the own part of the rates begins, the zero time if it has
+// no wait.
+func (a *Allotter) Begins() time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.begins
+}
+
 // Set replaces the shares and the instances that hold them.
 func (a *Allotter) Set(shares map[identifier.WorkspaceName]Share, self identifier.InstanceID, members []Peer) {
 	a.mu.Lock()
@@ -242,6 +268,9 @@
 		// A new bucket starts with what a restart takes, not with its
 		// burst, which this instance may have spent just before.
 		b = &bucket{filled: now.Add(-restart), seen: now}
+		if a.begins.After(b.filled) {
+			b.filled = a.begins
+		}
 		a.buckets[w] = b
 	}
 	b.fill(now, s.Limit, s.part(a.self))
--- a/internal/coordination/allotter/fleet_test.go
+++ b/internal/coordination/allotter/fleet_test.go
@@ -314,3 +314,33 @@
 	}
 	qt.Assert(t, admitted, qt.Equals, 6)
 }
+
+// Guards against instances that start together, read a list that lacks the
+// others and admit a whole rate each (seed 303 of the soak: 119 operations of a
+// workspace with rate and burst 30 in the first second).
+func TestNewInstancesWaitForTheWholeList(t *testing.T) {
+	now := time.Unix(1000, 0)
+	admitted := 0
+	all := []identifier.InstanceID{"0", "1", "2", "3", "4"}
+	var fleet []*Allotter
+	for _, id := range all {
+		a := &Allotter{Now: func() time.Time { return now }}
+		a.Joined()
+		alone := Share{Limit: Limit{Rate: 30, Burst: 30}, Owners: []identifier.InstanceID{id}}
+		a.Set(map[identifier.WorkspaceName]Share{shop: alone}, id, nil)
+		fleet = append(fleet, a)
+	}
+	for second := range 5 {
+		for i, a := range fleet {
+			if second == 2 {
+				whole := Share{Limit: Limit{Rate: 30, Burst: 30}, Owners: all}
+				a.Set(map[identifier.WorkspaceName]Share{shop: whole}, all[i], nil)
+			}
+			for a.Take(shop) {
+				admitted++
+			}
+		}
+		now = now.Add(time.Second)
+	}
+	qt.Assert(t, admitted <= 2*30, qt.IsTrue, qt.Commentf("%d", admitted))
+}
--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -19,6 +19,7 @@
 // Periods of the rounds.
 const (
 	defaultPeriod = time.Second
+	waitPeriod    = 2 * time.Second        // Until the first configuration; operators write it before callers come.
 	linkPeriod    = 100 * time.Millisecond // While a link to the relay is opened.
 	retryPeriod   = 250 * time.Millisecond // After a failed round.
 	callTimeout   = 1200 * time.Millisecond
@@ -41,8 +42,8 @@
 	Configuration func(ctx context.Context) (*cataloger.Configuration, uint64, error)
 	Servers       func(ctx context.Context) (map[identifier.ServiceName][]cataloger.BackendServer, uint64, error)
 	Members       func(ctx context.Context) (map[identifier.InstanceID]cataloger.Member, uint64, error)
-	// Join registers this instance.
-	Join func(ctx context.Context, m cataloger.Member) error
+	// Join registers this instance. It reports whether it was missing before.
+	Join func(ctx context.Context, m cataloger.Member) (created bool, err error)
 }
 
 // Follower runs the rounds. Store, Holder and Self are required.
@@ -51,6 +52,9 @@
 	Holder *cataloger.Holder
 	Self   cataloger.Member
 	Logger zerolog.Logger
+	// OnJoin is called after this instance was registered for the first time,
+	// so that others do not know of it yet. Nil calls nothing.
+	OnJoin func()
 	// OnChange is called with each new catalog. Nil calls nothing.
 	OnChange func(*cataloger.Catalog)
 	// Relay asks a relay for the catalog if it differs from the revision. It
@@ -59,6 +63,8 @@
 	Relay  func(ctx context.Context, known uint64) (Relayed, error)
 	Period time.Duration // 0 means 1 s.
 
+	joined    bool // Registered by this process.
+	joining   bool // A registration was sent that may have been executed.
 	known     uint64
 	reached   bool
 	failures  int
@@ -90,7 +96,7 @@
 	}
 	switch {
 	case errors.Is(err, ErrNoConfiguration):
-		period = defaultPeriod
+		period = waitPeriod
 	case errors.Is(err, ErrConnecting):
 		period = linkPeriod
 	case err != nil:
@@ -127,6 +133,13 @@
 	if done, err := f.askRelay(ctx); done {
 		return err
 	}
+	if !f.joined {
+		// Before the first configuration, so that the others know of this
+		// instance when callers come.
+		if err := f.join(ctx); err != nil {
+			return err
+		}
+	}
 	asked := f.Holder.Clock()
 	limit := callTimeout
 	if f.failures == 0 {
@@ -221,14 +234,30 @@
 	return nil
 }
 
-// members reads the registered instances. It registers this one first if it is
+// join registers this instance.
+func (f *Follower) join(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	created, err := f.Store.Join(ctx, f.Self)
+	if err != nil {
+		f.joining = true
+		return err
+	}
+	if (created || f.joining) && f.OnJoin != nil {
+		f.OnJoin()
+	}
+	f.joined, f.joining = true, false
+	return nil
+}
+
+// members reads the registered instances. It registers this one again if it is
 // missing, because an instance takes part only in what it sees itself in.
 func (f *Follower) members(ctx context.Context) (map[identifier.InstanceID]cataloger.Member, error) {
 	members, _, err := f.Store.Members(ctx)
 	if err != nil || members[f.Self.ID].Address == f.Self.Address {
 		return members, err
 	}
-	if err := f.Store.Join(ctx, f.Self); err != nil {
+	if err := f.join(ctx); err != nil {
 		return nil, err
 	}
 	members, _, err = f.Store.Members(ctx)
--- a/internal/coordination/follower/follower_test.go
+++ b/internal/coordination/follower/follower_test.go
@@ -26,6 +26,8 @@
 	reads    int
 	members  map[identifier.InstanceID]cataloger.Member
 	servers  []cataloger.BackendServer
+
+	joinAnswerLost bool // Of the next registration, which is executed.
 }
 
 func (s *source) store() follower.Store {
@@ -54,10 +56,18 @@
 		Members: func(context.Context) (map[identifier.InstanceID]cataloger.Member, uint64, error) {
 			return maps.Clone(s.members), s.revision, nil
 		},
-		Join: func(_ context.Context, m cataloger.Member) error {
-			s.members = map[identifier.InstanceID]cataloger.Member{m.ID: m}
-			s.revision++
-			return nil
+		Join: func(_ context.Context, m cataloger.Member) (bool, error) {
+			if s.joinAnswerLost {
+				s.joinAnswerLost = false
+				s.members = map[identifier.InstanceID]cataloger.Member{m.ID: m}
+				return false, errAway
+			}
+			_, known := s.members[m.ID]
+			if !known {
+				s.members = map[identifier.InstanceID]cataloger.Member{m.ID: m}
+				s.revision++
+			}
+			return !known, nil
 		},
 	}
 }
@@ -191,3 +201,32 @@
 	qt.Assert(t, f.Round(context.Background()), qt.IsNil)
 	qt.Assert(t, h.Catalog().Servers["rentals"][0].DrainingSince, qt.Equals, since)
 }
+
+// Guards against an instance that takes a part of the rates before the others
+// know of it, also where the answer to its registration was lost, and against
+// one that loses its part though it was registered all the time.
+func TestNewRegistrationIsTold(t *testing.T) {
+	for name, test := range map[string]struct {
+		prepare func(*source)
+		want    int
+	}{
+		"new":         {func(*source) {}, 1},
+		"answer lost": {func(s *source) { s.joinAnswerLost = true }, 1},
+		"restart": {func(s *source) {
+			s.members = map[identifier.InstanceID]cataloger.Member{"one": {ID: "one", Address: "x"}}
+		}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &source{revision: 5, version: 1, changed: 3}
+			test.prepare(s)
+			f, h, _ := follow(s)
+			told := 0
+			f.OnJoin = func() { told++ }
+			for range 3 {
+				_ = f.Round(context.Background()) // The first one fails where the answer is lost.
+			}
+			qt.Assert(t, told, qt.Equals, test.want)
+			qt.Assert(t, h.Fresh(), qt.IsTrue)
+		})
+	}
+}
