homer: homes beside the server that a statement needs go first

Two of five data centres have no server and no home, so a write from there crossed to a home and, in two of three cases, again to the primary.

Ruled out: questions for tokens (1.3 MB), samples; more homes, which would save the first crossing and cost the second.

Change: where no home is in the own data centre, those beside the primary go first for what only it runs, those beside a replica for reads.

--- a/internal/bench/soaker/fault.go
+++ b/internal/bench/soaker/fault.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"oleanderpulley/platform/imitator"
 )
 
 // Bounds of the schedule.
@@ -96,19 +98,22 @@
 		w.register()
 	}},
 	{"primary deposed and behind", func(w *world, r *rand.Rand, span time.Duration) {
-		leader := w.group.Leader()
-		successor := w.server(r)
-		for successor == leader {
-			successor = w.server(r)
-		}
-		deposed := w.members[leader]
-		deposed.Hold(true)
-		w.group.Promote(successor)
+		deposed := w.depose(r)
 		time.Sleep(leastSpan) // The news of it is late.
 		w.register()
 		time.Sleep(span)
 		deposed.Hold(false)
 	}},
+	{"primary deposed beside a pause", func(w *world, r *rand.Rand, span time.Duration) {
+		p := w.any(r)
+		p.signal(syscall.SIGSTOP)
+		deposed := w.depose(r)
+		time.Sleep(leastSpan)
+		p.signal(syscall.SIGCONT)
+		w.register()
+		time.Sleep(span)
+		deposed.Hold(false)
+	}},
 	{"key withdrawn", func(w *world, _ *rand.Rand, _ time.Duration) { w.withdraw() }},
 	{"configuration", func(w *world, _ *rand.Rand, _ time.Duration) { w.configure() }},
 }
@@ -131,6 +136,19 @@
 	return names
 }
 
+// depose promotes another server. The primary of before receives nothing more.
+func (w *world) depose(r *rand.Rand) *imitator.Member {
+	leader := w.group.Leader()
+	successor := w.server(r)
+	for successor == leader {
+		successor = w.server(r)
+	}
+	deposed := w.members[leader]
+	deposed.Hold(true)
+	w.group.Promote(successor)
+	return deposed
+}
+
 func (w *world) any(r *rand.Rand) *process {
 	return w.instances[r.IntN(len(w.instances))]
 }
--- a/internal/command/starter/forward.go
+++ b/internal/command/starter/forward.go
@@ -62,13 +62,14 @@
 
 // homes returns the peers that statements of the workspace are forwarded to,
 // none if they run here.
-func (s *Starter) homes(service identifier.ServiceName, w identifier.WorkspaceName) []identifier.InstanceID {
-	plan := s.plans.plan(s.holder.Catalog(), service)
+func (s *Starter) homes(service identifier.ServiceName, w identifier.WorkspaceName, primary bool) []identifier.InstanceID {
+	c := s.holder.Catalog()
+	plan := s.plans.plan(c, service)
 	if plan.Everywhere {
 		return nil
 	}
 	var usable, missing []identifier.InstanceID
-	for _, m := range plan.Homes(w, s.Settings.DataCentre) {
+	for _, m := range plan.Homes(w, s.Settings.DataCentre, s.serverPlaces(c, service, primary)) {
 		switch {
 		case m.ID == s.Settings.InstanceID:
 			return nil
@@ -85,6 +86,18 @@
 	return usable
 }
 
+// serverPlaces returns the data centres of the primary, or of the replicas.
+func (s *Starter) serverPlaces(c *cataloger.Catalog, service identifier.ServiceName, primary bool) []identifier.DataCentre {
+	leader, _, _ := s.placer.LastLed(service)
+	var places []identifier.DataCentre
+	for _, b := range c.Servers[service] {
+		if (b.ID == leader) == primary {
+			places = append(places, b.DataCentre)
+		}
+	}
+	return places
+}
+
 // awaitHome waits for a link to a home. Running the statement here at once would
 // cost a connection that the server may not have.
 func (s *Starter) awaitHome(id identifier.InstanceID) []identifier.InstanceID {
--- a/internal/coordination/homer/homer.go
+++ b/internal/coordination/homer/homer.go
@@ -26,22 +26,27 @@
 	loads map[identifier.InstanceID]int
 }
 
-// Homes returns the homes of a workspace, those of the data centre first.
-func (p *Plan) Homes(w identifier.WorkspaceName, near identifier.DataCentre) []cataloger.Member {
+// Homes returns the homes of a workspace: those of the own data centre first,
+// then those beside the servers that the statement needs, so that it crosses
+// data centres once.
+func (p *Plan) Homes(w identifier.WorkspaceName, near identifier.DataCentre, servers []identifier.DataCentre) []cataloger.Member {
 	homes := slices.Clone(p.homes[w])
+	distance := func(m cataloger.Member) int {
+		switch {
+		case m.DataCentre == near:
+			return 0
+		case slices.Contains(servers, m.DataCentre):
+			return 1
+		default:
+			return 2
+		}
+	}
 	slices.SortStableFunc(homes, func(a, b cataloger.Member) int {
-		return cmp.Compare(remote(a, near), remote(b, near))
+		return cmp.Compare(distance(a), distance(b))
 	})
 	return homes
 }
 
-func remote(m cataloger.Member, near identifier.DataCentre) int {
-	if m.DataCentre == near {
-		return 0
-	}
-	return 1
-}
-
 // Load returns the number of workspaces that have a home at the instance.
 func (p *Plan) Load(id identifier.InstanceID) int {
 	return p.loads[id]
--- a/internal/coordination/homer/homer_test.go
+++ b/internal/coordination/homer/homer_test.go
@@ -44,7 +44,7 @@
 			}
 			planned, most := 0, 0
 			for w := range c.Configuration.Workspaces {
-				homes := p.Homes(w, "dc0")
+				homes := p.Homes(w, "dc0", nil)
 				qt.Assert(t, len(homes) > 0, qt.IsTrue)
 				planned += len(homes)
 			}
@@ -63,8 +63,8 @@
 	c := catalog(15, 3, 8, 47)
 	first, second := homer.Make("rentals", c), homer.Make("rentals", catalog(15, 3, 8, 47))
 	for w := range c.Configuration.Workspaces {
-		qt.Assert(t, second.Homes(w, "dc1"), qt.DeepEquals, first.Homes(w, "dc1"))
-		qt.Assert(t, first.Homes(w, "dc1")[0].DataCentre, qt.Equals, identifier.DataCentre("dc1"))
+		qt.Assert(t, second.Homes(w, "dc1", nil), qt.DeepEquals, first.Homes(w, "dc1", nil))
+		qt.Assert(t, first.Homes(w, "dc1", nil)[0].DataCentre, qt.Equals, identifier.DataCentre("dc1"))
 	}
 }
 
@@ -86,7 +86,7 @@
 	p := homer.Make("rentals", c)
 	for w := range c.Configuration.Workspaces {
 		for _, dc := range []identifier.DataCentre{"dc0", "dc1", "dc2", "dc3"} {
-			qt.Check(t, p.Homes(w, dc)[0].DataCentre, qt.Equals, dc, qt.Commentf("%s", w))
+			qt.Check(t, p.Homes(w, dc, nil)[0].DataCentre, qt.Equals, dc, qt.Commentf("%s", w))
 		}
 	}
 }
@@ -100,9 +100,23 @@
 	}
 	p := homer.Make("rentals", c)
 	for w := range c.Configuration.Workspaces {
-		for _, home := range p.Homes(w, "dc1") {
+		for _, home := range p.Homes(w, "dc1", nil) {
 			qt.Check(t, home.DataCentre, qt.Not(qt.Equals), identifier.DataCentre("dc1"))
 			qt.Check(t, home.DataCentre, qt.Not(qt.Equals), identifier.DataCentre("dc3"))
 		}
 	}
 }
+
+// Guards against writes that go to a home away from the primary and cross data
+// centres a second time from there.
+func TestHomesBesideTheServerGoFirst(t *testing.T) {
+	c := catalog(129, 5, 82, 460)
+	p := homer.Make("rentals", c)
+	for w := range c.Configuration.Workspaces {
+		all := p.Homes(w, "", nil)
+		last := all[len(all)-1].DataCentre
+		qt.Check(t, p.Homes(w, "", []identifier.DataCentre{last})[0].DataCentre, qt.Equals, last)
+		first := p.Homes(w, all[0].DataCentre, []identifier.DataCentre{last})
+		qt.Check(t, first[0], qt.Equals, all[0])
+	}
+}
--- a/internal/transport/sessioner/forward.go
+++ b/internal/transport/sessioner/forward.go
@@ -69,7 +69,8 @@
 // forward runs a single statement at a home of its workspace. It returns false
 // if it has to run here.
 func (n *session) forward(o operation, w work) (requester.Result, bool) {
-	for _, peer := range n.homes(o) {
+	primary := w.writes || o.route.Consistency == cataloger.PrimaryOnly
+	for _, peer := range n.homes(o, primary) {
 		limit := o.deadline.Add(forwardSlack)
 		if !w.writes {
 			limit = time.Now().Add(time.Duration(readForwardPart * float64(time.Until(o.deadline))))
@@ -89,11 +90,11 @@
 	return requester.Result{}, false
 }
 
-func (n *session) homes(o operation) []identifier.InstanceID {
+func (n *session) homes(o operation, primary bool) []identifier.InstanceID {
 	if n.forwarded || n.server.Homes == nil {
 		return nil
 	}
-	return n.server.Homes(o.route.Service, o.workspace)
+	return n.server.Homes(o.route.Service, o.workspace, primary)
 }
 
 // ask is the message for a statement.
@@ -131,7 +132,7 @@
 	case n.tx.remote != nil:
 		return n.continueAt(*n.tx.remote, o, w)
 	}
-	for _, peer := range n.homes(o) {
+	for _, peer := range n.homes(o, n.tx.plain) {
 		r := remote{peer, transactions.Add(1)}
 		f := n.ask(o, w)
 		f.Transaction, f.Begin = r.id, n.tx.kind
--- a/internal/transport/sessioner/server.go
+++ b/internal/transport/sessioner/server.go
@@ -61,8 +61,9 @@
 	Need func(service identifier.ServiceName)
 
 	// Homes returns the peers to forward the statements of a workspace to,
-	// the best one first. None means that they run here.
-	Homes func(service identifier.ServiceName, w identifier.WorkspaceName) []identifier.InstanceID
+	// the best one first for what only the primary runs, or for reads. None
+	// means that they run here.
+	Homes func(service identifier.ServiceName, w identifier.WorkspaceName, primary bool) []identifier.InstanceID
 	// Forward sends a statement to a peer. [ErrNotForwarded] means that the
 	// peer has not seen it.
 	Forward func(ctx context.Context, to identifier.InstanceID, f Forward) (Forwarded, error)
--- a/internal/transport/sessioner/session.go
+++ b/internal/transport/sessioner/session.go
@@ -59,7 +59,7 @@
 		n.client.Refuse(refusal)
 		return false
 	}
-	go n.homes(o) // Opens the links to the homes before the first statement.
+	go n.homes(o, false) // Opens the links to the homes before the first statement.
 	return n.client.Reply(requester.Result{State: requester.Idle, Signature: startupMark}) == nil
 }
 
