--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -5,16 +5,19 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
 
 	"oleanderpulley/internal/bench/measurer"
+	"oleanderpulley/internal/bench/player"
 )
 
 func main() {
 	root := &cobra.Command{Use: "measure", Short: "Measure costs and policies on loopback", SilenceUsage: true, SilenceErrors: true}
 	root.AddCommand(newCapacity())
-	root.AddCommand(newRest(), newPolicies())
+	root.AddCommand(newRest(), newPolicies(), newDay())
 	if err := root.ExecuteContext(context.Background()); err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
@@ -95,3 +98,37 @@
 	}
 	return c
 }
+
+func newDay() *cobra.Command {
+	var p player.Player
+	var plot string
+	c := &cobra.Command{
+		Use:   "day FILE",
+		Short: "Play a day of load with faults through the line protocol",
+		Long: "Play a day of load with faults on the stand-ins through the line protocol, with the real program as one\n" +
+			"process for each instance, and print what callers got. FILE is JSON with comments; see deploy/loads.",
+		Example: "  go build -o target/ ./cmd/oleanderpulley\n" +
+			"  go run ./cmd/measure day --seed 1 --plot failover.svg deploy/loads/failover.jsonc",
+		Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, files []string) error {
+			d, err := player.LoadDay(files[0])
+			if err != nil {
+				return err
+			}
+			ctx, stop := signal.NotifyContext(c.Context(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			r, err := p.Play(ctx, d)
+			if err != nil {
+				return err
+			}
+			if _, err := fmt.Fprint(c.OutOrStdout(), r); err != nil || plot == "" {
+				return err
+			}
+			return r.Plot(plot)
+		},
+	}
+	c.Flags().StringVar(&p.Program, "program", "target/oleanderpulley", "program of an instance")
+	c.Flags().Uint64Var(&p.Seed, "seed", 1, "seed of the load")
+	c.Flags().StringVar(&plot, "plot", "", "file for a plot of each second, SVG")
+	return c
+}
--- /dev/null
+++ b/internal/bench/player/report_test.go
@@ -0,0 +1,73 @@
+package player
+
+import (
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oleanderpulley/platform/imitator"
+)
+
+func day() Day {
+	return Day{
+		Length: 10, Workspaces: []Workspace{{Name: "shops", Rate: 10, Weight: 1}, {Name: "desks", Rate: 10, Weight: 1}},
+		Routes: []Route{{Name: "ledger", Target: 100, Timeout: 1000}},
+	}
+}
+
+// requests returns one request each 100 ms of the workspace, each n times.
+func requests(workspace string, n int, code string, overRate bool) []request {
+	var all []request
+	for i := range 100 {
+		for range n {
+			all = append(all, request{
+				route: "ledger", workspace: workspace, write: true, sent: time.Duration(i) * 100 * time.Millisecond,
+				took: 20 * time.Millisecond, code: code, overRate: overRate,
+			})
+		}
+	}
+	return all
+}
+
+// Guards against a report that takes the refusals of a flood for wrongful ones,
+// or misses those below the rate.
+func TestReportJudgesRefusals(t *testing.T) {
+	flood := &history{all: append(requests("shops", 1, "", false), requests("shops", 4, "BUSY", true)...)}
+	r := newReport(day(), 1, flood, nil)
+	qt.Check(t, r.WrongfulRefusals, qt.Equals, 9) // The burst, less what one bucket has left at the end.
+
+	below := &history{all: requests("desks", 1, "BUSY", true)}
+	r = newReport(day(), 1, below, nil)
+	qt.Check(t, r.WrongfulRefusals, qt.Equals, 100)
+	qt.Check(t, r.Owed, qt.Equals, 100)
+	qt.Check(t, r.Routes[0].Refused, qt.Equals, 100)
+}
+
+// Guards against a gap that is not seen because it lasts to the end of the day,
+// and against reads of the primary counted as reads of a replica.
+func TestReportMeasuresTheGapAndTheReplicas(t *testing.T) {
+	all := requests("shops", 1, "", false)[:50]
+	runs := []imitator.Run{{Text: "AFTER 1.2 READ item"}, {Text: "READ item", Leads: true}, {Text: "WRITE item", Leads: true}}
+	r := newReport(day(), 1, &history{all: all}, runs)
+	qt.Check(t, r.WriteGap, qt.Equals, 10*time.Second-(4900+20)*time.Millisecond)
+	qt.Check(t, r.ReplicaShare, qt.Equals, 0.5)
+	qt.Assert(t, r.Plot(filepath.Join(t.TempDir(), "day.svg")), qt.IsNil)
+}
+
+// Guards against a day in the repository that cannot be played, and against a
+// mistyped name that is ignored.
+func TestDaysOfTheRepositoryCanBeRead(t *testing.T) {
+	files, err := filepath.Glob("../../../deploy/loads/*.jsonc")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(files) > 0, qt.IsTrue)
+	for _, file := range files {
+		_, err := LoadDay(file)
+		qt.Check(t, err, qt.IsNil)
+	}
+	d := day()
+	d.Instances, d.DataCentres, d.Service = 1, []string{"a"}, Service{MaxConnections: 1, Slots: 1}
+	d.Faults = []Fault{{Kind: "no_such_fault"}}
+	qt.Check(t, d.check(), qt.ErrorIs, ErrDay)
+}
--- a/internal/bench/soaker/caller.go
+++ b/internal/bench/soaker/caller.go
@@ -89,7 +89,7 @@
 	k := keys[c.random.IntN(len(keys))]
 	database := []string{"primary", "bounded_staleness", "read_own_writes"}[c.random.IntN(3)]
 	p := c.world.any(c.random)
-	conn, err := net.DialTimeout("tcp4", p.address, time.Second)
+	conn, err := net.DialTimeout("tcp4", p.Address, time.Second)
 	if err != nil {
 		return
 	}
@@ -105,7 +105,7 @@
 			return
 		case <-time.After(time.Duration(c.random.Int64N(int64(pauseMost)))):
 		}
-		o := operation{key: k.key, workspace: k.workspace, database: database, after: after, instance: p.name}
+		o := operation{key: k.key, workspace: k.workspace, database: database, after: after, instance: p.Name}
 		if err := c.operate(&o); err != nil {
 			return
 		}
--- a/internal/bench/soaker/fault.go
+++ b/internal/bench/soaker/fault.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"oleanderpulley/internal/bench/stager"
 	"oleanderpulley/platform/imitator"
 )
 
@@ -34,11 +35,11 @@
 	{"stop", func(w *world, r *rand.Rand, _ time.Duration) { w.restart(w.any(r), syscall.SIGTERM) }},
 	{"pause", func(w *world, r *rand.Rand, span time.Duration) {
 		p := w.any(r)
-		p.signal(syscall.SIGSTOP)
+		p.Signal(syscall.SIGSTOP)
 		time.Sleep(span)
-		p.signal(syscall.SIGCONT)
+		p.Signal(syscall.SIGCONT)
 	}},
-	{"hangup", func(w *world, r *rand.Rand, _ time.Duration) { w.any(r).signal(syscall.SIGHUP) }},
+	{"hangup", func(w *world, r *rand.Rand, _ time.Duration) { w.any(r).Signal(syscall.SIGHUP) }},
 	{"store away", func(w *world, _ *rand.Rand, span time.Duration) {
 		w.store.SetFault(func(string, string) int { return http.StatusServiceUnavailable })
 		time.Sleep(span)
@@ -59,9 +60,9 @@
 	{"store silent", func(w *world, _ *rand.Rand, span time.Duration) {
 		w.cutStore(w.instances, span)
 	}},
-	{"instance cut from the store", func(w *world, r *rand.Rand, span time.Duration) { w.proxies[w.any(r).name].cutFor(span) }},
+	{"instance cut from the store", func(w *world, r *rand.Rand, span time.Duration) { w.proxies[w.any(r).Name].CutFor(span) }},
 	{"key withdrawn beside a cut", func(w *world, r *rand.Rand, _ time.Duration) {
-		var cut []*process
+		var cut []*stager.Process
 		for i := r.IntN(dataCentres); i < len(w.instances); i += dataCentres {
 			cut = append(cut, w.instances[i])
 		}
@@ -74,14 +75,14 @@
 		time.Sleep(span)
 		m.Refuse("")
 	}},
-	{"server silent", func(w *world, r *rand.Rand, span time.Duration) { w.proxies[w.server(r)].cutFor(span) }},
-	{"connections silent", func(w *world, r *rand.Rand, _ time.Duration) { w.proxies[w.server(r)].silence() }},
-	{"connections reset", func(w *world, r *rand.Rand, _ time.Duration) { w.proxies[w.server(r)].reset() }},
+	{"server silent", func(w *world, r *rand.Rand, span time.Duration) { w.proxies[w.server(r)].CutFor(span) }},
+	{"connections silent", func(w *world, r *rand.Rand, _ time.Duration) { w.proxies[w.server(r)].Silence() }},
+	{"connections reset", func(w *world, r *rand.Rand, _ time.Duration) { w.proxies[w.server(r)].Reset() }},
 	{"slow link", func(w *world, r *rand.Rand, span time.Duration) {
 		p := w.proxies[w.server(r)]
-		p.setDelay(60 * time.Millisecond)
+		p.SetDelay(60 * time.Millisecond)
 		time.Sleep(span)
-		p.setDelay(0)
+		p.SetDelay(0)
 	}},
 	{"replica held", func(w *world, r *rand.Rand, span time.Duration) {
 		id := w.server(r)
@@ -106,10 +107,10 @@
 	}},
 	{"primary deposed beside a pause", func(w *world, r *rand.Rand, span time.Duration) {
 		p := w.any(r)
-		p.signal(syscall.SIGSTOP)
+		p.Signal(syscall.SIGSTOP)
 		deposed := w.depose(r)
 		time.Sleep(leastSpan)
-		p.signal(syscall.SIGCONT)
+		p.Signal(syscall.SIGCONT)
 		w.register()
 		time.Sleep(span)
 		deposed.Hold(false)
@@ -149,7 +150,7 @@
 	return deposed
 }
 
-func (w *world) any(r *rand.Rand) *process {
+func (w *world) any(r *rand.Rand) *stager.Process {
 	return w.instances[r.IntN(len(w.instances))]
 }
 
@@ -157,30 +158,19 @@
 	return string(rune('a' + r.IntN(len(w.members))))
 }
 
-func (w *world) restart(p *process, s syscall.Signal) {
-	p.restarting.Lock()
-	defer p.restarting.Unlock()
-	p.signal(s)
-	p.await(graceTime + time.Second)
-	time.Sleep(killWait)
-	if err := p.start(); err != nil {
+func (w *world) restart(p *stager.Process, s syscall.Signal) {
+	if err := p.Restart(s); err != nil {
 		fmt.Println("fault:", err)
 	}
 }
 
 // cutStore cuts instances off from the store for the span.
-func (w *world) cutStore(cut []*process, span time.Duration) {
+func (w *world) cutStore(cut []*stager.Process, span time.Duration) {
 	for _, p := range cut {
-		w.proxies[p.name].setCut(true)
+		w.proxies[p.Name].SetCut(true)
 	}
 	time.Sleep(span)
 	for _, p := range cut {
-		w.proxies[p.name].setCut(false)
+		w.proxies[p.Name].SetCut(false)
 	}
 }
-
-func (p *proxy) cutFor(span time.Duration) {
-	p.setCut(true)
-	time.Sleep(span)
-	p.setCut(false)
-}
--- a/internal/bench/soaker/soaker.go
+++ b/internal/bench/soaker/soaker.go
@@ -14,11 +14,7 @@
 	"github.com/pkg/errors"
 )
 
-// errNotReady reports instances that did not begin to serve.
-var errNotReady = errors.New("instances did not begin to serve in time")
-
 const (
-	startLimit = 15 * time.Second
 	// settle is the time without faults at the end, after which callers must
 	// be served again.
 	settle = 6 * time.Second
--- a/internal/bench/soaker/proxy.go
+++ b/internal/bench/stager/proxy.go
@@ -1,18 +1,16 @@
-package soaker
+package stager
 
 import (
-	"io"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 )
 
-// proxy forwards TCP connections and harms them on demand.
-type proxy struct {
-	address  string
+// Proxy forwards TCP connections and harms them on demand.
+type Proxy struct {
+	Address  string // Where it listens.
 	target   string
 	listener net.Listener
 
@@ -29,17 +27,18 @@
 	silent  bool
 }
 
-func newProxy(target string) (*proxy, error) {
+// NewProxy starts a proxy on loopback in front of the target.
+func NewProxy(target string) (*Proxy, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "starting a proxy")
 	}
-	p := &proxy{address: l.Addr().String(), target: target, listener: l, conns: map[*pair]struct{}{}}
+	p := &Proxy{Address: l.Addr().String(), target: target, listener: l, conns: map[*pair]struct{}{}}
 	go p.accept()
 	return p, nil
 }
 
-func (p *proxy) accept() {
+func (p *Proxy) accept() {
 	for {
 		in, err := p.listener.Accept()
 		if err != nil {
@@ -49,7 +48,7 @@
 	}
 }
 
-func (p *proxy) forward(in net.Conn) {
+func (p *Proxy) forward(in net.Conn) {
 	out, err := net.DialTimeout("tcp4", p.target, time.Second)
 	if err != nil {
 		_ = in.Close()
@@ -69,7 +68,7 @@
 	p.mu.Unlock()
 }
 
-func (p *proxy) copy(c *pair, to, from net.Conn) {
+func (p *Proxy) copy(c *pair, to, from net.Conn) {
 	defer func() { _ = to.Close() }()
 	buffer := make([]byte, 16<<10)
 	for {
@@ -94,7 +93,7 @@
 }
 
 // each calls f for all open connections.
-func (p *proxy) each(f func(c *pair)) {
+func (p *Proxy) each(f func(c *pair)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
@@ -102,8 +101,8 @@
 	}
 }
 
-// silence makes the open connections pass nothing on, for good.
-func (p *proxy) silence() {
+// Silence makes the open connections pass nothing on, for good.
+func (p *Proxy) Silence() {
 	p.each(func(c *pair) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -111,45 +110,42 @@
 	})
 }
 
-// reset closes the open connections.
-func (p *proxy) reset() {
+// Reset closes the open connections.
+func (p *Proxy) Reset() {
 	p.each(func(c *pair) {
 		_ = c.in.Close()
 		_ = c.out.Close()
 	})
 }
 
-// setCut makes new connections silent as well, or ends that.
-func (p *proxy) setCut(cut bool) {
+// SetCut makes new connections silent as well, or ends that.
+func (p *Proxy) SetCut(cut bool) {
 	p.mu.Lock()
 	p.cut = cut
 	p.mu.Unlock()
 	if cut {
-		p.silence()
+		p.Silence()
 	} else {
-		p.reset()
+		p.Reset()
 	}
 }
 
-func (p *proxy) setDelay(d time.Duration) {
+// SetDelay delays the bytes of each direction.
+func (p *Proxy) SetDelay(d time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.delay = d
 }
 
-func (p *proxy) close() {
+// Close ends the listener and all connections.
+func (p *Proxy) Close() {
 	_ = p.listener.Close()
-	p.reset()
+	p.Reset()
 }
 
-// get reports whether the address answers 200.
-func get(address string) bool {
-	client := http.Client{Timeout: 300 * time.Millisecond}
-	response, err := client.Get(address)
-	if err != nil {
-		return false
-	}
-	defer func() { _ = response.Body.Close() }()
-	_, _ = io.Copy(io.Discard, response.Body)
-	return response.StatusCode == http.StatusOK
+// CutFor makes all connections silent for the span, then resets them.
+func (p *Proxy) CutFor(span time.Duration) {
+	p.SetCut(true)
+	time.Sleep(span)
+	p.SetCut(false)
 }
