--- a/internal/command/starter/fixture_test.go
+++ b/internal/command/starter/fixture_test.go
@@ -23,7 +23,7 @@
 
 // world is a platform with one database group of three servers.
 type world struct {
-	t         *testing.T
+	t         testing.TB
 	store     imitator.Store
 	address   string
 	group     imitator.Group
@@ -41,7 +41,7 @@
 	logs    *lockedBuffer
 }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t testing.TB) *world {
 	w := &world{t: t, members: map[string]*imitator.Member{}}
 	w.group.Service = "rentals"
 	w.store.Promote = func(_, id string) bool {
@@ -127,7 +127,7 @@
 }
 
 // await polls a condition until it holds.
-func await(t *testing.T, what string, holds func() bool) {
+func await(t testing.TB, what string, holds func() bool) {
 	t.Helper()
 	for end := time.Now().Add(waitLimit); time.Now().Before(end); {
 		if holds() {
@@ -138,7 +138,7 @@
 	t.Fatalf("in %v not reached: %s", waitLimit, what)
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	defer func() { _ = l.Close() }()
--- a/internal/command/starter/session_test.go
+++ b/internal/command/starter/session_test.go
@@ -145,12 +145,12 @@
 
 // lineClient speaks the line protocol and returns the lines of each answer.
 type lineClient struct {
-	t      *testing.T
+	t      testing.TB
 	conn   net.Conn
 	reader *bufio.Reader
 }
 
-func dialLine(t *testing.T, address string) *lineClient {
+func dialLine(t testing.TB, address string) *lineClient {
 	conn, err := net.Dial("tcp4", address)
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { _ = conn.Close() })
