--- a/internal/command/starter/bench_test.go
+++ b/internal/command/starter/bench_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net"
 	"runtime"
@@ -97,7 +96,7 @@
 		case err != nil:
 			c.b.Fatal(err)
 		case strings.HasPrefix(string(answer), "ERROR"):
-			c.b.Fatal(fmt.Sprintf("%s: %s", line, answer))
+			c.b.Fatalf("%s: %s", line, answer)
 		case strings.HasPrefix(string(answer), "READY"):
 			return
 		}
--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -42,7 +41,8 @@
 	Configuration func(ctx context.Context) (*cataloger.Configuration, uint64, error)
 	Servers       func(ctx context.Context) (map[identifier.ServiceName][]cataloger.BackendServer, uint64, error)
 	Members       func(ctx context.Context) (map[identifier.InstanceID]cataloger.Member, uint64, error)
-	// Join registers this instance. It reports whether it was missing before.
+	// Join registers this instance. It reports whether it was missing before;
+	// with an error, whether the registration may have been executed.
 	Join func(ctx context.Context, m cataloger.Member) (created bool, err error)
 }
 
@@ -166,40 +166,6 @@
 	return c != nil && c.Configuration != nil && f.known != 0
 }
 
-// noteOutage begins the time in which missing servers are kept if the store was
-// away until now, and has the lists read again at its end.
-func (f *Follower) noteOutage(now time.Duration) {
-	if f.succeeded > 0 && now-f.succeeded > outage {
-		f.lapseEnd = now + lapse
-	}
-	f.succeeded = now
-	for _, since := range f.removed {
-		if now-since >= f.Holder.MaxAge+defaultPeriod {
-			f.known = 0
-		}
-	}
-	if f.lapseEnd > 0 && now > f.lapseEnd {
-		f.lapseEnd = 0
-		f.known = 0
-	}
-}
-
-// keepLapsed adds the servers that are missing from the list to it while they
-// may come back.
-func (f *Follower) keepLapsed(read map[identifier.ServiceName][]cataloger.BackendServer) {
-	old := f.Holder.Catalog()
-	if f.lapseEnd == 0 || old == nil {
-		return
-	}
-	for service, servers := range old.Servers {
-		for _, s := range servers {
-			if !slices.ContainsFunc(read[service], func(o cataloger.BackendServer) bool { return o.ID == s.ID }) {
-				read[service] = append(read[service], s)
-			}
-		}
-	}
-}
-
 // read reads all lists. The proof counts from before the first call.
 func (f *Follower) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -240,7 +206,7 @@
 	defer cancel()
 	created, err := f.Store.Join(ctx, f.Self)
 	if err != nil {
-		f.joining = true
+		f.joining = f.joining || created
 		return err
 	}
 	if (created || f.joining) && f.OnJoin != nil {
@@ -264,51 +230,6 @@
 	return members, err
 }
 
-// keepRemoved keeps instances that were removed for as long as they may go on
-// serving without having seen it, so that their parts of rates are not given
-// to others at the same time.
-func (f *Follower) keepRemoved(read map[identifier.InstanceID]cataloger.Member, now time.Duration) {
-	old := f.Holder.Catalog()
-	if old == nil {
-		return
-	}
-	removed := map[identifier.InstanceID]time.Duration{}
-	for id, m := range old.Members {
-		if _, ok := read[id]; ok {
-			continue
-		}
-		since, known := f.removed[id]
-		if !known {
-			since = now
-		}
-		if now-since < f.Holder.MaxAge+defaultPeriod {
-			removed[id] = since
-			read[id] = m
-		}
-	}
-	f.removed = removed
-}
-
-// stampDraining sets since when the servers of the next catalog that drain may
-// have been draining. The news may be late: the store was away meanwhile.
-func (f *Follower) stampDraining(old, next *cataloger.Catalog) {
-	all := make(map[identifier.ServiceName][]cataloger.BackendServer, len(next.Servers))
-	for service, servers := range next.Servers {
-		stamped := slices.Clone(servers) // Readers share the present lists.
-		for i, s := range stamped {
-			if !s.Draining {
-				continue
-			}
-			stamped[i].DrainingSince = f.proven
-			if before, ok := old.Server(service, s.ID); ok && before.Draining {
-				stamped[i].DrainingSince = before.DrainingSince
-			}
-		}
-		all[service] = stamped
-	}
-	next.Servers = all
-}
-
 // newer keeps the configuration with the higher revision, so that an answer
 // that was overtaken does not bring an older one back.
 func newer(old, read *cataloger.Configuration) *cataloger.Configuration {
--- a/internal/coordination/follower/follower_test.go
+++ b/internal/coordination/follower/follower_test.go
@@ -60,7 +60,10 @@
 			if s.joinAnswerLost {
 				s.joinAnswerLost = false
 				s.members = map[identifier.InstanceID]cataloger.Member{m.ID: m}
-				return false, errAway
+				return true, errAway
+			}
+			if s.away {
+				return false, errAway // Turned away: not executed.
 			}
 			_, known := s.members[m.ID]
 			if !known {
@@ -212,6 +215,9 @@
 	}{
 		"new":         {func(*source) {}, 1},
 		"answer lost": {func(s *source) { s.joinAnswerLost = true }, 1},
+		"restart in an outage": {func(s *source) {
+			s.members = map[identifier.InstanceID]cataloger.Member{"one": {ID: "one", Address: "x"}}
+		}, 0},
 		"restart": {func(s *source) {
 			s.members = map[identifier.InstanceID]cataloger.Member{"one": {ID: "one", Address: "x"}}
 		}, 0},
@@ -222,6 +228,9 @@
 			f, h, _ := follow(s)
 			told := 0
 			f.OnJoin = func() { told++ }
+			s.away = name == "restart in an outage"
+			_ = f.Round(context.Background())
+			s.away = false
 			for range 3 {
 				_ = f.Round(context.Background()) // The first one fails where the answer is lost.
 			}
--- a/internal/coordination/replacer/decide.go
+++ b/internal/coordination/replacer/decide.go
@@ -49,21 +49,23 @@
 // isComplete reports whether the most advanced candidate has every acknowledged
 // commit: the lost primary is among them, or so many of its replicas that they
 // include one of those that received the commit before it was acknowledged.
-func isComplete(all []Candidate, servers []cataloger.BackendServer, primary identifier.BackendServerID, syncReplicas int) bool {
-	answered := 0
+func isComplete(all []Candidate, servers []cataloger.BackendServer, syncReplicas int) bool {
+	if syncReplicas == 0 {
+		return true
+	}
+	answered, replicas := 0, 0
 	for _, c := range all {
-		if c.Server.ID == primary {
+		if c.Server.SaysPrimary {
 			return true
 		}
 		answered++
 	}
-	replicas := 0
 	for _, s := range servers {
-		if s.ID != primary {
+		if !s.SaysPrimary {
 			replicas++
 		}
 	}
-	return syncReplicas == 0 || answered > replicas-syncReplicas
+	return answered > replicas-syncReplicas
 }
 
 // saysPrimary reports whether one of the registered servers says that it leads.
--- a/internal/coordination/replacer/replace.go
+++ b/internal/coordination/replacer/replace.go
@@ -66,9 +66,8 @@
 func (r *Replacer) replace(ctx context.Context, service identifier.ServiceName, l Lease, leaving *cataloger.BackendServer, p *parts) error {
 	p.begin("positions")
 	c := r.Catalog()
-	lost, _, _ := r.LastLed(service)
 	complete := func(all []Candidate) bool {
-		return isComplete(all, c.Servers[service], lost, c.Configuration.Services[service].SyncReplicas)
+		return isComplete(all, c.Servers[service], c.Configuration.Services[service].SyncReplicas)
 	}
 	all := r.candidates(c.Servers[service], leaving, complete)
 	for _, m := range all {
--- a/internal/coordination/replacer/replacer_test.go
+++ b/internal/coordination/replacer/replacer_test.go
@@ -220,10 +220,14 @@
 	s.catalog.Configuration.Services = map[identifier.ServiceName]cataloger.Service{"rentals": {SyncReplicas: 1}}
 	s.down["a"], s.down["c"] = true, true
 	w := &watch{failing: overdue()}
-	qt.Assert(t, s.check(s.replacer(), w), qt.DeepEquals, []string{"lease 11"})
+	r := s.replacer()
+	r.LastLed = func(identifier.ServiceName) (identifier.BackendServerID, identifier.Term, time.Time) {
+		return "", 1, s.lastLed // Forgotten once the primary was not reached.
+	}
+	qt.Assert(t, s.check(r, w), qt.DeepEquals, []string{"lease 11"})
 	qt.Assert(t, w.pausedTo.IsZero(), qt.IsFalse)
 	s.down["c"] = false
-	qt.Assert(t, s.check(s.replacer(), w), qt.DeepEquals, []string{"lease 12", "promote c under 12"})
+	qt.Assert(t, s.check(r, w), qt.DeepEquals, []string{"lease 12", "promote c under 12"})
 }
 
 // Guards against a service without a primary on the side of a split that
