messenger: a request in flight is not one that was not sent

Instances that were cut off for 10 s are taken from the list and the links to them are closed 5.6 s later, when they are reachable again. Requests that waited on such a link failed with "peer is not known", which the forwarding of statements takes for "not sent": a forwarded write ran at its home and once more elsewhere. The read lacked the second run, whose first had been acknowledged.

Ruled out: a connection to a server out of step (every failed answer breaks it), the replacement of the lapsed primary (the service stayed in term 1).

Change: the requests that wait when a link ends fail as unreachable, whatever ended it; the sentinels that promise that nothing was sent say so.

Before: TestRequestInFlightMayHaveBeenHandled fails for a peer that leaves and for a messenger that is closed. After: both pass.

--- a/internal/transport/messenger/link.go
+++ b/internal/transport/messenger/link.go
@@ -272,7 +272,8 @@
 	return l.cause
 }
 
-// close ends the link and fails the requests that wait.
+// close ends the link and fails the requests that wait. They may have been
+// handled, whatever ended the link.
 func (l *link) close(cause error) {
 	l.once.Do(func() {
 		l.messenger.remove(l)
@@ -284,7 +285,7 @@
 		l.mu.Unlock()
 		close(l.done)
 		for _, result := range pending {
-			result <- answer{err: cause}
+			result <- answer{err: errors.Wrapf(ErrUnreachable, "instance %s: the link ended before the answer: %v", l.peer.ID, cause)}
 		}
 		if conn != nil {
 			_ = conn.CloseNow()
--- a/internal/transport/messenger/messenger.go
+++ b/internal/transport/messenger/messenger.go
@@ -33,7 +33,8 @@
 	requestTimeout = 2 * time.Second // Used when the caller's context has no deadline.
 )
 
-// Sentinel errors of requests.
+// Sentinel errors of requests. [ErrUnknownPeer], [ErrBusy] and [ErrClosed] tell
+// that the request was not sent; after any other one it may have been handled.
 var (
 	ErrUnknownPeer = errors.New("peer is not known")
 	ErrUnreachable = errors.New("peer is not reachable")
--- a/internal/transport/messenger/messenger_test.go
+++ b/internal/transport/messenger/messenger_test.go
@@ -89,6 +89,40 @@
 	qt.Assert(t, errors.Is(err, messenger.ErrUnknownPeer), qt.IsTrue)
 }
 
+// Guards against a request in flight being taken for one that was not sent when
+// its peer leaves the list: the write in it ran twice (hunted day of
+// split_with_the_store on obiseda-pool, TWICE and STALE).
+func TestRequestInFlightMayHaveBeenHandled(t *testing.T) {
+	for name, end := range map[string]func(*messenger.Messenger){
+		"peer leaves": func(m *messenger.Messenger) { m.SetPeers(nil) },
+		"close":       func(m *messenger.Messenger) { m.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			arrived, release := make(chan struct{}), make(chan struct{})
+			_, peer := start(t, "b", func(question) (any, error) {
+				close(arrived)
+				<-release
+				return reply{}, nil
+			})
+			t.Cleanup(func() { close(release) })
+			a, _ := start(t, "a", echo)
+			a.SetPeers([]messenger.Peer{peer})
+			failed := make(chan error, 1)
+			go func() {
+				_, err := a.Request(context.Background(), "b", question{"write"})
+				failed <- err
+			}()
+			<-arrived
+			end(a)
+			err := <-failed
+			qt.Check(t, err, qt.ErrorIs, messenger.ErrUnreachable)
+			for _, notSent := range []error{messenger.ErrUnknownPeer, messenger.ErrBusy, messenger.ErrClosed} {
+				qt.Check(t, errors.Is(err, notSent), qt.IsFalse, qt.Commentf("%v", notSent))
+			}
+		})
+	}
+}
+
 // Guards against a link that goes silent and is kept for good: the requests on
 // it must fail by the ping deadline and the next request must use a new
 // connection.
