--- a/internal/bench/soaker/fault.go
+++ b/internal/bench/soaker/fault.go
@@ -69,6 +69,11 @@
 		time.AfterFunc(leastSpan, w.withdraw)
 		w.cutStore(cut, keySpan)
 	}},
+	{"registration removed behind a cut", func(w *world, r *rand.Rand, _ time.Duration) {
+		p := w.any(r)
+		w.store.Remove("instances", p.Name)
+		w.proxies[p.Name].CutFor(keySpan)
+	}},
 	{"server refuses", func(w *world, r *rand.Rand, span time.Duration) {
 		m := w.members[w.server(r)]
 		m.Refuse("BUSY")
