--- /dev/null
+++ b/internal/command/starter/leadership.go
@@ -0,0 +1,125 @@
+package starter
+
+import (
+	"context"
+	"time"
+
+	"oleanderpulley/internal/state/cataloger"
+	"oleanderpulley/internal/state/identifier"
+)
+
+const (
+	// grantTimeout limits the sending of the end of a replacement to an
+	// instance, which reads it from the store as well.
+	grantTimeout = 500 * time.Millisecond
+	// stepDownTimeout limits the request that asks an instance to step down a
+	// primary. It is longer than the query of the instance to the primary.
+	stepDownTimeout = 600 * time.Millisecond
+)
+
+// leadershipNotice makes the receiver observe a leadership record: the
+// announcement or the end of a replacement.
+type leadershipNotice struct {
+	Service identifier.ServiceName `cbor:"service"`
+	Record  cataloger.Leadership   `cbor:"record"`
+}
+
+// leadershipReply has the newest record that the sender knows. The sender does
+// not use a primary that the record excludes.
+type leadershipReply struct {
+	Record cataloger.Leadership `cbor:"record"`
+}
+
+// stepDownRequest asks the receiver to demote a primary of a term below Term.
+type stepDownRequest struct {
+	Service identifier.ServiceName     `cbor:"service"`
+	Server  identifier.BackendServerID `cbor:"server"`
+	Term    identifier.Term            `cbor:"term"`
+}
+
+type stepDownReply struct {
+	SteppedDown bool `cbor:"stepped_down"`
+}
+
+// observeNotice answers a leadershipNotice.
+func (s *Starter) observeNotice(n leadershipNotice) leadershipReply {
+	return leadershipReply{Record: s.fencer.Observe(n.Service, n.Record)}
+}
+
+// leadershipChanged forgets the replaced primary and makes the sessions use the
+// new one. It is called with each new record.
+func (s *Starter) leadershipChanged(service identifier.ServiceName, l cataloger.Leadership) {
+	if _, term, _ := s.balancer.LastLed(service); !l.IsReplacing() && l.Server != "" && l.Term >= term {
+		if l.Term > term {
+			s.sessions.Sampler(service).Clear()
+		}
+		s.balancer.RecordLeader(service, l.Server, l.Term, time.Now())
+	}
+	s.Logger.Info().Str("event", "leadership_changed").Str("service", string(service)).Str("server", string(l.Server)).
+		Uint64("term", uint64(l.Term)).Str("holder", string(l.Holder)).Uint64("revision", l.Revision).Send()
+	if l.Term > 0 && !l.IsReplacing() {
+		go s.stepDownReplaced(service, l)
+	}
+}
+
+// stepDownReplaced demotes the servers that still claim to be the primary of the
+// service besides the one of the record.
+func (s *Starter) stepDownReplaced(service identifier.ServiceName, l cataloger.Leadership) {
+	c := s.holder.Catalog()
+	if c == nil {
+		return
+	}
+	for _, b := range c.Servers[service] {
+		if b.ID == l.Server || !b.ClaimsPrimary {
+			continue
+		}
+		m, err := s.sessions.StepDown(b, l.Term)
+		s.Logger.Info().Str("event", "replaced_primary_stepped_down").Str("service", string(service)).
+			Str("server", string(b.ID)).Bool("leads", m.Leads).Err(err).Send()
+	}
+}
+
+// revoke makes an instance observe the announcement of a replacement and reports
+// whether it did.
+func (s *Starter) revoke(ctx context.Context, id identifier.InstanceID, service identifier.ServiceName, l cataloger.Leadership) bool {
+	reply, err := s.peers.Request(ctx, id, leadershipNotice{service, l})
+	r, ok := reply.(leadershipReply)
+	if err != nil || !ok {
+		s.Logger.Info().Str("event", "revocation_unconfirmed").Str("service", string(service)).Str("peer", string(id)).Err(err).Send()
+		return false
+	}
+	return r.Record.Revision == l.Revision && r.Record.Holder == l.Holder
+}
+
+// announceGrant sends the end of a replacement to all instances.
+func (s *Starter) announceGrant(service identifier.ServiceName, l cataloger.Leadership) {
+	for _, p := range s.peers.Peers() {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), grantTimeout)
+			defer cancel()
+			if _, err := s.peers.Request(ctx, p.ID, leadershipNotice{service, l}); err != nil {
+				s.Logger.Debug().Str("event", "grant_unconfirmed").Str("service", string(service)).Str("peer", string(p.ID)).Err(err).Send()
+			}
+		}()
+	}
+}
+
+// stepDownVia asks an instance to step down a primary and reports whether the
+// primary confirmed.
+func (s *Starter) stepDownVia(ctx context.Context, id identifier.InstanceID, b cataloger.BackendServer, term identifier.Term) bool {
+	ctx, cancel := context.WithTimeout(ctx, stepDownTimeout)
+	defer cancel()
+	reply, err := s.peers.Request(ctx, id, stepDownRequest{b.Service, b.ID, term})
+	r, ok := reply.(stepDownReply)
+	return err == nil && ok && r.SteppedDown
+}
+
+// stepDownForPeer steps down a primary at the request of another instance.
+func (s *Starter) stepDownForPeer(m stepDownRequest) stepDownReply {
+	b, ok := s.holder.Catalog().Server(m.Service, m.Server)
+	if !ok {
+		return stepDownReply{}
+	}
+	status, err := s.sessions.StepDown(b, m.Term)
+	return stepDownReply{SteppedDown: err == nil && !status.Leads}
+}
--- a/internal/command/starter/peers.go
+++ b/internal/command/starter/peers.go
@@ -54,6 +54,10 @@
 	e.Register("relayed", follower.CatalogReply{})
 	e.Register("reach_ask", reachAsk{})
 	e.Register("reach_reply", reachReply{})
+	e.Register("leadership", leadershipNotice{})
+	e.Register("leadership_reply", leadershipReply{})
+	e.Register("step_down", stepDownRequest{})
+	e.Register("stepped_down", stepDownReply{})
 	e.Register("forward", sessioner.ForwardRequest{})
 	e.Register("forwarded", sessioner.ForwardReply{})
 	s.peers = messenger.Messenger{
@@ -79,6 +83,10 @@
 		return s.follower.Answer(m), nil
 	case reachAsk:
 		return s.checkReachability(m.Instance), nil
+	case leadershipNotice:
+		return s.observeNotice(m), nil
+	case stepDownRequest:
+		return s.stepDownForPeer(m), nil
 	case sampleAsk:
 		return s.newestSample(m.Service), nil
 	default:
--- a/internal/command/starter/replacer.go
+++ b/internal/command/starter/replacer.go
@@ -4,7 +4,9 @@
 	"context"
 	"time"
 
+	"oleanderpulley/internal/coordination/fencer"
 	"oleanderpulley/internal/coordination/replacer"
+	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
 	"oleanderpulley/internal/transport/reporter"
 	"oleanderpulley/platform"
@@ -29,8 +31,17 @@
 	r.Status = s.sessions.Status
 	r.StepDown = s.sessions.StepDown
 	r.QueryPeers = s.askPrimarySeen
-	r.ReadLease = s.store.ReadLease
-	r.WriteLease = s.store.WriteLease
+	r.Record = s.fencer.Record
+	r.Adopt = func(service identifier.ServiceName, l cataloger.Leadership) { s.fencer.Observe(service, l) }
+	r.ReadRecord = s.store.ReadLeadership
+	r.WriteRecord = s.store.WriteLeadership
+	r.Members = s.store.ReadMembers
+	r.Revoke = s.revoke
+	r.StepDownVia = s.stepDownVia
+	r.Announce = s.announceGrant
+	r.Validity = fencer.Validity
+	r.Clock = s.holder.Clock
+	r.IsProven = s.fencer.IsProven
 	r.Promote = promotions.Promote
 	r.Observe = func(step string, took time.Duration) {
 		s.registry.Observe(reporter.Series{Name: "replacement_seconds", Reason: step}, took)
--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"oleanderpulley/internal/coordination/balancer"
+	"oleanderpulley/internal/coordination/fencer"
 	"oleanderpulley/internal/coordination/follower"
 	"oleanderpulley/internal/coordination/ratelimiter"
 	"oleanderpulley/internal/coordination/reaper"
@@ -49,6 +50,7 @@
 	holder             cataloger.Holder
 	registry           reporter.Registry
 	balancer           balancer.Balancer
+	fencer             fencer.Fencer
 	lender             lender.Lender
 	sessions           sessioner.Server
 	limiter            ratelimiter.Limiter
@@ -98,7 +100,10 @@
 	s.balancer.DataCentre = settings.DataCentre
 	s.balancer.HasIdle = s.lender.HasIdle
 	s.balancer.DrainLimit = settings.DrainLimit - drainMargin
+	s.fencer.Holder = &s.holder
+	s.fencer.OnChange = s.leadershipChanged
 	s.sessions.Holder = &s.holder
+	s.sessions.Fencer = &s.fencer
 	s.sessions.Lender = &s.lender
 	s.sessions.Balancer = &s.balancer
 	s.sessions.Registry = &s.registry
@@ -124,6 +129,7 @@
 }
 
 func (s *Starter) catalogChanged(c *cataloger.Catalog) {
+	s.fencer.ObserveAll(c)
 	s.lender.DropUnregistered(c)
 	s.updatePeers(c)
 	s.dropRemovedWorkspaces(c)
--- /dev/null
+++ b/internal/coordination/fencer/fencer_test.go
@@ -0,0 +1,77 @@
+package fencer_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oleanderpulley/internal/coordination/fencer"
+	"oleanderpulley/internal/state/cataloger"
+)
+
+func newFencer(now *time.Duration) *fencer.Fencer {
+	h := &cataloger.Holder{Now: func() time.Duration { return *now }}
+	h.Replace(&cataloger.Catalog{})
+	h.SetProof(*now)
+	return &fencer.Fencer{Holder: h}
+}
+
+// Guards against a permit that outlasts the wait of an instance that replaces
+// the primary.
+func TestPermitExpiresWithItsProof(t *testing.T) {
+	now := time.Hour
+	f := newFencer(&now)
+	p, ok := f.Permit("rentals")
+	qt.Assert(t, ok, qt.IsTrue)
+	now += fencer.Validity
+	qt.Assert(t, f.IsHeld(p), qt.IsTrue)
+	now++
+	qt.Assert(t, f.IsHeld(p), qt.IsFalse)
+	f.Holder.SetProof(now)
+	qt.Assert(t, f.IsHeld(p), qt.IsTrue)
+}
+
+// Guards against the use of a primary that is being replaced or was replaced.
+func TestRecordEndsPermits(t *testing.T) {
+	now := time.Hour
+	f := newFencer(&now)
+	before, _ := f.Permit("rentals")
+	f.Observe("rentals", cataloger.Leadership{Holder: "two", Revision: 5})
+	qt.Assert(t, f.IsHeld(before), qt.IsFalse)
+	_, ok := f.Permit("rentals")
+	qt.Assert(t, ok, qt.IsFalse)
+	f.Observe("rentals", cataloger.Leadership{Server: "b", Term: 2, Revision: 6})
+	qt.Assert(t, f.IsHeld(before), qt.IsFalse)
+	p, ok := f.Permit("rentals")
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, p.Allows("a"), qt.IsFalse)
+	qt.Assert(t, p.Allows("b"), qt.IsTrue)
+}
+
+// Guards against messages that arrive late: an announcement after the end of its
+// replacement, and a record that is older than a known one.
+func TestLateRecordIsIgnored(t *testing.T) {
+	now := time.Hour
+	f := newFencer(&now)
+	announced := cataloger.Leadership{Holder: "two", Revision: 5}
+	abandoned := cataloger.Leadership{Revision: 5}
+	f.Observe("rentals", announced)
+	f.Observe("rentals", abandoned)
+	qt.Assert(t, f.Observe("rentals", announced), qt.Equals, abandoned)
+	granted := cataloger.Leadership{Server: "b", Term: 2, Revision: 9}
+	f.Observe("rentals", granted)
+	qt.Assert(t, f.Observe("rentals", cataloger.Leadership{Holder: "two", Revision: 7}), qt.Equals, granted)
+}
+
+// Guards against a check on the path of each statement that allocates.
+func TestPermitAllocatesNothing(t *testing.T) {
+	now := time.Hour
+	f := newFencer(&now)
+	f.Observe("rentals", cataloger.Leadership{Server: "b", Term: 2, Revision: 9})
+	allocations := testing.AllocsPerRun(100, func() {
+		p, _ := f.Permit("rentals")
+		f.IsHeld(p)
+	})
+	qt.Assert(t, allocations, qt.Equals, 0.0)
+}
--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -39,6 +39,7 @@
 // returns the store's revision as of the answer. All calls are linearizable.
 type Store struct {
 	Revision      func(ctx context.Context) (uint64, error)
+	Leaderships   func(ctx context.Context) (map[identifier.ServiceName]cataloger.Leadership, uint64, error)
 	Configuration func(ctx context.Context) (*cataloger.Configuration, uint64, error)
 	Servers       func(ctx context.Context) (map[identifier.ServiceName][]cataloger.BackendServer, uint64, error)
 	Members       func(ctx context.Context) (map[identifier.InstanceID]cataloger.Instance, uint64, error)
@@ -56,7 +57,8 @@
 	// OnJoin is called after a registration created the entry of this instance,
 	// which the other instances have not read yet. May be nil.
 	OnJoin func()
-	// OnChange is called with each new catalog. May be nil.
+	// OnChange is called with each new catalog before its proof is set. May be
+	// nil.
 	OnChange func(*cataloger.Catalog)
 	// Relay requests the catalog from a relay if its revision differs from the
 	// known one. It returns [ErrNoRelay] if this instance has to query the store
@@ -176,12 +178,19 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sent := f.Holder.Clock()
-	configuration, revision, err := f.Store.Configuration(ctx)
+	// The revision of the first list is that of the catalog, so that a change
+	// after it is read in the next round.
+	leaderships, revision, err := f.Store.Leaderships(ctx)
+	if err != nil {
+		return err
+	}
+	configuration, _, err := f.Store.Configuration(ctx)
 	if err != nil {
 		return err
 	}
 	f.updateCatalog(func(c *cataloger.Catalog) {
 		c.Configuration = newerConfiguration(c.Configuration, configuration)
+		c.Leaderships = leaderships
 		c.Revision = 0
 	})
 	if f.knownRevision != 0 {
--- a/internal/coordination/follower/follower_test.go
+++ b/internal/coordination/follower/follower_test.go
@@ -38,6 +38,12 @@
 			}
 			return s.revision, nil
 		},
+		Leaderships: func(context.Context) (map[identifier.ServiceName]cataloger.Leadership, uint64, error) {
+			if s.unavailable {
+				return nil, 0, errUnavailable
+			}
+			return nil, s.revision, nil
+		},
 		Configuration: func(context.Context) (*cataloger.Configuration, uint64, error) {
 			if s.unavailable {
 				return nil, 0, errUnavailable
--- a/internal/coordination/follower/relay.go
+++ b/internal/coordination/follower/relay.go
@@ -124,7 +124,7 @@
 	}
 	f.updateCatalog(func(next *cataloger.Catalog) {
 		next.Configuration = newerConfiguration(next.Configuration, c.Configuration)
-		next.Servers, next.Instances, next.Revision = c.Servers, c.Instances, c.Revision
+		next.Servers, next.Instances, next.Leaderships, next.Revision = c.Servers, c.Instances, c.Leaderships, c.Revision
 	})
 	f.knownRevision = c.Revision
 	return true
--- a/internal/coordination/replacer/decide.go
+++ b/internal/coordination/replacer/decide.go
@@ -18,14 +18,18 @@
 	// retransmission of a lost packet and than two queries on new connections.
 	suspicionTimeout = 1100 * time.Millisecond
 	// delayPerRank is added for each instance that ranks before this one. The
-	// lease already excludes concurrent replacements, so the delay only saves
+	// record already excludes concurrent replacements, so the delay only saves
 	// calls.
 	delayPerRank = 120 * time.Millisecond
 	// maxRankDelay bounds the sum of these delays.
 	maxRankDelay = 600 * time.Millisecond
-	// leaseTakeoverTimeout is the time after which an instance takes over the
-	// lease of another holder that has not finished.
-	leaseTakeoverTimeout = 6 * time.Second
+	// takeoverTimeout is the time after which an instance takes over the
+	// replacement of another holder that has not changed its record.
+	takeoverTimeout = 6 * time.Second
+	// promotionWindow is the time from the last write of a record in which its
+	// holder may request a promotion. The request is answered or given up before
+	// another instance can take over.
+	promotionWindow = takeoverTimeout - promoteCallTimeout - 500*time.Millisecond
 )
 
 // Candidate is a server that may become the primary, with the status that it
@@ -99,17 +103,9 @@
 	return xxhash.Sum64String(string(service) + "/" + string(id))
 }
 
-// Lease is the exclusive right to replace the primary of a term.
-type Lease struct {
-	Holder   identifier.InstanceID `json:"holder"`
-	Term     identifier.Term       `json:"term"` // Term of the primary that is replaced.
-	Revision uint64                `json:"-"`    // Revision of the lease object; serves as the fencing token.
-}
-
-// isAvailable reports whether an instance may acquire the lease to replace the
-// primary of the term. A lease of an older term is no longer needed by its
-// holder. unchangedFor is the time since the instance first saw this revision
-// of the lease.
-func (l Lease) isAvailable(self identifier.InstanceID, term identifier.Term, unchangedFor time.Duration) bool {
-	return l.Holder == "" || l.Holder == self || l.Term < term || unchangedFor >= leaseTakeoverTimeout
+// isAvailable reports whether an instance may begin a replacement or continue
+// the one that the record announces. unchangedFor is the time since the instance
+// first saw this revision of the record.
+func isAvailable(l cataloger.Leadership, self identifier.InstanceID, unchangedFor time.Duration) bool {
+	return !l.IsReplacing() || l.Holder == self || unchangedFor >= takeoverTimeout
 }
--- a/internal/coordination/replacer/decide_test.go
+++ b/internal/coordination/replacer/decide_test.go
@@ -44,14 +44,15 @@
 }
 
 // Guards against two instances that perform the same failover, and against a
-// failover that nobody completes after its lease holder has failed.
-func TestLeaseIsAvailable(t *testing.T) {
-	taken := Lease{Holder: "one", Term: 4, Revision: 9}
-	qt.Check(t, Lease{}.isAvailable("two", 4, 0), qt.IsTrue)
-	qt.Check(t, taken.isAvailable("one", 4, 0), qt.IsTrue)
-	qt.Check(t, taken.isAvailable("two", 4, time.Second), qt.IsFalse)
-	qt.Check(t, taken.isAvailable("two", 4, leaseTakeoverTimeout), qt.IsTrue)
-	qt.Check(t, taken.isAvailable("two", 5, 0), qt.IsTrue)
+// failover that nobody completes after its holder has failed.
+func TestReplacementIsAvailable(t *testing.T) {
+	taken := cataloger.Leadership{Holder: "one", Term: 4, Revision: 9}
+	finished := cataloger.Leadership{Server: "b", Term: 4, Revision: 9}
+	qt.Check(t, isAvailable(cataloger.Leadership{}, "two", 0), qt.IsTrue)
+	qt.Check(t, isAvailable(finished, "two", 0), qt.IsTrue)
+	qt.Check(t, isAvailable(taken, "one", 0), qt.IsTrue)
+	qt.Check(t, isAvailable(taken, "two", time.Second), qt.IsFalse)
+	qt.Check(t, isAvailable(taken, "two", takeoverTimeout), qt.IsTrue)
 }
 
 // Guards against all instances starting a failover at the same moment.
--- /dev/null
+++ b/internal/coordination/replacer/handover.go
@@ -0,0 +1,76 @@
+package replacer
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"oleanderpulley/internal/state/cataloger"
+	"oleanderpulley/internal/state/identifier"
+)
+
+// handOver makes the draining primary step down and waits until the successor
+// has received its whole log. Because the service has no primary in between, it
+// first verifies that promotions are answered, by promoting the draining primary
+// itself, and that the successor follows. If the successor falls behind after
+// all, the draining primary is promoted again, so that no acknowledged commit is
+// lost; the error is then [errSuccessorBehind].
+func (r *Replacer) handOver(ctx context.Context, p *replacement, next cataloger.BackendServer) error {
+	draining := *p.draining
+	if err := r.probePromotions(ctx, p, draining); err != nil {
+		return err
+	}
+	current, err := r.Status(draining)
+	if err != nil {
+		return err
+	}
+	if !r.awaitPosition(ctx, next, current.Received) {
+		return errors.Wrapf(errSuccessorBehind, "server %s, before the step-down", next.ID)
+	}
+	_, term, _ := r.LastLed(p.service)
+	final, err := r.StepDown(draining, max(term, current.Term)+1)
+	if err != nil {
+		return err
+	}
+	if final.Leads {
+		return errors.Wrapf(errPrimaryLeads, "server %s after its step-down", draining.ID)
+	}
+	if r.awaitPosition(ctx, next, final.Received) {
+		return nil
+	}
+	err = errors.Wrapf(errSuccessorBehind, "server %s", next.ID)
+	if restoreErr := r.promoteAndGrant(ctx, p, draining); restoreErr != nil {
+		return errors.Wrap(restoreErr, err.Error())
+	}
+	p.restored = true
+	return err
+}
+
+// probePromotions promotes the draining primary, which changes nothing. An
+// unanswered request may be executed late, so the next attempt is then put off
+// until it cannot replace a successor any more.
+func (r *Replacer) probePromotions(ctx context.Context, p *replacement, draining cataloger.BackendServer) error {
+	ctx, cancel := context.WithTimeout(ctx, promoteCallTimeout)
+	defer cancel()
+	err := r.Promote(ctx, p.service, draining.ID, p.record)
+	if errors.Is(err, ErrPromotionUnknown) {
+		return errors.Wrap(errProbeUnanswered, err.Error())
+	}
+	return err
+}
+
+// awaitPosition waits until the server has received the log up to the position,
+// and reports false if it has not after [catchUpTimeout] or when the context
+// ends.
+func (r *Replacer) awaitPosition(ctx context.Context, b cataloger.BackendServer, position identifier.Position) bool {
+	deadline := time.Now().Add(catchUpTimeout)
+	for ctx.Err() == nil && time.Now().Before(deadline) {
+		m, err := r.Status(b)
+		if err == nil && comparePositions(m.Received, position) >= 0 {
+			return true
+		}
+		sleep(ctx, catchUpPollInterval)
+	}
+	return false
+}
--- a/internal/coordination/replacer/replace.go
+++ b/internal/coordination/replacer/replace.go
@@ -11,91 +11,181 @@
 	"oleanderpulley/internal/state/identifier"
 )
 
+// replacement is one replacement of a service's primary by this instance.
+type replacement struct {
+	service  identifier.ServiceName
+	draining *cataloger.BackendServer // The primary if it drains and can step down; nil if it has failed.
+	record   cataloger.Leadership     // As last written by this instance.
+	written  time.Duration            // Clock before record was written.
+	acked    time.Duration            // Clock after the announcement was acknowledged.
+	resumed  bool                     // An earlier holder may have requested the promotion of record.Successor.
+	// requested is set once a promotion of another server may have been or may
+	// be executed. The old primary must not be used again after that.
+	requested bool
+	restored  bool // The draining primary was promoted again.
+	steps     stepTimer
+}
+
 // replacePrimary replaces the primary of the service and logs the outcome.
 // draining is the primary if it drains and can step down, and nil if it has
 // failed.
-func (r *Replacer) replacePrimary(ctx context.Context, service identifier.ServiceName, w *serviceWatch, term identifier.Term, draining *cataloger.BackendServer) {
+func (r *Replacer) replacePrimary(ctx context.Context, service identifier.ServiceName, w *serviceWatch, draining *cataloger.BackendServer) {
 	started := time.Now()
-	var steps stepTimer
-	steps.begin("lease")
-	l, err := r.acquireLease(ctx, service, w, term)
+	p := &replacement{service: service, draining: draining}
+	p.steps.begin("announce")
+	err := r.announce(ctx, p, w)
 	if err == nil {
-		err = r.promoteSuccessor(ctx, service, l, draining, &steps)
+		err = r.replace(ctx, p)
+		r.endReplacement(ctx, p, err)
 	}
-	steps.begin("")
+	p.steps.begin("")
 	level := zerolog.InfoLevel
 	if err != nil {
 		level = zerolog.WarnLevel
-		w.pausedUntil = time.Now().Add(retryDelay)
+		w.pausedUntil = time.Now().Add(pauseAfter(err))
 	} else {
 		w.silentSince = time.Time{}
 	}
-	r.Logger.WithLevel(level).Err(err).Str("event", "replacement").Str("service", string(service)).Uint64("term", uint64(term)).
-		Uint64("token", l.Revision).Bool("planned", draining != nil).Dur("took_ms", time.Since(started)).
-		Func(steps.addDurations).Send()
+	r.Logger.WithLevel(level).Err(err).Str("event", "replacement").Str("service", string(service)).
+		Str("server", string(p.record.Server)).Str("successor", string(p.record.Successor)).Uint64("term", uint64(p.record.Term)).Uint64("token", p.record.Revision).
+		Bool("planned", draining != nil).Bool("resumed", p.resumed).Dur("took_ms", time.Since(started)).
+		Func(p.steps.addDurations).Send()
 	if r.Observe == nil {
 		return
 	}
-	for _, s := range steps.steps {
+	for _, s := range p.steps.steps {
 		r.Observe(s.name, s.duration)
 	}
 }
 
-// acquireLease acquires the lease of the service. It returns [ErrLeaseTaken]
-// while another instance replaces the primary.
-func (r *Replacer) acquireLease(ctx context.Context, service identifier.ServiceName, w *serviceWatch, term identifier.Term) (Lease, error) {
+// pauseAfter returns the time to the next check of a service after a failed
+// replacement.
+func pauseAfter(err error) time.Duration {
+	if errors.Is(err, errProbeUnanswered) {
+		return lateCallWindow
+	}
+	return retryDelay
+}
+
+// announce writes the record that announces the replacement. It returns
+// [ErrRecordChanged] while another instance replaces the primary or if another
+// has replaced it.
+func (r *Replacer) announce(ctx context.Context, p *replacement, w *serviceWatch) error {
+	readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	l, err := r.ReadRecord(readCtx, p.service)
+	if err != nil && !errors.Is(err, ErrNoRecord) {
+		return err
+	}
+	known := r.Record(p.service)
+	if l.IsReplacing() && !isAvailable(l, r.Self, w.unchangedFor(l)) {
+		return errors.Wrapf(ErrRecordChanged, "holder %s", l.Holder)
+	}
+	if l.Term > known.Term {
+		r.Adopt(p.service, l)
+		return errors.Wrapf(ErrRecordChanged, "server %s leads term %d", l.Server, l.Term)
+	}
+	p.resumed = l.Successor != ""
+	next := l
+	next.Holder = r.Self
+	if known.Term > l.Term {
+		next.Term, next.Server = known.Term, known.Server
+	}
+	if err := r.write(ctx, p, next); err != nil {
+		return err
+	}
+	p.acked = r.Clock()
+	return nil
+}
+
+// write replaces the record in the store, which must still have the revision of
+// the given one, and makes this instance observe it.
+func (r *Replacer) write(ctx context.Context, p *replacement, next cataloger.Leadership) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	l, err := r.ReadLease(ctx, service)
-	if err != nil && !errors.Is(err, ErrNoLease) {
-		return Lease{}, err
+	written := r.Clock()
+	l, err := r.WriteRecord(ctx, p.service, next)
+	if err != nil {
+		return err
+	}
+	p.record, p.written = l, written
+	r.Adopt(p.service, l)
+	return nil
+}
+
+// replace ends the use of the old primary, promotes the most advanced candidate
+// and waits until it leads.
+func (r *Replacer) replace(ctx context.Context, p *replacement) error {
+	if p.draining == nil {
+		p.steps.begin("fence")
+		if err := r.awaitFence(ctx, p); err != nil {
+			return err
+		}
 	}
-	if l.Revision != w.lease.Revision || w.leaseSeenAt.IsZero() {
-		w.lease, w.leaseSeenAt = l, time.Now()
+	if p.resumed {
+		done, err := r.resume(ctx, p)
+		if done {
+			return err
+		}
 	}
-	if !l.isAvailable(r.Self, term, time.Since(w.leaseSeenAt)) {
-		return Lease{}, errors.Wrapf(ErrLeaseTaken, "holder %s", l.Holder)
+	p.steps.begin("positions")
+	next, err := r.chooseSuccessor(p)
+	if err != nil {
+		return err
 	}
-	l, err = r.WriteLease(ctx, service, Lease{Holder: r.Self, Term: term, Revision: l.Revision})
-	if err == nil {
-		w.lease, w.leaseSeenAt = l, time.Now()
+	if p.draining != nil {
+		p.steps.begin("hand_over")
+		if err := r.handOver(ctx, p, next.Server); err != nil {
+			return err
+		}
 	}
-	return l, err
+	return r.promoteAndGrant(ctx, p, next.Server)
 }
 
-// promoteSuccessor promotes the most advanced candidate with the token of the
-// lease and waits until it leads.
-func (r *Replacer) promoteSuccessor(ctx context.Context, service identifier.ServiceName, l Lease, draining *cataloger.BackendServer, steps *stepTimer) error {
-	steps.begin("positions")
+// resume continues a replacement whose holder may have requested the promotion
+// of a server: that server is promoted unless the promotion is refused or the
+// server is gone. It returns false if another server has to be chosen.
+func (r *Replacer) resume(ctx context.Context, p *replacement) (done bool, err error) {
+	p.requested = true
+	server, registered := r.Catalog().Server(p.service, p.record.Successor)
+	if !registered {
+		return false, nil
+	}
+	err = r.promoteAndGrant(ctx, p, server)
+	if errors.Is(err, ErrPromotionRefused) {
+		return false, nil
+	}
+	return true, err
+}
+
+// chooseSuccessor returns the server to promote.
+func (r *Replacer) chooseSuccessor(p *replacement) (Candidate, error) {
 	c := r.Catalog()
+	servers := c.Servers[p.service]
 	hasAllCommits := func(candidates []Candidate) bool {
-		return includesAcknowledgedCommits(candidates, c.Servers[service], c.Configuration.Services[service].SyncReplicas)
+		return includesAcknowledgedCommits(candidates, servers, c.Configuration.Services[p.service].SyncReplicas)
 	}
-	candidates := r.collectCandidates(c.Servers[service], draining, hasAllCommits)
+	candidates := r.collectCandidates(servers, p.draining, hasAllCommits)
 	for _, candidate := range candidates {
-		if draining == nil && candidate.Member.Leads && r.Confirm(candidate.Server) == nil {
-			return errors.Wrapf(errPrimaryLeads, "server %s", candidate.Server.ID)
+		if p.draining == nil && !p.requested && r.stillLeads(p, candidate) {
+			return Candidate{}, errors.Wrapf(errPrimaryLeads, "server %s", candidate.Server.ID)
 		}
 	}
 	next, ok := ChooseSuccessor(candidates)
 	if !ok {
-		return errNoCandidate
-	}
-	if draining == nil && !hasAllCommits(candidates) {
-		return errors.Wrapf(errCommitsUnknown, "%d of %d servers answered", len(candidates), len(c.Servers[service]))
-	}
-	if draining != nil {
-		steps.begin("hand_over")
-		if err := r.handOver(ctx, service, l, *draining, next.Server); err != nil {
-			return err
-		}
+		return Candidate{}, errNoCandidate
 	}
-	steps.begin("promotion")
-	if err := r.promote(ctx, service, next.Server.ID, l); err != nil {
-		return err
+	if p.draining == nil && !hasAllCommits(candidates) {
+		return Candidate{}, errors.Wrapf(errCommitsUnknown, "%d of %d servers answered", len(candidates), len(servers))
 	}
-	steps.begin("lead")
-	return r.awaitLeadership(ctx, next.Server)
+	return next, nil
+}
+
+// stillLeads reports whether the candidate is the primary that is being replaced
+// and answers that it leads.
+func (r *Replacer) stillLeads(p *replacement, c Candidate) bool {
+	isPrimary := p.record.Server == "" || p.record.Server == c.Server.ID
+	return isPrimary && c.Member.Leads && r.Confirm(c.Server) == nil
 }
 
 // collectCandidates queries all servers but the draining one for their log
@@ -138,40 +228,73 @@
 	return candidates
 }
 
-// handOver makes the draining primary step down and waits until the successor
-// has received its whole log. Because the service has no primary in between, it
-// first verifies that promotions are answered by promoting the draining primary
-// itself.
-func (r *Replacer) handOver(ctx context.Context, service identifier.ServiceName, l Lease, draining, next cataloger.BackendServer) error {
-	if err := r.promote(ctx, service, draining.ID, l); err != nil {
+// promoteAndGrant promotes the server, waits until it leads, and grants its use
+// to all instances. The server is written into the record first, so that an
+// instance that takes over continues with the same one.
+func (r *Replacer) promoteAndGrant(ctx context.Context, p *replacement, b cataloger.BackendServer) error {
+	p.steps.begin("promotion")
+	next := p.record
+	next.Successor = b.ID
+	if err := r.write(ctx, p, next); err != nil {
+		return err
+	}
+	if err := r.promote(ctx, p, b.ID); err != nil {
 		return err
 	}
-	_, term, _ := r.LastLed(service)
-	final, err := r.StepDown(draining, term+1)
+	p.steps.begin("lead")
+	if err := r.awaitLeadership(ctx, b); err != nil {
+		return err
+	}
+	m, err := r.Status(b)
 	if err != nil {
 		return err
 	}
-	deadline := time.Now().Add(catchUpTimeout)
-	for time.Now().Before(deadline) {
-		m, err := r.Status(next)
-		if err == nil && comparePositions(m.Received, final.Received) >= 0 {
-			return nil
-		}
-		sleep(ctx, catchUpPollInterval)
+	p.steps.begin("grant")
+	r.grant(ctx, p, cataloger.Leadership{Term: m.Term, Server: b.ID, Revision: p.record.Revision})
+	return nil
+}
+
+// grant ends the replacement. The peers are told at once; the store gets the
+// record as soon as it answers, also from a later check.
+func (r *Replacer) grant(ctx context.Context, p *replacement, l cataloger.Leadership) {
+	r.Adopt(p.service, l)
+	r.Announce(p.service, l)
+	p.record = l
+	if err := r.write(ctx, p, l); err != nil {
+		r.Logger.Warn().Str("event", "grant_not_written").Str("service", string(p.service)).Err(err).Send()
+	}
+}
+
+// endReplacement restores the record from before a replacement that failed, so
+// that the old primary may be used again. If a promotion may have been executed,
+// the record stays, and a later check resumes the replacement.
+func (r *Replacer) endReplacement(ctx context.Context, p *replacement, err error) {
+	if err == nil || p.requested || p.restored || errors.Is(err, ErrRecordChanged) {
+		return
 	}
-	r.Logger.Warn().Str("event", "successor_behind").Str("server", string(next.ID)).Err(errSuccessorBehind).Send()
-	return r.promote(ctx, service, draining.ID, l)
+	r.grant(ctx, p, cataloger.Leadership{Term: p.record.Term, Server: p.record.Server, Revision: p.record.Revision})
 }
 
 // promote repeats the promotion until it is answered, at most
-// [maxPromoteAttempts] times. Repeating it with the same token is safe.
-func (r *Replacer) promote(ctx context.Context, service identifier.ServiceName, id identifier.BackendServerID, l Lease) error {
-	var err error
+// [maxPromoteAttempts] times. Repeating it with the same token is safe. It
+// requests nothing after [promotionWindow], when another instance may take over,
+// or once another instance has changed the record.
+func (r *Replacer) promote(ctx context.Context, p *replacement, id identifier.BackendServerID) error {
+	err := errWindowPassed
 	for range maxPromoteAttempts {
+		if r.Clock()-p.written > promotionWindow || r.Record(p.service).Revision != p.record.Revision {
+			return err
+		}
+		requestedBefore := p.requested
+		p.requested = true
 		callCtx, cancel := context.WithTimeout(ctx, promoteCallTimeout)
-		err = r.Promote(callCtx, service, id, l)
+		err = r.Promote(callCtx, p.service, id, p.record)
 		cancel()
-		if err == nil || errors.Is(err, ErrPromotionRefused) {
+		if err == nil {
+			return nil
+		}
+		if errors.Is(err, ErrPromotionRefused) {
+			p.requested = requestedBefore
 			return err
 		}
 		sleep(ctx, promoteRetryDelay)
--- a/internal/coordination/replacer/replacer.go
+++ b/internal/coordination/replacer/replacer.go
@@ -15,13 +15,14 @@
 
 // Sentinel errors of a replacement.
 var (
-	// ErrNoLease reports that the service has no lease object yet.
-	ErrNoLease = errors.New("lease does not exist")
-	// ErrLeaseTaken reports that another instance holds the lease or has changed
-	// it since it was read.
-	ErrLeaseTaken = errors.New("lease was taken by another instance")
-	// ErrPromotionRefused reports that a promotion was refused: a newer token
-	// was seen, or the server is not running.
+	// ErrNoRecord reports that the service has no leadership record yet.
+	ErrNoRecord = errors.New("leadership record does not exist")
+	// ErrRecordChanged reports that another instance replaces the primary or has
+	// changed the record since it was read.
+	ErrRecordChanged = errors.New("leadership record was changed by another instance")
+	// ErrPromotionRefused reports that a promotion was refused and not executed:
+	// a newer token was seen, the server is not running, or there were too many
+	// requests.
 	ErrPromotionRefused = errors.New("promotion was refused")
 	// ErrPromotionUnknown reports a promotion that was not answered. It may
 	// still be executed.
@@ -30,7 +31,9 @@
 	errPrimaryLeads    = errors.New("primary still leads")
 	errNoCandidate     = errors.New("no server can become the primary")
 	errCommitsUnknown  = errors.New("too few servers answered to cover every acknowledged commit")
+	errProbeUnanswered = errors.New("the draining primary could not be promoted, so that it must not step down")
 	errSuccessorBehind = errors.New("successor has not received the whole log")
+	errWindowPassed    = errors.New("the record was written too long ago to request a promotion, or has changed")
 )
 
 const (
@@ -48,6 +51,12 @@
 	retryDelay             = 700 * time.Millisecond
 	peerSightingWindow     = 800 * time.Millisecond // Sightings of the primary by peers count if they are this recent.
 	usageWindow            = 10 * time.Second
+	// restoreDelay is the time for which a catalog may lack a record that a peer
+	// has announced, several periods of the catalog.
+	restoreDelay = 2500 * time.Millisecond
+	// lateCallWindow is the time after which an unanswered promotion is not
+	// executed any more.
+	lateCallWindow = 5 * time.Second
 )
 
 // Replacer monitors the primaries of the services that this instance uses and
@@ -61,8 +70,8 @@
 	// LastLed returns the server that was last seen leading a service, its
 	// term, and when it was seen.
 	LastLed func(identifier.ServiceName) (identifier.BackendServerID, identifier.Term, time.Time)
-	// Confirm queries a server whether it leads and records the answer. It
-	// returns an error unless the server leads.
+	// Confirm queries a server whether it leads. It returns an error unless the
+	// server leads.
 	Confirm func(cataloger.BackendServer) error
 	// Status queries a server for its role and log position.
 	Status func(cataloger.BackendServer) (requester.ServerStatus, error)
@@ -72,11 +81,36 @@
 	// lead since the given time.
 	QueryPeers func(ctx context.Context, service identifier.ServiceName, since time.Time) PeerSightings
 
-	ReadLease  func(ctx context.Context, service identifier.ServiceName) (Lease, error)
-	WriteLease func(ctx context.Context, service identifier.ServiceName, l Lease) (Lease, error)
+	// Record returns the newest leadership record that this instance knows, and
+	// Adopt makes it observe a newer one.
+	Record func(identifier.ServiceName) cataloger.Leadership
+	Adopt  func(identifier.ServiceName, cataloger.Leadership)
+	// ReadRecord reads the record from the store. WriteRecord replaces it if the
+	// stored one has the revision of the given one.
+	ReadRecord  func(ctx context.Context, service identifier.ServiceName) (cataloger.Leadership, error)
+	WriteRecord func(ctx context.Context, service identifier.ServiceName, l cataloger.Leadership) (cataloger.Leadership, error)
+	// Members reads the registered instances from the store.
+	Members func(ctx context.Context) (map[identifier.InstanceID]cataloger.Instance, error)
+	// Revoke makes an instance observe an announcement, and reports whether it
+	// confirmed that it does not use the old primary any more.
+	Revoke func(ctx context.Context, id identifier.InstanceID, service identifier.ServiceName, l cataloger.Leadership) bool
+	// StepDownVia makes another instance demote a primary of a term below the
+	// given one, and reports whether the primary confirmed.
+	StepDownVia func(ctx context.Context, id identifier.InstanceID, b cataloger.BackendServer, term identifier.Term) bool
+	// Announce tells the other instances the end of a replacement, without
+	// waiting for them.
+	Announce func(service identifier.ServiceName, l cataloger.Leadership)
+	// Validity is the time for which an instance that does not confirm an
+	// announcement may go on using the old primary.
+	Validity time.Duration
+	// Clock reads a clock that keeps running while the machine is suspended.
+	Clock func() time.Duration
+	// IsProven reports whether the catalog is recent enough to use a primary.
+	IsProven func() bool
+
+	Promote func(ctx context.Context, service identifier.ServiceName, id identifier.BackendServerID, l cataloger.Leadership) error
 	// Observe, if set, records the duration of each step of a replacement.
 	Observe func(step string, took time.Duration)
-	Promote func(ctx context.Context, service identifier.ServiceName, id identifier.BackendServerID, l Lease) error
 
 	mu       sync.Mutex
 	watches  map[identifier.ServiceName]*serviceWatch
@@ -107,11 +141,12 @@
 
 // serviceWatch is the monitoring state of one service.
 type serviceWatch struct {
-	running     bool      // A check is in progress.
-	silentSince time.Time // When contact to the primary was lost; zero while it is reachable.
-	lease       Lease     // As last read from the store.
-	leaseSeenAt time.Time // When the revision of lease was first read.
-	pausedUntil time.Time
+	running        bool      // A check is in progress.
+	silentSince    time.Time // When contact to the primary was lost; zero while it is reachable.
+	replacing      uint64    // Revision of the newest known announcement of another instance.
+	replacingSince time.Time // When this instance first knew that announcement.
+	lackingSince   time.Time // When the catalog was first seen to lack the known record; zero while it has it.
+	pausedUntil    time.Time
 }
 
 // RecordUse records that this instance uses the service. Only services in use
@@ -199,11 +234,21 @@
 // checkService checks the primary of a service once and replaces it if it has
 // failed or drains.
 func (r *Replacer) checkService(ctx context.Context, service identifier.ServiceName, w *serviceWatch) {
+	if !r.IsProven() {
+		return // The store does not answer, so that nothing can be announced.
+	}
+	if l := r.Record(service); l.IsReplacing() {
+		r.checkReplacement(ctx, service, w, l)
+		return
+	}
+	if r.restoreRecord(ctx, service, w) {
+		return
+	}
 	c := r.Catalog()
 	id, term, lastLed := r.LastLed(service)
 	primary, registered := c.Server(service, id)
 	if registered && primary.Draining {
-		r.replacePrimary(ctx, service, w, term, &primary)
+		r.replacePrimary(ctx, service, w, &primary)
 		return
 	}
 	if registered && time.Since(lastLed) < recentLeadWindow {
@@ -230,7 +275,52 @@
 		w.pausedUntil = now.Add(retryDelay)
 		return
 	}
-	r.replacePrimary(ctx, service, w, term, nil)
+	r.replacePrimary(ctx, service, w, nil)
+}
+
+// checkReplacement continues a replacement that this instance or one that was
+// killed has not finished.
+func (r *Replacer) checkReplacement(ctx context.Context, service identifier.ServiceName, w *serviceWatch, l cataloger.Leadership) {
+	unchangedFor := w.unchangedFor(l)
+	if isAvailable(l, r.Self, unchangedFor-RankDelay(service, r.Self, r.Catalog().Instances)) {
+		r.replacePrimary(ctx, service, w, nil)
+	}
+}
+
+// unchangedFor returns the time since this instance first knew the record.
+func (w *serviceWatch) unchangedFor(l cataloger.Leadership) time.Duration {
+	if w.replacing != l.Revision {
+		w.replacing, w.replacingSince = l.Revision, time.Now()
+	}
+	return time.Since(w.replacingSince)
+}
+
+// restoreRecord writes the record of a finished replacement into the store if
+// the store lacks it, because its write failed or the store came back from an
+// older copy. It reports whether it has tried.
+func (r *Replacer) restoreRecord(ctx context.Context, service identifier.ServiceName, w *serviceWatch) bool {
+	known, stored := r.Record(service), r.Catalog().Leaderships[service]
+	isOwnAnnouncement := stored.IsReplacing() && stored.Holder == r.Self
+	if known.Term <= stored.Term && !isOwnAnnouncement {
+		w.lackingSince = time.Time{}
+		return false
+	}
+	if w.lackingSince.IsZero() {
+		w.lackingSince = time.Now()
+	}
+	if time.Since(w.lackingSince) < restoreDelay+RankDelay(service, r.Self, r.Catalog().Instances) {
+		return false
+	}
+	w.lackingSince = time.Time{}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	known.Revision = stored.Revision
+	l, err := r.WriteRecord(ctx, service, known)
+	if err == nil {
+		r.Adopt(service, l)
+	}
+	r.Logger.Info().Str("event", "record_restored").Str("service", string(service)).Uint64("term", uint64(known.Term)).Err(err).Send()
+	return true
 }
 
 // estimateSilenceStart returns when contact to the primary was lost: just after
@@ -243,12 +333,13 @@
 	return lastLed
 }
 
-// anyServerLeads queries all servers of a service concurrently and returns as
-// soon as one answers that it leads.
+// anyServerLeads queries the servers of a service concurrently and returns as
+// soon as one that was not replaced answers that it leads.
 func (r *Replacer) anyServerLeads(c *cataloger.Catalog, service identifier.ServiceName) bool {
 	leads := make(chan bool, len(c.Servers[service]))
+	leader := r.Record(service).Server
 	for _, b := range c.Servers[service] {
-		go func() { leads <- r.Confirm(b) == nil }()
+		go func() { leads <- (leader == "" || leader == b.ID) && r.Confirm(b) == nil }()
 	}
 	for range c.Servers[service] {
 		if <-leads {
--- a/internal/coordination/replacer/replacer_test.go
+++ b/internal/coordination/replacer/replacer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -18,15 +19,20 @@
 var errDown = errors.New("no answer")
 
 // fakeService simulates a service of three servers and records the calls to the
-// lease and to the servers.
+// record, to the instances and to the servers.
 type fakeService struct {
 	mu       sync.Mutex
 	catalog  *cataloger.Catalog
 	leader   identifier.BackendServerID // "" if none leads.
 	down     map[identifier.BackendServerID]bool
 	received map[identifier.BackendServerID]uint64
-	lease    Lease
+	lagging  bool                 // No replica receives the rest of the log when the primary steps down.
+	stored   cataloger.Leadership // The record in the store.
+	known    cataloger.Leadership // The record that this instance knows.
 	revision uint64
+	silent   map[identifier.InstanceID]bool // Instances that do not confirm.
+	term     identifier.Term
+	boot     time.Time
 	sight    PeerSightings
 	calls    []string
 	promote  func(id identifier.BackendServerID) error
@@ -38,27 +44,45 @@
 		leader: "a", down: map[identifier.BackendServerID]bool{}, revision: 10,
 		received: map[identifier.BackendServerID]uint64{"a": 9, "b": 7, "c": 8},
 		sight:    PeerSightings{Asked: 2, Answered: 2},
+		silent:   map[identifier.InstanceID]bool{}, term: 1, boot: time.Now(),
 	}
 	s.catalog = &cataloger.Catalog{
 		Configuration: &cataloger.Configuration{},
 		Servers: map[identifier.ServiceName][]cataloger.BackendServer{
 			"rentals": {{ID: "a", Service: "rentals", ClaimsPrimary: true}, {ID: "b", Service: "rentals"}, {ID: "c", Service: "rentals"}},
 		},
-		Instances: map[identifier.InstanceID]cataloger.Instance{"one": {}},
+		Instances: map[identifier.InstanceID]cataloger.Instance{"one": {}, "two": {}},
 	}
 	s.promote = func(id identifier.BackendServerID) error {
+		if s.leader != id {
+			s.term++
+		}
 		s.leader = id
 		return nil
 	}
 	return s
 }
 
+// testValidity is the validity of permits in these tests.
+const testValidity = 400 * time.Millisecond
+
+func (s *fakeService) recordWrite(l cataloger.Leadership) {
+	if l.IsReplacing() {
+		s.record("announce %d %s", l.Revision, l.Successor)
+	} else {
+		s.record("grant %s in term %d", l.Server, l.Term)
+	}
+}
+
 func (s *fakeService) record(format string, args ...any) {
 	s.calls = append(s.calls, fmt.Sprintf(format, args...))
 }
 
 func (s *fakeService) member(id identifier.BackendServerID) requester.ServerStatus {
-	return requester.ServerStatus{Leads: s.leader == id, Received: identifier.Position{Term: 1, Offset: identifier.LogOffset(s.received[id])}}
+	return requester.ServerStatus{
+		Leads: s.leader == id, Term: s.term,
+		Received: identifier.Position{Term: 1, Offset: identifier.LogOffset(s.received[id])},
+	}
 }
 
 func (s *fakeService) replacer() *Replacer {
@@ -86,6 +110,9 @@
 				if s.down[b.ID] {
 					return errDown
 				}
+				if s.leader != "" && !s.down[s.leader] && !s.lagging && s.received[b.ID] < s.received[s.leader] {
+					s.received[b.ID]++ // Replication goes on.
+				}
 				m = s.member(b.ID)
 				return nil
 			})
@@ -93,32 +120,64 @@
 		},
 		StepDown: func(b cataloger.BackendServer, term identifier.Term) (m requester.ServerStatus, err error) {
 			err = locked(func() error {
+				if s.down[b.ID] {
+					return errDown
+				}
 				s.record("step down %s below %d", b.ID, term)
 				s.leader = ""
 				m = s.member(b.ID)
-				s.received["c"] = s.received[b.ID] // The replica receives the rest.
+				if !s.lagging {
+					s.received["c"] = s.received[b.ID] // The replica receives the rest.
+				}
 				return nil
 			})
 			return m, err
 		},
 		QueryPeers: func(context.Context, identifier.ServiceName, time.Time) PeerSightings { return s.sight },
-		ReadLease: func(context.Context, identifier.ServiceName) (Lease, error) {
-			if s.lease.Revision == 0 {
-				return Lease{}, ErrNoLease
+		Record:     func(identifier.ServiceName) cataloger.Leadership { return s.known },
+		Adopt: func(_ identifier.ServiceName, l cataloger.Leadership) {
+			if l.Supersedes(s.known) {
+				s.known = l
+			}
+		},
+		ReadRecord: func(context.Context, identifier.ServiceName) (cataloger.Leadership, error) {
+			if s.stored.Revision == 0 {
+				return cataloger.Leadership{}, ErrNoRecord
 			}
-			return s.lease, nil
+			return s.stored, nil
 		},
-		WriteLease: func(_ context.Context, _ identifier.ServiceName, l Lease) (Lease, error) {
-			if l.Revision != s.lease.Revision {
-				return Lease{}, ErrLeaseTaken
+		WriteRecord: func(_ context.Context, _ identifier.ServiceName, l cataloger.Leadership) (cataloger.Leadership, error) {
+			if l.Revision != s.stored.Revision {
+				return cataloger.Leadership{}, ErrRecordChanged
 			}
 			s.revision++
 			l.Revision = s.revision
-			s.lease = l
-			s.record("lease %d", l.Revision)
-			return l, nil
+			s.stored = l
+			return l, locked(func() error {
+				s.recordWrite(l)
+				return nil
+			})
+		},
+		Members: func(context.Context) (map[identifier.InstanceID]cataloger.Instance, error) {
+			return s.catalog.Instances, nil
 		},
-		Promote: func(_ context.Context, _ identifier.ServiceName, id identifier.BackendServerID, l Lease) error {
+		Revoke: func(_ context.Context, id identifier.InstanceID, _ identifier.ServiceName, l cataloger.Leadership) bool {
+			return locked(func() error {
+				if s.silent[id] {
+					return errDown
+				}
+				s.record("%s confirms %d", id, l.Revision)
+				return nil
+			}) == nil
+		},
+		StepDownVia: func(context.Context, identifier.InstanceID, cataloger.BackendServer, identifier.Term) bool {
+			return false
+		},
+		Announce: func(identifier.ServiceName, cataloger.Leadership) {},
+		Validity: testValidity,
+		Clock:    func() time.Duration { return time.Since(s.boot) },
+		IsProven: func() bool { return true },
+		Promote: func(_ context.Context, _ identifier.ServiceName, id identifier.BackendServerID, l cataloger.Leadership) error {
 			return locked(func() error {
 				s.record("promote %s under %d", id, l.Revision)
 				return s.promote(id)
@@ -133,6 +192,15 @@
 	return s.calls
 }
 
+// replacementOfA returns the calls of a replacement that begins with the given
+// revision and makes c the primary.
+func replacementOfA(revision uint64) []string {
+	return []string{
+		fmt.Sprintf("announce %d ", revision), fmt.Sprintf("two confirms %d", revision),
+		fmt.Sprintf("announce %d c", revision+1), fmt.Sprintf("promote c under %d", revision+1), "grant c in term 2",
+	}
+}
+
 // silentLongEnough returns a time of last contact to the primary after which a
 // replacement is due.
 func silentLongEnough() time.Time {
@@ -145,7 +213,7 @@
 	s := newFakeService()
 	s.down["a"] = true
 	w := &serviceWatch{silentSince: silentLongEnough()}
-	qt.Assert(t, s.check(s.replacer(), w), qt.DeepEquals, []string{"lease 11", "promote c under 11"})
+	qt.Assert(t, s.check(s.replacer(), w), qt.DeepEquals, replacementOfA(11))
 	qt.Assert(t, w.silentSince.IsZero(), qt.IsTrue)
 }
 
@@ -188,7 +256,7 @@
 	s.catalog.Servers["rentals"][0].Draining = true
 	s.lastLed = time.Now()
 	qt.Assert(t, s.check(s.replacer(), &serviceWatch{}), qt.DeepEquals,
-		[]string{"lease 11", "promote a under 11", "step down a below 2", "promote c under 11"})
+		[]string{"announce 11 ", "promote a under 11", "step down a below 2", "announce 12 c", "promote c under 12", "grant c in term 2"})
 	qt.Assert(t, s.received["c"], qt.Equals, uint64(9))
 }
 
@@ -199,7 +267,8 @@
 	s.catalog.Servers["rentals"][0].Draining = true
 	s.lastLed = time.Now()
 	s.promote = func(identifier.BackendServerID) error { return ErrPromotionRefused }
-	qt.Assert(t, s.check(s.replacer(), &serviceWatch{}), qt.DeepEquals, []string{"lease 11", "promote a under 11"})
+	qt.Assert(t, s.check(s.replacer(), &serviceWatch{}), qt.DeepEquals,
+		[]string{"announce 11 ", "promote a under 11", "grant  in term 0"})
 	qt.Assert(t, s.leader, qt.Equals, identifier.BackendServerID("a"))
 }
 
@@ -208,12 +277,13 @@
 func TestLeaseOfAnotherHolderIsRespected(t *testing.T) {
 	s := newFakeService()
 	s.down["a"] = true
-	s.lease = Lease{Holder: "two", Term: 1, Revision: 5}
+	s.stored = cataloger.Leadership{Holder: "two", Revision: 5}
 	w := &serviceWatch{silentSince: silentLongEnough()}
 	r := s.replacer()
 	qt.Assert(t, s.check(r, w), qt.HasLen, 0)
-	w.leaseSeenAt = time.Now().Add(-leaseTakeoverTimeout)
-	qt.Assert(t, s.check(r, w), qt.DeepEquals, []string{"lease 11", "promote c under 11"})
+	w.replacingSince = time.Now().Add(-takeoverTimeout)
+	w.pausedUntil = time.Time{}
+	qt.Assert(t, s.check(r, w), qt.DeepEquals, replacementOfA(11))
 }
 
 // Guards against the loss of acknowledged commits of a service with synchronous
@@ -228,10 +298,10 @@
 	r.LastLed = func(identifier.ServiceName) (identifier.BackendServerID, identifier.Term, time.Time) {
 		return "", 1, s.lastLed // The server is forgotten once it cannot be reached.
 	}
-	qt.Assert(t, s.check(r, w), qt.DeepEquals, []string{"lease 11"})
+	qt.Assert(t, s.check(r, w), qt.DeepEquals, []string{"announce 11 ", "two confirms 11", "grant  in term 0"})
 	qt.Assert(t, w.pausedUntil.IsZero(), qt.IsFalse)
 	s.down["c"] = false
-	qt.Assert(t, s.check(r, w), qt.DeepEquals, []string{"lease 12", "promote c under 12"})
+	qt.Assert(t, s.check(r, w), qt.DeepEquals, replacementOfA(13))
 }
 
 // Guards against a service that has no primary during a network partition, on
@@ -246,8 +316,100 @@
 	qt.Assert(t, s.check(s.replacer(), w), qt.HasLen, 0)
 	s.catalog.Servers["rentals"] = s.catalog.Servers["rentals"][1:]
 	w = &serviceWatch{silentSince: silentLongEnough()}
-	qt.Assert(t, s.check(s.replacer(), w), qt.DeepEquals, []string{"lease 11", "promote c under 11"})
+	qt.Assert(t, s.check(s.replacer(), w), qt.DeepEquals, replacementOfA(11))
 	s.leader, s.sight.Led = "", true
 	w = &serviceWatch{silentSince: silentLongEnough()}
 	qt.Assert(t, s.check(s.replacer(), w), qt.HasLen, 0)
 }
+
+// Guards against a promotion while an instance that does not confirm may still
+// use the old primary: it begins only when every permit has expired.
+func TestPromotionWaitsForInstancesThatDoNotConfirm(t *testing.T) {
+	s := newFakeService()
+	s.down["a"] = true
+	s.silent["two"] = true
+	started := time.Now()
+	calls := s.check(s.replacer(), &serviceWatch{silentSince: silentLongEnough()})
+	qt.Assert(t, calls, qt.DeepEquals, []string{"announce 11 ", "announce 12 c", "promote c under 12", "grant c in term 2"})
+	qt.Assert(t, time.Since(started) >= testValidity, qt.IsTrue)
+}
+
+// Guards against a wait for instances that do not confirm although the old
+// primary has stepped down and accepts no write any more.
+func TestStepDownEndsTheWaitForInstances(t *testing.T) {
+	s := newFakeService()
+	s.silent["two"] = true
+	r := s.replacer()
+	r.Validity = time.Minute
+	r.LastLed = func(identifier.ServiceName) (identifier.BackendServerID, identifier.Term, time.Time) {
+		return "a", 1, s.lastLed
+	}
+	p := &replacement{service: "rentals", acked: r.Clock()}
+	s.calls = nil
+	qt.Assert(t, r.awaitFence(context.Background(), p), qt.IsNil)
+	qt.Assert(t, s.calls, qt.DeepEquals, []string{"step down a below 2"})
+}
+
+// Guards against the loss of acknowledged commits: a successor that falls behind
+// while the primary drains was promoted nevertheless.
+func TestSuccessorThatFallsBehindIsNotPromoted(t *testing.T) {
+	s := newFakeService()
+	s.catalog.Servers["rentals"][0].Draining = true
+	s.received["a"], s.received["c"] = 8, 8
+	s.lagging = true
+	s.lastLed = time.Now()
+	r := s.replacer()
+	stepDown := r.StepDown
+	r.StepDown = func(b cataloger.BackendServer, term identifier.Term) (requester.ServerStatus, error) {
+		s.received["a"] = 9 // A last commit, which no replica receives.
+		return stepDown(b, term)
+	}
+	w := &serviceWatch{}
+	calls := s.check(r, w)
+	qt.Assert(t, slices.Contains(calls, "promote c under 12"), qt.IsFalse)
+	qt.Assert(t, s.leader, qt.Equals, identifier.BackendServerID("a"))
+	qt.Assert(t, s.known, qt.Equals, cataloger.Leadership{Term: 2, Server: "a", Revision: s.known.Revision})
+	qt.Assert(t, w.pausedUntil.IsZero(), qt.IsFalse)
+}
+
+// Guards against a wait for the successor that outlives the instance.
+func TestHandOverEndsWithItsContext(t *testing.T) {
+	s := newFakeService()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	started := time.Now()
+	qt.Assert(t, s.replacer().awaitPosition(ctx, s.catalog.Servers["rentals"][1], identifier.Position{Term: 9}), qt.IsFalse)
+	qt.Assert(t, time.Since(started) < catchUpTimeout/2, qt.IsTrue)
+}
+
+// Guards against a second server that is promoted although the promotion of a
+// first one may still be executed, also by an instance that takes over.
+func TestUnansweredPromotionIsResumed(t *testing.T) {
+	s := newFakeService()
+	s.down["a"] = true
+	answers := s.promote
+	s.promote = func(identifier.BackendServerID) error { return ErrPromotionUnknown }
+	w := &serviceWatch{silentSince: silentLongEnough()}
+	r := s.replacer()
+	s.check(r, w)
+	qt.Assert(t, s.stored.IsReplacing(), qt.IsTrue)
+	qt.Assert(t, s.stored.Successor, qt.Equals, identifier.BackendServerID("c"))
+	s.received["b"] = 20 // Now more advanced than c.
+	s.promote = answers
+	qt.Assert(t, s.check(r, w), qt.DeepEquals,
+		[]string{"announce 13 c", "two confirms 13", "announce 14 c", "promote c under 14", "grant c in term 2"})
+}
+
+// Guards against a promotion by a holder that slept until another instance could
+// have taken over.
+func TestPromotionIsNotRequestedLate(t *testing.T) {
+	s := newFakeService()
+	r := s.replacer()
+	p := &replacement{service: "rentals", written: r.Clock() - promotionWindow - time.Millisecond}
+	qt.Assert(t, r.promote(context.Background(), p, "c"), qt.ErrorIs, errWindowPassed)
+	qt.Assert(t, s.calls, qt.HasLen, 0)
+	s.known.Revision = 77 // Another instance has changed the record.
+	p.written = r.Clock()
+	qt.Assert(t, r.promote(context.Background(), p, "c"), qt.ErrorIs, errWindowPassed)
+	qt.Assert(t, s.calls, qt.HasLen, 0)
+}
--- a/internal/state/cataloger/catalog.go
+++ b/internal/state/cataloger/catalog.go
@@ -85,11 +85,12 @@
 }
 
 // Catalog is a consistent snapshot of the configuration, the registered backend
-// servers and the registered instances.
+// servers, the registered instances and the leadership records.
 type Catalog struct {
 	Configuration *Configuration                             `cbor:"configuration"` // Nil until a first version is read.
 	Servers       map[identifier.ServiceName][]BackendServer `cbor:"servers"`
 	Instances     map[identifier.InstanceID]Instance         `cbor:"members"`
+	Leaderships   map[identifier.ServiceName]Leadership      `cbor:"leaderships"`
 
 	// Revision is the revision of the store as of which the catalog is
 	// complete. It is 0 while the catalog is still being read.
--- /dev/null
+++ b/internal/state/cataloger/leadership.go
@@ -0,0 +1,40 @@
+package cataloger
+
+import "oleanderpulley/internal/state/identifier"
+
+// Leadership is the record in the store that says which server is the primary of
+// a service and whether it is being replaced. A service whose primary was never
+// replaced has none.
+type Leadership struct {
+	// Term is the term that Server leads, or 0 if the primary was never
+	// replaced.
+	Term identifier.Term `json:"term" cbor:"term"`
+	// Server is the only one that may be used as the primary. If it is empty,
+	// the primary was never replaced, and the server that leads may be used.
+	Server identifier.BackendServerID `json:"server,omitempty" cbor:"server,omitempty"`
+	// Successor is the server whose promotion may have been requested. It is
+	// set only during a replacement.
+	Successor identifier.BackendServerID `json:"successor,omitempty" cbor:"successor,omitempty"`
+	// Holder is the instance that replaces the primary. It is empty while no
+	// replacement is under way.
+	Holder identifier.InstanceID `json:"holder,omitempty" cbor:"holder,omitempty"`
+	// Revision is that of the record in the store. It is the fencing token of
+	// the holder.
+	Revision uint64 `json:"-" cbor:"revision"`
+}
+
+// IsReplacing reports whether a replacement of the primary is under way. Until
+// it ends, no server may be used as the primary.
+func (l Leadership) IsReplacing() bool {
+	return l.Holder != ""
+}
+
+// Supersedes reports whether l is newer than the other record of the service.
+// The end of a replacement supersedes the replacement itself, which its holder
+// may announce before the store has taken the record.
+func (l Leadership) Supersedes(o Leadership) bool {
+	if l.Revision != o.Revision {
+		return l.Revision > o.Revision
+	}
+	return o.IsReplacing() && !l.IsReplacing()
+}
--- a/internal/state/sampler/sampler.go
+++ b/internal/state/sampler/sampler.go
@@ -56,6 +56,14 @@
 	s.samples = append(s.samples, sample)
 }
 
+// Clear removes all samples. It is called when another server has become the
+// primary, because the promotion may have discarded the positions of the samples.
+func (s *Sampler) Clear() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.samples = s.samples[:0]
+}
+
 // dropBefore removes the samples whose requests were sent before the time.
 func (s *Sampler) dropBefore(before time.Time) {
 	i := 0
--- a/internal/transport/sessioner/commit.go
+++ b/internal/transport/sessioner/commit.go
@@ -48,6 +48,10 @@
 			return r
 		}
 	}
+	if t.wrote && !n.mayUseConn() {
+		t.rollBack(n)
+		return n.refusal(requester.Aborted, errReplacing.Error())
+	}
 	sentAt := time.Now()
 	r, err := n.runInTransaction(o, st)
 	c := t.conn
--- /dev/null
+++ b/internal/transport/sessioner/fenced_test.go
@@ -0,0 +1,120 @@
+package sessioner
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oleanderpulley/internal/protocol/requester"
+	"oleanderpulley/internal/state/cataloger"
+	"oleanderpulley/internal/state/identifier"
+	"oleanderpulley/internal/transport/lender"
+)
+
+// replaceDuring connects the server to a backend server that answers everything
+// with success. Before it answers a statement of the kind replacedAt, another
+// instance announces a replacement of the primary.
+func replaceDuring(s *Server, replacedAt requester.Kind) {
+	s.Lender.Dial = func(time.Time, cataloger.BackendServer, identifier.WorkspaceName) (lender.Link, error) {
+		var pending []requester.Statement
+		state := requester.Idle
+		return lender.Link{
+			Send: func(_ time.Time, statements ...requester.Statement) error {
+				pending = append(pending, statements...)
+				return nil
+			},
+			Receive: func(time.Time) (requester.Result, error) {
+				st := pending[0]
+				pending = pending[1:]
+				switch st.Kind {
+				case requester.Begin:
+					state = requester.InTransaction
+				case requester.Commit, requester.Rollback:
+					state = requester.Idle
+				}
+				if st.Kind == replacedAt {
+					s.Fencer.Observe("rentals", cataloger.Leadership{Holder: "other", Revision: 7})
+				}
+				return requester.Result{State: state, Position: identifier.Position{Term: 1, Offset: 5}}, nil
+			},
+			Open:  func() bool { return true },
+			Close: func() {},
+		}, nil
+	}
+}
+
+func primaryRequest(k requester.Kind, text string) ForwardRequest {
+	f := openingForward("shops", 0)
+	f.Begin = requester.Unknown
+	f.Route.TargetLatency = 50 * time.Millisecond
+	f.Writes = k == requester.Write
+	f.Statement = requester.Statement{ID: "i1", Kind: k, Text: text}
+	return f
+}
+
+// Guards against the acknowledgement of a write that a replaced primary may have
+// run after its successor was promoted (ONE on trouble-1 of vandpyt-drift).
+func TestWriteAnsweredAfterTheRevocationIsNotAcknowledged(t *testing.T) {
+	s, _ := newTestServer()
+	replaceDuring(s, requester.Write)
+	r := s.Execute("peer", primaryRequest(requester.Write, "WRITE x 1"))
+	qt.Assert(t, r.Result.Code, qt.Equals, requester.OutcomeUnknown)
+	_, sampled := s.Sampler("rentals").Latest()
+	qt.Assert(t, sampled, qt.IsFalse)
+}
+
+// Guards against a read of a replaced primary that misses commits of its
+// successor, and against its position as a sample.
+func TestReadAnsweredAfterTheRevocationIsNotReturned(t *testing.T) {
+	for _, replacedAt := range []requester.Kind{requester.Begin, requester.Read} {
+		s, _ := newTestServer()
+		replaceDuring(s, replacedAt)
+		r := s.Execute("peer", primaryRequest(requester.Read, "READ x"))
+		qt.Assert(t, r.Result.Code, qt.Equals, requester.Overloaded)
+		_, sampled := s.Sampler("rentals").Latest()
+		qt.Assert(t, sampled, qt.Equals, replacedAt == requester.Read) // BEGIN was answered in time.
+	}
+}
+
+// Guards against the acknowledgement of a transaction at a replaced primary: a
+// statement fails, and the outcome of a commit is unknown.
+func TestTransactionThatIsRevokedIsNotAcknowledged(t *testing.T) {
+	s, _ := newTestServer()
+	replaceDuring(s, requester.Write)
+	r := s.Execute("peer", openingForward("shops", 1))
+	qt.Assert(t, r.Result.Code, qt.Equals, requester.Aborted)
+
+	s, _ = newTestServer()
+	replaceDuring(s, requester.Commit)
+	qt.Assert(t, s.Execute("peer", openingForward("shops", 1)).Result.Code, qt.Equals, requester.OK)
+	f := openingForward("shops", 1)
+	f.Begin, f.Writes = requester.Unknown, false
+	f.Statement = requester.Statement{ID: "i2", Kind: requester.Commit, Text: "COMMIT"}
+	qt.Assert(t, s.Execute("peer", f).Result.Code, qt.Equals, requester.OutcomeUnknown)
+}
+
+// Guards against the use of a primary under a proof that is so old that a
+// successor may have been promoted meanwhile, and against a wait for a new
+// proof, which another instance may already have.
+func TestPrimaryIsNotUsedUnderAnOldProof(t *testing.T) {
+	s, _ := newTestServer()
+	replaceDuring(s, requester.Unknown)
+	now := s.Holder.Clock()
+	s.Holder.Now = func() time.Duration { return now + time.Hour }
+	started := time.Now()
+	r := s.Execute("peer", primaryRequest(requester.Write, "WRITE x 1"))
+	qt.Assert(t, r.Result.Code, qt.Equals, requester.Overloaded)
+	qt.Assert(t, r.Result.Unreached, qt.IsTrue)
+	qt.Assert(t, time.Since(started) < 40*time.Millisecond, qt.IsTrue)
+}
+
+// Guards against a server that was replaced and goes on leading, while this
+// instance was told so only by the store.
+func TestReplacedPrimaryIsNotUsed(t *testing.T) {
+	s, _ := newTestServer()
+	replaceDuring(s, requester.Unknown)
+	s.Fencer.Observe("rentals", cataloger.Leadership{Server: "other", Term: 2, Revision: 7})
+	r := s.Execute("peer", primaryRequest(requester.Write, "WRITE x 1"))
+	qt.Assert(t, r.Result.Code, qt.Equals, requester.Overloaded)
+}
--- a/internal/transport/sessioner/floor.go
+++ b/internal/transport/sessioner/floor.go
@@ -20,8 +20,9 @@
 
 // floor returns the floor for a read on a replica. If no sample is within the
 // route's maximum staleness, it requests one from the primary and then from the
-// peers, until the search deadline of the operation.
-func (n *session) floor(o operation) (floor, bool) {
+// peers, until the search deadline of the operation. It returns errProofTooOld at
+// once if no peer has one and this instance may not use the primary.
+func (n *session) floor(o operation) (floor, error) {
 	s := n.server
 	samples := s.Sampler(o.route.Service)
 	since := o.arrived.Add(-o.route.MaxStaleness)
@@ -31,7 +32,7 @@
 			n.refreshEarly(o)
 			f := n.withOwnWrites(o, shared)
 			o.trace.floor = f
-			return f, true
+			return f, nil
 		}
 		s.refresh(o)
 		if _, ok := samples.Floor(since); ok {
@@ -40,8 +41,11 @@
 		if s.FetchPeerSample != nil && s.FetchPeerSample(o.route.Service, since) {
 			continue
 		}
+		if !s.Fencer.IsProven() {
+			return floor{}, errProofTooOld
+		}
 		if !waitWithin(s.Balancer.LeaderChanged(o.route.Service), floorPause, o.searchDeadline) {
-			return floor{}, false
+			return floor{}, errNoSample
 		}
 	}
 }
--- a/internal/transport/sessioner/forwarded_test.go
+++ b/internal/transport/sessioner/forwarded_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"oleanderpulley/internal/coordination/balancer"
+	"oleanderpulley/internal/coordination/fencer"
 	"oleanderpulley/internal/protocol/requester"
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
@@ -18,6 +19,8 @@
 func newTestServer() (*Server, map[identifier.WorkspaceName][]requester.Kind) {
 	seen := map[identifier.WorkspaceName][]requester.Kind{}
 	s := &Server{Holder: &cataloger.Holder{MaxAge: time.Hour}, Balancer: &balancer.Balancer{}, Lender: &lender.Lender{}}
+	s.Fencer = &fencer.Fencer{Holder: s.Holder}
+	s.Holder.SetProof(s.Holder.Clock())
 	s.Holder.Replace(&cataloger.Catalog{
 		Configuration: &cataloger.Configuration{},
 		Servers: map[identifier.ServiceName][]cataloger.BackendServer{
--- a/internal/transport/sessioner/open.go
+++ b/internal/transport/sessioner/open.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"oleanderpulley/internal/coordination/fencer"
 	"oleanderpulley/internal/protocol/requester"
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/transport/lender"
@@ -15,8 +16,8 @@
 func (n *session) open(o operation) requester.Result {
 	n.watchPrimary(o)
 	if n.tx.onPrimary {
-		return n.runOnPrimary(o, true, func(c *lender.Conn) (requester.Result, error) {
-			return n.beginOn(c, requester.Statement{Kind: requester.Begin})
+		return n.runOnPrimary(o, true, func(c *lender.Conn, p fencer.Permit) (requester.Result, error) {
+			return n.beginOn(c, p, requester.Statement{Kind: requester.Begin})
 		})
 	}
 	return n.runOnReaders(o, func(b cataloger.BackendServer, f floor, _ int) (requester.Result, error) {
@@ -24,13 +25,14 @@
 		if err != nil {
 			return requester.Result{}, err
 		}
-		return n.beginOn(c, requester.Statement{Kind: requester.BeginReadOnly, After: f.position})
+		return n.beginOn(c, fencer.Permit{}, requester.Statement{Kind: requester.BeginReadOnly, After: f.position})
 	})
 }
 
 // beginOn begins the transaction on the connection and keeps the connection on
-// success. Every error is a [lender.ErrNotSent].
-func (n *session) beginOn(c *lender.Conn, st requester.Statement) (requester.Result, error) {
+// success. The permit matters only for a transaction on the primary. Every error
+// is a [lender.ErrNotSent].
+func (n *session) beginOn(c *lender.Conn, p fencer.Permit, st requester.Statement) (requester.Result, error) {
 	s := n.server
 	s.Balancer.Start(c.Server.ID)
 	sentAt := time.Now()
@@ -52,8 +54,13 @@
 		return r, errors.Wrapf(lender.ErrNotSent, "server %s did not begin the transaction: %s", c.Server.ID, r.Code)
 	}
 	if n.tx.onPrimary {
-		s.recordLeader(c, r, sentAt)
+		if err := s.recordLeader(c, p, r, sentAt); err != nil {
+			s.Balancer.RecordNotLeading(c.Server.Service, c.Server.ID)
+			c.MarkBroken()
+			s.Lender.Return(c)
+			return r, errors.Wrap(lender.ErrNotSent, err.Error())
+		}
 	}
-	n.tx.conn = c
+	n.tx.conn, n.tx.permit = c, p
 	return r, nil
 }
--- a/internal/transport/sessioner/primary.go
+++ b/internal/transport/sessioner/primary.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"oleanderpulley/internal/coordination/fencer"
 	"oleanderpulley/internal/protocol/requester"
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
@@ -28,18 +29,36 @@
 	verifyAfter = time.Second
 )
 
-// errNotLeading reports that a backend server answered that it does not lead.
-var errNotLeading = errors.New("backend server does not lead")
+var (
+	// errNotLeading reports that a backend server answered that it does not
+	// lead, or that it was replaced.
+	errNotLeading = errors.New("backend server does not lead")
+	// errFenced reports an answer of a primary that arrived after this instance
+	// had lost the permission to use it. Another primary may have been promoted
+	// before the statement ran.
+	errFenced = errors.New("the permission to use the primary ended before its answer")
+
+	errReplacing   = errors.New("the primary is being replaced")
+	errProofTooOld = errors.New("the proof of the configuration is too old to use the primary; use another instance")
+	errNoPrimary   = errors.New("no primary is known")
+	errNoSample    = errors.New("no primary showed a position in time")
+)
 
 // recordLeader records that the server was the leader when it answered, and its
 // position as a sample. The answer must be one to a write, or one from a
-// transaction that only a leader opens.
-func (s *Server) recordLeader(c *lender.Conn, r requester.Result, sentAt time.Time) {
+// transaction that only a leader opens. It returns errFenced if the permit is no
+// longer held: the answer then proves nothing.
+func (s *Server) recordLeader(c *lender.Conn, p fencer.Permit, r requester.Result, sentAt time.Time) error {
+	if !p.Allows(c.Server.ID) || !s.Fencer.IsHeld(p) {
+		return errors.Wrapf(errFenced, "server %s", c.Server.ID)
+	}
 	if r.Position.IsZero() {
-		return
+		return nil
 	}
-	s.Balancer.RecordLeader(c.Server.Service, c.Server.ID, r.Position.Term, sentAt)
+	// Until its first commit, a primary reports the position of an earlier term.
+	s.Balancer.RecordLeader(c.Server.Service, c.Server.ID, max(p.Term(), r.Position.Term), sentAt)
 	s.Sampler(c.Server.Service).Add(sampler.Sample{Position: r.Position, RequestedAt: sentAt})
+	return nil
 }
 
 // recordAnswer reports an answer and its duration to the balancer.
@@ -69,9 +88,11 @@
 }
 
 // confirmLeader verifies that the server on the connection leads, by opening and
-// rolling back a transaction. The answer is recorded as a position sample. It
-// returns errNotLeading, or the error of the connection.
+// rolling back a transaction. If this instance may use the primary, the answer is
+// recorded as a position sample; otherwise it says nothing about whether the
+// server was replaced. It returns errNotLeading, or the error of the connection.
 func (s *Server) confirmLeader(c *lender.Conn) error {
+	permit, permitted := s.Fencer.Permit(c.Server.Service)
 	sentAt := time.Now()
 	deadline := sentAt.Add(queryTimeout)
 	begin := requester.Statement{Kind: requester.Begin}
@@ -86,11 +107,15 @@
 	if _, err := c.Receive(deadline); err != nil {
 		return err
 	}
-	if r.Code != requester.OK {
+	if r.Code != requester.OK || (permitted && !permit.Allows(c.Server.ID)) {
 		s.Balancer.RecordNotLeading(c.Server.Service, c.Server.ID)
 		return errNotLeading
 	}
-	s.recordLeader(c, r, sentAt)
+	if permitted {
+		if err := s.recordLeader(c, permit, r, sentAt); err != nil {
+			s.Logger.Debug().Str("event", "leader_not_recorded").Err(err).Send()
+		}
+	}
 	return nil
 }
 
@@ -118,29 +143,43 @@
 	return c, err
 }
 
-// awaitPrimary returns the primary of the operation's service. It waits for one
-// until the operation's search deadline.
-func (s *Server) awaitPrimary(o operation) (cataloger.BackendServer, bool) {
+// awaitPrimary returns the primary of the operation's service and the permit to
+// use it. It waits for one until the operation's search deadline. A proof that is
+// too old is no reason to wait: another instance may have a newer one.
+func (s *Server) awaitPrimary(o operation) (cataloger.BackendServer, fencer.Permit, error) {
 	service := o.route.Service
 	for {
-		servers := s.Holder.Catalog().Servers[service]
 		changed := s.Balancer.LeaderChanged(service)
-		p, ok := s.Balancer.Primary(service, servers)
-		if ok && !s.Balancer.IsEjected(p.ID) {
-			return p, true
-		}
-		if !ok {
-			s.searchPrimary(service, o.workspace)
-			if p, ok = s.Balancer.Primary(service, servers); ok {
-				return p, true
+		permit, permitted := s.Fencer.Permit(service)
+		err := errReplacing
+		switch {
+		case permitted:
+			if b, ok := s.findPrimary(o); ok {
+				return b, permit, nil
 			}
+			err = errNoPrimary
+		case !s.Fencer.IsReplacing(service):
+			return cataloger.BackendServer{}, permit, errProofTooOld
 		}
 		if !waitWithin(changed, searchPause, o.searchDeadline) {
-			return cataloger.BackendServer{}, false
+			return cataloger.BackendServer{}, permit, err
 		}
 	}
 }
 
+// findPrimary returns the primary of the operation's service, searching for it
+// if it is not known, or false if none answers at present.
+func (s *Server) findPrimary(o operation) (cataloger.BackendServer, bool) {
+	service := o.route.Service
+	servers := s.Holder.Catalog().Servers[service]
+	b, ok := s.Balancer.Primary(service, servers)
+	if ok {
+		return b, !s.Balancer.IsEjected(b.ID)
+	}
+	s.searchPrimary(service, o.workspace)
+	return s.Balancer.Primary(service, servers)
+}
+
 // waitWithin waits until the channel is closed, the pause is over or the deadline
 // has passed. It reports whether the deadline is still ahead.
 func waitWithin(wake <-chan struct{}, pause time.Duration, deadline time.Time) bool {
--- a/internal/transport/sessioner/read.go
+++ b/internal/transport/sessioner/read.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"oleanderpulley/internal/coordination/fencer"
 	"oleanderpulley/internal/protocol/requester"
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
@@ -16,16 +17,17 @@
 // gets a transaction of its own, because a server that has lost leadership would
 // run a plain read as a replica.
 func (n *session) readPrimary(o operation, rs resolvedStatement) requester.Result {
-	return n.runOnPrimary(o, false, func(c *lender.Conn) (requester.Result, error) {
+	return n.runOnPrimary(o, false, func(c *lender.Conn, p fencer.Permit) (requester.Result, error) {
 		return n.runOnConn(c, o, rs, func(c *lender.Conn, rs resolvedStatement) (requester.Result, error) {
-			return n.readFromLeader(c, o.deadline, rs.statement)
+			return n.readFromLeader(c, p, o.deadline, rs.statement)
 		})
 	})
 }
 
-// readFromLeader runs a read if the server leads. A read may be repeated, so
-// every error is a [lender.ErrNotSent].
-func (n *session) readFromLeader(c *lender.Conn, deadline time.Time, read requester.Statement) (requester.Result, error) {
+// readFromLeader runs a read if the server leads and the permit is still held
+// when the read is answered. A read may be repeated, so every error is a
+// [lender.ErrNotSent].
+func (n *session) readFromLeader(c *lender.Conn, p fencer.Permit, deadline time.Time, read requester.Statement) (requester.Result, error) {
 	sentAt := time.Now()
 	r, err := c.Run(deadline, requester.Statement{Kind: requester.Begin})
 	if err != nil {
@@ -34,7 +36,9 @@
 	if r.Code != requester.OK {
 		return r, nil
 	}
-	n.server.recordLeader(c, r, sentAt)
+	if err := n.server.recordLeader(c, p, r, sentAt); err != nil {
+		return r, errors.Wrap(lender.ErrNotSent, err.Error())
+	}
 	if err := c.Send(deadline, read, requester.Statement{Kind: requester.Rollback}); err != nil {
 		return r, errors.Wrap(lender.ErrNotSent, err.Error())
 	}
@@ -45,6 +49,9 @@
 	if _, err = c.Receive(deadline); err != nil {
 		c.MarkBroken()
 	}
+	if r.Code == requester.OK && !n.server.Fencer.IsHeld(p) {
+		return r, errors.Wrapf(lender.ErrNotSent, "server %s: %v", c.Server.ID, errFenced)
+	}
 	return r, nil
 }
 
@@ -67,10 +74,13 @@
 // server, it is retried on one other server.
 func (n *session) runOnReaders(o operation, run func(b cataloger.BackendServer, f floor, attempt int) (requester.Result, error)) requester.Result {
 	var tried []identifier.BackendServerID
-	last := n.unreachedRefusal(requester.Lagging, "no primary showed a position in time")
+	last := n.unreachedRefusal(requester.Lagging, errNoSample.Error())
 	for time.Now().Before(o.deadline) {
-		f, ok := n.floor(o)
-		if !ok {
+		f, err := n.floor(o)
+		if errors.Is(err, errProofTooOld) {
+			return n.unreachedRefusal(requester.Overloaded, err.Error())
+		}
+		if err != nil {
 			return last
 		}
 		b, ok := n.nextReader(o, f.age, tried)
--- a/internal/transport/sessioner/run.go
+++ b/internal/transport/sessioner/run.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"oleanderpulley/internal/coordination/fencer"
 	"oleanderpulley/internal/protocol/requester"
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/transport/lender"
@@ -16,31 +17,38 @@
 
 // write runs a write outside a transaction on the primary.
 func (n *session) write(o operation, rs resolvedStatement) requester.Result {
-	return n.runOnPrimary(o, false, func(c *lender.Conn) (requester.Result, error) {
+	return n.runOnPrimary(o, false, func(c *lender.Conn, p fencer.Permit) (requester.Result, error) {
 		return n.runOnConn(c, o, rs, func(c *lender.Conn, rs resolvedStatement) (requester.Result, error) {
 			sentAt := time.Now()
 			r, err := c.Run(o.deadline, rs.statement)
-			if err == nil && r.Code == requester.OK {
-				n.server.recordLeader(c, r, sentAt)
-				n.lastCommit, n.lastCommitAt = r.Position, sentAt
+			if err != nil || r.Code != requester.OK {
+				return r, err
 			}
-			return r, err
+			if err := n.server.recordLeader(c, p, r, sentAt); err != nil {
+				return r, err
+			}
+			n.lastCommit, n.lastCommitAt = r.Position, sentAt
+			return r, nil
 		})
 	})
 }
 
-// runOnPrimary calls run with a connection to the primary and retries as long as
-// the statement is known not to have run. The run function returns the
+// runOnPrimary calls run with a connection to the primary and the permit to use
+// it, and retries as long as the statement is known not to have run. The run
+// function must check the permit after each answer; it returns the
 // connection to the lender, unless it keeps a pinned one. It returns
 // [lender.ErrNotSent] if the call may be repeated.
-func (n *session) runOnPrimary(o operation, pinned bool, run func(*lender.Conn) (requester.Result, error)) requester.Result {
-	last := n.unreachedRefusal(requester.Overloaded, "no primary is known")
+func (n *session) runOnPrimary(o operation, pinned bool, run func(*lender.Conn, fencer.Permit) (requester.Result, error)) requester.Result {
+	var last requester.Result
 	for first := true; first || time.Now().Before(o.waitDeadline); first = false {
-		p, ok := n.server.awaitPrimary(o)
-		if !ok {
+		b, permit, err := n.server.awaitPrimary(o)
+		if err != nil && first {
+			return n.unreachedRefusal(requester.Overloaded, err.Error())
+		}
+		if err != nil {
 			return last
 		}
-		c, err := n.borrowPrimary(o, p, pinned)
+		c, err := n.borrowPrimary(o, b, permit, pinned)
 		if err != nil {
 			last = n.borrowRefusal(err)
 			if errors.Is(err, lender.ErrNoConnection) || !time.Now().Before(o.searchDeadline) {
@@ -49,7 +57,7 @@
 			n.pauseAfter(err, o)
 			continue
 		}
-		r, err := run(c)
+		r, err := run(c, permit)
 		switch {
 		case errors.Is(err, lender.ErrNotSent):
 			last = n.refusal(requester.Overloaded, err.Error())
@@ -59,7 +67,7 @@
 		case err != nil:
 			return n.refusal(requester.OutcomeUnknown, err.Error())
 		case r.Code == requester.ReadOnly:
-			n.server.Balancer.RecordNotLeading(p.Service, p.ID)
+			n.server.Balancer.RecordNotLeading(b.Service, b.ID)
 			last = r
 		case r.Code.NotRun():
 			last = r
@@ -82,9 +90,10 @@
 
 // pauseAfter waits for a change of the leader or for [retryPause] after an
 // attempt without a connection. If the server answered that it does not lead,
-// the next attempt starts at once.
+// or if the permission to use it
+// has ended, the next attempt starts at once.
 func (n *session) pauseAfter(err error, o operation) {
-	if !errors.Is(err, errNotLeading) {
+	if !errors.Is(err, errNotLeading) && !errors.Is(err, errFenced) {
 		waitWithin(n.server.Balancer.LeaderChanged(o.route.Service), retryPause, o.waitDeadline)
 	}
 }
@@ -109,20 +118,28 @@
 // older than [verifyAfter], it first verifies that the server still answers and
 // leads. A pinned connection needs no such check, because the BEGIN of its
 // transaction has the same effect.
-func (n *session) borrowPrimary(o operation, p cataloger.BackendServer, pinned bool) (*lender.Conn, error) {
-	c, err := n.borrow(o, n.connRequest(o, p, pinned, o.waitDeadline))
+func (n *session) borrowPrimary(o operation, b cataloger.BackendServer, p fencer.Permit, pinned bool) (*lender.Conn, error) {
+	s := n.server
+	c, err := n.borrow(o, n.connRequest(o, b, pinned, o.waitDeadline))
 	if err != nil {
-		o.trace.addAttempt(p.ID, requester.Result{}, err, time.Since(o.arrived))
+		o.trace.addAttempt(b.ID, requester.Result{}, err, time.Since(o.arrived))
 		if errors.Is(err, lender.ErrUnreachable) || (pinned && !errors.Is(err, lender.ErrNoConnection)) {
-			n.server.Balancer.RecordNotLeading(p.Service, p.ID)
+			s.Balancer.RecordNotLeading(b.Service, b.ID)
 		}
 		return nil, err
 	}
-	if pinned || time.Since(c.LastAnswer) < verifyAfter {
-		return c, nil
+	if !pinned && time.Since(c.LastAnswer) >= verifyAfter {
+		err = s.confirmLeader(c)
 	}
-	if err := n.server.confirmLeader(c); err != nil {
-		n.server.Lender.Return(c)
+	if err == nil && !p.Allows(b.ID) {
+		s.Balancer.RecordNotLeading(b.Service, b.ID)
+		err = errors.Wrapf(errNotLeading, "server %s was replaced", b.ID)
+	}
+	if err == nil && !s.Fencer.IsHeld(p) { // It may have ended during the wait for the connection.
+		err = errors.Wrapf(errFenced, "server %s", b.ID)
+	}
+	if err != nil {
+		s.Lender.Return(c)
 		return nil, err
 	}
 	return c, nil
--- a/internal/transport/sessioner/server.go
+++ b/internal/transport/sessioner/server.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"oleanderpulley/internal/coordination/balancer"
+	"oleanderpulley/internal/coordination/fencer"
 	"oleanderpulley/internal/protocol/requester"
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
@@ -42,9 +43,10 @@
 }
 
 // Server holds the state that all sessions of an instance share. Holder,
-// Lender, Balancer and Admit are required.
+// Fencer, Lender, Balancer and Admit are required.
 type Server struct {
 	Holder   *cataloger.Holder
+	Fencer   *fencer.Fencer
 	Lender   *lender.Lender
 	Balancer *balancer.Balancer
 	Registry *reporter.Registry
--- a/internal/transport/sessioner/status.go
+++ b/internal/transport/sessioner/status.go
@@ -15,8 +15,8 @@
 // its status.
 var ErrNoStatus = errors.New("backend server returned no status")
 
-// ConfirmLeader verifies that a backend server leads its service. On success
-// the answer is recorded as a position sample.
+// ConfirmLeader verifies that a backend server leads its service. If this
+// instance may use the primary, the answer is recorded as a position sample.
 func (s *Server) ConfirmLeader(b cataloger.BackendServer) error {
 	return s.borrowAndConfirm(b, s.anyWorkspace())
 }
--- a/internal/transport/sessioner/transaction.go
+++ b/internal/transport/sessioner/transaction.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"oleanderpulley/internal/coordination/fencer"
 	"oleanderpulley/internal/protocol/requester"
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/transport/lender"
@@ -15,6 +16,7 @@
 	kind      requester.Kind // Begin or BeginReadOnly, as the client requested.
 	onPrimary bool           // Opened on the primary, with [requester.Begin].
 	conn      *lender.Conn
+	permit    fencer.Permit      // To use the primary, if onPrimary is set and conn is not nil.
 	remote    *remoteTransaction // Set while the transaction is open on a peer.
 	wrote     bool
 	failed    bool
@@ -82,6 +84,9 @@
 			return n.fail(rs.statement.ID, r)
 		}
 	}
+	if !n.mayUseConn() {
+		return n.fail(rs.statement.ID, n.refusal(requester.Aborted, errReplacing.Error()))
+	}
 	rs, err := n.prepareConn(n.tx.conn, o.deadline, rs)
 	if err != nil {
 		return n.fail(rs.statement.ID, n.refusal(requester.Aborted, err.Error()))
@@ -97,8 +102,15 @@
 	return r
 }
 
+// mayUseConn reports whether a statement of the transaction may still be sent on
+// its connection.
+func (n *session) mayUseConn() bool {
+	return !n.tx.onPrimary || n.server.Fencer.IsHeld(n.tx.permit)
+}
+
 // runInTransaction runs a statement on the transaction's connection and reports
-// to the balancer what the answer shows about the server.
+// to the balancer what the answer shows about the server. It returns errFenced
+// if the permission to use the primary ended before the answer.
 func (n *session) runInTransaction(o operation, st requester.Statement) (requester.Result, error) {
 	s, c := n.server, n.tx.conn
 	s.Balancer.Start(c.Server.ID)
@@ -114,7 +126,7 @@
 	case r.Code == requester.OK && n.tx.onPrimary && (n.tx.wrote || st.Kind != requester.Commit):
 		// The commit of a transaction without writes does not prove
 		// leadership: a server that has lost it still accepts the commit.
-		s.recordLeader(c, r, sentAt)
+		return r, s.recordLeader(c, n.tx.permit, r, sentAt)
 	case r.Code == requester.ReadOnly:
 		s.Balancer.RecordNotLeading(c.Server.Service, c.Server.ID)
 	}
