internal/coordination/follower: an instance registers again when the store came back from a copy

Cause (TestStoreThatComesBackOlder, failing before: the registration was not back within 10 s): an instance that gets its catalog from a relay was kept in it, because the relay retains instances that have vanished from the store. Now the first round after a new era registers the instance and reads the lists from the store.

--- a/internal/coordination/follower/relay.go
+++ b/internal/coordination/follower/relay.go
@@ -91,7 +91,7 @@
 // before the request was sent. While a connection to the relay is opened and the
 // own proof is recent, the round ends with [ErrConnecting].
 func (f *Follower) updateFromRelay(ctx context.Context) (done bool, err error) {
-	if f.Relay == nil || !f.isCatalogComplete() || f.failures > 0 {
+	if f.Relay == nil || !f.isCatalogComplete() || !f.joined || f.failures > 0 {
 		return false, nil
 	}
 	sent := f.Holder.Clock()
--- a/internal/coordination/replacer/model_test.go
+++ b/internal/coordination/replacer/model_test.go
@@ -115,19 +115,18 @@
 }
 
 type modelInstance struct {
-	m           *model
-	id          identifier.InstanceID
-	holder      cataloger.Holder
-	fencer      fencer.Fencer
-	replacer    replacer.Replacer
-	awake       chan struct{} // Closed while the instance is awake.
-	cutPeers    bool
-	cutStore    bool
-	cutFrom     *modelServer // A server that the instance does not reach.
-	lastLed     time.Time
-	ledBy       identifier.BackendServerID
-	ledTerm     identifier.Term
-	lastCatalog uint64
+	m        *model
+	id       identifier.InstanceID
+	holder   cataloger.Holder
+	fencer   fencer.Fencer
+	replacer replacer.Replacer
+	awake    chan struct{} // Closed while the instance is awake.
+	cutPeers bool
+	cutStore bool
+	cutFrom  *modelServer // A server that the instance does not reach.
+	lastLed  time.Time
+	ledBy    identifier.BackendServerID
+	ledTerm  identifier.Term
 }
 
 func newModel(seed uint64, fenced bool, d defect) *model {
