--- a/internal/command/starter/fixture_test.go
+++ b/internal/command/starter/fixture_test.go
@@ -63,7 +63,7 @@
 		routeSpec("booking", "primary", false), routeSpec("catalogue", "bounded_staleness", false),
 		routeSpec("ledger", "read_own_writes", false), routeSpec("shelf", "bounded_staleness", true),
 	}
-	p.tenants = []map[string]any{tenantSpec("shops", 1000, "key-1", "key-2"), tenantSpec("fitters", 1000, "key-3")}
+	p.tenants = []map[string]any{tenantSpec("shops", "key-1", "key-2"), tenantSpec("fitters", "key-3")}
 	p.registerServers()
 	p.writeConfiguration()
 	return p
@@ -76,8 +76,8 @@
 	}
 }
 
-func tenantSpec(name string, rate float64, keys ...string) map[string]any {
-	return map[string]any{"name": name, "apiKeys": keys, "ratePerS": rate, "burst": rate}
+func tenantSpec(name string, keys ...string) map[string]any {
+	return map[string]any{"name": name, "apiKeys": keys, "ratePerS": 1000, "burst": 1000}
 }
 
 // registerServers writes the store entry of each server, with the role that the
--- a/internal/command/starter/session_test.go
+++ b/internal/command/starter/session_test.go
@@ -127,7 +127,7 @@
 		p.routes = p.routes[1:]
 		p.applyConfiguration()
 	case "withdraw":
-		p.tenants[0] = tenantSpec("shops", 1000, "key-2")
+		p.tenants[0] = tenantSpec("shops", "key-2")
 		p.applyConfiguration()
 	default:
 		p.t.Fatalf("unknown event %q", event)
