internal/bench/soaker: a platform without fences, a store that comes back from a copy

The soak plays a primary that leads on after its replacement and a platform that checks no fencing tokens (-unfenced), and draws in both modes a store that comes back from a copy, promotions that are executed late, and a primary that is cut off from all, also while an instance is paused. It checks that no acknowledged write was committed by a replaced primary, that reads run on a log of the required term, and that fencing tokens neither fall nor have two holders.

Ports now come from below the range of outgoing connections.

--- a/internal/bench/soaker/check.go
+++ b/internal/bench/soaker/check.go
@@ -34,6 +34,8 @@
 		}
 	}
 	r.Broken = append(r.Broken, h.checkWrites(commits)...)
+	r.Broken = append(r.Broken, h.checkPrimaries(commits)...)
+	r.Broken = append(r.Broken, checkTokens(e.store.Promotions())...)
 	r.Broken = append(r.Broken, h.checkKeys(runs, e.withdrawn)...)
 	r.Broken = append(r.Broken, h.checkReads(runs, commits)...)
 	r.Broken = append(r.Broken, h.checkRates(runs)...)
@@ -67,6 +69,44 @@
 	return broken
 }
 
+// checkPrimaries checks that no write is acknowledged that a primary committed
+// after another had been promoted.
+func (h *history) checkPrimaries(commits []imitator.Commit) []string {
+	byWrite := map[string]operation{}
+	for _, o := range h.operations {
+		for _, id := range o.writeIDs {
+			byWrite[id] = o
+		}
+	}
+	var broken []string
+	for _, c := range commits {
+		for _, id := range c.IDs {
+			if o, ok := byWrite[id]; ok && c.Replaced && o.outcome == acknowledged {
+				broken = append(broken, fmt.Sprintf("one: write %s was acknowledged, though a replaced primary committed it", id))
+			}
+		}
+	}
+	return broken
+}
+
+// checkTokens checks that the fencing tokens of promotions never fall and that no
+// two instances use the same one.
+func checkTokens(promotions []imitator.Promotion) []string {
+	var broken []string
+	holders := map[uint64]string{}
+	highest := uint64(0)
+	for _, p := range promotions {
+		if p.Token < highest {
+			broken = append(broken, fmt.Sprintf("token: %s used %d after %d", p.Holder, p.Token, highest))
+		}
+		if holder, used := holders[p.Token]; used && holder != p.Holder {
+			broken = append(broken, fmt.Sprintf("token: %d was used by %s and %s", p.Token, holder, p.Holder))
+		}
+		highest, holders[p.Token] = max(highest, p.Token), p.Holder
+	}
+	return broken
+}
+
 // checkKeys checks that each statement runs in the workspace of its key, and that
 // none runs that was sent more than withdrawalDelay after its key was withdrawn.
 func (h *history) checkKeys(runs []imitator.Execution, withdrawn map[string]time.Time) []string {
@@ -99,11 +139,11 @@
 // commit that was acknowledged before the time of [operation.mustReflect]. On the
 // route read_own_writes, the log must also have the last write of the session.
 func (h *history) checkReads(runs []imitator.Execution, commits []imitator.Commit) []string {
-	commitNumbers := map[string]uint64{}
+	commitNumbers, terms := map[string]uint64{}, map[uint64]uint64{}
 	for _, c := range commits {
 		for _, id := range c.IDs {
 			if !c.Discarded {
-				commitNumbers[id] = c.Number
+				commitNumbers[id], terms[c.Number] = c.Number, c.Term
 			}
 		}
 	}
@@ -119,9 +159,9 @@
 		if o.database == "read_own_writes" {
 			required = max(required, commitNumbers[o.lastWrite])
 		}
-		if run.Received < required {
-			broken = append(broken, fmt.Sprintf("stale: read %s on route %s ran at server %s after commit %d, required is commit %d",
-				run.ID, o.database, run.Server, run.Received, required))
+		if run.Received < required || run.Term < terms[required] {
+			broken = append(broken, fmt.Sprintf("stale: read %s on route %s ran at server %s after commit %d of term %d, required is commit %d of term %d",
+				run.ID, o.database, run.Server, run.Received, run.Term, required, terms[required]))
 		}
 	}
 	return broken
--- a/internal/bench/soaker/check_test.go
+++ b/internal/bench/soaker/check_test.go
@@ -56,11 +56,21 @@
 			commits: []imitator.Commit{{IDs: []string{"w"}, Number: 4}},
 			runs:    []imitator.Execution{{ID: "r", Text: "READ item", Received: 3}}, want: "stale",
 		},
+		"stale log of a replaced primary": {
+			history: []operation{write("w", acknowledged), read("bounded_staleness")},
+			commits: []imitator.Commit{{IDs: []string{"w"}, Number: 4, Term: 2}},
+			runs:    []imitator.Execution{{ID: "r", Workspace: "shops", Text: "READ item", Received: 9, Term: 1}}, want: "stale",
+		},
+		"replaced primary": {
+			history: []operation{write("w", acknowledged)},
+			commits: []imitator.Commit{{IDs: []string{"w"}, Number: 4, Replaced: true}}, want: "one",
+		},
 		"rate": {history: floodOperations(300), runs: floodRuns(300), want: "rate"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := &history{operations: test.history}
 			broken := h.checkWrites(test.commits)
+			broken = append(broken, h.checkPrimaries(test.commits)...)
 			broken = append(broken, h.checkKeys(test.runs, test.withdrawn)...)
 			broken = append(broken, h.checkReads(test.runs, test.commits)...)
 			broken = append(broken, h.checkRates(test.runs)...)
@@ -70,6 +80,14 @@
 	}
 }
 
+// Guards against a check that accepts a falling token or one with two holders.
+func TestCheckTokens(t *testing.T) {
+	one := imitator.Promotion{Holder: "one", Token: 4}
+	qt.Assert(t, checkTokens([]imitator.Promotion{one, one, {Holder: "two", Token: 5}}), qt.HasLen, 0)
+	qt.Assert(t, checkTokens([]imitator.Promotion{one, {Holder: "two", Token: 4}}), qt.HasLen, 1)
+	qt.Assert(t, checkTokens([]imitator.Promotion{one, {Holder: "two", Token: 3}}), qt.HasLen, 1)
+}
+
 // Guards against false reports: a read need not reflect a commit that a promotion
 // discarded, nor one that is newer than the staleness bound of the route.
 func TestChecksAcceptAllowedStaleness(t *testing.T) {
--- a/internal/bench/soaker/environment.go
+++ b/internal/bench/soaker/environment.go
@@ -48,6 +48,7 @@
 		withdrawn: map[string]time.Time{},
 	}
 	e.group.Service = "rentals"
+	e.group.Unfenced, e.store.Unfenced = s.Unfenced, s.Unfenced
 	e.store.Promote = func(_, id string) bool {
 		promoted := e.group.Promote(id)
 		e.registerServers()
@@ -95,6 +96,18 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.configVersion++
+	e.putConfiguration()
+}
+
+// rewriteConfiguration writes the present version again.
+func (e *environment) rewriteConfiguration() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.putConfiguration()
+}
+
+// putConfiguration writes the present version. The caller holds mu.
+func (e *environment) putConfiguration() {
 	var tenants []any
 	for _, name := range []string{"shops", "fitters", "desks"} {
 		valid := []string{}
--- a/internal/bench/soaker/fault.go
+++ b/internal/bench/soaker/fault.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -22,6 +23,7 @@
 	withdrawalCut = withdrawalDelay + 4*time.Second // Partition from the store around the withdrawal of a key.
 	restartDelay  = 500 * time.Millisecond          // Time from a kill to the restart.
 	gracePeriod   = 3 * time.Second
+	minPartition  = 2500 * time.Millisecond // Long enough for a replacement of the primary to begin.
 )
 
 // fault is one kind of fault. The function inject returns when the fault is over.
@@ -31,7 +33,7 @@
 	inject func(e *environment, random *rand.Rand, duration time.Duration)
 }
 
-var faults = []fault{
+var commonFaults = []fault{
 	{"kill", func(e *environment, r *rand.Rand, _ time.Duration) { e.restart(e.randomInstance(r), syscall.SIGKILL) }},
 	{"stop", func(e *environment, r *rand.Rand, _ time.Duration) { e.restart(e.randomInstance(r), syscall.SIGTERM) }},
 	{"pause", func(e *environment, r *rand.Rand, duration time.Duration) {
@@ -104,6 +106,24 @@
 		e.members[id].PauseReplication(false)
 	}},
 	{"answers lost", func(e *environment, r *rand.Rand, _ time.Duration) { e.members[e.randomServer(r)].DropAnswers(3) }},
+	{"key withdrawn", func(e *environment, _ *rand.Rand, _ time.Duration) { e.withdrawNextKey() }},
+	{"configuration", func(e *environment, _ *rand.Rand, _ time.Duration) { e.writeConfiguration() }},
+	{"store back from a copy", func(e *environment, _ *rand.Rand, duration time.Duration) { e.restoreStore(duration) }},
+	{"promotions executed late", func(e *environment, _ *rand.Rand, duration time.Duration) { e.store.DelayPromotions(1, duration/2) }},
+	{"primary unresponsive", func(e *environment, _ *rand.Rand, duration time.Duration) {
+		e.partitionPrimary(duration)
+	}},
+	{"primary unresponsive during a pause", func(e *environment, r *rand.Rand, duration time.Duration) {
+		p := e.randomInstance(r)
+		p.Signal(syscall.SIGSTOP)
+		e.partitionPrimary(duration)
+		p.Signal(syscall.SIGCONT)
+	}},
+}
+
+// promotionFaults replace the primary without the instances, as only a platform
+// that ends the old primary may do.
+var promotionFaults = []fault{
 	{"promotion", func(e *environment, r *rand.Rand, _ time.Duration) {
 		e.group.Promote(e.randomServer(r))
 		e.registerServers()
@@ -125,13 +145,19 @@
 		time.Sleep(duration)
 		previous.PauseReplication(false)
 	}},
-	{"key withdrawn", func(e *environment, _ *rand.Rand, _ time.Duration) { e.withdrawNextKey() }},
-	{"configuration", func(e *environment, _ *rand.Rand, _ time.Duration) { e.writeConfiguration() }},
+}
+
+// faults returns the faults that a run draws from.
+func (s Soak) faults() []fault {
+	if s.Unfenced {
+		return commonFaults
+	}
+	return slices.Concat(commonFaults, promotionFaults)
 }
 
 // injectFaults injects random faults for the given time and returns the start time
 // and name of each. Faults may overlap.
-func (e *environment) injectFaults(ctx context.Context, random *rand.Rand, length time.Duration) []string {
+func (e *environment) injectFaults(ctx context.Context, faults []fault, random *rand.Rand, length time.Duration) []string {
 	var names []string
 	var running sync.WaitGroup
 	start := time.Now()
@@ -161,6 +187,33 @@
 	return previous
 }
 
+// partitionPrimary cuts the primary off from the instances and from its replicas
+// for at least minPartition. Its connections are silent afterwards.
+func (e *environment) partitionPrimary(duration time.Duration) {
+	id := e.group.Primary()
+	if id == "" {
+		return
+	}
+	e.members[id].PauseReplication(true)
+	e.proxies[id].BlackholeFor(max(duration, minPartition))
+	time.Sleep(minDuration)
+	e.members[id].PauseReplication(false)
+}
+
+// restoreStore makes the store come back from a copy that is as old as the
+// duration. The operator and the backend servers then write again.
+func (e *environment) restoreStore(duration time.Duration) {
+	c := e.store.Copy()
+	time.Sleep(duration)
+	e.store.SetAway(true)
+	time.Sleep(minDuration)
+	e.store.Restore(c)
+	e.store.SetAway(false)
+	time.Sleep(minDuration)
+	e.registerServers()
+	e.rewriteConfiguration()
+}
+
 func (e *environment) randomInstance(r *rand.Rand) *stager.Process {
 	return e.instances[r.IntN(len(e.instances))]
 }
--- a/internal/bench/soaker/soaker.go
+++ b/internal/bench/soaker/soaker.go
@@ -32,6 +32,9 @@
 	Clients   int
 	Length    time.Duration // Of the time with faults.
 	Logs      string        // Directory for the logs of a failed run; "" discards them.
+	// Unfenced plays a platform that checks no fencing tokens and a primary that
+	// leads on after it was replaced.
+	Unfenced bool
 }
 
 // Report is the result of a run.
@@ -88,7 +91,7 @@
 		c := &client{environment: e, history: h, number: i, random: rand.New(rand.NewPCG(s.Seed, uint64(i)+100))}
 		clients.Go(func() { c.run(stop) })
 	}
-	faults := e.injectFaults(ctx, rand.New(rand.NewPCG(s.Seed, 1)), s.Length)
+	faults := e.injectFaults(ctx, s.faults(), rand.New(rand.NewPCG(s.Seed, 1)), s.Length)
 	sleep(ctx, recoveryTime)
 	close(stop)
 	clients.Wait()
--- a/internal/bench/stager/process.go
+++ b/internal/bench/stager/process.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -87,17 +88,30 @@
 // freeAddresses returns loopback addresses whose ports were free during the call.
 func freeAddresses(count int) ([]string, error) {
 	var addresses []string
-	for range count {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			return nil, errors.Wrap(err, "listening on a free loopback port")
+	var err error
+	for range maxPortAttempts {
+		if len(addresses) == count {
+			return addresses, nil
+		}
+		var l net.Listener
+		address := fmt.Sprint("127.0.0.1:", firstPort+rand.IntN(portCount))
+		if l, err = net.Listen("tcp4", address); err != nil {
+			continue
 		}
 		defer func() { _ = l.Close() }()
-		addresses = append(addresses, l.Addr().String())
+		addresses = append(addresses, address)
 	}
-	return addresses, nil
+	return nil, errors.Wrap(err, "listening on a free loopback port")
 }
 
+// Ports of the processes. They are below those that the kernel gives to outgoing
+// connections, one of which could take the port before its process listens.
+const (
+	firstPort       = 20_000
+	portCount       = 12_000
+	maxPortAttempts = 100
+)
+
 // StartAll starts the processes and waits until all of them are ready. It
 // returns [ErrNotReady] with the names of the instances that are not ready within
 // the start timeout.
