internal/coordination/replacer: in a partition the side that reaches the store replaces the primary

The majority was needed because instances that do not answer may still use the primary; permits see to that now.

Change: while the primary is registered, a replacement takes a peer that answers and a server of the service that this instance reaches, in place of a majority. An instance that is cut off alone still replaces nothing.

--- a/internal/coordination/fencer/fencer.go
+++ b/internal/coordination/fencer/fencer.go
@@ -6,10 +6,16 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
 )
 
+// ErrNotLeading reports that a backend server answered that it does not lead, or
+// that it was replaced.
+var ErrNotLeading = errors.New("backend server does not lead")
+
 // Validity is the maximum age of the proof under which an instance may use a
 // primary. It is longer than the period of the proofs, so that an instance keeps
 // its permission when one of them is late. An instance that replaces a primary
--- a/internal/coordination/replacer/replacer.go
+++ b/internal/coordination/replacer/replacer.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"oleanderpulley/internal/coordination/fencer"
 	"oleanderpulley/internal/protocol/requester"
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
@@ -70,8 +71,9 @@
 	// LastLed returns the server that was last seen leading a service, its
 	// term, and when it was seen.
 	LastLed func(identifier.ServiceName) (identifier.BackendServerID, identifier.Term, time.Time)
-	// Confirm queries a server whether it leads. It returns an error unless the
-	// server leads.
+	// Confirm queries a server whether it leads. It returns [fencer.ErrNotLeading] if
+	// the server answers that it does not, and another error if it does not
+	// answer.
 	Confirm func(cataloger.BackendServer) error
 	// Status queries a server for its role and log position.
 	Status func(cataloger.BackendServer) (requester.ServerStatus, error)
@@ -127,18 +129,17 @@
 }
 
 // allowsReplacement reports whether a primary that this instance cannot reach
-// may be replaced. While a primary is registered, a majority of the instances
-// has to answer, because those that do not may still reach it. Once its entry
-// has lapsed, every instance that reaches the store has stopped using it, so a
-// minority that is partitioned from the others may replace it.
-func (s PeerSightings) allowsReplacement(registered bool) bool {
-	return !s.Led && (!registered || s.isMajority())
-}
-
-// isMajority reports whether more than half of the instances answered, counting
-// this one.
-func (s PeerSightings) isMajority() bool {
-	return 2*(s.Answered+1) > s.Asked+1
+// may be replaced, although instances that did not answer may still reach it.
+// While the primary is registered, it takes a peer that answers and a server of
+// the service that this instance reaches: an instance that is cut off alone must
+// not end the use of a primary that serves the others. In a partition, the side
+// that reaches the store replaces the primary, however few its instances are.
+func (s PeerSightings) allowsReplacement(registered bool, serversReached int) bool {
+	if s.Led {
+		return false
+	}
+	isAlone := s.Asked > 0 && s.Answered == 0
+	return !registered || (!isAlone && serversReached > 0)
 }
 
 // serviceWatch is the monitoring state of one service.
@@ -263,7 +264,8 @@
 		w.silentSince = time.Time{}
 		return
 	}
-	if r.anyServerLeads(c, service) {
+	leads, reached := r.queryServers(c, service)
+	if leads {
 		w.silentSince = time.Time{}
 		return
 	}
@@ -277,9 +279,9 @@
 		return
 	}
 	sight := r.QueryPeers(ctx, service, now.Add(-peerSightingWindow))
-	if !sight.allowsReplacement(hasSelfDeclaredPrimary(c.Servers[service])) {
+	if !sight.allowsReplacement(hasSelfDeclaredPrimary(c.Servers[service]), reached) {
 		r.Logger.Info().Str("event", "replacement_withheld").Str("service", string(service)).
-			Int("peers_asked", sight.Asked).Int("peers_answered", sight.Answered).Bool("led", sight.Led).Send()
+			Int("peers_asked", sight.Asked).Int("peers_answered", sight.Answered).Bool("led", sight.Led).Int("servers_reached", reached).Send()
 		w.pausedUntil = now.Add(retryDelay)
 		return
 	}
@@ -341,18 +343,28 @@
 	return lastLed
 }
 
-// anyServerLeads queries the servers of a service concurrently and returns as
-// soon as one that was not replaced answers that it leads.
-func (r *Replacer) anyServerLeads(c *cataloger.Catalog, service identifier.ServiceName) bool {
-	leads := make(chan bool, len(c.Servers[service]))
+// queryServers queries the servers of a service concurrently. It returns true as
+// soon as one that was not replaced answers that it leads, and otherwise the
+// number of servers that answered.
+func (r *Replacer) queryServers(c *cataloger.Catalog, service identifier.ServiceName) (leads bool, reached int) {
+	answers := make(chan error, len(c.Servers[service]))
 	leader := r.Record(service).Server
 	for _, b := range c.Servers[service] {
-		go func() { leads <- (leader == "" || leader == b.ID) && r.Confirm(b) == nil }()
+		go func() {
+			err := r.Confirm(b)
+			if err == nil && leader != "" && leader != b.ID {
+				err = fencer.ErrNotLeading
+			}
+			answers <- err
+		}()
 	}
 	for range c.Servers[service] {
-		if <-leads {
-			return true
+		switch err := <-answers; {
+		case err == nil:
+			return true, reached
+		case errors.Is(err, fencer.ErrNotLeading):
+			reached++
 		}
 	}
-	return false
+	return false, reached
 }
--- a/internal/transport/sessioner/primary.go
+++ b/internal/transport/sessioner/primary.go
@@ -30,9 +30,6 @@
 )
 
 var (
-	// errNotLeading reports that a backend server answered that it does not
-	// lead, or that it was replaced.
-	errNotLeading = errors.New("backend server does not lead")
 	// errFenced reports an answer of a primary that arrived after this instance
 	// had lost the permission to use it. Another primary may have been promoted
 	// before the statement ran.
@@ -90,7 +87,7 @@
 // confirmLeader verifies that the server on the connection leads, by opening and
 // rolling back a transaction. If this instance may use the primary, the answer is
 // recorded as a position sample; otherwise it says nothing about whether the
-// server was replaced. It returns errNotLeading, or the error of the connection.
+// server was replaced. It returns [fencer.ErrNotLeading], or the error of the connection.
 func (s *Server) confirmLeader(c *lender.Conn) error {
 	permit, permitted := s.Fencer.Permit(c.Server.Service)
 	sentAt := time.Now()
@@ -109,7 +106,7 @@
 	}
 	if r.Code != requester.OK || (permitted && !permit.Allows(c.Server.ID)) {
 		s.Balancer.RecordNotLeading(c.Server.Service, c.Server.ID)
-		return errNotLeading
+		return fencer.ErrNotLeading
 	}
 	if permitted {
 		if err := s.recordLeader(c, permit, r, sentAt); err != nil {
@@ -128,7 +125,7 @@
 	}
 	defer s.Lender.Return(c)
 	err = s.confirmLeader(c)
-	if err != nil && !errors.Is(err, errNotLeading) {
+	if err != nil && !errors.Is(err, fencer.ErrNotLeading) {
 		s.Balancer.Unreachable(b.ID)
 	}
 	return err
--- a/internal/transport/sessioner/run.go
+++ b/internal/transport/sessioner/run.go
@@ -93,7 +93,7 @@
 // or if the permission to use it
 // has ended, the next attempt starts at once.
 func (n *session) pauseAfter(err error, o operation) {
-	if !errors.Is(err, errNotLeading) && !errors.Is(err, errFenced) {
+	if !errors.Is(err, fencer.ErrNotLeading) && !errors.Is(err, errFenced) {
 		waitWithin(n.server.Balancer.LeaderChanged(o.route.Service), retryPause, o.waitDeadline)
 	}
 }
@@ -133,7 +133,7 @@
 	}
 	if err == nil && !p.Allows(b.ID) {
 		s.Balancer.RecordNotLeading(b.Service, b.ID)
-		err = errors.Wrapf(errNotLeading, "server %s was replaced", b.ID)
+		err = errors.Wrapf(fencer.ErrNotLeading, "server %s was replaced", b.ID)
 	}
 	if err == nil && !s.Fencer.IsHeld(p) { // It may have ended during the wait for the connection.
 		err = errors.Wrapf(errFenced, "server %s", b.ID)
