internal/coordination/replacer: planned replacements begin in the order of ranks

When a primary drained, every instance read and wrote the record at the same moment. They now begin in the order of their ranks, as after a failure, so that the first announcement stops the others. A service without registered servers is not replaced: at the start of a fleet an announcement ended the use of the primary before it had registered.

--- a/internal/coordination/replacer/replacer.go
+++ b/internal/coordination/replacer/replacer.go
@@ -144,12 +144,14 @@
 
 // serviceWatch is the monitoring state of one service.
 type serviceWatch struct {
-	running        bool            // A check is in progress.
-	silentSince    time.Time       // When contact to the primary was lost; zero while it is reachable.
-	term           identifier.Term // Of the record under which silentSince was set.
-	replacing      uint64          // Revision of the newest known announcement of another instance.
-	replacingSince time.Time       // When this instance first knew that announcement.
-	lackingSince   time.Time       // When the catalog was first seen to lack the known record; zero while it has it.
+	running        bool                       // A check is in progress.
+	silentSince    time.Time                  // When contact to the primary was lost; zero while it is reachable.
+	term           identifier.Term            // Of the record under which silentSince was set.
+	replacing      uint64                     // Revision of the newest known announcement of another instance.
+	replacingSince time.Time                  // When this instance first knew that announcement.
+	draining       identifier.BackendServerID // The primary that was last seen draining.
+	drainingSince  time.Time
+	lackingSince   time.Time // When the catalog was first seen to lack the known record; zero while it has it.
 	pausedUntil    time.Time
 }
 
@@ -254,10 +256,15 @@
 		return
 	}
 	c := r.Catalog()
+	if len(c.Servers[service]) == 0 {
+		return // No server has registered yet that could become the primary.
+	}
 	id, term, lastLed := r.LastLed(service)
 	primary, registered := c.Server(service, id)
 	if registered && primary.Draining {
-		r.replacePrimary(ctx, service, w, known, &primary)
+		if w.drainingFor(id) >= RankDelay(service, r.Self, c.Instances) {
+			r.replacePrimary(ctx, service, w, known, &primary)
+		}
 		return
 	}
 	if registered && time.Since(lastLed) < recentLeadWindow {
@@ -305,6 +312,15 @@
 	return time.Since(w.replacingSince)
 }
 
+// drainingFor returns the time since this instance first saw that the primary
+// drains.
+func (w *serviceWatch) drainingFor(id identifier.BackendServerID) time.Duration {
+	if w.draining != id {
+		w.draining, w.drainingSince = id, time.Now()
+	}
+	return time.Since(w.drainingSince)
+}
+
 // restoreRecord writes the record of a finished replacement into the store if
 // the store lacks it, because its write failed or the store came back from an
 // older copy. It reports whether it has tried.
--- a/internal/coordination/replacer/replacer_test.go
+++ b/internal/coordination/replacer/replacer_test.go
@@ -431,3 +431,26 @@
 	qt.Assert(t, r.promote(context.Background(), p, "c"), qt.ErrorIs, errWindowPassed)
 	qt.Assert(t, s.calls, qt.HasLen, 0)
 }
+
+// Guards against a replacement that is announced before any server has
+// registered, which ends the use of the primary at the start of a fleet.
+func TestServiceWithoutServersIsNotReplaced(t *testing.T) {
+	s := newFakeService()
+	s.catalog.Servers = nil
+	qt.Assert(t, s.check(s.replacer(), &serviceWatch{silentSince: silentLongEnough()}), qt.HasLen, 0)
+}
+
+// Guards against calls of every instance to the store when a primary drains: they
+// begin in the order of their ranks, and the first one's announcement stops the
+// others.
+func TestPlannedReplacementsFollowTheRanks(t *testing.T) {
+	s := newFakeService()
+	s.catalog.Servers["rentals"][0].Draining = true
+	s.lastLed = time.Now()
+	r := s.replacer()
+	r.Self = "two"
+	w := &serviceWatch{}
+	qt.Assert(t, s.check(r, w), qt.HasLen, 0)
+	w.drainingSince = w.drainingSince.Add(-delayPerRank)
+	qt.Assert(t, len(s.check(r, w)) > 0, qt.IsTrue)
+}
