internal/coordination/replacer: a failed primary is noticed sooner and its permits last 2 s

Change: permits last 2 s. For that the store is asked each 0.8 s and a relay each 0.25 s, which costs no call of the store. A primary is queried after 0.4 s without a sign of it, and the peers are asked while that query is unanswered and not after it; 0.7 s of silence are enough for the first in rank.

--- a/internal/coordination/fencer/fencer.go
+++ b/internal/coordination/fencer/fencer.go
@@ -20,7 +20,7 @@
 // primary. It is longer than the period of the proofs, so that an instance keeps
 // its permission when one of them is late. An instance that replaces a primary
 // waits as long for instances that do not confirm.
-const Validity = 3 * time.Second
+const Validity = 2 * time.Second
 
 // Fencer holds the leadership records that this instance knows. Holder is
 // required. It is safe for concurrent use; checking a permit takes no lock and
--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -21,7 +21,8 @@
 var ErrNoConfiguration = errors.New("store holds no configuration")
 
 const (
-	defaultPeriod      = time.Second
+	defaultPeriod      = 800 * time.Millisecond
+	relayPeriod        = 250 * time.Millisecond // Between requests to a relay, whose proofs are as old as its own period.
 	unconfiguredPeriod = 2 * time.Second        // Until the first configuration, which operators write before clients connect.
 	connectingPeriod   = 100 * time.Millisecond // While a connection to the relay is opened.
 	retryPeriod        = 250 * time.Millisecond // After a failed round.
@@ -81,6 +82,7 @@
 	era           uint64 // Of the newest revision.
 	eraKnown      bool
 	joined        bool // Registered by this process.
+	relayed       bool // The last round was answered by a relay.
 	joinUncertain bool // A registration was sent that may have been executed.
 	knownRevision uint64
 	storeReached  bool
@@ -118,6 +120,8 @@
 		period = unconfiguredPeriod
 	case errors.Is(err, ErrConnecting):
 		period = connectingPeriod
+	case err == nil && f.relayed:
+		period = min(period, relayPeriod)
 	case err != nil:
 		period = min(retryPeriod<<min(f.failures, 2), period)
 	}
@@ -150,7 +154,9 @@
 	if age, ok := f.Holder.Age(); ok {
 		f.provenAt = time.Now().Add(-age)
 	}
-	if done, err := f.updateFromRelay(ctx); done {
+	done, err := f.updateFromRelay(ctx)
+	f.relayed = done
+	if done {
 		return err
 	}
 	if !f.joined {
--- a/internal/coordination/replacer/decide.go
+++ b/internal/coordination/replacer/decide.go
@@ -21,7 +21,7 @@
 	// suspicionTimeout is the time without contact to the primary after which
 	// the first instance in rank order replaces it. It is longer than the
 	// retransmission of a lost packet and than two queries on new connections.
-	suspicionTimeout = 1100 * time.Millisecond
+	suspicionTimeout = 700 * time.Millisecond
 	// delayPerRank is added for each instance that ranks before this one. The
 	// record already excludes concurrent replacements, so the delay only saves
 	// calls.
--- a/internal/coordination/replacer/replacer.go
+++ b/internal/coordination/replacer/replacer.go
@@ -39,7 +39,7 @@
 
 const (
 	checkInterval          = 150 * time.Millisecond
-	recentLeadWindow       = 700 * time.Millisecond // A primary seen leading this recently is not queried.
+	recentLeadWindow       = 400 * time.Millisecond // A primary seen leading this recently is not queried.
 	storeTimeout           = 800 * time.Millisecond
 	promoteCallTimeout     = 1500 * time.Millisecond
 	lastAnswerTimeout      = 120 * time.Millisecond
@@ -52,6 +52,7 @@
 	retryDelay             = 700 * time.Millisecond
 	peerSightingWindow     = 800 * time.Millisecond // Sightings of the primary by peers count if they are this recent.
 	usageWindow            = 10 * time.Second
+	sightingDelay          = 100 * time.Millisecond // Longer than a primary that is reached takes to answer.
 	// restoreDelay is the time for which a catalog may lack a record that a peer
 	// has announced, several periods of the catalog.
 	restoreDelay = 2500 * time.Millisecond
@@ -271,8 +272,11 @@
 		w.silentSince = time.Time{}
 		return
 	}
+	answered := make(chan struct{})
+	sightings := r.queryPeersUnless(ctx, service, answered)
 	leads, reached := r.queryServers(c, service)
 	if leads {
+		close(answered)
 		w.silentSince = time.Time{}
 		return
 	}
@@ -285,7 +289,7 @@
 	if now.Sub(w.silentSince) < suspicionTimeout+RankDelay(service, r.Self, c.Instances) {
 		return
 	}
-	sight := r.QueryPeers(ctx, service, now.Add(-peerSightingWindow))
+	sight := <-sightings
 	if !sight.allowsReplacement(hasSelfDeclaredPrimary(c.Servers[service]), reached) {
 		r.Logger.Info().Str("event", "replacement_withheld").Str("service", string(service)).
 			Int("peers_asked", sight.Asked).Int("peers_answered", sight.Answered).Bool("led", sight.Led).Int("servers_reached", reached).Send()
@@ -359,6 +363,23 @@
 	return lastLed
 }
 
+// queryPeersUnless asks the peers about the primary of the service once it has
+// not answered for [sightingDelay]. No result arrives if answered is closed
+// before.
+func (r *Replacer) queryPeersUnless(ctx context.Context, service identifier.ServiceName, answered <-chan struct{}) <-chan PeerSightings {
+	sightings := make(chan PeerSightings, 1)
+	go func() {
+		timer := time.NewTimer(sightingDelay)
+		defer timer.Stop()
+		select {
+		case <-answered:
+		case <-timer.C:
+			sightings <- r.QueryPeers(ctx, service, time.Now().Add(-peerSightingWindow))
+		}
+	}()
+	return sightings
+}
+
 // queryServers queries the servers of a service concurrently. It returns true as
 // soon as one that was not replaced answers that it leads, and otherwise the
 // number of servers that answered.
