--- a/internal/command/starter/session_test.go
+++ b/internal/command/starter/session_test.go
@@ -108,8 +108,9 @@
 	case "silence":
 		p.members[event[1]].SetUnresponsive(true)
 	case "fence":
+		// No replacement can be announced, so that no successor is known either.
 		p.store.SetFault(func(_, path string) int {
-			if path == "/promote" {
+			if path == "/promote" || strings.HasPrefix(path, "/v1/objects/leases/") {
 				return http.StatusServiceUnavailable
 			}
 			return 0
