--- a/internal/coordination/replacer/replacer.go
+++ b/internal/coordination/replacer/replacer.go
@@ -100,8 +100,8 @@
 	// StepDownVia makes another instance demote a primary of a term below the
 	// given one, and reports whether the primary confirmed.
 	StepDownVia func(ctx context.Context, id identifier.InstanceID, b cataloger.BackendServer, term identifier.Term) bool
-	// Announce tells the other instances the end of a replacement, without
-	// waiting for them.
+	// Announce tells the other instances a step of a replacement, its successor
+	// or its end, without waiting for them.
 	Announce func(service identifier.ServiceName, l cataloger.Leadership)
 	// Validity is the time for which an instance that does not confirm an
 	// announcement may go on using the old primary.
@@ -112,7 +112,8 @@
 	Era func() uint64
 	// IsProven reports whether the catalog is recent enough to use a primary.
 	IsProven func() bool
-
+	// Promote requests the promotion of a server from the platform. It returns
+	// [ErrPromotionRefused] or [ErrPromotionUnknown].
 	Promote func(ctx context.Context, service identifier.ServiceName, id identifier.BackendServerID, l cataloger.Leadership) error
 	// Observe, if set, records the duration of each step of a replacement.
 	Observe func(step string, took time.Duration)
@@ -272,11 +273,11 @@
 		w.silentSince = time.Time{}
 		return
 	}
-	answered := make(chan struct{})
-	sightings := r.queryPeersUnless(ctx, service, answered)
+	notNeeded := make(chan struct{})
+	sightings := r.queryPeersUnless(ctx, service, notNeeded)
 	leads, reached := r.queryServers(c, service)
 	if leads {
-		close(answered)
+		close(notNeeded)
 		w.silentSince = time.Time{}
 		return
 	}
@@ -287,6 +288,7 @@
 			Bool("registered", registered).Uint64("term", uint64(term)).Dur("last_seen_ms", now.Sub(lastLed)).Send()
 	}
 	if now.Sub(w.silentSince) < suspicionTimeout+RankDelay(service, r.Self, c.Instances) {
+		close(notNeeded) // It is too early to act on the answers of the peers.
 		return
 	}
 	sight := <-sightings
@@ -363,16 +365,15 @@
 	return lastLed
 }
 
-// queryPeersUnless asks the peers about the primary of the service once it has
-// not answered for [sightingDelay]. No result arrives if answered is closed
-// before.
-func (r *Replacer) queryPeersUnless(ctx context.Context, service identifier.ServiceName, answered <-chan struct{}) <-chan PeerSightings {
+// queryPeersUnless asks the peers about the primary of the service after
+// [sightingDelay]. No result arrives if notNeeded is closed before.
+func (r *Replacer) queryPeersUnless(ctx context.Context, service identifier.ServiceName, notNeeded <-chan struct{}) <-chan PeerSightings {
 	sightings := make(chan PeerSightings, 1)
 	go func() {
 		timer := time.NewTimer(sightingDelay)
 		defer timer.Stop()
 		select {
-		case <-answered:
+		case <-notNeeded:
 		case <-timer.C:
 			sightings <- r.QueryPeers(ctx, service, time.Now().Add(-peerSightingWindow))
 		}
