internal/transport/sessioner: a test's proof stays within the validity of permits

TestReadsGoOnWhileTheSuccessorIsPromoted failed since permits last 2 s: it let the proof grow 2 s old and a little more, so that the read was refused for the proof and not for the staleness of its route. It now grows older than the staleness and stays younger than the validity.

--- a/internal/transport/sessioner/fenced_test.go
+++ b/internal/transport/sessioner/fenced_test.go
@@ -139,6 +139,6 @@
 	announced.Position = identifier.Position{Term: 1, Offset: 4}
 	s.Fencer.Observe("rentals", announced)
 	qt.Assert(t, s.Execute("peer", request).Result.Code, qt.Equals, requester.OK)
-	now += 2 * time.Second
+	now += 3 * request.Route.MaxStaleness / 2 // The proof is still valid, but too old for the route.
 	qt.Assert(t, s.Execute("peer", request).Result.Code, qt.Equals, requester.Lagging)
 }
