--- a/internal/command/starter/leadership.go
+++ b/internal/command/starter/leadership.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// grantTimeout limits the sending of the end of a replacement to an
-	// instance, which reads it from the store as well.
-	grantTimeout = 500 * time.Millisecond
+	// noticeTimeout limits the sending of a record to an instance, which reads it
+	// from the store as well.
+	noticeTimeout = 500 * time.Millisecond
 	// stepDownTimeout limits the request that asks an instance to step down a
 	// primary. It is longer than the query of the instance to the primary.
 	stepDownTimeout = 600 * time.Millisecond
@@ -91,14 +91,15 @@
 	return r.Record.Revision == l.Revision && r.Record.Holder == l.Holder
 }
 
-// announceGrant sends the end of a replacement to all instances.
-func (s *Starter) announceGrant(service identifier.ServiceName, l cataloger.Leadership) {
+// announceRecord sends a record, the successor or the end of a replacement, to
+// all instances.
+func (s *Starter) announceRecord(service identifier.ServiceName, l cataloger.Leadership) {
 	for _, p := range s.peers.Peers() {
 		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), grantTimeout)
+			ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
 			defer cancel()
 			if _, err := s.peers.Request(ctx, p.ID, leadershipNotice{service, l}); err != nil {
-				s.Logger.Debug().Str("event", "grant_unconfirmed").Str("service", string(service)).Str("peer", string(p.ID)).Err(err).Send()
+				s.Logger.Debug().Str("event", "notice_unconfirmed").Str("service", string(service)).Str("peer", string(p.ID)).Err(err).Send()
 			}
 		}()
 	}
--- a/internal/command/starter/replacer.go
+++ b/internal/command/starter/replacer.go
@@ -38,7 +38,7 @@
 	r.Members = s.store.ReadMembers
 	r.Revoke = s.revoke
 	r.StepDownVia = s.stepDownVia
-	r.Announce = s.announceGrant
+	r.Announce = s.announceRecord
 	r.Validity = fencer.Validity
 	r.Clock = s.holder.Clock
 	r.Era = s.fencer.Era
