--- a/internal/bench/stager/process.go
+++ b/internal/bench/stager/process.go
@@ -94,7 +94,7 @@
 			return addresses, nil
 		}
 		var l net.Listener
-		address := fmt.Sprint("127.0.0.1:", firstPort+rand.IntN(portCount))
+		address := fmt.Sprint("127.0.0.1:", firstPort+os.Getpid()%portBlocks*portsPerBlock+rand.IntN(portsPerBlock))
 		if l, err = net.Listen("tcp4", address); err != nil {
 			continue
 		}
@@ -105,10 +105,13 @@
 }
 
 // Ports of the processes. They are below those that the kernel gives to outgoing
-// connections, one of which could take the port before its process listens.
+// connections, one of which could take the port before its process listens. Runs
+// at the same time take them from different blocks, or else one takes the port of
+// an instance that the other restarts, and serves its clients.
 const (
 	firstPort       = 20_000
-	portCount       = 12_000
+	portBlocks      = 12
+	portsPerBlock   = 1000
 	maxPortAttempts = 100
 )
 
