--- a/internal/command/starter/fixture_test.go
+++ b/internal/command/starter/fixture_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"testing"
@@ -142,7 +143,8 @@
 }
 
 func freeAddress(t testing.TB) string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	// Below the ports of outgoing connections, which could take it meanwhile.
+	l, err := net.Listen("tcp4", fmt.Sprint("127.0.0.1:", 10_000+rand.IntN(9_000)))
 	qt.Assert(t, err, qt.IsNil)
 	defer func() { _ = l.Close() }()
 	return l.Addr().String()
