internal/bench/stager: each port is given out once

Addresses of instances were drawn at random from 1000 ports, and each instance keeps 3 of them without listening yet, so that two instances of a run could get the same one. The log of such a run: "listening for clients: listen tcp4 127.0.0.1:30611: bind: address already in use". Ruled out: other programs (the ports are below those of outgoing connections).

Change: ports come in order from blocks of 100 that a process owns while it listens on their first port. Instances of the tests in command/starter take theirs from the same place.

--- a/internal/bench/stager/process.go
+++ b/internal/bench/stager/process.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -56,9 +55,12 @@
 // NewProcess writes the settings files of an instance and opens its log. It does
 // not start the process.
 func NewProcess(config ProcessConfig) (*Process, error) {
-	addresses, err := freeAddresses(3)
-	if err != nil {
-		return nil, err
+	var addresses [3]string
+	for i := range addresses {
+		var err error
+		if addresses[i], err = FreeAddress(); err != nil {
+			return nil, err
+		}
 	}
 	p := &Process{Name: config.Name, Address: addresses[0], readinessAddress: addresses[1]}
 	_, peerPort, _ := net.SplitHostPort(addresses[2])
@@ -85,36 +87,6 @@
 	return p, nil
 }
 
-// freeAddresses returns loopback addresses whose ports were free during the call.
-func freeAddresses(count int) ([]string, error) {
-	var addresses []string
-	var err error
-	for range maxPortAttempts {
-		if len(addresses) == count {
-			return addresses, nil
-		}
-		var l net.Listener
-		address := fmt.Sprint("127.0.0.1:", firstPort+os.Getpid()%portBlocks*portsPerBlock+rand.IntN(portsPerBlock))
-		if l, err = net.Listen("tcp4", address); err != nil {
-			continue
-		}
-		defer func() { _ = l.Close() }()
-		addresses = append(addresses, address)
-	}
-	return nil, errors.Wrap(err, "listening on a free loopback port")
-}
-
-// Ports of the processes. They are below those that the kernel gives to outgoing
-// connections, one of which could take the port before its process listens. Runs
-// at the same time take them from different blocks, or else one takes the port of
-// an instance that the other restarts, and serves its clients.
-const (
-	firstPort       = 20_000
-	portBlocks      = 12
-	portsPerBlock   = 1000
-	maxPortAttempts = 100
-)
-
 // StartAll starts the processes and waits until all of them are ready. It
 // returns [ErrNotReady] with the names of the instances that are not ready within
 // the start timeout.
--- a/internal/command/starter/fixture_test.go
+++ b/internal/command/starter/fixture_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 
+	"oleanderpulley/internal/bench/stager"
 	"oleanderpulley/internal/command/starter"
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
@@ -143,11 +142,9 @@
 }
 
 func freeAddress(t testing.TB) string {
-	// Below the ports of outgoing connections, which could take it meanwhile.
-	l, err := net.Listen("tcp4", fmt.Sprint("127.0.0.1:", 10_000+rand.IntN(9_000)))
+	address, err := stager.FreeAddress()
 	qt.Assert(t, err, qt.IsNil)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 // executedStatements returns the statements of clients that the servers ran or
