internal/coordination/follower: fewer calls of the store

Relays are asked four times a second; each time one is late, the instance asked the store; and each of the three writes of a replacement made every relay read all lists.

Change: an instance whose proof is younger than 1.4 s does without its relay; the period of the store's queries is 1 s again; if leadership records account for every change of the store, the other lists are not read.

TestOnlyChangedRecordsAreRead and TestLateRelayIsNotReplacedByTheStore failed before.

--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -21,7 +21,7 @@
 var ErrNoConfiguration = errors.New("store holds no configuration")
 
 const (
-	defaultPeriod      = 800 * time.Millisecond
+	defaultPeriod      = time.Second
 	relayPeriod        = 250 * time.Millisecond // Between requests to a relay, whose proofs are as old as its own period.
 	unconfiguredPeriod = 2 * time.Second        // Until the first configuration, which operators write before clients connect.
 	connectingPeriod   = 100 * time.Millisecond // While a connection to the relay is opened.
@@ -185,6 +185,12 @@
 		f.Holder.SetProof(sent)
 		return nil
 	}
+	if f.isCatalogComplete() && areOnlyChanges(leaderships, f.knownRevision, revision) {
+		f.updateCatalog(func(c *cataloger.Catalog) { c.Leaderships, c.Revision = leaderships, revision })
+		f.knownRevision = revision
+		f.Holder.SetProof(sent)
+		return nil
+	}
 	return f.readLists(ctx, sent, leaderships, revision)
 }
 
@@ -203,6 +209,19 @@
 	return f.Store.Leaderships(ctx)
 }
 
+// areOnlyChanges reports whether the store has changed nothing but these records
+// since the known revision. Each change has a revision of its own, so that none is
+// left for another change if the records have as many newer ones.
+func areOnlyChanges(records map[identifier.ServiceName]cataloger.Leadership, known, revision uint64) bool {
+	changed := uint64(0)
+	for _, r := range records {
+		if r.Revision > known && r.Revision <= revision {
+			changed++
+		}
+	}
+	return cataloger.Era(known) == cataloger.Era(revision) && changed == revision-known
+}
+
 // isCatalogComplete reports whether all lists of the catalog have been read and
 // none of them has to be read again.
 func (f *Follower) isCatalogComplete() bool {
--- a/internal/coordination/follower/follower_test.go
+++ b/internal/coordination/follower/follower_test.go
@@ -287,3 +287,34 @@
 		})
 	}
 }
+
+// Guards against reading all lists after each write of a replacement, and against
+// missing another change that was made between two of them.
+func TestOnlyChangedRecordsAreRead(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		changes uint64
+		reads   int
+	}{
+		{"one record", 1, 0},
+		{"one record and something else", 2, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := &fakeStore{revision: 5, version: 1, configurationRevision: 3}
+			f, h, _ := newFollower(s)
+			record := cataloger.Leadership{Term: 2, Revision: 4}
+			f.Store.Leaderships = func(context.Context) (map[identifier.ServiceName]cataloger.Leadership, uint64, error) {
+				return map[identifier.ServiceName]cataloger.Leadership{"rentals": record}, s.revision, nil
+			}
+			qt.Assert(t, f.Round(context.Background()), qt.IsNil)
+			s.configurationReads = 0
+			known := s.revision
+			record.Holder, record.Revision = "two", known+1
+			s.revision += test.changes
+			qt.Assert(t, f.Round(context.Background()), qt.IsNil)
+			qt.Assert(t, s.configurationReads, qt.Equals, test.reads)
+			qt.Assert(t, h.Catalog().Leaderships["rentals"], qt.Equals, record)
+			qt.Assert(t, h.Catalog().Revision, qt.Equals, known+test.changes)
+		})
+	}
+}
--- a/internal/coordination/follower/relay.go
+++ b/internal/coordination/follower/relay.go
@@ -29,9 +29,10 @@
 	// queried directly, because the relay may have lost the store while this
 	// instance still reaches it.
 	maxRelayedProofAge = 2200 * time.Millisecond
-	// maxProofAgeWhileConnecting is the age of the own proof up to which an
-	// instance waits for the connection to a relay.
-	maxProofAgeWhileConnecting = 1400 * time.Millisecond
+	// maxProofAgeWithoutRelay is the age of the own proof up to which an instance
+	// does without an answer of its relay. It leaves time for a query to the store
+	// before the permits of the instance end.
+	maxProofAgeWithoutRelay = 1400 * time.Millisecond
 	// RelayTimeout bounds a request to a relay.
 	RelayTimeout = 250 * time.Millisecond
 )
@@ -88,8 +89,9 @@
 
 // updateFromRelay updates the catalog from a relay and reports whether the round
 // is done without a query to the store. The age of the relay's proof counts from
-// before the request was sent. While a connection to the relay is opened and the
-// own proof is recent, the round ends with [ErrConnecting].
+// before the request was sent. Without an answer, the round is done as long as
+// the own proof is recent; with [ErrConnecting] while a connection to the relay is
+// opened.
 func (f *Follower) updateFromRelay(ctx context.Context) (done bool, err error) {
 	if f.Relay == nil || !f.isCatalogComplete() || !f.joined || f.failures > 0 {
 		return false, nil
@@ -100,11 +102,10 @@
 	case errors.Is(err, ErrNoRelay):
 		return false, nil
 	case errors.Is(err, ErrConnecting):
-		age, ok := f.Holder.Age()
-		return ok && age < maxProofAgeWhileConnecting, err
+		return f.hasRecentProof(), err
 	case err != nil:
 		f.Logger.Debug().Str("event", "relay_silent").Err(err).Send()
-		return false, nil
+		return f.hasRecentProof(), nil
 	case !r.Proven || r.Age < 0 || r.Age > maxRelayedProofAge:
 		return false, nil
 	case r.Catalog != nil && !f.adoptCatalog(r.Catalog):
@@ -115,6 +116,11 @@
 	return true, nil
 }
 
+func (f *Follower) hasRecentProof() bool {
+	age, ok := f.Holder.Age()
+	return ok && age < maxProofAgeWithoutRelay
+}
+
 // adoptCatalog replaces the catalog by that of a relay and reports whether it
 // did. It rejects a catalog that is older than the current one or does not
 // contain this instance; the round then queries the store.
--- a/internal/coordination/follower/relay_test.go
+++ b/internal/coordination/follower/relay_test.go
@@ -73,3 +73,29 @@
 	qt.Assert(t, follower.Relays(members, "dc0"), qt.HasLen, 2)
 	qt.Assert(t, follower.Relays(members, "dc9"), qt.HasLen, 0)
 }
+
+// Guards against calls of the store for each answer of a relay that is late, and
+// against a proof that ends because the relay does not answer at all.
+func TestLateRelayIsNotReplacedByTheStore(t *testing.T) {
+	for _, test := range []struct {
+		age    time.Duration // Of the own proof.
+		proven time.Duration // Age after the round.
+	}{
+		{time.Second, time.Second},
+		{1500 * time.Millisecond, 0},
+	} {
+		t.Run(test.age.String(), func(t *testing.T) {
+			s := &fakeStore{revision: 5, version: 1, configurationRevision: 3}
+			f, h, now := newFollower(s)
+			qt.Assert(t, f.Round(context.Background()), qt.IsNil)
+			f.Relay = func(context.Context, uint64) (follower.CatalogReply, error) {
+				return follower.CatalogReply{}, context.DeadlineExceeded
+			}
+			*now += test.age
+			qt.Assert(t, f.Round(context.Background()), qt.IsNil)
+			age, ok := h.Age()
+			qt.Assert(t, ok, qt.IsTrue)
+			qt.Assert(t, age, qt.Equals, test.proven)
+		})
+	}
+}
