internal/coordination/sharer: first requests wait until tokens are found

Cause: right after the start of a fleet no fraction of a rate is issued yet, and an instance that has just joined does not know who holds one. Ruled out: a wrong rate (no fraction is held at all in that moment).

Change: for 3 s from the start of the instance or the first use of a workspace, as long as no other instance is known to hold a fraction and this one holds none, a request waits up to 2 s, and tokens are asked for every 50 ms.

--- a/internal/coordination/sharer/admit.go
+++ b/internal/coordination/sharer/admit.go
@@ -12,6 +12,11 @@
 	// maxAdmitWait is the longest time that Admit holds a request while it
 	// waits for tokens.
 	maxAdmitWait = 50 * time.Millisecond
+	// maxStartWait is that time while this instance has not found the workspace's
+	// tokens yet, and startWindow the longest time that this may take. It covers
+	// the issue of the fractions by an instance that starts at the same time.
+	maxStartWait = 2 * time.Second
+	startWindow  = 3 * time.Second
 	// maxWaiters bounds the requests of a workspace that are held at one time.
 	maxWaiters = 64
 	// prefetchHorizon is the time for which the remaining tokens should cover
@@ -30,8 +35,9 @@
 )
 
 // Admit charges the cost of a request to the workspace. If the tokens are not
-// there but can arrive in time, it holds the request for at most 50 ms;
-// otherwise it returns an [OverRateError], which wraps [ErrOverRate], at once.
+// there but can arrive in time, it holds the request for at most 50 ms, or 2 s in
+// the first 3 s in which it is not known yet who holds tokens; otherwise it
+// returns an [OverRateError], which wraps [ErrOverRate], at once.
 // It returns [ErrNotCurrent] when this instance may not admit requests, and the
 // context's error when the context ends first.
 func (s *Sharer) Admit(ctx context.Context, workspace identifier.WorkspaceName, cost float64) error {
@@ -95,10 +101,11 @@
 	}
 	h.startFetch(now)
 	h.scheduleFetch(now)
-	if len(h.waiters) >= maxWaiters || h.closed || (!h.fetchPending() && h.refillTime(limit, ahead) > maxAdmitWait) {
+	mayArrive := h.fetchPending() || h.isStarting(now) || h.refillTime(limit, ahead) <= maxAdmitWait
+	if len(h.waiters) >= maxWaiters || h.closed || !mayArrive {
 		return nil, h.overRateError(limit, ahead)
 	}
-	w := &waiter{cost: cost, deadline: now.Add(maxAdmitWait), ready: make(chan struct{})}
+	w := &waiter{cost: cost, deadline: now.Add(h.maxWait(now)), ready: make(chan struct{})}
 	h.waiters = append(h.waiters, w)
 	if len(h.waiters) == 1 {
 		if wait := h.refillTime(limit, cost); wait <= maxAdmitWait {
@@ -109,7 +116,7 @@
 }
 
 func (h *holding) wait(ctx context.Context, w *waiter) error {
-	timer := time.NewTimer(maxAdmitWait)
+	timer := time.NewTimer(w.deadline.Sub(h.sharer.now()))
 	defer timer.Stop()
 	select {
 	case <-w.ready:
--- a/internal/coordination/sharer/fetch.go
+++ b/internal/coordination/sharer/fetch.go
@@ -21,6 +21,8 @@
 	// a workspace over its rate causes few messages.
 	minFetchBackoff = 5 * time.Millisecond
 	maxFetchBackoff = 400 * time.Millisecond
+	// maxStartBackoff bounds the pause while nobody is known to hold tokens.
+	maxStartBackoff = 50 * time.Millisecond
 	// loanPeriod is the time, from the first sending of a request, during which
 	// lent tokens may be spent.
 	loanPeriod = maxAdmitWait
@@ -42,7 +44,7 @@
 func (h *holding) scheduleFetch(now time.Time) {
 	s := h.sharer
 	pause := h.nextFetch.Sub(now)
-	if s.SingleInstance || s.draining() || h.fetchPending() || h.closed || pause <= 0 || pause > maxAdmitWait/2 {
+	if s.SingleInstance || s.draining() || h.fetchPending() || h.closed || pause <= 0 || pause > h.maxWait(now)/2 {
 		return
 	}
 	h.fetchTimer = time.AfterFunc(pause+time.Millisecond, func() {
@@ -86,7 +88,15 @@
 	if gained {
 		h.fetchBackoff = minFetchBackoff
 	}
-	h.nextFetch = s.now().Add(h.fetchBackoff)
+	now := s.now()
+	starting := h.isStarting(now)
+	if starting {
+		h.fetchBackoff = min(h.fetchBackoff, maxStartBackoff)
+	}
+	h.nextFetch = now.Add(h.fetchBackoff)
+	if starting && len(h.waiters) > 0 {
+		h.scheduleFetch(now)
+	}
 	h.serveLocked(0, time.Time{})
 }
 
--- a/internal/coordination/sharer/holding.go
+++ b/internal/coordination/sharer/holding.go
@@ -19,6 +19,7 @@
 	shardIndex int
 	shard      *shard
 	bucket     limiter.Bucket
+	created    time.Time
 
 	mu           sync.Mutex
 	demand       demand // Rate requested by clients of this instance.
@@ -85,10 +86,10 @@
 // serve before their deadline. It refuses none while a fetch is running or
 // scheduled, because that may bring tokens in time.
 func (h *holding) refuseUnservable(limit limiter.Limit) {
-	if h.fetchPending() && !h.closed {
+	now := h.sharer.now()
+	if !h.closed && (h.fetchPending() || h.isStarting(now)) {
 		return
 	}
-	now := h.sharer.now()
 	ahead := 0.0
 	for i := 0; i < len(h.waiters); {
 		w := h.waiters[i]
@@ -102,6 +103,32 @@
 	}
 }
 
+// isStarting reports whether this instance has joined, or the workspace is new,
+// so recently that nobody is known to hold tokens of it yet. The caller holds
+// h.mu.
+func (h *holding) isStarting(now time.Time) bool {
+	s := h.sharer
+	if s.SingleInstance || h.holders.known() || h.bucket.Held(s.limit(h.workspace)).Fraction > 0 {
+		return false
+	}
+	s.mu.Lock()
+	since := s.joinedAt
+	s.mu.Unlock()
+	if h.created.After(since) {
+		since = h.created
+	}
+	return now.Sub(since) < startWindow
+}
+
+// maxWait returns the longest time that a request may wait for tokens. The caller
+// holds h.mu.
+func (h *holding) maxWait(now time.Time) time.Duration {
+	if h.isStarting(now) {
+		return maxStartWait
+	}
+	return maxAdmitWait
+}
+
 // finish ends the wait of the i-th waiter.
 func (h *holding) finish(i int, err error) {
 	w := h.waiters[i]
--- a/internal/coordination/sharer/peer_selection.go
+++ b/internal/coordination/sharer/peer_selection.go
@@ -57,6 +57,11 @@
 	}
 }
 
+// known reports whether any other instance is known to hold a fraction.
+func (l *holders) known() bool {
+	return slices.ContainsFunc(l.list, func(x holderRecord) bool { return x.Share.Fraction > 0 })
+}
+
 // largest returns up to n holders with the largest fractions, without the
 // excluded instance.
 func (l *holders) largest(n int, except identifier.InstanceID, now time.Time) []Holder {
--- a/internal/coordination/sharer/sharer.go
+++ b/internal/coordination/sharer/sharer.go
@@ -68,12 +68,13 @@
 	peers        peerCache
 
 	mu     sync.Mutex // Guards the creation of holdings and the fields below.
-	joined bool
-	cancel context.CancelFunc
-	ctx    context.Context
-	closed bool
-	done   chan struct{}
-	tasks  sync.WaitGroup
+	joined   bool
+	joinedAt time.Time
+	cancel   context.CancelFunc
+	ctx      context.Context
+	closed   bool
+	done     chan struct{}
+	tasks    sync.WaitGroup
 }
 
 // ErrClosed means that a method was called after [Sharer.Close].
@@ -138,7 +139,7 @@
 func (s *Sharer) Joined() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.joined = true
+	s.joined, s.joinedAt = true, s.now()
 }
 
 // spawn runs a task that Close waits for. It reports false if the sharer is
@@ -173,7 +174,7 @@
 		return h
 	}
 	index := ShardOf(workspace)
-	h := &holding{sharer: s, workspace: workspace, shardIndex: index, shard: &s.shards[index]}
+	h := &holding{sharer: s, workspace: workspace, shardIndex: index, shard: &s.shards[index], created: s.now()}
 	h.bucket.Now = s.Now
 	if !s.SingleInstance {
 		h.bucket.MaxRefillGap = maxRefillGap
