internal/coordination/follower: proofs come over a tree of relays

Cause: where a data centre is cut off with a primary in it, 2.1 s of the gap are the validity of permits, which the period of the relays' queries (one relay in each data centre, each second) kept long; at the grown size these queries are a third of the store's calls.

Change: relays ask a root relay each 0.25 s, only the root asks the store, each 0.4 s; permits last 1.4 s. An instance whose proof is a second old asks the store itself, also while its relay answers without a proof. A relay leaves out a configuration that the asker has. A store that rejected a query no longer keeps an instance from asking its relay.

The model's scenario without the wait for permits cut the first instance off from everything at once; with the shorter validity its permit ended before the promotion.

--- a/internal/command/starter/peers.go
+++ b/internal/command/starter/peers.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"oleanderpulley/internal/coordination/assigner"
@@ -157,30 +156,22 @@
 	return true
 }
 
-// fetchCatalogFromRelay requests the catalog from a relay in the own data
-// centre, which the hash of the instance id selects. It returns
-// [follower.ErrNoRelay] if there is no relay or this instance is one.
+// fetchCatalogFromRelay requests the catalog from the relay of this instance. It
+// returns [follower.ErrNoRelay] if this instance is a root of the relays.
 func (s *Starter) fetchCatalogFromRelay(ctx context.Context, known uint64) (follower.CatalogReply, error) {
-	relays := follower.Relays(s.holder.Catalog().Instances, s.Settings.DataCentre)
-	for _, m := range relays {
-		if m.ID == s.Settings.InstanceID {
-			return follower.CatalogReply{}, follower.ErrNoRelay
-		}
-	}
-	if len(relays) == 0 {
+	relay := s.relay
+	if relay == "" {
 		return follower.CatalogReply{}, follower.ErrNoRelay
 	}
-	hash := xxhash.Sum64String(string(s.Settings.InstanceID))
-	m := relays[hash%uint64(len(relays))]
-	if !s.peers.Connected(m.ID) {
+	if !s.peers.Connected(relay) {
 		return follower.CatalogReply{}, follower.ErrConnecting
 	}
 	ctx, cancel := context.WithTimeout(ctx, follower.RelayTimeout)
 	defer cancel()
 	sentAt := time.Now()
-	reply, err := s.peers.Request(ctx, m.ID, follower.CatalogRequest{Known: known})
+	reply, err := s.peers.Request(ctx, relay, follower.CatalogRequest{Known: known})
 	if err != nil {
-		s.peers.Check(m.ID, sentAt)
+		s.peers.Check(relay, sentAt)
 		return follower.CatalogReply{}, err
 	}
 	r, ok := reply.(follower.CatalogReply)
@@ -191,7 +182,7 @@
 }
 
 // updatePeers passes the instances of the catalog to the messenger, and the
-// shares of the rates to the limiter.
+// shares of the rates to the limiter, and chooses the relay.
 func (s *Starter) updatePeers(c *cataloger.Catalog) {
 	peers := make([]messenger.Peer, 0, len(c.Instances))
 	ratePeers := make([]ratelimiter.Peer, 0, len(c.Instances))
@@ -200,6 +191,7 @@
 		ratePeers = append(ratePeers, ratelimiter.Peer{ID: m.ID, DataCentre: m.DataCentre})
 	}
 	s.peers.SetPeers(peers)
+	s.relay, _ = follower.Parent(c.Instances, s.Settings.InstanceID)
 	dataCentres := map[identifier.DataCentre]bool{}
 	for _, m := range c.Instances {
 		dataCentres[m.DataCentre] = true
--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -64,6 +64,7 @@
 	probeServer        *http.Server
 	reporter           *reporter.Reporter
 	workspaces         map[identifier.WorkspaceName]cataloger.Workspace // Of the current catalog.
+	relay              identifier.InstanceID                            // Relay of the current catalog; empty if this instance is a root.
 	draining           atomic.Bool
 	clientListenerDone chan struct{}
 	cancel             context.CancelFunc
--- a/internal/coordination/fencer/fencer.go
+++ b/internal/coordination/fencer/fencer.go
@@ -17,10 +17,10 @@
 var ErrNotLeading = errors.New("backend server does not lead")
 
 // Validity is the maximum age of the proof under which an instance may use a
-// primary. It is longer than the period of the proofs, so that an instance keeps
-// its permission when one of them is late. An instance that replaces a primary
-// waits as long for instances that do not confirm.
-const Validity = 2 * time.Second
+// primary. It is longer than the age that a proof reaches through two relays, so
+// that an instance keeps its permission when one answer is late. An instance that
+// replaces a primary waits as long for instances that do not confirm.
+const Validity = 1400 * time.Millisecond
 
 // Fencer holds the leadership records that this instance knows. Holder is
 // required. It is safe for concurrent use; checking a permit takes no lock and
--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -21,7 +21,7 @@
 var ErrNoConfiguration = errors.New("store holds no configuration")
 
 const (
-	defaultPeriod      = time.Second
+	defaultPeriod      = 400 * time.Millisecond
 	relayPeriod        = 250 * time.Millisecond // Between requests to a relay, whose proofs are as old as its own period.
 	unconfiguredPeriod = 2 * time.Second        // Until the first configuration, which operators write before clients connect.
 	connectingPeriod   = 100 * time.Millisecond // While a connection to the relay is opened.
@@ -69,7 +69,7 @@
 	// known one. It returns [ErrNoRelay] if this instance has to query the store
 	// itself. If it is nil, every round queries the store.
 	Relay  func(ctx context.Context, known uint64) (CatalogReply, error)
-	Period time.Duration // 0 means 1 s.
+	Period time.Duration // 0 means 0.4 s.
 	// OnEra is called with the first revision, and with the first one after the
 	// store came back from a copy, before the catalog is proven again. May be
 	// nil.
--- a/internal/coordination/follower/relay.go
+++ b/internal/coordination/follower/relay.go
@@ -22,19 +22,21 @@
 )
 
 const (
-	// instancesPerRelay is the number of instances of a data centre that share
-	// one relay.
+	// instancesPerRelay is the number of instances that share one relay.
 	instancesPerRelay = 24
 	// maxRelayedProofAge is the age of a relay's proof above which the store is
 	// queried directly, because the relay may have lost the store while this
 	// instance still reaches it.
-	maxRelayedProofAge = 2200 * time.Millisecond
+	maxRelayedProofAge = time.Second
 	// maxProofAgeWithoutRelay is the age of the own proof up to which an instance
-	// does without an answer of its relay. It leaves time for a query to the store
-	// before the permits of the instance end.
-	maxProofAgeWithoutRelay = 1400 * time.Millisecond
+	// does without its relay. It leaves time for a query to the store before the
+	// permits of the instance end.
+	maxProofAgeWithoutRelay = time.Second
 	// RelayTimeout bounds a request to a relay.
 	RelayTimeout = 250 * time.Millisecond
+	// MaxProofAge is the age that a proof reaches through two relays while each
+	// request is answered at once.
+	MaxProofAge = (defaultPeriod + 2*relayPeriod) * 9 / 8 // With jitter.
 )
 
 // CatalogRequest requests the catalog of a relay if its revision differs from
@@ -44,33 +46,59 @@
 }
 
 // CatalogReply answers a [CatalogRequest]. Age is the age of the relay's proof.
-// Catalog is nil if the relay has no proof or its catalog has the known
-// revision.
+// Catalog is nil if the relay has no proof or its catalog is not newer than the
+// known revision. Its configuration is nil if it has not changed since.
 type CatalogReply struct {
 	Proven  bool               `cbor:"proven"`
 	Age     time.Duration      `cbor:"age"`
 	Catalog *cataloger.Catalog `cbor:"catalog,omitempty"`
 }
 
-// Relays returns the instances of the data centre that query the store on behalf
-// of the others. Every instance derives the same relays from the same members.
-func Relays(members map[identifier.InstanceID]cataloger.Instance, dataCentre identifier.DataCentre) []cataloger.Instance {
-	var local []cataloger.Instance
-	for _, m := range members {
-		if m.DataCentre == dataCentre {
-			local = append(local, m)
-		}
+// Parent returns the instance that the given one asks for the catalog, and false
+// if that one queries the store itself. The instances of a data centre ask one of
+// its relays, and the relays ask a root among them, so that neither the calls of
+// the store nor the traffic between data centres grow with the instances. Every
+// instance derives the same tree from the same members.
+func Parent(members map[identifier.InstanceID]cataloger.Instance, self identifier.InstanceID) (identifier.InstanceID, bool) {
+	byDataCentre := map[identifier.DataCentre][]identifier.InstanceID{}
+	for id, m := range members {
+		byDataCentre[m.DataCentre] = append(byDataCentre[m.DataCentre], id)
+	}
+	local := chooseRelays(byDataCentre[members[self].DataCentre])
+	if !slices.Contains(local, self) {
+		return pick(local, self)
+	}
+	var relays []identifier.InstanceID
+	for _, ids := range byDataCentre {
+		relays = append(relays, chooseRelays(ids)...)
 	}
-	slices.SortFunc(local, func(a, b cataloger.Instance) int {
-		return cmp.Or(cmp.Compare(relayRank(b), relayRank(a)), cmp.Compare(a.ID, b.ID))
+	roots := chooseRelays(relays)
+	if slices.Contains(roots, self) {
+		return "", false
+	}
+	return pick(roots, self)
+}
+
+// chooseRelays returns the instances that serve as relays for all the given ones.
+func chooseRelays(ids []identifier.InstanceID) []identifier.InstanceID {
+	slices.SortFunc(ids, func(a, b identifier.InstanceID) int {
+		return cmp.Or(cmp.Compare(relayRank(b), relayRank(a)), cmp.Compare(a, b))
 	})
-	count := (len(local) + instancesPerRelay - 1) / instancesPerRelay
-	return local[:min(count, len(local))]
+	count := (len(ids) + instancesPerRelay - 1) / instancesPerRelay
+	return slices.Clone(ids[:count])
 }
 
-// relayRank orders the instances of a data centre; the highest are relays.
-func relayRank(m cataloger.Instance) uint64 {
-	return xxhash.Sum64String("relay/" + string(m.ID))
+// pick spreads the instances over the relays.
+func pick(relays []identifier.InstanceID, self identifier.InstanceID) (identifier.InstanceID, bool) {
+	if len(relays) == 0 {
+		return "", false
+	}
+	return relays[xxhash.Sum64String(string(self))%uint64(len(relays))], true
+}
+
+// relayRank orders instances; the highest are relays.
+func relayRank(id identifier.InstanceID) uint64 {
+	return xxhash.Sum64String("relay/" + string(id))
 }
 
 // Answer answers a peer's request from this instance's own catalog and proof.
@@ -81,19 +109,19 @@
 		return CatalogReply{}
 	}
 	r := CatalogReply{Proven: true, Age: age}
-	if c.Revision != request.Known {
-		r.Catalog = c
+	if c.Revision > request.Known {
+		r.Catalog = c.Since(request.Known)
 	}
 	return r
 }
 
 // updateFromRelay updates the catalog from a relay and reports whether the round
 // is done without a query to the store. The age of the relay's proof counts from
-// before the request was sent. Without an answer, the round is done as long as
-// the own proof is recent; with [ErrConnecting] while a connection to the relay is
-// opened.
+// before the request was sent. Without a proof of the relay, the round is done as
+// long as the own one is recent; with [ErrConnecting] while a connection to the
+// relay is opened.
 func (f *Follower) updateFromRelay(ctx context.Context) (done bool, err error) {
-	if f.Relay == nil || !f.isCatalogComplete() || !f.joined || f.failures > 0 {
+	if f.Relay == nil || !f.isCatalogComplete() || !f.joined {
 		return false, nil
 	}
 	sent := f.Holder.Clock()
@@ -107,7 +135,7 @@
 		f.Logger.Debug().Str("event", "relay_silent").Err(err).Send()
 		return f.hasRecentProof(), nil
 	case !r.Proven || r.Age < 0 || r.Age > maxRelayedProofAge:
-		return false, nil
+		return f.hasRecentProof(), nil
 	case r.Catalog != nil && !f.adoptCatalog(r.Catalog):
 		return false, nil
 	}
@@ -125,14 +153,16 @@
 // did. It rejects a catalog that is older than the current one or does not
 // contain this instance; the round then queries the store.
 func (f *Follower) adoptCatalog(c *cataloger.Catalog) bool {
-	if c.Configuration == nil || c.Revision < f.knownRevision || c.Instances[f.Self.ID].Address != f.Self.Address {
+	if c.Revision < f.knownRevision || c.Instances[f.Self.ID].Address != f.Self.Address {
 		return false
 	}
 	if f.observeEra(c.Revision) != nil {
 		return false
 	}
 	f.updateCatalog(func(next *cataloger.Catalog) {
-		next.Configuration = newerConfiguration(next.Configuration, c.Configuration)
+		if c.Configuration != nil {
+			next.Configuration = newerConfiguration(next.Configuration, c.Configuration)
+		}
 		next.Servers, next.Instances, next.Leaderships, next.Revision = c.Servers, c.Instances, c.Leaderships, c.Revision
 	})
 	f.knownRevision = c.Revision
--- a/internal/coordination/follower/relay_test.go
+++ b/internal/coordination/follower/relay_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"oleanderpulley/internal/coordination/fencer"
 	"oleanderpulley/internal/coordination/follower"
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
@@ -63,15 +64,74 @@
 	}
 }
 
-// Guards against a load on the store that grows with the number of instances.
-func TestRelaysPerDataCentre(t *testing.T) {
+// Guards against a load on the store, and on the links between data centres, that
+// grows with the number of instances.
+func TestParentsFormATree(t *testing.T) {
 	members := map[identifier.InstanceID]cataloger.Instance{}
 	for i := range 139 {
 		id := identifier.InstanceID(fmt.Sprint("i", i))
 		members[id] = cataloger.Instance{ID: id, DataCentre: identifier.DataCentre(fmt.Sprint("dc", i%3))}
 	}
-	qt.Assert(t, follower.Relays(members, "dc0"), qt.HasLen, 2)
-	qt.Assert(t, follower.Relays(members, "dc9"), qt.HasLen, 0)
+	roots, relays, children := 0, 0, map[identifier.InstanceID]int{}
+	for id, m := range members {
+		parent, ok := follower.Parent(members, id)
+		if !ok {
+			roots++
+			continue
+		}
+		children[parent]++
+		if _, isRelay := follower.Parent(members, parent); !isRelay && members[parent].DataCentre != m.DataCentre {
+			relays++
+			continue
+		}
+		qt.Assert(t, members[parent].DataCentre, qt.Equals, m.DataCentre)
+	}
+	qt.Assert(t, roots, qt.Equals, 1)
+	qt.Assert(t, relays, qt.Equals, 4)
+	qt.Assert(t, len(children), qt.Equals, 6)
+}
+
+// Guards against an instance without relays that asks none and never queries the
+// store.
+func TestSingleInstanceIsItsOwnRoot(t *testing.T) {
+	members := map[identifier.InstanceID]cataloger.Instance{"one": {ID: "one", DataCentre: "dc0"}}
+	_, ok := follower.Parent(members, "one")
+	qt.Assert(t, ok, qt.IsFalse)
+	_, ok = follower.Parent(nil, "one")
+	qt.Assert(t, ok, qt.IsFalse)
+}
+
+// Guards against a relay that sends the whole configuration for each change of
+// another list, and against one that omits a configuration that the receiver
+// lacks.
+func TestRelayOmitsAnUnchangedConfiguration(t *testing.T) {
+	restored := cataloger.Revision(1, 4)
+	for _, test := range []struct {
+		name                  string
+		known, configuration  uint64
+		revision              uint64
+		hasCatalog, hasConfig bool
+	}{
+		{"nothing changed", 9, 3, 9, false, false},
+		{"another list changed", 8, 3, 9, true, false},
+		{"configuration changed", 8, 9, 9, true, true},
+		{"nothing known", 0, 3, 9, true, true},
+		{"store came back without it", restored, 8, restored + 1, true, true},
+		{"receiver knows more", 10, 3, 9, false, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f, h, now := newFollower(&fakeStore{})
+			*now = time.Second
+			h.Replace(&cataloger.Catalog{Revision: test.revision, Configuration: &cataloger.Configuration{Version: 1, Revision: test.configuration}})
+			h.SetProof(*now)
+			reply := f.Answer(follower.CatalogRequest{Known: test.known})
+			qt.Assert(t, reply.Proven, qt.IsTrue)
+			qt.Assert(t, reply.Catalog != nil, qt.Equals, test.hasCatalog)
+			if reply.Catalog != nil {
+				qt.Assert(t, reply.Catalog.Configuration != nil, qt.Equals, test.hasConfig)
+			}
+		})
+	}
 }
 
 // Guards against calls of the store for each answer of a relay that is late, and
@@ -81,8 +141,8 @@
 		age    time.Duration // Of the own proof.
 		proven time.Duration // Age after the round.
 	}{
-		{time.Second, time.Second},
-		{1500 * time.Millisecond, 0},
+		{900 * time.Millisecond, 900 * time.Millisecond},
+		{1100 * time.Millisecond, 0},
 	} {
 		t.Run(test.age.String(), func(t *testing.T) {
 			s := &fakeStore{revision: 5, version: 1, configurationRevision: 3}
@@ -99,3 +159,8 @@
 		})
 	}
 }
+
+// Guards against permits that end because one answer of a relay is late.
+func TestPermitsOutlastALateAnswer(t *testing.T) {
+	qt.Assert(t, fencer.Validity >= follower.MaxProofAge+follower.RelayTimeout, qt.IsTrue)
+}
--- a/internal/coordination/replacer/model_test.go
+++ b/internal/coordination/replacer/model_test.go
@@ -717,8 +717,13 @@
 		{Kind: "cut from primary", At: from, Duration: length, Target: 3},
 	}
 	scenarios := map[defect]func(seed uint64) []modelFault{
+		// The first instance has a recent proof when the others announce the
+		// replacement, and neither they nor the store can tell it.
 		noWait: func(uint64) []modelFault {
-			return []modelFault{{Kind: "primary cut", At: from, Duration: length}}
+			return append(slices.Clone(othersCut),
+				modelFault{Kind: "cut from peers", At: from, Duration: length},
+				modelFault{Kind: "cut from store", At: from + 900*time.Millisecond, Duration: length},
+			)
 		},
 		noRecheck: func(uint64) []modelFault {
 			return append(slices.Clone(othersCut), modelFault{Kind: "sleep", At: from, Duration: length})
--- a/internal/coordination/sharer/sharer.go
+++ b/internal/coordination/sharer/sharer.go
@@ -67,7 +67,7 @@
 	transfers    transfers
 	peers        peerCache
 
-	mu     sync.Mutex // Guards the creation of holdings and the fields below.
+	mu       sync.Mutex // Guards the creation of holdings and the fields below.
 	joined   bool
 	joinedAt time.Time
 	cancel   context.CancelFunc
--- a/internal/state/cataloger/catalog.go
+++ b/internal/state/cataloger/catalog.go
@@ -97,6 +97,19 @@
 	Revision uint64 `cbor:"revision"`
 }
 
+// Since returns the catalog without its configuration if that has not changed
+// since the known revision. A configuration from before the store's era is always
+// included, because the store may lack it.
+func (c *Catalog) Since(known uint64) *Catalog {
+	unchanged := c.Configuration != nil && c.Configuration.Revision <= known && Era(c.Configuration.Revision) == Era(known)
+	if !unchanged {
+		return c
+	}
+	next := *c
+	next.Configuration = nil
+	return &next
+}
+
 // Route returns the route of a database.
 func (c *Catalog) Route(database string) (Route, bool) {
 	if c == nil || c.Configuration == nil {
