internal/transport/acceptor: a sample from before a write is not its floor

While a session waits for the sample of one write, its next write cleared the delivered sample, and then replaced the waiting entry under another lock. A delivery for the earlier write in between stored a position without the later write, which the next read took for its floor.

Change: the sample is cleared under the lock of the waiting sessions.

TestSampleOfAnEarlierWriteIsNoFloor holds the delivery in that moment; it failed before.

--- a/internal/transport/acceptor/floor.go
+++ b/internal/transport/acceptor/floor.go
@@ -80,9 +80,6 @@
 func (s *session) recordWrite(term identifier.Term) {
 	s.hasWritten, s.floorKnown, s.writeTerm = true, false, term
 	s.sampleAfter = s.acceptor.now()
-	s.mu.Lock()
-	s.sampledPosition = identifier.Position{}
-	s.mu.Unlock()
 	if s.acceptor.RequestSample != nil {
 		s.acceptor.RequestSample(s.service)
 	}
@@ -99,9 +96,15 @@
 	waiting map[*session]time.Time // The time after which the sample must have been requested.
 }
 
+// add makes the session wait for a sample that was requested after the given time.
+// It discards one that was delivered for an earlier write. w.mu keeps a delivery
+// from taking place in between, which would store a sample without the later write.
 func (w *sampleWaiters) add(s *session, after time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	s.mu.Lock()
+	s.sampledPosition = identifier.Position{}
+	s.mu.Unlock()
 	if w.waiting == nil {
 		w.waiting = map[*session]time.Time{}
 	}
