--- a/internal/command/starter/era.go
+++ b/internal/command/starter/era.go
@@ -70,25 +70,16 @@
 func (s *Starter) requestRecords(era uint64, ids []identifier.InstanceID) []identifier.InstanceID {
 	ctx, cancel := context.WithTimeout(context.Background(), eraRequestTimeout)
 	defer cancel()
-	silent := make(chan identifier.InstanceID, len(ids))
-	for _, id := range ids {
-		go func() {
-			reply, err := s.peers.Request(ctx, id, eraRequest{Era: era})
-			r, ok := reply.(eraReply)
-			if err != nil || !ok {
-				silent <- id
-				return
-			}
-			for service, l := range r.Records {
-				s.fencer.Observe(service, l)
-			}
-			silent <- ""
-		}()
-	}
+	replies := requestEach[eraReply](ctx, s, ids, eraRequest{Era: era})
 	var missing []identifier.InstanceID
 	for range ids {
-		if id := <-silent; id != "" {
-			missing = append(missing, id)
+		r := <-replies
+		if r.body == nil {
+			missing = append(missing, r.peer)
+			continue
+		}
+		for service, l := range r.body.Records {
+			s.fencer.Observe(service, l)
 		}
 	}
 	return missing
--- a/internal/command/starter/peer_requests.go
+++ b/internal/command/starter/peer_requests.go
@@ -9,6 +9,7 @@
 
 // peerReply is the outcome of a request to a peer.
 type peerReply[T any] struct {
+	peer   identifier.InstanceID
 	sentAt time.Time
 	body   *T // Nil if the peer did not answer.
 }
@@ -19,7 +20,7 @@
 	replies := make(chan peerReply[T], len(peers))
 	for _, id := range peers {
 		go func() {
-			r := peerReply[T]{sentAt: time.Now()}
+			r := peerReply[T]{peer: id, sentAt: time.Now()}
 			reply, err := s.peers.Request(ctx, id, request)
 			if body, ok := reply.(T); err == nil && ok {
 				r.body = &body
