internal/protocol/classifier: session state, two-phase commits and function bodies

Cause: noticed by readers and shown by six new cases that failed. A quoted function name, or a quoted pg_catalog before it, hid set_config and advisory locks, so that the state stayed on a connection for other sessions. ROLLBACK PREPARED was taken for a rollback of the session's transaction.

Change: names are compared without their quotes, in any schema; COMMIT PREPARED and ROLLBACK PREPARED only write; the body of a CREATE is skipped as a whole.

--- a/internal/protocol/classifier/classifier_test.go
+++ b/internal/protocol/classifier/classifier_test.go
@@ -45,6 +45,11 @@
 		"CALL p()":                                              write,
 		"SELECT pg_advisory_lock(1)":                            state,
 		"SELECT set_config('a', 'b', false)":                    state,
+		`SELECT "set_config"('a', 'b', false)`:                  state,
+		`SELECT "pg_catalog".pg_advisory_lock(1)`:               state,
+		`INSERT INTO t VALUES ("pg_try_advisory_lock"(1))`:      state,
+		"ROLLBACK PREPARED 'x'":                                 write,
+		"COMMIT PREPARED 'x'":                                   write,
 		"LISTEN c":                                              state,
 		"CREATE TEMP TABLE x (v int)":                           state,
 		"PREPARE p AS SELECT 1":                                 state,
@@ -57,9 +62,11 @@
 		"ROLLBACK":                      {Class: classifier.Read, Count: 1, End: true, Rollback: true},
 		"ROLLBACK TO SAVEPOINT a":       {Class: classifier.Read, Count: 1, Savepoint: true},
 		"SELECT 1; UPDATE t SET v = 1;": {Class: classifier.Write, Count: 2},
-		"SET oleanderpulley.route = 'x'; SELECT 1":                 {Class: classifier.Read, Count: 2, Mixed: true},
-		"SELECT 1; SET SESSION \"oleanderpulley\".workspace = 'x'": {Class: classifier.Read, Count: 2, Mixed: true},
-		"SELECT 1; SET oleanderpulley.route = 'x'":                 {Class: classifier.Read, Count: 2, Mixed: true},
+		"CREATE FUNCTION f() RETURNS int BEGIN ATOMIC SELECT CASE WHEN true THEN 1 END; SELECT 2; END": write,
+		"CREATE PROCEDURE p() BEGIN ATOMIC INSERT INTO t VALUES (1); END; SELECT 1":                    {Class: classifier.Write, Count: 2},
+		"SET oleanderpulley.route = 'x'; SELECT 1":                                                     {Class: classifier.Read, Count: 2, Mixed: true},
+		"SELECT 1; SET SESSION \"oleanderpulley\".workspace = 'x'":                                     {Class: classifier.Read, Count: 2, Mixed: true},
+		"SELECT 1; SET oleanderpulley.route = 'x'":                                                     {Class: classifier.Read, Count: 2, Mixed: true},
 	} {
 		t.Run(sql, func(t *testing.T) {
 			qt.Assert(t, classifier.Classify([]byte(sql)), qt.DeepEquals, want)
--- a/internal/protocol/classifier/statement.go
+++ b/internal/protocol/classifier/statement.go
@@ -54,9 +54,7 @@
 	st.skipToEnd()
 }
 
-// skipToEnd reads to the end of the statement. A semicolon inside a function body
-// "BEGIN ATOMIC ... END" is taken for the end of the statement; the text is still
-// a write, because of its CREATE.
+// skipToEnd reads to the end of the statement.
 func (st *statementParser) skipToEnd() {
 	for st.current.kind != tokenEnd && !st.current.is(";") {
 		st.next()
@@ -86,17 +84,13 @@
 // opening parenthesis. Quoted names, and names qualified with a schema other than
 // pg_catalog, may be functions of users.
 func (st *statementParser) classifyCall(previous token, qualified bool) {
-	if previous.kind == tokenQuoted || qualified && previous.kind == tokenWord {
-		st.raiseClass(Write)
-		return
-	}
-	if previous.kind != tokenWord || isReadOnlyWord(previous.text) {
+	isName := previous.kind == tokenWord || previous.kind == tokenQuoted
+	isKnown := previous.kind == tokenWord && !qualified && isReadOnlyWord(previous.text)
+	if !isName || isKnown {
 		return
 	}
 	st.raiseClass(Write)
-	if createsSessionState(previous.text) {
-		st.summary.CreatesSessionState = true
-	}
+	st.detectSessionState(previous)
 }
 
 // detectStatefulCalls looks for calls that create session state in the rest of a
@@ -104,13 +98,21 @@
 func (st *statementParser) detectStatefulCalls() {
 	previous := st.current
 	for t := st.next(); t.kind != tokenEnd && !t.is(";"); t = st.next() {
-		if t.is("(") && previous.kind == tokenWord && createsSessionState(previous.text) {
-			st.summary.CreatesSessionState = true
+		if t.is("(") {
+			st.detectSessionState(previous)
 		}
 		previous = t
 	}
 }
 
+// detectSessionState records whether a function of this name leaves state on the
+// connection, in whatever schema it is.
+func (st *statementParser) detectSessionState(name token) {
+	if createsSessionState(bytes.Trim(name.text, `"`)) {
+		st.summary.CreatesSessionState = true
+	}
+}
+
 // createsSessionState reports whether a function with this prefix leaves state on
 // the connection: session advisory locks, set_config, setseed and dblink_connect.
 // Sequence functions are not included, although currval depends on the connection.
@@ -198,12 +200,12 @@
 			}
 		}
 	}
-	s.End = true
-	s.Rollback = first.isAnyOf("rollback", "abort")
 	if second.is("prepared") {
 		st.raiseClass(Write)
-		s.End = false
+		return
 	}
+	s.End = true
+	s.Rollback = first.isAnyOf("rollback", "abort")
 }
 
 // classifyDeclare classifies DECLARE of a cursor. A cursor WITH HOLD outlives its
@@ -227,11 +229,28 @@
 // state.
 func (st *statementParser) classifyCreate() {
 	st.raiseClass(Write)
-	for t := st.next(); t.kind == tokenWord && !t.isAnyOf("table", "view", "sequence", "function"); t = st.next() {
+	for t := st.next(); t.kind == tokenWord && !t.isAnyOf("table", "view", "sequence", "function", "procedure"); t = st.next() {
 		if t.isAnyOf("temp", "temporary") {
 			st.summary.CreatesSessionState = true
 		}
 	}
+	st.skipBody()
+}
+
+// skipBody skips the body "BEGIN ATOMIC ... END" of a function, whose semicolons
+// do not end the statement. It stops at the end of a statement without a body.
+func (st *statementParser) skipBody() {
+	depth := 0
+	previous := st.current
+	for t := st.current; t.kind != tokenEnd && (depth > 0 || !t.is(";")); t = st.next() {
+		switch {
+		case previous.is("begin") && t.is("atomic"), depth > 0 && t.is("case"):
+			depth++
+		case depth > 0 && t.is("end"):
+			depth--
+		}
+		previous = t
+	}
 }
 
 // classifySettings classifies SET, RESET, SHOW, DISCARD and DEALLOCATE.
