internal/coordination/lister: a roster that is missing from a full list is removed

Cause: noticed by readers. A view kept the rosters of data centres that the platform no longer lists, so that their members stayed peers of the shares.

Change: they are removed; older requests of other instances get a full answer, because an answer with changes cannot name a missing roster.

TestMissingRosterIsRemoved failed before.

--- a/internal/coordination/lister/view.go
+++ b/internal/coordination/lister/view.go
@@ -1,6 +1,7 @@
 package lister
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -49,9 +50,16 @@
 			changed = true
 		}
 	}
+	missing := maps.Clone(v.rosters)
 	for _, r := range rosters {
+		delete(missing, r.DataCentre)
 		changed = v.putRoster(r, next) || changed
 	}
+	for dataCentre := range missing {
+		delete(v.rosters, dataCentre)
+		v.oldestAnswerable = next // An answer with changes cannot name a missing roster.
+		changed = true
+	}
 	if changed {
 		v.revision = next
 	}
--- a/internal/coordination/lister/view_test.go
+++ b/internal/coordination/lister/view_test.go
@@ -54,6 +54,22 @@
 	qt.Assert(t, since, qt.Equals, first)
 }
 
+// Guards against the roster of a data centre that is no longer there: it would keep
+// its members, on the instance that reads the platform and on those that ask it.
+func TestMissingRosterIsRemoved(t *testing.T) {
+	now := time.Unix(0, 0)
+	var relay, follower view
+	relay.origin = 42
+	relay.replace(nil, []Roster{{DataCentre: "centro-a"}, {DataCentre: "centro-b"}}, now)
+	follower.apply(relay.changesSince(FleetRequest{}), now)
+	qt.Assert(t, relay.replace(nil, []Roster{{DataCentre: "centro-a"}}, now), qt.IsTrue)
+	follower.apply(relay.changesSince(FleetRequest{Origin: follower.origin, Revision: follower.revision}), now)
+	for _, v := range []*view{&relay, &follower} {
+		qt.Assert(t, v.rosters, qt.HasLen, 1)
+		qt.Assert(t, v.rosters["centro-a"].DataCentre, qt.Equals, identifier.DataCentre("centro-a"))
+	}
+}
+
 // listedStates returns the states of all entries by ID.
 func listedStates(v *view) map[string]State {
 	states := map[string]State{}
