internal/transport/acceptor: a hinted deadline bounds COPY as well

Cause: noticed by readers. COPY FROM STDIN took its limit from the settings of the session, not from those of the statement, so that a hint of a deadline was ignored and a stalled client kept its connection for the default of 30 s.

TestHintedDeadlineEndsCopy failed before.

--- a/internal/transport/acceptor/copy.go
+++ b/internal/transport/acceptor/copy.go
@@ -31,7 +31,7 @@
 	}
 	s.input.Consume()
 	s.input.Size = copyBufferSize
-	err := s.forwardCopy(ctx)
+	err := s.forwardCopy(ctx, s.statementTimeout(b.settings))
 	s.input.Size = 0
 	if err == nil && e.kind == 'E' {
 		err = s.forwardCopySync(b)
@@ -42,10 +42,9 @@
 	return errors.Wrap(s.lease.conn.SetReadDeadline(time.Now().Add(initialReadTimeout)), "set deadline")
 }
 
-// forwardCopy forwards CopyData messages up to CopyDone or CopyFail. The
-// deadline is extended with every message, because a COPY may take long.
-func (s *session) forwardCopy(ctx *statementContext) error {
-	limit := s.statementTimeout(s.settings)
+// forwardCopy forwards CopyData messages up to CopyDone or CopyFail. The limit is
+// for the time between two messages, because a COPY may take long.
+func (s *session) forwardCopy(ctx *statementContext, limit time.Duration) error {
 	c := s.lease.conn
 	for done := false; !done; {
 		ctx.extendDeadline(time.Now().Add(limit))
--- a/internal/transport/acceptor/driver_test.go
+++ b/internal/transport/acceptor/driver_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/jackc/pgx/v5"
@@ -304,3 +305,15 @@
 		}
 	}
 }
+
+// Guards against a COPY whose client stalls and that keeps its connection for the
+// default timeout although the statement has a shorter deadline.
+func TestHintedDeadlineEndsCopy(t *testing.T) {
+	f := startFixture(t, nil)
+	c := connect(t, f.address, nil)
+	c.send(&pgproto3.Query{String: "/* oleanderpulley: deadline=300ms */ COPY t FROM STDIN"})
+	qt.Assert(t, c.read(), qt.DeepEquals, []string{"copy in"})
+	started := time.Now()
+	c.read()
+	qt.Assert(t, time.Since(started) < 3*time.Second, qt.IsTrue)
+}
