internal/transport/acceptor: each proxy statement of a batch gets its own response

All statements of the proxy in one extended batch got the response of the last one: SET and SHOW in one batch answered SHOW twice.

TestProxyStatementsInOneBatch failed before.

--- a/internal/transport/acceptor/driver_test.go
+++ b/internal/transport/acceptor/driver_test.go
@@ -317,3 +317,14 @@
 	c.read()
 	qt.Assert(t, time.Since(started) < 3*time.Second, qt.IsTrue)
 }
+
+// Guards against two statements of the proxy in one batch that both get the
+// response of the last one.
+func TestProxyStatementsInOneBatch(t *testing.T) {
+	f := startFixture(t, nil)
+	c := connect(t, f.address, nil)
+	sr := &scriptRunner{t: t}
+	sr.runClientCommand(c, "ask", "P - SET oleanderpulley.max_age = '2s'; B -; E; P - SHOW oleanderpulley.max_age; B -; E; S")
+	qt.Assert(t, sr.out.String(), qt.Equals, "  ParseComplete\n  BindComplete\n  done SET\n"+
+		"  ParseComplete\n  BindComplete\n  row [\"2s\"]\n  done SHOW\n  ready I\n")
+}
--- a/internal/transport/acceptor/proxy_statement.go
+++ b/internal/transport/acceptor/proxy_statement.go
@@ -21,13 +21,13 @@
 		return refuser.New(refuser.InFailedTransaction, "")
 	}
 	s.txAborted, s.txStatus = false, 'I'
-	return s.synthesizeResponse(b, func(*message) []byte { return framer.AppendText(nil, 'C', "ROLLBACK") })
+	return s.synthesizeResponse(b, func(int) []byte { return framer.AppendText(nil, 'C', "ROLLBACK") })
 }
 
 // respondEmpty responds to a batch without statements while the session holds
 // no backend connection.
 func (s *session) respondEmpty(b *batch) error {
-	return s.synthesizeResponse(b, func(*message) []byte { return framer.AppendFrame(nil, 'I') })
+	return s.synthesizeResponse(b, func(int) []byte { return framer.AppendFrame(nil, 'I') })
 }
 
 // respondProxyStatements runs a batch of proxy statements: SET, SHOW and RESET
@@ -40,17 +40,19 @@
 			return refuser.New(refuser.Unsupported, "statements of the proxy and of the server in one batch")
 		}
 	}
-	var response []byte
+	responses := make([][]byte, len(b.messages))
+	var last []byte
 	for i := range b.messages {
 		if m := &b.messages[i]; m.proxyStmt != nil && m.kind != 'D' {
-			statementResponse, err := s.runProxyStatement(m.proxyStmt, view)
+			response, err := s.runProxyStatement(m.proxyStmt, view)
 			if err != nil {
 				return err
 			}
-			response = statementResponse
+			last = response
 		}
+		responses[i] = last // An Execute follows the Bind of its statement.
 	}
-	return s.synthesizeResponse(b, func(*message) []byte { return response })
+	return s.synthesizeResponse(b, func(i int) []byte { return responses[i] })
 }
 
 func (s *session) runProxyStatement(o *classifier.ProxyStatement, view configurer.View) ([]byte, error) {
@@ -134,8 +136,8 @@
 }
 
 // synthesizeResponse responds to a batch without a backend server. The function
-// run returns the response to a statement that is executed.
-func (s *session) synthesizeResponse(b *batch, run func(*message) []byte) error {
+// run returns the response to the statement that the i-th message executes.
+func (s *session) synthesizeResponse(b *batch, run func(i int) []byte) error {
 	var out []byte
 	for i := range b.messages {
 		m := &b.messages[i]
@@ -149,14 +151,14 @@
 		case 'D':
 			out = s.appendDescription(out, m, rows || m.stmt == nil && b.beginsTx)
 		case 'E':
-			out = append(out, run(m)...)
+			out = append(out, run(i)...)
 		case 'C':
 			out = framer.AppendFrame(out, '3')
 		case 'Q':
 			if rows {
 				out = append(out, settingRowDescription...)
 			}
-			out = framer.AppendFrame(append(out, run(m)...), 'Z', s.txStatus)
+			out = framer.AppendFrame(append(out, run(i)...), 'Z', s.txStatus)
 		case 'S':
 			out = framer.AppendFrame(out, 'Z', s.txStatus)
 		}
