--- a/internal/command/starter/peers.go
+++ b/internal/command/starter/peers.go
@@ -51,8 +51,6 @@
 	e.Register("sample_reply", sampleReply{})
 	e.Register("relay_ask", follower.CatalogRequest{})
 	e.Register("relayed", follower.CatalogReply{})
-	e.Register("contact_ask", contactRequest{})
-	e.Register("contact_reply", contactReply{})
 	e.Register("reach_ask", reachAsk{})
 	e.Register("reach_reply", reachReply{})
 	e.Register("leadership", leadershipNotice{})
@@ -83,11 +81,7 @@
 	case ratelimiter.TokenRequest:
 		return s.limiter.Give(m), nil
 	case follower.CatalogRequest:
-		r := s.follower.Answer(m)
-		r.Contact = s.fencer.AnswerContact(from.DataCentre == s.Settings.DataCentre)
-		return r, nil
-	case contactRequest:
-		return contactReply{s.fencer.AnswerContact(from.DataCentre == s.Settings.DataCentre)}, nil
+		return s.follower.Answer(m), nil
 	case reachAsk:
 		return s.checkReachability(m.Instance), nil
 	case leadershipNotice:
@@ -174,7 +168,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, follower.RelayTimeout)
 	defer cancel()
-	sentAt, sentClock := time.Now(), s.holder.Clock()
+	sentAt := time.Now()
 	reply, err := s.peers.Request(ctx, relay, follower.CatalogRequest{Known: known})
 	if err != nil {
 		s.peers.Check(relay, sentAt)
@@ -184,7 +178,6 @@
 	if !ok {
 		return follower.CatalogReply{}, errors.Wrapf(errUnexpectedMessage, "%T", reply)
 	}
-	s.fencer.ObserveContact(r.Contact, sentClock)
 	return r, nil
 }
 
--- a/internal/command/starter/replacer.go
+++ b/internal/command/starter/replacer.go
@@ -39,7 +39,7 @@
 	r.Revoke = s.revoke
 	r.StepDownVia = s.stepDownVia
 	r.Announce = s.announceRecord
-	r.Validity = replacer.Validity{Proof: fencer.Validity, Contact: fencer.ContactValidity, Max: fencer.MaxValidity}
+	r.Validity = fencer.Validity
 	r.Clock = s.holder.Clock
 	r.Era = s.fencer.Era
 	r.IsProven = s.fencer.IsProven
--- a/internal/coordination/fencer/fencer.go
+++ b/internal/coordination/fencer/fencer.go
@@ -16,18 +16,11 @@
 // that it was replaced.
 var ErrNotLeading = errors.New("backend server does not lead")
 
-const (
-	// Validity is the maximum age of the proof under which an instance may use a
-	// primary without contact to another data centre. It is longer than the age
-	// that a proof reaches through two relays, so that an instance keeps its
-	// permission when one answer is late.
-	Validity = 1400 * time.Millisecond
-	// ContactValidity is the maximum age of the contact to another data centre
-	// that extends the validity of a proof to [MaxValidity].
-	ContactValidity = 1200 * time.Millisecond
-	// MaxValidity is the maximum age of a proof with such a contact.
-	MaxValidity = 3 * time.Second
-)
+// Validity is the maximum age of the proof under which an instance may use a
+// primary. It is longer than the age that a proof reaches through two relays, so
+// that an instance keeps its permission when one answer is late. An instance that
+// replaces a primary waits as long for instances that do not confirm.
+const Validity = 1400 * time.Millisecond
 
 // Fencer holds the leadership records that this instance knows. Holder is
 // required. It is safe for concurrent use; checking a permit takes no lock and
@@ -39,8 +32,6 @@
 	// service. It may be nil.
 	OnChange func(identifier.ServiceName, cataloger.Leadership)
 
-	contact atomic.Int64 // Clock reading plus one, so that 0 means no contact.
-
 	mu             sync.Mutex
 	records        atomic.Pointer[map[identifier.ServiceName]cataloger.Leadership]
 	era            atomic.Uint64
@@ -68,11 +59,11 @@
 // Permit returns the permission to use the primary of the service, or false if
 // the proof is too old or a replacement is under way.
 func (f *Fencer) Permit(service identifier.ServiceName) (Permit, bool) {
-	// The proof and the contact are read first: the records that came with them
-	// were taken over before they were set, so that the record is not older.
-	recent := f.IsProven() || f.isExtended()
+	// The proof is read first: the records of its catalog were taken over
+	// before it was set, so that the record is not older than the proof.
+	proven := f.IsProven()
 	r := f.Record(service)
-	return Permit{service, r.Server, r.Term}, recent && !r.IsReplacing() && !f.isSuspended()
+	return Permit{service, r.Server, r.Term}, proven && !r.IsReplacing() && !f.isSuspended()
 }
 
 // IsHeld reports whether the permit is still held. An answer counts if it is
@@ -93,56 +84,12 @@
 }
 
 // IsProven reports whether the proof of the catalog is recent enough to use a
-// primary without a contact.
+// primary.
 func (f *Fencer) IsProven() bool {
 	age, ok := f.Holder.Age()
 	return ok && age <= Validity
 }
 
-// isExtended reports whether the contact allows an older proof. The proof is no
-// older than that up to which removed instances are remembered, because a holder
-// asks these for their confirmation as well.
-func (f *Fencer) isExtended() bool {
-	contact, ok := f.ContactAge()
-	if !ok || contact > ContactValidity {
-		return false
-	}
-	age, ok := f.Holder.Age()
-	return ok && age <= min(MaxValidity, f.Holder.MaxAge)
-}
-
-// SetContact records an answer from another data centre to a request that was
-// sent at the clock reading. The announcements that the answer contains must be
-// observed before.
-func (f *Fencer) SetContact(sentAt time.Duration) {
-	for {
-		old := f.contact.Load()
-		if old >= int64(sentAt)+1 || f.contact.CompareAndSwap(old, int64(sentAt)+1) {
-			return
-		}
-	}
-}
-
-// ContactAge returns the age of the newest contact, and false if there is none.
-func (f *Fencer) ContactAge() (time.Duration, bool) {
-	contact := f.contact.Load()
-	if contact == 0 {
-		return 0, false
-	}
-	return f.Holder.Clock() - time.Duration(contact-1), true
-}
-
-// Announcements returns the known records that announce a replacement.
-func (f *Fencer) Announcements() map[identifier.ServiceName]cataloger.Leadership {
-	announced := map[identifier.ServiceName]cataloger.Leadership{}
-	for service, r := range f.Records() {
-		if r.IsReplacing() {
-			announced[service] = r
-		}
-	}
-	return announced
-}
-
 func (f *Fencer) isSuspended() bool {
 	until := f.suspendedUntil.Load()
 	return until != 0 && int64(f.Holder.Clock()) < until
--- a/internal/coordination/follower/relay.go
+++ b/internal/coordination/follower/relay.go
@@ -9,7 +9,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
-	"oleanderpulley/internal/coordination/fencer"
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
 )
@@ -53,8 +52,6 @@
 	Proven  bool               `cbor:"proven"`
 	Age     time.Duration      `cbor:"age"`
 	Catalog *cataloger.Catalog `cbor:"catalog,omitempty"`
-	// Contact is nil if the sender has no proof.
-	Contact *fencer.Contact `cbor:"contact,omitempty"`
 }
 
 // Parent returns the instance that the given one asks for the catalog, and false
--- a/internal/coordination/replacer/fence.go
+++ b/internal/coordination/replacer/fence.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"oleanderpulley/internal/state/cataloger"
@@ -25,9 +26,10 @@
 func (r *Replacer) awaitFence(ctx context.Context, p *replacement) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	expiry := time.NewTimer(p.acked + r.Validity + expiryMargin - r.Clock())
+	defer expiry.Stop()
 	unconfirmed, complete := r.instancesToRevoke(ctx)
 	total := len(unconfirmed)
-	end := p.acked + r.Validity.Max
 	var steppedDown chan struct{}
 	for round := 0; ; round++ {
 		started := time.Now()
@@ -35,58 +37,31 @@
 		if complete && len(unconfirmed) == 0 {
 			return nil
 		}
-		if complete && r.areContactsEnded(unconfirmed) {
-			end = min(end, max(p.acked+r.Validity.Proof, r.Clock()+r.Validity.Contact))
-		}
 		if round == 0 {
 			r.Logger.Warn().Str("event", "replacement_waits").Str("service", string(p.service)).Uint64("token", p.record.Revision).
 				Int("instances", total).Int("unconfirmed", len(unconfirmed)).Bool("members_read", complete).Send()
 			steppedDown = r.stepDownPrimary(ctx, p, unconfirmed)
 		}
-		expired := time.NewTimer(end + expiryMargin - r.Clock())
 		retry := time.NewTimer(revokeInterval - time.Since(started))
-		done, err := awaitNextRound(ctx, retry, expired, steppedDown)
-		if done || err != nil {
-			return err
+		select {
+		case <-retry.C:
+		case <-steppedDown:
+			retry.Stop()
+			return nil
+		case <-expiry.C:
+			retry.Stop()
+			return nil
+		case <-ctx.Done():
+			retry.Stop()
+			return ctx.Err()
 		}
 	}
 }
 
-// awaitNextRound waits for the next round and reports whether none is needed.
-func awaitNextRound(ctx context.Context, retry, expired *time.Timer, steppedDown <-chan struct{}) (done bool, err error) {
-	defer retry.Stop()
-	defer expired.Stop()
-	select {
-	case <-retry.C:
-		return false, nil
-	case <-steppedDown:
-		return true, nil
-	case <-expired.C:
-		return true, nil
-	case <-ctx.Done():
-		return false, ctx.Err()
-	}
-}
-
-// areContactsEnded reports whether the unconfirmed instances get no contact any
-// more that leaves out the announcement: they are of one data centre, and every
-// instance elsewhere has confirmed. An instance that has started lately does not
-// know the instances that were removed before, which others may still ask.
-func (r *Replacer) areContactsEnded(unconfirmed map[identifier.InstanceID]cataloger.Instance) bool {
-	if r.Clock()-r.startedAt <= r.Validity.Max {
-		return false
-	}
-	dataCentres := map[identifier.DataCentre]bool{}
-	for _, m := range unconfirmed {
-		dataCentres[m.DataCentre] = true
-	}
-	return len(dataCentres) <= 1
-}
-
 // instancesToRevoke returns the instances that may hold a permit: those that are
 // registered after the announcement and those that this instance knew before.
 // It reports false if the registrations could not be read.
-func (r *Replacer) instancesToRevoke(ctx context.Context) (map[identifier.InstanceID]cataloger.Instance, bool) {
+func (r *Replacer) instancesToRevoke(ctx context.Context) ([]identifier.InstanceID, bool) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	registered, err := r.Members(ctx)
@@ -94,21 +69,18 @@
 		r.Logger.Warn().Str("event", "members_not_read").Err(err).Send()
 	}
 	all := maps.Clone(r.Catalog().Instances)
-	if all == nil {
-		all = map[identifier.InstanceID]cataloger.Instance{}
-	}
 	maps.Copy(all, registered)
 	delete(all, r.Self)
-	return all, err == nil
+	return slices.Collect(maps.Keys(all)), err == nil
 }
 
 // revoke asks the instances to confirm the announcement and returns those that
 // have not.
-func (r *Replacer) revoke(ctx context.Context, p *replacement, instances map[identifier.InstanceID]cataloger.Instance) map[identifier.InstanceID]cataloger.Instance {
+func (r *Replacer) revoke(ctx context.Context, p *replacement, instances []identifier.InstanceID) []identifier.InstanceID {
 	ctx, cancel := context.WithTimeout(ctx, revokeTimeout)
 	defer cancel()
 	silent := make(chan identifier.InstanceID, len(instances))
-	for id := range instances {
+	for _, id := range instances {
 		go func() {
 			if r.Revoke(ctx, id, p.service, p.record) {
 				id = ""
@@ -116,10 +88,10 @@
 			silent <- id
 		}()
 	}
-	unconfirmed := map[identifier.InstanceID]cataloger.Instance{}
+	var unconfirmed []identifier.InstanceID
 	for range instances {
 		if id := <-silent; id != "" {
-			unconfirmed[id] = instances[id]
+			unconfirmed = append(unconfirmed, id)
 		}
 	}
 	return unconfirmed
@@ -128,7 +100,7 @@
 // stepDownPrimary makes this instance and every instance that has confirmed try
 // to step down the old primary. The returned channel is closed when the old
 // primary has confirmed; it is nil if the old primary is not known.
-func (r *Replacer) stepDownPrimary(ctx context.Context, p *replacement, unconfirmed map[identifier.InstanceID]cataloger.Instance) chan struct{} {
+func (r *Replacer) stepDownPrimary(ctx context.Context, p *replacement, unconfirmed []identifier.InstanceID) chan struct{} {
 	b, term, known := r.oldPrimary(p)
 	if !known {
 		return nil
@@ -144,7 +116,7 @@
 	}
 	go try(func() bool { return r.stepDownHere(b, term) })
 	for id := range r.Catalog().Instances {
-		if _, silent := unconfirmed[id]; id != r.Self && !silent {
+		if id != r.Self && !slices.Contains(unconfirmed, id) {
 			go try(func() bool { return r.StepDownVia(ctx, id, b, term) })
 		}
 	}
--- a/internal/coordination/replacer/model_test.go
+++ b/internal/coordination/replacer/model_test.go
@@ -44,8 +44,6 @@
 	noWait    defect = "no wait for instances that do not confirm"
 	noRecheck defect = "no check of the permit after the answer"
 	noEra     defect = "no suspension when the store came back from a copy"
-	noTell    defect = "no announcements in the answers to contacts"
-	noMaxWait defect = "no longer wait for instances of several data centres"
 )
 
 // modelFault is a fault of one run.
@@ -54,14 +52,13 @@
 	At       time.Duration
 	Duration time.Duration
 	Target   int // Number of an instance or a server.
-	Other    int // Distance to another instance, less one.
 }
 
 // faultKinds has the faults of the primary twice, because only they make the
 // instances replace it.
 var faultKinds = []string{
 	"crash", "crash", "primary cut", "primary cut", "sleep", "cut from peers", "cut from store", "cut from primary",
-	"store away", "late promotions", "old copy", "split", "cut from one peer",
+	"store away", "late promotions", "old copy",
 }
 
 func drawFaults(t *rapid.T) []modelFault {
@@ -71,7 +68,6 @@
 			At:       time.Duration(rapid.IntRange(2000, 25000).Draw(t, "at")) * time.Millisecond,
 			Duration: time.Duration(rapid.IntRange(300, 9000).Draw(t, "duration")) * time.Millisecond,
 			Target:   rapid.IntRange(0, modelInstances-1).Draw(t, "target"),
-			Other:    rapid.IntRange(0, modelInstances-2).Draw(t, "other"),
 		}
 	})
 	return rapid.SliceOfN(one, 2, 9).Draw(t, "faults")
@@ -126,8 +122,6 @@
 	replacer replacer.Replacer
 	awake    chan struct{} // Closed while the instance is awake.
 	cutPeers bool
-	side     int            // Instances reach each other if they are on the same side.
-	cutPeer  *modelInstance // A peer that the instance does not reach.
 	cutStore bool
 	cutFrom  *modelServer // A server that the instance does not reach.
 	lastLed  time.Time
@@ -155,7 +149,6 @@
 	i := &modelInstance{m: m, id: identifier.InstanceID(fmt.Sprint("i", number)), awake: make(chan struct{})}
 	close(i.awake)
 	i.holder.Now = func() time.Duration { return time.Since(m.start) }
-	i.holder.MaxAge = 4 * time.Second
 	i.holder.Replace(m.catalog(nil))
 	i.fencer.Holder = &i.holder
 	r := &i.replacer
@@ -166,12 +159,9 @@
 	r.Clock = i.holder.Clock
 	r.Era = i.fencer.Era
 	r.IsProven = i.fencer.IsProven
-	r.Validity = replacer.Validity{Proof: fencer.Validity, Contact: fencer.ContactValidity, Max: fencer.MaxValidity}
-	switch m.defect {
-	case noWait:
-		r.Validity = replacer.Validity{}
-	case noMaxWait:
-		r.Validity.Max = r.Validity.Proof
+	r.Validity = fencer.Validity
+	if m.defect == noWait {
+		r.Validity = 0
 	}
 	r.LastLed = func(identifier.ServiceName) (identifier.BackendServerID, identifier.Term, time.Time) {
 		m.mu.Lock()
@@ -238,16 +228,11 @@
 	}
 	for n := range modelInstances {
 		id := identifier.InstanceID(fmt.Sprint("i", n))
-		c.Instances[id] = cataloger.Instance{ID: id, DataCentre: dataCentreOf(n)}
+		c.Instances[id] = cataloger.Instance{ID: id}
 	}
 	return c
 }
 
-// dataCentreOf spreads the instances over two data centres.
-func dataCentreOf(number int) identifier.DataCentre {
-	return identifier.DataCentre(fmt.Sprint("dc", number%2))
-}
-
 // delay is the time that one message takes.
 func (m *model) delay() {
 	m.mu.Lock()
@@ -278,7 +263,7 @@
 func (i *modelInstance) reachesPeer(o *modelInstance) bool {
 	i.m.mu.Lock()
 	defer i.m.mu.Unlock()
-	return !i.cutPeers && !o.cutPeers && i.side == o.side && i.cutPeer != o && o.cutPeer != i
+	return !i.cutPeers && !o.cutPeers
 }
 
 // reaches reports whether the instance reaches the server. The caller holds mu.
@@ -559,39 +544,6 @@
 	i.fencer.Resume(era)
 }
 
-// contact asks another instance for a contact, as package starter does over the
-// relays and directly.
-func (i *modelInstance) contact(done <-chan struct{}) {
-	for {
-		select {
-		case <-done:
-			return
-		case <-time.After(250 * time.Millisecond):
-		}
-		i.m.mu.Lock()
-		o := i.m.instances[i.m.random.IntN(modelInstances)]
-		i.m.mu.Unlock()
-		sent := i.holder.Clock()
-		i.pause()
-		if o == i || !i.reachesPeer(o) {
-			continue
-		}
-		o.pause()
-		c := o.fencer.AnswerContact(i.dataCentre() == o.dataCentre())
-		if i.m.defect == noTell && c != nil {
-			c.Announcements = nil
-		}
-		i.pause()
-		if i.reachesPeer(o) {
-			i.fencer.ObserveContact(c, sent)
-		}
-	}
-}
-
-func (i *modelInstance) dataCentre() identifier.DataCentre {
-	return i.m.catalog(nil).Instances[i.id].DataCentre
-}
-
 // write sends writes to the server that the instance takes for the primary.
 func (i *modelInstance) write(done <-chan struct{}) {
 	for {
@@ -670,21 +622,6 @@
 		close(awake)
 	case "cut from peers":
 		set(func(on bool) { i.cutPeers = on })
-	case "split":
-		o := m.instances[(f.Target+1)%modelInstances]
-		set(func(on bool) {
-			i.side, o.side = 0, 0
-			if on {
-				i.side, o.side = 1, 1
-			}
-		})
-	case "cut from one peer":
-		set(func(on bool) {
-			i.cutPeer = nil
-			if on {
-				i.cutPeer = m.instances[(f.Target+1+f.Other)%modelInstances]
-			}
-		})
 	case "cut from store":
 		set(func(on bool) { i.cutStore = on })
 	case "cut from primary":
@@ -729,7 +666,6 @@
 	for _, i := range m.instances {
 		i.poll()
 		tasks.Go(func() { i.follow(done) })
-		tasks.Go(func() { i.contact(done) })
 		tasks.Go(func() { i.write(done) })
 		tasks.Go(func() { i.replacer.Run(ctx) })
 	}
@@ -781,25 +717,6 @@
 		{Kind: "cut from primary", At: from, Duration: length, Target: 3},
 	}
 	scenarios := map[defect]func(seed uint64) []modelFault{
-		// The first instance does not hear from the holder, but from another
-		// instance that has confirmed.
-		noTell: func(seed uint64) []modelFault {
-			return append(slices.Clone(othersCut),
-				modelFault{Kind: "cut from one peer", At: from, Duration: length, Other: int(seed % (modelInstances - 1))},
-				modelFault{Kind: "cut from store", At: from + 900*time.Millisecond, Duration: length},
-			)
-		},
-		// Two instances of different data centres reach only each other and the
-		// old primary.
-		noMaxWait: func(uint64) []modelFault {
-			return []modelFault{
-				{Kind: "cut from primary", At: from, Duration: length, Target: 2},
-				{Kind: "cut from primary", At: from, Duration: length, Target: 3},
-				{Kind: "split", At: from, Duration: length},
-				{Kind: "cut from store", At: from + 900*time.Millisecond, Duration: length},
-				{Kind: "cut from store", At: from + 900*time.Millisecond, Duration: length, Target: 1},
-			}
-		},
 		// The first instance has a recent proof when the others announce the
 		// replacement, and neither they nor the store can tell it.
 		noWait: func(uint64) []modelFault {
--- a/internal/coordination/replacer/replacer.go
+++ b/internal/coordination/replacer/replacer.go
@@ -103,9 +103,9 @@
 	// Announce tells the other instances a step of a replacement, its successor
 	// or its end, without waiting for them.
 	Announce func(service identifier.ServiceName, l cataloger.Leadership)
-	// Validity is how long an instance that does not confirm an announcement may
-	// go on using the old primary.
-	Validity Validity
+	// Validity is the time for which an instance that does not confirm an
+	// announcement may go on using the old primary.
+	Validity time.Duration
 	// Clock reads a clock that keeps running while the machine is suspended.
 	Clock func() time.Duration
 	// Era returns the newest era of the store that this instance knows.
@@ -118,20 +118,11 @@
 	// Observe, if set, records the duration of each step of a replacement.
 	Observe func(step string, took time.Duration)
 
-	startedAt time.Duration // Clock when Run began.
-
 	mu       sync.Mutex
 	watches  map[identifier.ServiceName]*serviceWatch
 	lastUsed map[identifier.ServiceName]time.Time
 }
 
-// Validity has the times for which permits last, as in package fencer.
-type Validity struct {
-	Proof   time.Duration // From the proof, without a contact.
-	Contact time.Duration // From the contact to another data centre.
-	Max     time.Duration // From the proof, with contacts.
-}
-
 // PeerSightings summarizes the answers of peers that were asked whether a
 // service has a primary. Led reports whether any of them has seen one lead.
 type PeerSightings struct {
@@ -179,7 +170,6 @@
 
 // Run monitors the services until the context ends.
 func (r *Replacer) Run(ctx context.Context) {
-	r.startedAt = r.Clock()
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
 	var tasks sync.WaitGroup
--- a/internal/coordination/replacer/replacer_test.go
+++ b/internal/coordination/replacer/replacer_test.go
@@ -178,7 +178,7 @@
 			return false
 		},
 		Announce: func(identifier.ServiceName, cataloger.Leadership) {},
-		Validity: Validity{Proof: testValidity, Contact: testValidity, Max: testValidity},
+		Validity: testValidity,
 		Clock:    func() time.Duration { return time.Since(s.boot) },
 		Era:      func() uint64 { return 0 },
 		IsProven: func() bool { return true },
@@ -358,7 +358,7 @@
 	s := newFakeService()
 	s.silent["two"] = true
 	r := s.replacer()
-	r.Validity = Validity{Proof: time.Minute, Contact: time.Minute, Max: time.Minute}
+	r.Validity = time.Minute
 	r.LastLed = func(identifier.ServiceName) (identifier.BackendServerID, identifier.Term, time.Time) {
 		return "a", 1, s.lastLed
 	}
