internal/command/runner: TestTrial reads after the faults and waits for its watch

The check of the recovery only wrote, so that a fleet that no longer serves reads passed it; the watch of the terms could add to the history while it was checked.

--- a/internal/command/runner/trial_test.go
+++ b/internal/command/runner/trial_test.go
@@ -85,7 +85,7 @@
 	tr.mustExecute(ctx, "CREATE TABLE sets (id text PRIMARY KEY, k text)")
 
 	running, stop := context.WithCancel(ctx)
-	go tr.watchTerms(running)
+	tr.sessions.Go(func() { tr.watchTerms(running) })
 	for i := range sessionCount {
 		tr.sessions.Go(func() { tr.runSession(running, i) })
 	}
@@ -196,15 +196,15 @@
 	return values, nil
 }
 
-// awaitRecovery waits until a write succeeds at every instance, and fails the test
-// after recoveryTimeout.
+// awaitRecovery waits until every instance serves a write and a read of it, and
+// fails the test after recoveryTimeout.
 func (tr *trial) awaitRecovery(ctx context.Context) {
 	recoveryCtx, cancel := context.WithTimeout(ctx, recoveryTimeout)
 	defer cancel()
 	for i, in := range tr.launcher.All() {
 		lastError := ""
 		for attempt := 0; ; attempt++ {
-			err := tr.attemptWrite(recoveryCtx, in, fmt.Sprintf("recovery-%d-%d", i, attempt))
+			err := tr.attemptService(recoveryCtx, in, fmt.Sprintf("recovery-%d-%d", i, attempt))
 			if err == nil {
 				break
 			}
@@ -221,9 +221,9 @@
 	}
 }
 
-// attemptWrite writes one row over a new connection. It times out like a client whose
-// connection gives no answer.
-func (tr *trial) attemptWrite(ctx context.Context, in *launcher.Instance, id string) error {
+// attemptService writes one row over a new connection and reads it back. It times out
+// like a client whose connection gives no answer.
+func (tr *trial) attemptService(ctx context.Context, in *launcher.Instance, id string) error {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	conn, err := pgconn.Connect(ctx, tr.launcher.URL(in, serviceName, workspaceName))
@@ -231,7 +231,13 @@
 		return err
 	}
 	defer func() { _ = conn.Close(ctx) }()
-	_, err = conn.Exec(ctx, fmt.Sprintf("INSERT INTO sets (id, k) VALUES ('%s', 'recovery')", id)).ReadAll()
+	if _, err = conn.Exec(ctx, fmt.Sprintf("INSERT INTO sets (id, k) VALUES ('%s', 'recovery')", id)).ReadAll(); err != nil {
+		return err
+	}
+	found, err := query(conn, fmt.Sprintf("SELECT k FROM sets WHERE id = '%s'", id))
+	if err == nil && len(found) == 0 {
+		tr.t.Errorf("seed %d: a session at instance %s does not read its write %s", tr.seed, in.ID, id)
+	}
 	return err
 }
 
