--- a/internal/coordination/sharer/admit.go
+++ b/internal/coordination/sharer/admit.go
@@ -12,9 +12,9 @@
 	// maxAdmitWait is the longest time that Admit holds a request while it
 	// waits for tokens.
 	maxAdmitWait = 50 * time.Millisecond
-	// maxStartWait is that time while this instance has not found the workspace's
-	// tokens yet, and startWindow the longest time that this may take. It covers
-	// the issue of the fractions by an instance that starts at the same time.
+	// maxStartWait replaces maxAdmitWait in the startWindow of the instance or the
+	// workspace, as long as no holder of tokens is known. The window covers the
+	// issue of the fractions by an instance that starts at the same time.
 	maxStartWait = 2 * time.Second
 	startWindow  = 3 * time.Second
 	// maxWaiters bounds the requests of a workspace that are held at one time.
