internal/transport/pooler: the test's maximum loses no value

Cause: noticed by readers. Two goroutines that stored their maximum at the same time could lose the higher one, so that a budget that was exceeded went unseen.

--- a/internal/transport/pooler/pooler_test.go
+++ b/internal/transport/pooler/pooler_test.go
@@ -58,7 +58,10 @@
 				}
 				_, taken := inUse.LoadOrStore(c, true)
 				qt.Check(t, taken, qt.IsFalse)
-				maxOpen.Store(max(maxOpen.Load(), int64(p.Open("s"))))
+				open := int64(p.Open("s"))
+				for highest := maxOpen.Load(); open > highest && !maxOpen.CompareAndSwap(highest, open); {
+					highest = maxOpen.Load()
+				}
 				inUse.Delete(c)
 				p.Release(c, i%7 != 0)
 			}
