--- a/internal/transport/sessioner/fenced_test.go
+++ b/internal/transport/sessioner/fenced_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"oleanderpulley/internal/coordination/fencer"
 	"oleanderpulley/internal/protocol/requester"
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
@@ -139,6 +140,6 @@
 	announced.Position = identifier.Position{Term: 1, Offset: 4}
 	s.Fencer.Observe("rentals", announced)
 	qt.Assert(t, s.Execute("peer", request).Result.Code, qt.Equals, requester.OK)
-	now += 3 * request.Route.MaxStaleness / 2 // The proof is still valid, but too old for the route.
+	now += (request.Route.MaxStaleness + fencer.Validity) / 2 // The proof is still valid, but too old for the route.
 	qt.Assert(t, s.Execute("peer", request).Result.Code, qt.Equals, requester.Lagging)
 }
