internal/coordination/follower: a starting instance gets the catalog that is being read

It asks its peers before it believes a store that came back from a copy, and the peer answered nothing while it was reading its lists again. Ruled out: the timeout of the request, which is the same now.

Change: a request without a known revision gets the catalog also without a proof.

TestStartingInstanceGetsTheCatalogThatIsBeingRead failed before.

--- a/internal/coordination/follower/relay.go
+++ b/internal/coordination/follower/relay.go
@@ -39,8 +39,9 @@
 	MaxProofAge = (defaultPeriod + 2*relayPeriod) * 9 / 8 // With jitter.
 )
 
-// CatalogRequest requests the catalog of a relay if its revision differs from
-// the known one.
+// CatalogRequest requests the catalog of a relay if its revision is higher than
+// the known one. An instance that starts knows none, and gets the newest
+// configuration and records even if the sender has no proof of its catalog.
 type CatalogRequest struct {
 	Known uint64 `cbor:"known"`
 }
@@ -105,6 +106,9 @@
 func (f *Follower) Answer(request CatalogRequest) CatalogReply {
 	age, proven := f.Holder.Age()
 	c := f.Holder.Catalog()
+	if c != nil && request.Known == 0 {
+		return CatalogReply{Proven: proven && c.Revision != 0, Age: age, Catalog: c}
+	}
 	if !proven || c == nil || c.Revision == 0 {
 		return CatalogReply{}
 	}
--- a/internal/coordination/follower/relay_test.go
+++ b/internal/coordination/follower/relay_test.go
@@ -101,6 +101,20 @@
 	qt.Assert(t, ok, qt.IsFalse)
 }
 
+// Guards against an instance that starts with the older configuration of a store
+// that came back from a copy, because the peer that knows the newer one is just
+// reading its lists again.
+func TestStartingInstanceGetsTheCatalogThatIsBeingRead(t *testing.T) {
+	f, h, now := newFollower(&fakeStore{})
+	*now = time.Second
+	h.Replace(&cataloger.Catalog{Configuration: &cataloger.Configuration{Version: 2}})
+	h.SetProof(*now)
+	reply := f.Answer(follower.CatalogRequest{})
+	qt.Assert(t, reply.Proven, qt.IsFalse)
+	qt.Assert(t, reply.Catalog.Configuration.Version, qt.Equals, identifier.ConfigVersion(2))
+	qt.Assert(t, f.Answer(follower.CatalogRequest{Known: 3}).Catalog, qt.IsNil)
+}
+
 // Guards against a relay that sends the whole configuration for each change of
 // another list, and against one that omits a configuration that the receiver
 // lacks.
