--- a/internal/command/starter/leadership_test.go
+++ b/internal/command/starter/leadership_test.go
@@ -32,9 +32,9 @@
 	p.members[previous].SetUnresponsive(false)
 }
 
-// Guards against writes that are acknowledged by a replaced primary that leads on
-// (ONE and STALE on 5 of 6 days of vandpyt-drift): every instance uses the new
-// one, and the old one is stepped down by those that still reach it.
+// Guards against writes that are acknowledged by a replaced primary that leads on:
+// every instance uses the new one, and the old one is stepped down by those that
+// still reach it.
 func TestReplacedPrimaryThatLeadsOnIsNotUsed(t *testing.T) {
 	p := newTestPlatform(t)
 	p.group.Unfenced = true
--- a/internal/coordination/assigner/assigner_test.go
+++ b/internal/coordination/assigner/assigner_test.go
@@ -76,8 +76,7 @@
 }
 
 // Guards against statements that must leave a small data centre because the
-// maximum load of its instances leaves no room for a home of each workspace. On
-// atlas-pulley a sixth of all statements crossed data centres for that reason.
+// maximum load of its instances leaves no room for a home of each workspace.
 func TestEveryDataCentreHasAHomeOfEachWorkspace(t *testing.T) {
 	c := catalog(12, 4, 8, 100)
 	moved := c.Instances["i3"]
--- a/internal/coordination/balancer/balancer_test.go
+++ b/internal/coordination/balancer/balancer_test.go
@@ -94,7 +94,7 @@
 }
 
 // Guards against statements that are sent to a draining server after its drain
-// limit and aborted when it stops (DRAIN on trouble-1 of obiseda-pool-grown).
+// limit and aborted when it stops.
 func TestDrainingServersGetNoNewStatements(t *testing.T) {
 	b, c := newBalancer()
 	b.DrainLimit = 4 * time.Second
--- a/internal/coordination/follower/follower_test.go
+++ b/internal/coordination/follower/follower_test.go
@@ -193,7 +193,7 @@
 
 // Guards against a draining server whose grace period restarts after an outage
 // of the store during which it began to drain, so that it is sent statements for
-// too long (8.7 s by DRAIN on a mix of obiseda-pool, seed 653060357361).
+// too long.
 func TestDrainCountsFromTheLastProof(t *testing.T) {
 	s := &fakeStore{revision: 5, version: 1, configurationRevision: 3, servers: []cataloger.BackendServer{{ID: "a"}}}
 	f, h, now := newFollower(s)
--- a/internal/coordination/replacer/decide_test.go
+++ b/internal/coordination/replacer/decide_test.go
@@ -67,8 +67,7 @@
 
 // Guards against a partitioned instance that replaces a primary which only it
 // cannot reach, and against a primary that nobody replaces because most of the
-// instances are in the data centre that was cut off with it (worst windows of
-// trouble-3 of vandpyt-drift).
+// instances are in the data centre that was cut off with it.
 func TestSightingsThatAllowReplacement(t *testing.T) {
 	for _, test := range []struct {
 		name       string
--- a/internal/coordination/replacer/replacer_test.go
+++ b/internal/coordination/replacer/replacer_test.go
@@ -267,8 +267,7 @@
 
 // Guards against a draining primary that is promoted to verify that promotions
 // are answered, steps down, leads again once the promotion takes effect, and is
-// used by an instance that does not know of the replacement (ONE on hunted days
-// of vandpyt-drift with deploy/days/leaving_in_an_outage.toml).
+// used by an instance that does not know of the replacement.
 func TestDrainingPrimaryIsNotPromotedUnlessAllConfirm(t *testing.T) {
 	s := newFakeService()
 	s.catalog.Servers["rentals"][0].Draining = true
@@ -323,9 +322,8 @@
 }
 
 // Guards against a service that has no primary during a network partition, on
-// the side that reaches the store. This happened when 9 of 12 instances and the
-// primary were partitioned from the store and from the other instances (scale-2
-// of atlas-pulley).
+// the side that reaches the store: the primary and most instances are partitioned
+// from the store and from the others.
 func TestLapsedPrimaryIsReplacedWithoutPeers(t *testing.T) {
 	s := newFakeService()
 	s.down["a"] = true
--- a/internal/transport/sessioner/fenced_test.go
+++ b/internal/transport/sessioner/fenced_test.go
@@ -121,9 +121,8 @@
 }
 
 // Guards against reads that wait for a new primary, although every commit that
-// they must see is in the log of the server that is being promoted (map reads
-// refused for a second in each failover of vandpyt-drift), and against reads under
-// a proof that does not exclude that the new primary has committed more.
+// they must see is in the log of the server that is being promoted, and against
+// reads under a proof that does not exclude that the new primary has committed more.
 func TestReadsGoOnWhileTheSuccessorIsPromoted(t *testing.T) {
 	s, _ := newTestServer()
 	replaceDuring(s, requester.Unknown)
