internal/coordination: what peers tell after a restore counts, removed entries go

Cause 1: after the store came back from an older copy, a peer's record was dropped if this instance had read the restored one before, whether the peer had read it (same revision) or not (lower revision). An announced or finished replacement that the copy lacks stayed unknown, and the replaced primary could be used. An instance that starts in such an era asked only a few peers, for their catalogs, and used primaries at once. Which record is newer was decided in follower as well.

Cause 2: a relay stops keeping a removed instance or a lapsed server without a change of the revision, so that the instances behind it kept the entry until the store changed: each replacement waited for a removed instance to confirm, and its share of the rates was lost. With one root this concerns all instances but one. Change: requests and catalogs tell how many such entries they retain.

--- a/internal/command/starter/era.go
+++ b/internal/command/starter/era.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"time"
 
 	"oleanderpulley/internal/coordination/follower"
@@ -16,9 +14,9 @@
 const (
 	// eraRequestTimeout limits one request for the records of an instance.
 	eraRequestTimeout = 500 * time.Millisecond
-	// eraRequestInterval is the time between two requests to an instance that
-	// has not answered.
-	eraRequestInterval = 300 * time.Millisecond
+	// eraRequestInterval is the pause before instances that have not answered are
+	// asked again.
+	eraRequestInterval = 100 * time.Millisecond
 )
 
 // eraRequest asks for all leadership records that an instance knows, after the
@@ -30,59 +28,69 @@
 // eraReply answers an eraRequest. Its sender requests no promotion any more that
 // it announced in an earlier era.
 type eraReply struct {
+	Age     time.Duration                                   `cbor:"age"` // How long the sender has known the era.
 	Records map[identifier.ServiceName]cataloger.Leadership `cbor:"records"`
 }
 
 // eraChanged suspends the use of primaries after the store came back from an
-// older copy, until every other instance has told the replacements that it
-// knows, or until none of them can go on.
-func (s *Starter) eraChanged(known, era uint64) {
-	if known == era {
-		s.fencer.BeginEra(era, 0)
-		return
-	}
-	if s.fencer.BeginEra(era, replacer.TakeoverTimeout) {
+// older copy, or if that was before this instance started, until every other
+// instance has told the replacements that it knows, or until none of them can go
+// on. A store in its first era has lost nothing.
+func (s *Starter) eraChanged(era uint64) {
+	if era > 0 && s.fencer.BeginEra(era, replacer.TakeoverTimeout) {
 		go s.collectRecords(era)
 	}
 }
 
 // collectRecords requests the records of all instances and resumes the use of
-// primaries once all have answered.
+// primaries once all have answered, or one that has known the era for longer than
+// a replacement can go on.
 func (s *Starter) collectRecords(era uint64) {
 	started := time.Now()
-	missing := slices.Collect(maps.Keys(s.holder.Catalog().Instances))
-	missing = slices.DeleteFunc(missing, func(id identifier.InstanceID) bool { return id == s.Settings.InstanceID })
-	for len(missing) > 0 && s.fencer.Era() == era && time.Since(started) < replacer.TakeoverTimeout {
-		missing = s.requestRecords(era, missing)
-		if len(missing) > 0 {
+	answered := map[identifier.InstanceID]bool{}
+	settled := false
+	for !settled && s.fencer.Era() == era && time.Since(started) < replacer.TakeoverTimeout {
+		// An instance that has just started has not read the list yet.
+		if c := s.holder.Catalog(); c != nil && len(c.Instances) > 0 {
+			settled = s.requestRecords(era, c.Instances, answered)
+		}
+		if !settled {
 			time.Sleep(eraRequestInterval)
 		}
 	}
-	if len(missing) == 0 {
+	if settled {
 		s.fencer.Resume(era)
 	}
-	s.Logger.Info().Str("event", "era_records_collected").Uint64("era", era).Int("missing", len(missing)).
-		Dur("took_ms", time.Since(started)).Send()
+	s.Logger.Info().Str("event", "era_records_collected").Uint64("era", era).Bool("settled", settled).
+		Int("answered", len(answered)).Dur("took_ms", time.Since(started)).Send()
 }
 
-// requestRecords requests the records of the instances, observes them and returns
-// the instances that did not answer.
-func (s *Starter) requestRecords(era uint64, ids []identifier.InstanceID) []identifier.InstanceID {
+// requestRecords requests the records of the instances that have not answered yet
+// and observes them. It reports whether no more are needed.
+func (s *Starter) requestRecords(era uint64, instances map[identifier.InstanceID]cataloger.Instance, answered map[identifier.InstanceID]bool) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), eraRequestTimeout)
 	defer cancel()
-	replies := requestEach[eraReply](ctx, s, ids, eraRequest{Era: era})
-	var missing []identifier.InstanceID
-	for range ids {
+	var asked []identifier.InstanceID
+	for id := range instances {
+		if id != s.Settings.InstanceID && !answered[id] {
+			asked = append(asked, id)
+		}
+	}
+	replies := requestEach[eraReply](ctx, s, asked, eraRequest{Era: era})
+	silent, settled := 0, false
+	for range asked {
 		r := <-replies
 		if r.body == nil {
-			missing = append(missing, r.peer)
+			silent++
 			continue
 		}
+		answered[r.peer] = true
+		settled = settled || r.body.Age >= replacer.TakeoverTimeout
 		for service, l := range r.body.Records {
 			s.fencer.Observe(service, l)
 		}
 	}
-	return missing
+	return settled || silent == 0
 }
 
 // answerEraRequest answers an eraRequest. It begins the era here as well, so that
@@ -91,7 +99,7 @@
 	if s.fencer.BeginEra(m.Era, replacer.TakeoverTimeout) {
 		go s.collectRecords(m.Era)
 	}
-	return eraReply{Records: s.fencer.Records()}
+	return eraReply{Age: s.fencer.EraAge(), Records: s.fencer.Records()}
 }
 
 // fetchPeerCatalogs requests the catalogs of some instances.
--- a/internal/command/starter/peers.go
+++ b/internal/command/starter/peers.go
@@ -158,7 +158,7 @@
 
 // fetchCatalogFromRelay requests the catalog from the relay of this instance. It
 // returns [follower.ErrNoRelay] if this instance is a root of the relays.
-func (s *Starter) fetchCatalogFromRelay(ctx context.Context, known uint64) (follower.CatalogReply, error) {
+func (s *Starter) fetchCatalogFromRelay(ctx context.Context, request follower.CatalogRequest) (follower.CatalogReply, error) {
 	relay := s.relay
 	if relay == "" {
 		return follower.CatalogReply{}, follower.ErrNoRelay
@@ -169,7 +169,7 @@
 	ctx, cancel := context.WithTimeout(ctx, follower.RelayTimeout)
 	defer cancel()
 	sentAt := time.Now()
-	reply, err := s.peers.Request(ctx, relay, follower.CatalogRequest{Known: known})
+	reply, err := s.peers.Request(ctx, relay, request)
 	if err != nil {
 		s.peers.Check(relay, sentAt)
 		return follower.CatalogReply{}, err
--- a/internal/coordination/fencer/fencer.go
+++ b/internal/coordination/fencer/fencer.go
@@ -35,7 +35,8 @@
 	mu             sync.Mutex
 	records        atomic.Pointer[map[identifier.ServiceName]cataloger.Leadership]
 	era            atomic.Uint64
-	suspendedUntil atomic.Int64 // Clock reading; 0 while permits are not suspended.
+	suspendedUntil atomic.Int64  // Clock reading; 0 while permits are not suspended.
+	eraKnownAt     time.Duration // Clock reading of BeginEra, guarded by mu.
 }
 
 // Permit is the permission to use a server as the primary of a service.
@@ -105,7 +106,8 @@
 	if era <= f.era.Load() {
 		return false
 	}
-	f.suspendedUntil.Store(int64(f.Holder.Clock() + limit))
+	f.eraKnownAt = f.Holder.Clock()
+	f.suspendedUntil.Store(int64(f.eraKnownAt + limit))
 	f.era.Store(era)
 	return true
 }
@@ -120,21 +122,37 @@
 	}
 }
 
+// EraAge returns how long this instance has known the present era.
+func (f *Fencer) EraAge() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.Holder.Clock() - f.eraKnownAt
+}
+
 // Era returns the newest era of the store that this instance knows.
 func (f *Fencer) Era() uint64 {
 	return f.era.Load()
 }
 
 // Observe takes over a record that was read from the store or received from a
-// peer, unless a newer one is known. It returns the newest record.
+// peer, unless a newer one is known. A peer may tell a record from before the
+// store came back from an older copy that this instance has already read. It
+// returns the newest record.
 func (f *Fencer) Observe(service identifier.ServiceName, r cataloger.Leadership) cataloger.Leadership {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	known := f.Record(service)
-	if !r.Supersedes(known) {
+	switch {
+	case cataloger.Era(r.Revision) < cataloger.Era(known.Revision):
+		r = mergeRecord(r, known)
+	case r.Supersedes(known):
+		r = mergeRecord(known, r)
+	default:
+		return known
+	}
+	if r == known {
 		return known
 	}
-	r = mergeRecord(known, r)
 	records := map[identifier.ServiceName]cataloger.Leadership{}
 	if old := f.records.Load(); old != nil {
 		records = maps.Clone(*old)
@@ -147,25 +165,28 @@
 	return r
 }
 
-// mergeRecord returns the record that follows from a known one and a newer one.
+// mergeRecord returns the record that follows from an earlier one and a later one.
 // A store that came back from an older copy returns records from before known
 // replacements: a term that has ended does not return, and a replacement that
 // was announced goes on until its holder ends it or another takes it over.
-func mergeRecord(known, r cataloger.Leadership) cataloger.Leadership {
-	revision := r.Revision
-	restored := cataloger.Era(r.Revision) > cataloger.Era(known.Revision)
+func mergeRecord(earlier, later cataloger.Leadership) cataloger.Leadership {
+	merged := later
+	restored := cataloger.Era(later.Revision) > cataloger.Era(earlier.Revision)
 	switch {
-	case r.Term < known.Term && restored:
-		r = known
-	case r.Term < known.Term:
-		r.Term, r.Server = known.Term, known.Server
-	case r.Term == known.Term && restored && known.IsReplacing() && !r.IsReplacing():
-		r = known
-	case r.Term == known.Term && restored && r.Successor == "":
-		r.Successor, r.Position = known.Successor, known.Position
+	case later.Term < earlier.Term && restored:
+		merged = earlier
+		merged.Carried = true
+	case later.Term < earlier.Term:
+		merged.Term, merged.Server = earlier.Term, earlier.Server
+	case later.Term == earlier.Term && restored && earlier.IsReplacing() && !later.IsReplacing():
+		merged = earlier
+		merged.Carried = true
+	case later.Term == earlier.Term && restored && later.Successor == "" && earlier.Successor != "":
+		merged.Successor, merged.Position = earlier.Successor, earlier.Position
+		merged.Carried = true
 	}
-	r.Revision = revision
-	return r
+	merged.Revision = later.Revision
+	return merged
 }
 
 // Records returns all known records.
@@ -180,7 +201,7 @@
 // proof of that catalog is set.
 func (f *Fencer) ObserveAll(c *cataloger.Catalog) {
 	for service, r := range c.Leaderships {
-		if r.Supersedes(f.Record(service)) {
+		if r.Revision != f.Record(service).Revision {
 			f.Observe(service, r)
 		}
 	}
--- a/internal/coordination/fencer/fencer_test.go
+++ b/internal/coordination/fencer/fencer_test.go
@@ -1,6 +1,7 @@
 package fencer_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -75,3 +76,36 @@
 	})
 	qt.Assert(t, allocations, qt.Equals, 0.0)
 }
+
+// Guards against the use of a primary whose replacement was announced, or was
+// finished, before the store came back from an older copy: what a peer tells of it
+// counts, also after this instance has read the restored record, and whether or not
+// the peer has read it.
+func TestRecordToldByAPeerAfterARestore(t *testing.T) {
+	restored := cataloger.Leadership{Server: "b", Term: 2, Revision: cataloger.Revision(1, 9)}
+	for _, test := range []struct {
+		name    string
+		known   cataloger.Leadership // Of the peer, before the store came back.
+		allowed bool
+	}{
+		{"announced", cataloger.Leadership{Server: "b", Term: 2, Holder: "two", Revision: 12}, false},
+		{"finished", cataloger.Leadership{Server: "c", Term: 3, Revision: 14}, true},
+	} {
+		for _, peerHasRead := range []bool{false, true} {
+			t.Run(fmt.Sprint(test.name, " ", peerHasRead), func(t *testing.T) {
+				now := time.Hour
+				f, peer := newFencer(&now), newFencer(&now)
+				peer.Observe("rentals", test.known)
+				if peerHasRead {
+					peer.Observe("rentals", restored)
+				}
+				f.Observe("rentals", restored)
+				f.Observe("rentals", peer.Record("rentals"))
+				p, ok := f.Permit("rentals")
+				qt.Assert(t, ok, qt.Equals, test.allowed)
+				qt.Assert(t, p.Allows("b"), qt.Equals, test.known.Server == "b")
+				qt.Assert(t, f.Observe("rentals", restored), qt.Equals, f.Record("rentals"))
+			})
+		}
+	}
+}
--- a/internal/coordination/follower/era.go
+++ b/internal/coordination/follower/era.go
@@ -20,26 +20,22 @@
 	if f.eraKnown && era == f.era {
 		return nil
 	}
-	known := f.era
 	if f.eraKnown {
 		f.lapseGraceEnd = f.Holder.Clock() + lapsedServerGrace
 		f.joined = false // The copy may lack the registration of this instance.
-		f.Logger.Warn().Str("event", "store_restored").Uint64("era_before", known).Uint64("era", era).
+		f.Logger.Warn().Str("event", "store_restored").Uint64("era_before", f.era).Uint64("era", era).
 			Uint64("revision_before", f.knownRevision).Uint64("revision", revision).Send()
-	} else {
-		known = era
 	}
 	f.era, f.eraKnown = era, true
 	if f.OnEra != nil {
-		f.OnEra(known, era)
+		f.OnEra(era)
 	}
 	return nil
 }
 
-// adoptPeerCatalogs takes over newer configurations and leadership records of
-// other instances before the first proof of this one. A store in its first era
-// has lost nothing.
-func (f *Follower) adoptPeerCatalogs(ctx context.Context, members map[identifier.InstanceID]cataloger.Instance) {
+// adoptPeerConfigurations takes over newer configurations of other instances
+// before the first proof of this one. A store in its first era has lost nothing.
+func (f *Follower) adoptPeerConfigurations(ctx context.Context, members map[identifier.InstanceID]cataloger.Instance) {
 	if _, proven := f.Holder.Age(); proven || f.era == 0 || f.PeerCatalogs == nil || len(members) < 2 {
 		return
 	}
@@ -49,22 +45,6 @@
 		}
 		f.updateCatalog(func(next *cataloger.Catalog) {
 			next.Configuration = newerConfiguration(next.Configuration, c.Configuration)
-			next.Leaderships = newerLeaderships(next.Leaderships, c.Leaderships)
 		})
 	}
 }
-
-// newerLeaderships returns, for each service, the record with the higher term.
-func newerLeaderships(read, other map[identifier.ServiceName]cataloger.Leadership) map[identifier.ServiceName]cataloger.Leadership {
-	merged := map[identifier.ServiceName]cataloger.Leadership{}
-	for service, l := range read {
-		merged[service] = l
-	}
-	for service, l := range other {
-		if l.Term > merged[service].Term {
-			l.Revision = max(l.Revision, merged[service].Revision)
-			merged[service] = l
-		}
-	}
-	return merged
-}
--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -65,15 +65,14 @@
 	// OnChange is called with each new catalog before its proof is set. May be
 	// nil.
 	OnChange func(*cataloger.Catalog)
-	// Relay requests the catalog from a relay if its revision differs from the
-	// known one. It returns [ErrNoRelay] if this instance has to query the store
+	// Relay sends the request to the relay. It returns [ErrNoRelay] if this instance has to query the store
 	// itself. If it is nil, every round queries the store.
-	Relay  func(ctx context.Context, known uint64) (CatalogReply, error)
+	Relay  func(ctx context.Context, request CatalogRequest) (CatalogReply, error)
 	Period time.Duration // 0 means 0.4 s.
 	// OnEra is called with the first revision, and with the first one after the
 	// store came back from a copy, before the catalog is proven again. May be
 	// nil.
-	OnEra func(known, era uint64)
+	OnEra func(era uint64)
 	// PeerCatalogs requests the catalogs of other instances when this one
 	// starts, because the store may have come back from a copy just then. May be
 	// nil.
@@ -264,10 +263,12 @@
 	if cataloger.Era(serversRevision) != cataloger.Era(revision) || cataloger.Era(configurationRevision) != cataloger.Era(revision) {
 		return errors.Wrapf(ErrEraChanged, "era %d in the list of servers, %d before", cataloger.Era(serversRevision), cataloger.Era(revision))
 	}
-	f.adoptPeerCatalogs(ctx, members)
-	f.retainLapsedServers(servers)
-	f.retainRemovedInstances(members, sent)
-	f.updateCatalog(func(c *cataloger.Catalog) { c.Servers, c.Instances, c.Revision = servers, members, revision })
+	f.adoptPeerConfigurations(ctx, members)
+	retained := f.retainLapsedServers(servers)
+	retained += f.retainRemovedInstances(members, sent)
+	f.updateCatalog(func(c *cataloger.Catalog) {
+		c.Servers, c.Instances, c.Revision, c.Retained = servers, members, revision, retained
+	})
 	f.knownRevision = revision
 	// The first proof needs the complete catalog: an instance that does not
 	// see its own registration has no share of any rate.
--- a/internal/coordination/follower/relay.go
+++ b/internal/coordination/follower/relay.go
@@ -40,10 +40,11 @@
 )
 
 // CatalogRequest requests the catalog of a relay if its revision is higher than
-// the known one. An instance that starts knows none, and gets the newest
+// the known one, or if it retains other entries. An instance that starts knows none, and gets the newest
 // configuration and records even if the sender has no proof of its catalog.
 type CatalogRequest struct {
-	Known uint64 `cbor:"known"`
+	Known    uint64 `cbor:"known"`
+	Retained int    `cbor:"retained"` // [cataloger.Catalog.Retained] of the known one.
 }
 
 // CatalogReply answers a [CatalogRequest]. Age is the age of the relay's proof.
@@ -113,7 +114,9 @@
 		return CatalogReply{}
 	}
 	r := CatalogReply{Proven: true, Age: age}
-	if c.Revision > request.Known {
+	// An older catalog of the relay proves the asker's newer one as well: the store
+	// had nothing newer when it answered the relay.
+	if c.Revision > request.Known || (c.Revision == request.Known && c.Retained != request.Retained) {
 		r.Catalog = c.Since(request.Known)
 	}
 	return r
@@ -129,7 +132,7 @@
 		return false, nil
 	}
 	sent := f.Holder.Clock()
-	r, err := f.Relay(ctx, f.knownRevision)
+	r, err := f.Relay(ctx, CatalogRequest{Known: f.knownRevision, Retained: f.Holder.Catalog().Retained})
 	switch {
 	case errors.Is(err, ErrNoRelay):
 		return false, nil
@@ -167,7 +170,8 @@
 		if c.Configuration != nil {
 			next.Configuration = newerConfiguration(next.Configuration, c.Configuration)
 		}
-		next.Servers, next.Instances, next.Leaderships, next.Revision = c.Servers, c.Instances, c.Leaderships, c.Revision
+		next.Servers, next.Instances, next.Leaderships = c.Servers, c.Instances, c.Leaderships
+		next.Revision, next.Retained = c.Revision, c.Retained
 	})
 	f.knownRevision = c.Revision
 	return true
--- a/internal/coordination/follower/relay_test.go
+++ b/internal/coordination/follower/relay_test.go
@@ -23,7 +23,7 @@
 	*now = time.Second
 	qt.Assert(t, f.Round(context.Background()), qt.IsNil)
 	age := 900 * time.Millisecond
-	f.Relay = func(context.Context, uint64) (follower.CatalogReply, error) {
+	f.Relay = func(context.Context, follower.CatalogRequest) (follower.CatalogReply, error) {
 		*now += 100 * time.Millisecond // Round trip to the relay.
 		return follower.CatalogReply{Proven: true, Age: age}, nil
 	}
@@ -55,7 +55,7 @@
 			s := &fakeStore{revision: 5, version: 7, configurationRevision: 5}
 			f, h, _ := newFollower(s)
 			qt.Assert(t, f.Round(context.Background()), qt.IsNil)
-			f.Relay = func(context.Context, uint64) (follower.CatalogReply, error) {
+			f.Relay = func(context.Context, follower.CatalogRequest) (follower.CatalogReply, error) {
 				return follower.CatalogReply{Proven: true, Catalog: &test.catalog}, nil
 			}
 			qt.Assert(t, f.Round(context.Background()), qt.IsNil)
@@ -162,7 +162,7 @@
 			s := &fakeStore{revision: 5, version: 1, configurationRevision: 3}
 			f, h, now := newFollower(s)
 			qt.Assert(t, f.Round(context.Background()), qt.IsNil)
-			f.Relay = func(context.Context, uint64) (follower.CatalogReply, error) {
+			f.Relay = func(context.Context, follower.CatalogRequest) (follower.CatalogReply, error) {
 				return follower.CatalogReply{}, context.DeadlineExceeded
 			}
 			*now += test.age
@@ -178,3 +178,33 @@
 func TestPermitsOutlastALateAnswer(t *testing.T) {
 	qt.Assert(t, fencer.Validity >= follower.MaxProofAge+follower.RelayTimeout, qt.IsTrue)
 }
+
+// Guards against an instance that keeps a removed one, which never confirms an
+// announcement and has a share of each rate, until the store changes again: the
+// relay stops keeping it without a change of the store.
+func TestRemovedInstanceLeavesTheRelayedCatalog(t *testing.T) {
+	s := &fakeStore{revision: 5, version: 1, configurationRevision: 3, members: map[identifier.InstanceID]cataloger.Instance{
+		"one": {ID: "one", Address: "x"}, "two": {ID: "two", Address: "y"}, "three": {ID: "three", Address: "z"},
+	}}
+	relay, _, now := newFollower(s)
+	leaf, h, leafNow := newFollower(s)
+	leaf.Self = cataloger.Instance{ID: "two", Address: "y"}
+	round := func() {
+		*now += time.Second
+		*leafNow = *now
+		qt.Assert(t, relay.Round(context.Background()), qt.IsNil)
+		qt.Assert(t, leaf.Round(context.Background()), qt.IsNil)
+	}
+	round()
+	leaf.Relay = func(_ context.Context, request follower.CatalogRequest) (follower.CatalogReply, error) {
+		return relay.Answer(request), nil
+	}
+	delete(s.members, "three")
+	s.revision++
+	round()
+	qt.Assert(t, h.Catalog().Instances, qt.HasLen, 3)
+	for range 8 {
+		round()
+	}
+	qt.Assert(t, h.Catalog().Instances, qt.HasLen, 2)
+}
--- a/internal/coordination/follower/retention.go
+++ b/internal/coordination/follower/retention.go
@@ -29,28 +29,31 @@
 }
 
 // retainLapsedServers adds servers that are missing from the lists to them while
-// they may still register again after an outage of the store.
-func (f *Follower) retainLapsedServers(read map[identifier.ServiceName][]cataloger.BackendServer) {
+// they may still register again after an outage of the store, and returns their
+// number.
+func (f *Follower) retainLapsedServers(read map[identifier.ServiceName][]cataloger.BackendServer) (retained int) {
 	old := f.Holder.Catalog()
 	if f.lapseGraceEnd == 0 || old == nil {
-		return
+		return 0
 	}
 	for service, servers := range old.Servers {
 		for _, s := range servers {
 			if !slices.ContainsFunc(read[service], func(o cataloger.BackendServer) bool { return o.ID == s.ID }) {
 				read[service] = append(read[service], s)
+				retained++
 			}
 		}
 	}
+	return retained
 }
 
 // retainRemovedInstances adds removed instances to the list for as long as they
 // may serve without having seen their removal, so that their shares of the rates
-// are not assigned to other instances at the same time.
-func (f *Follower) retainRemovedInstances(read map[identifier.InstanceID]cataloger.Instance, now time.Duration) {
+// are not assigned to other instances at the same time. It returns their number.
+func (f *Follower) retainRemovedInstances(read map[identifier.InstanceID]cataloger.Instance, now time.Duration) int {
 	old := f.Holder.Catalog()
 	if old == nil {
-		return
+		return 0
 	}
 	missingSince := map[identifier.InstanceID]time.Duration{}
 	for id, m := range old.Instances {
@@ -67,6 +70,7 @@
 		}
 	}
 	f.missingSince = missingSince
+	return len(missingSince)
 }
 
 // setDrainingSince sets the earliest time from which each draining server of the
--- a/internal/coordination/replacer/model_test.go
+++ b/internal/coordination/replacer/model_test.go
@@ -367,7 +367,7 @@
 	}
 	sameEra := l.Revision == 0 || cataloger.Era(l.Revision) == i.m.era
 	i.m.number++
-	l.Revision = i.m.number
+	l.Revision, l.Carried = i.m.number, false // The store does not keep Carried.
 	i.m.objects["record"] = l
 	i.m.saveCopy()
 	if !sameEra {
--- a/internal/state/cataloger/catalog.go
+++ b/internal/state/cataloger/catalog.go
@@ -95,6 +95,9 @@
 	// Revision is the revision of the store as of which the catalog is
 	// complete. It is 0 while the catalog is still being read.
 	Revision uint64 `cbor:"revision"`
+	// Retained is the number of entries that the store no longer has and that
+	// are kept for a while. They go without a change of the revision.
+	Retained int `cbor:"retained"`
 }
 
 // Since returns the catalog without its configuration if that has not changed
--- a/internal/state/cataloger/leadership.go
+++ b/internal/state/cataloger/leadership.go
@@ -25,6 +25,9 @@
 	// Revision is that of the record in the store. It is the fencing token of
 	// the holder.
 	Revision uint64 `json:"-" cbor:"revision"`
+	// Carried reports that the record is from before the store came back from an
+	// older copy, and has the revision of the record that the store then had.
+	Carried bool `json:"-" cbor:"carried"`
 }
 
 // IsReplacing reports whether a replacement of the primary is under way. Until
@@ -34,11 +37,17 @@
 }
 
 // Supersedes reports whether l is newer than the other record of the service.
-// The end of a replacement supersedes the replacement itself, which its holder
-// may announce before the store has taken the record.
+// A carried record supersedes the restored one. The end of a replacement
+// supersedes the replacement itself, which its holder may announce before the
+// store has taken the record.
 func (l Leadership) Supersedes(o Leadership) bool {
-	if l.Revision != o.Revision {
+	switch {
+	case l.Revision != o.Revision:
 		return l.Revision > o.Revision
+	case l.Carried != o.Carried:
+		return l.Carried
+	case l.Term != o.Term:
+		return l.Term > o.Term
 	}
 	return o.IsReplacing() && !l.IsReplacing()
 }
