internal/coordination/replacer: names and a bound that reading the diff questioned

replacing and restored had two meanings each, and a comment told as a fact that an unanswered promotion is not executed after 5 s; the platform states no bound.

--- a/internal/coordination/replacer/handover.go
+++ b/internal/coordination/replacer/handover.go
@@ -46,7 +46,7 @@
 	if restoreErr := r.promoteAndGrant(ctx, p, draining, final.Received); restoreErr != nil {
 		return errors.Wrap(restoreErr, err.Error())
 	}
-	p.restored = true
+	p.reinstated = true
 	return err
 }
 
--- a/internal/coordination/replacer/replace.go
+++ b/internal/coordination/replacer/replace.go
@@ -22,7 +22,7 @@
 	// requested is set once a promotion of another server may have been or may
 	// be executed. The old primary must not be used again after that.
 	requested  bool
-	restored   bool                // The draining primary was promoted again.
+	reinstated bool                // The draining primary was promoted again.
 	handedOver identifier.Position // End of the log of a draining primary that has stepped down.
 	steps      stepTimer
 }
@@ -288,7 +288,7 @@
 // that the old primary may be used again. If a promotion may have been executed,
 // the record stays, and a later check resumes the replacement.
 func (r *Replacer) endReplacement(ctx context.Context, p *replacement, err error) {
-	if err == nil || p.requested || p.restored || errors.Is(err, ErrRecordChanged) {
+	if err == nil || p.requested || p.reinstated || errors.Is(err, ErrRecordChanged) {
 		return
 	}
 	r.grant(ctx, p, cataloger.Leadership{Term: p.record.Term, Server: p.record.Server, Revision: p.record.Revision})
--- a/internal/coordination/replacer/replacer.go
+++ b/internal/coordination/replacer/replacer.go
@@ -56,8 +56,9 @@
 	// restoreDelay is the time for which a catalog may lack a record that a peer
 	// has announced, several periods of the catalog.
 	restoreDelay = 2500 * time.Millisecond
-	// lateCallWindow is the time after which an unanswered promotion is not
-	// executed any more.
+	// lateCallWindow is the pause after an unanswered promotion of the draining
+	// primary, which may be executed late and then replaces a successor. The
+	// platform states no bound; where it checks tokens, it refuses a late one.
 	lateCallWindow = 5 * time.Second
 )
 
@@ -149,8 +150,8 @@
 	running        bool                       // A check is in progress.
 	silentSince    time.Time                  // When contact to the primary was lost; zero while it is reachable.
 	term           identifier.Term            // Of the record under which silentSince was set.
-	replacing      uint64                     // Revision of the newest known announcement of another instance.
-	replacingSince time.Time                  // When this instance first knew that announcement.
+	announcement   uint64                     // Revision of the newest known announcement of another instance.
+	announcedSince time.Time                  // When this instance first knew that announcement.
 	draining       identifier.BackendServerID // The primary that was last seen draining.
 	drainingSince  time.Time
 	lackingSince   time.Time // When the catalog was first seen to lack the known record; zero while it has it.
@@ -312,10 +313,10 @@
 
 // unchangedFor returns the time since this instance first knew the record.
 func (w *serviceWatch) unchangedFor(l cataloger.Leadership) time.Duration {
-	if w.replacing != l.Revision {
-		w.replacing, w.replacingSince = l.Revision, time.Now()
+	if w.announcement != l.Revision {
+		w.announcement, w.announcedSince = l.Revision, time.Now()
 	}
-	return time.Since(w.replacingSince)
+	return time.Since(w.announcedSince)
 }
 
 // drainingFor returns the time since this instance first saw that the primary
--- a/internal/coordination/replacer/replacer_test.go
+++ b/internal/coordination/replacer/replacer_test.go
@@ -298,7 +298,7 @@
 	w := &serviceWatch{silentSince: silentLongEnough()}
 	r := s.replacer()
 	qt.Assert(t, s.check(r, w), qt.HasLen, 0)
-	w.replacingSince = time.Now().Add(-TakeoverTimeout)
+	w.announcedSince = time.Now().Add(-TakeoverTimeout)
 	w.pausedUntil = time.Time{}
 	qt.Assert(t, s.check(r, w), qt.DeepEquals, replacementOfA(11))
 }
