internal/coordination/replacer: no step-down through other instances

An instance that reaches the old primary sees it lead, and then nobody replaces it. It cost two messages and a second way to the same step.

Change: the holder alone asks the old primary to step down during the wait; the wait for the permits is unchanged, so that none can end earlier than before.

--- a/internal/command/starter/leadership.go
+++ b/internal/command/starter/leadership.go
@@ -8,14 +8,9 @@
 	"oleanderpulley/internal/state/identifier"
 )
 
-const (
-	// noticeTimeout limits the sending of a record to an instance, which reads it
-	// from the store as well.
-	noticeTimeout = 500 * time.Millisecond
-	// stepDownTimeout limits the request that asks an instance to step down a
-	// primary. It is longer than the query of the instance to the primary.
-	stepDownTimeout = 600 * time.Millisecond
-)
+// noticeTimeout limits the sending of a record to an instance, which reads it from
+// the store as well.
+const noticeTimeout = 500 * time.Millisecond
 
 // leadershipNotice makes the receiver observe a leadership record: the
 // announcement or the end of a replacement.
@@ -30,17 +25,6 @@
 	Record cataloger.Leadership `cbor:"record"`
 }
 
-// stepDownRequest asks the receiver to demote a primary of a term below Term.
-type stepDownRequest struct {
-	Service identifier.ServiceName     `cbor:"service"`
-	Server  identifier.BackendServerID `cbor:"server"`
-	Term    identifier.Term            `cbor:"term"`
-}
-
-type stepDownReply struct {
-	SteppedDown bool `cbor:"stepped_down"`
-}
-
 // observeNotice answers a leadershipNotice.
 func (s *Starter) observeNotice(n leadershipNotice) leadershipReply {
 	return leadershipReply{Record: s.fencer.Observe(n.Service, n.Record)}
@@ -104,23 +88,3 @@
 		}()
 	}
 }
-
-// stepDownVia asks an instance to step down a primary and reports whether the
-// primary confirmed.
-func (s *Starter) stepDownVia(ctx context.Context, id identifier.InstanceID, b cataloger.BackendServer, term identifier.Term) bool {
-	ctx, cancel := context.WithTimeout(ctx, stepDownTimeout)
-	defer cancel()
-	reply, err := s.peers.Request(ctx, id, stepDownRequest{b.Service, b.ID, term})
-	r, ok := reply.(stepDownReply)
-	return err == nil && ok && r.SteppedDown
-}
-
-// stepDownForPeer steps down a primary at the request of another instance.
-func (s *Starter) stepDownForPeer(m stepDownRequest) stepDownReply {
-	b, ok := s.holder.Catalog().Server(m.Service, m.Server)
-	if !ok {
-		return stepDownReply{}
-	}
-	status, err := s.sessions.StepDown(b, m.Term)
-	return stepDownReply{SteppedDown: err == nil && !status.Leads}
-}
--- a/internal/command/starter/peers.go
+++ b/internal/command/starter/peers.go
@@ -57,8 +57,6 @@
 	e.Register("leadership_reply", leadershipReply{})
 	e.Register("era", eraRequest{})
 	e.Register("era_reply", eraReply{})
-	e.Register("step_down", stepDownRequest{})
-	e.Register("stepped_down", stepDownReply{})
 	e.Register("forward", sessioner.ForwardRequest{})
 	e.Register("forwarded", sessioner.ForwardReply{})
 	s.peers = messenger.Messenger{
@@ -88,8 +86,6 @@
 		return s.observeNotice(m), nil
 	case eraRequest:
 		return s.answerEraRequest(m), nil
-	case stepDownRequest:
-		return s.stepDownForPeer(m), nil
 	case sampleAsk:
 		return s.newestSample(m.Service), nil
 	default:
--- a/internal/command/starter/replacer.go
+++ b/internal/command/starter/replacer.go
@@ -37,7 +37,6 @@
 	r.WriteRecord = s.store.WriteLeadership
 	r.Members = s.store.ReadMembers
 	r.Revoke = s.revoke
-	r.StepDownVia = s.stepDownVia
 	r.Announce = s.announceRecord
 	r.Validity = fencer.Validity
 	r.Clock = s.holder.Clock
--- a/internal/coordination/replacer/fence.go
+++ b/internal/coordination/replacer/fence.go
@@ -40,7 +40,7 @@
 		if round == 0 {
 			r.Logger.Warn().Str("event", "replacement_waits").Str("service", string(p.service)).Uint64("token", p.record.Revision).
 				Int("instances", total).Int("unconfirmed", len(unconfirmed)).Bool("members_read", complete).Send()
-			steppedDown = r.stepDownPrimary(ctx, p, unconfirmed)
+			steppedDown = r.stepDownPrimary(p)
 		}
 		retry := time.NewTimer(revokeInterval - time.Since(started))
 		select {
@@ -97,35 +97,19 @@
 	return unconfirmed
 }
 
-// stepDownPrimary makes this instance and every instance that has confirmed try
-// to step down the old primary. The returned channel is closed when the old
-// primary has confirmed; it is nil if the old primary is not known.
-func (r *Replacer) stepDownPrimary(ctx context.Context, p *replacement, unconfirmed []identifier.InstanceID) chan struct{} {
+// stepDownPrimary tries to step down the old primary. The returned channel is
+// closed when the old primary has confirmed; it is nil if the old primary is not
+// known.
+func (r *Replacer) stepDownPrimary(p *replacement) chan struct{} {
 	b, term, known := r.oldPrimary(p)
 	if !known {
 		return nil
 	}
-	steppedDown := make(chan bool, 1)
-	try := func(stepDown func() bool) {
-		if stepDown() {
-			select {
-			case steppedDown <- true:
-			default:
-			}
-		}
-	}
-	go try(func() bool { return r.stepDownHere(b, term) })
-	for id := range r.Catalog().Instances {
-		if id != r.Self && !slices.Contains(unconfirmed, id) {
-			go try(func() bool { return r.StepDownVia(ctx, id, b, term) })
-		}
-	}
 	confirmed := make(chan struct{})
 	go func() {
-		select {
-		case <-steppedDown:
+		m, err := r.StepDown(b, term)
+		if err == nil && !m.Leads {
 			close(confirmed)
-		case <-ctx.Done():
 		}
 	}()
 	return confirmed
@@ -140,10 +124,3 @@
 	b, ok := r.Catalog().Server(p.service, id)
 	return b, max(term, p.record.Term) + 1, ok
 }
-
-// stepDownHere steps the server down from this instance and reports whether it
-// confirmed.
-func (r *Replacer) stepDownHere(b cataloger.BackendServer, term identifier.Term) bool {
-	m, err := r.StepDown(b, term)
-	return err == nil && !m.Leads
-}
--- a/internal/coordination/replacer/model_test.go
+++ b/internal/coordination/replacer/model_test.go
@@ -184,15 +184,6 @@
 	r.ReadRecord = i.readRecord
 	r.WriteRecord = i.writeRecord
 	r.Revoke = i.revoke
-	r.StepDownVia = func(_ context.Context, id identifier.InstanceID, b cataloger.BackendServer, term identifier.Term) bool {
-		o := m.instance(id)
-		if !i.reachesPeer(o) {
-			return false
-		}
-		o.pause()
-		s, err := o.status(b.ID, term)
-		return err == nil && !s.Leads
-	}
 	r.Announce = i.announce
 	r.Promote = i.promote
 	return i
--- a/internal/coordination/replacer/replacer.go
+++ b/internal/coordination/replacer/replacer.go
@@ -98,9 +98,6 @@
 	// Revoke makes an instance observe an announcement, and reports whether it
 	// confirmed that it does not use the old primary any more.
 	Revoke func(ctx context.Context, id identifier.InstanceID, service identifier.ServiceName, l cataloger.Leadership) bool
-	// StepDownVia makes another instance demote a primary of a term below the
-	// given one, and reports whether the primary confirmed.
-	StepDownVia func(ctx context.Context, id identifier.InstanceID, b cataloger.BackendServer, term identifier.Term) bool
 	// Announce tells the other instances a step of a replacement, its successor
 	// or its end, without waiting for them.
 	Announce func(service identifier.ServiceName, l cataloger.Leadership)
--- a/internal/coordination/replacer/replacer_test.go
+++ b/internal/coordination/replacer/replacer_test.go
@@ -174,9 +174,6 @@
 				return nil
 			}) == nil
 		},
-		StepDownVia: func(context.Context, identifier.InstanceID, cataloger.BackendServer, identifier.Term) bool {
-			return false
-		},
 		Announce: func(identifier.ServiceName, cataloger.Leadership) {},
 		Validity: testValidity,
 		Clock:    func() time.Duration { return time.Since(s.boot) },
