--- a/cmd/backend/main.go
+++ b/cmd/backend/main.go
@@ -4,15 +4,12 @@
 import (
 	"flag"
 	"fmt"
-	"net/http"
 	"os"
-	"os/signal"
 	"path/filepath"
 	"strings"
-	"syscall"
-	"time"
 
 	"oleanderpulley/internal/fake/backendserver"
+	"oleanderpulley/internal/fake/supervisor"
 )
 
 func main() {
@@ -44,22 +41,9 @@
 		}
 		s.Password = strings.TrimSpace(string(password))
 	}
-	address, err := s.Start(listen)
-	if err != nil {
-		return err
+	p := supervisor.Process{
+		Start: func() (string, error) { return s.Start(listen) }, Close: s.Close,
+		Control: s.ControlHandler(), ControlAddress: control,
 	}
-	fmt.Println("listening", address)
-	controlErr := make(chan error, 1)
-	if control != "" {
-		controlServer := &http.Server{Addr: control, Handler: s.ControlHandler(), ReadHeaderTimeout: 10 * time.Second}
-		go func() { controlErr <- controlServer.ListenAndServe() }()
-	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	select {
-	case err = <-controlErr:
-	case <-signals:
-	}
-	_ = s.Close()
-	return err
+	return p.Run()
 }
--- a/cmd/platform/main.go
+++ b/cmd/platform/main.go
@@ -4,13 +4,11 @@
 import (
 	"flag"
 	"fmt"
-	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"oleanderpulley/internal/fake/platformserver"
+	"oleanderpulley/internal/fake/supervisor"
 )
 
 func main() {
@@ -26,22 +24,9 @@
 
 func run(listen, control string, listLag time.Duration) error {
 	s := &platformserver.Server{ListLag: listLag}
-	address, err := s.Start(listen)
-	if err != nil {
-		return err
+	p := supervisor.Process{
+		Start: func() (string, error) { return s.Start(listen) }, Close: s.Close,
+		Control: s.ControlHandler(), ControlAddress: control,
 	}
-	fmt.Println("listening", address)
-	controlErr := make(chan error, 1)
-	if control != "" {
-		controlServer := &http.Server{Addr: control, Handler: s.ControlHandler(), ReadHeaderTimeout: 10 * time.Second}
-		go func() { controlErr <- controlServer.ListenAndServe() }()
-	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	select {
-	case err = <-controlErr:
-	case <-signals:
-	}
-	_ = s.Close()
-	return err
+	return p.Run()
 }
--- a/internal/command/commander/admin_key.go
+++ b/internal/command/commander/admin_key.go
@@ -1,10 +1,6 @@
 package commander
 
-import (
-	"net/url"
-
-	"github.com/spf13/cobra"
-)
+import "github.com/spf13/cobra"
 
 // keyBody is the body of a request to create a key.
 type keyBody struct {
@@ -13,20 +9,13 @@
 	Workspace string `json:"workspace"`
 }
 
-// attemptBody is the body of a change that has no other fields.
-type attemptBody struct {
-	AttemptID string `json:"attempt_id"`
-}
-
 func newAdminKey(client *adminClient) *cobra.Command {
-	c := &cobra.Command{
-		Use:   "key",
-		Short: "Create, withdraw and list the keys of workspaces",
-		Args:  exactArgs(0),
-		RunE:  func(c *cobra.Command, _ []string) error { return c.Help() },
-	}
-	c.AddCommand(newAdminKeyCreate(client), newAdminKeyWithdraw(client), newAdminKeyList(client))
-	return c
+	r := resource{use: "key", short: "Create, withdraw and list the keys of workspaces", path: "/v1/keys"}
+	return r.command(
+		newAdminKeyCreate(client),
+		r.remove(client, "withdraw", "KEY_ID", "Withdraw a key, which also ends its open connections", "puebla-2026"),
+		r.list(client, "List the keys with their workspaces and hashes"),
+	)
 }
 
 func newAdminKeyCreate(client *adminClient) *cobra.Command {
@@ -43,30 +32,3 @@
 	}
 	return c
 }
-
-func newAdminKeyWithdraw(client *adminClient) *cobra.Command {
-	c := &cobra.Command{
-		Use:     "withdraw KEY_ID",
-		Short:   "Withdraw a key, which also ends its open connections",
-		Example: "  oleanderpulley admin key withdraw puebla-2026",
-		Args:    exactArgs(1),
-	}
-	attempt := addAttemptFlag(c)
-	c.RunE = func(c *cobra.Command, args []string) error {
-		path := "/v1/keys/" + url.PathEscape(args[0])
-		return client.call(c.Context(), c.OutOrStdout(), "DELETE", path, attemptBody{*attempt})
-	}
-	return c
-}
-
-func newAdminKeyList(client *adminClient) *cobra.Command {
-	return &cobra.Command{
-		Use:     "list",
-		Short:   "List the keys with their workspaces and hashes",
-		Example: "  oleanderpulley admin key list",
-		Args:    exactArgs(0),
-		RunE: func(c *cobra.Command, _ []string) error {
-			return client.call(c.Context(), c.OutOrStdout(), "GET", "/v1/keys", nil)
-		},
-	}
-}
--- a/internal/command/commander/admin_workspace.go
+++ b/internal/command/commander/admin_workspace.go
@@ -20,14 +20,12 @@
 }
 
 func newAdminWorkspace(client *adminClient) *cobra.Command {
-	c := &cobra.Command{
-		Use:   "workspace",
-		Short: "Set, delete and list workspaces",
-		Args:  exactArgs(0),
-		RunE:  func(c *cobra.Command, _ []string) error { return c.Help() },
-	}
-	c.AddCommand(newAdminWorkspaceSet(client), newAdminWorkspaceDelete(client), newAdminWorkspaceList(client))
-	return c
+	r := resource{use: "workspace", short: "Set, delete and list workspaces", path: "/v1/workspaces"}
+	return r.command(
+		newAdminWorkspaceSet(client),
+		r.remove(client, "delete", "NAME", "Delete a workspace and its keys", "puebla"),
+		r.list(client, "List the workspaces"),
+	)
 }
 
 func newAdminWorkspaceSet(client *adminClient) *cobra.Command {
@@ -49,30 +47,3 @@
 	}
 	return c
 }
-
-func newAdminWorkspaceDelete(client *adminClient) *cobra.Command {
-	c := &cobra.Command{
-		Use:     "delete NAME",
-		Short:   "Delete a workspace and its keys",
-		Example: "  oleanderpulley admin workspace delete puebla",
-		Args:    exactArgs(1),
-	}
-	attempt := addAttemptFlag(c)
-	c.RunE = func(c *cobra.Command, args []string) error {
-		path := "/v1/workspaces/" + url.PathEscape(args[0])
-		return client.call(c.Context(), c.OutOrStdout(), "DELETE", path, attemptBody{*attempt})
-	}
-	return c
-}
-
-func newAdminWorkspaceList(client *adminClient) *cobra.Command {
-	return &cobra.Command{
-		Use:     "list",
-		Short:   "List the workspaces",
-		Example: "  oleanderpulley admin workspace list",
-		Args:    exactArgs(0),
-		RunE: func(c *cobra.Command, _ []string) error {
-			return client.call(c.Context(), c.OutOrStdout(), "GET", "/v1/workspaces", nil)
-		},
-	}
-}
--- a/internal/command/starter/forward.go
+++ b/internal/command/starter/forward.go
@@ -197,6 +197,9 @@
 	sentAt := time.Now()
 	reply, err := s.peers.Request(ctx, to, f)
 	switch {
+	case errors.Is(err, messenger.ErrNotConnected):
+		s.plans.avoid(to)
+		return sessioner.ForwardReply{}, errors.Wrap(sessioner.ErrNotForwarded, err.Error())
 	case errors.Is(err, messenger.ErrBusy), errors.Is(err, messenger.ErrUnknownPeer), errors.Is(err, messenger.ErrClosed):
 		return sessioner.ForwardReply{}, errors.Wrap(sessioner.ErrNotForwarded, err.Error())
 	case err != nil:
--- a/internal/transport/messenger/link.go
+++ b/internal/transport/messenger/link.go
@@ -61,9 +61,9 @@
 	select {
 	case <-l.connected:
 	case <-l.done:
-		return nil, l.err()
+		return nil, errors.Wrapf(ErrNotConnected, "instance %s: %v", l.peer.ID, l.err())
 	case <-ctx.Done():
-		return nil, errors.Wrapf(ErrUnreachable, "instance %s: no connection in time", l.peer.ID)
+		return nil, errors.Wrapf(ErrNotConnected, "instance %s: no connection in time", l.peer.ID)
 	}
 	id := l.nextID.Add(1)
 	data, err := l.messenger.Encoder.Encode(id, 0, body)
@@ -277,7 +277,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closeErr != nil {
-		return nil, nil, l.closeErr
+		return nil, nil, errors.Wrapf(ErrNotConnected, "instance %s: %v", l.peer.ID, l.closeErr)
 	}
 	if len(l.pending) >= maxInFlight {
 		return nil, nil, errors.Wrapf(ErrBusy, "instance %s", l.peer.ID)
--- a/internal/transport/messenger/messenger.go
+++ b/internal/transport/messenger/messenger.go
@@ -36,15 +36,17 @@
 	requestTimeout    = 2 * time.Second // Applies when the caller's context has no deadline.
 )
 
-// Sentinel errors of requests. [ErrUnknownPeer], [ErrBusy] and [ErrClosed] mean
-// that the request was not sent; after any other error, the peer may have
-// handled it.
+// Sentinel errors of requests. [ErrUnknownPeer], [ErrNotConnected], [ErrBusy] and
+// [ErrClosed] mean that the request was not sent; after any other error, the peer
+// may have handled it.
 var (
 	ErrUnknownPeer = errors.New("peer is not known")
 	ErrUnreachable = errors.New("peer is not reachable")
-	ErrBusy        = errors.New("too many requests in flight to the peer")
-	ErrRemote      = errors.New("peer failed to handle the request")
-	ErrClosed      = errors.New("messenger is closed")
+	// ErrNotConnected is an [ErrUnreachable] of a request that was not sent.
+	ErrNotConnected = errors.WithMessage(ErrUnreachable, "no connection")
+	ErrBusy         = errors.New("too many requests in flight to the peer")
+	ErrRemote       = errors.New("peer failed to handle the request")
+	ErrClosed       = errors.New("messenger is closed")
 )
 
 // Peer identifies an instance and the address of its messenger.
@@ -160,8 +162,8 @@
 // Request sends the body to a peer and returns the body of its reply, nil for
 // an empty reply. It waits until the context ends, or two seconds if the context
 // has no deadline. [ErrRemote] means that the peer's handler failed;
-// [ErrUnknownPeer], [ErrBusy] and [ErrClosed] mean that the request was not sent;
-// after any other error, the peer may have handled it.
+// [ErrUnknownPeer], [ErrNotConnected], [ErrBusy] and [ErrClosed] mean that the
+// request was not sent; after any other error, the peer may have handled it.
 func (m *Messenger) Request(ctx context.Context, to identifier.InstanceID, body any) (any, error) {
 	if _, ok := ctx.Deadline(); !ok {
 		var cancel context.CancelFunc
--- a/internal/transport/messenger/messenger_test.go
+++ b/internal/transport/messenger/messenger_test.go
@@ -118,13 +118,29 @@
 			end(a)
 			err := <-failed
 			qt.Check(t, err, qt.ErrorIs, messenger.ErrUnreachable)
-			for _, notSent := range []error{messenger.ErrUnknownPeer, messenger.ErrBusy, messenger.ErrClosed} {
+			for _, notSent := range []error{messenger.ErrUnknownPeer, messenger.ErrNotConnected, messenger.ErrBusy, messenger.ErrClosed} {
 				qt.Check(t, errors.Is(err, notSent), qt.IsFalse, qt.Commentf("%v", notSent))
 			}
 		})
 	}
 }
 
+// Guards against a write that is reported as one with an unknown outcome although
+// no connection to the peer was established, so that it was not sent.
+func TestRequestWithoutConnectionWasNotSent(t *testing.T) {
+	a, _ := start(t, "a", echo)
+	a.Dial = func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	a.SetPeers([]messenger.Peer{{ID: "b", Address: "127.0.0.1:1"}})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := a.Request(ctx, "b", question{"write"})
+	qt.Assert(t, err, qt.ErrorIs, messenger.ErrNotConnected)
+	qt.Assert(t, err, qt.ErrorIs, messenger.ErrUnreachable)
+}
+
 // Guards against a link that stays in use although the peer no longer responds:
 // its requests must fail by the ping deadline, and the next request must use a
 // new connection.
