internal/transport/sessioner: shorter messages, and reads that were sent are not said to be not run

Change: integer keys for these two messages, under new names, so that an instance of the earlier version refuses them by name; OutcomeUnknown for such reads.

--- a/internal/command/starter/peers.go
+++ b/internal/command/starter/peers.go
@@ -59,8 +59,9 @@
 	e.Register("leadership_reply", leadershipReply{})
 	e.Register("era", eraRequest{})
 	e.Register("era_reply", eraReply{})
-	e.Register("forward", sessioner.ForwardRequest{})
-	e.Register("forwarded", sessioner.ForwardReply{})
+	// The earlier messages "forward" and "forwarded" had keys with names.
+	e.Register("run", sessioner.ForwardRequest{})
+	e.Register("ran", sessioner.ForwardReply{})
 	s.peers = messenger.Messenger{
 		Self:           encoder.Hello{Instance: s.Settings.InstanceID, DataCentre: s.Settings.DataCentre},
 		Encoder:        &e,
--- a/internal/protocol/requester/result.go
+++ b/internal/protocol/requester/result.go
@@ -48,17 +48,17 @@
 
 // Result is the answer to one statement.
 type Result struct {
-	Rows      []string            `cbor:"rows,omitempty"`
-	Signature string              `cbor:"signature,omitempty"` // Of the backend server that ran the statement.
-	Code      Code                `cbor:"code,omitempty"`
-	Text      string              `cbor:"text,omitempty"` // Explanation of a code other than OK; sent to the client.
-	State     TransactionState    `cbor:"state"`
-	Position  identifier.Position `cbor:"position"` // Log position of the backend server; zero if not reported.
+	Rows      []string            `cbor:"1,keyasint,omitempty"`
+	Signature string              `cbor:"2,keyasint,omitempty"` // Of the backend server that ran the statement.
+	Code      Code                `cbor:"3,keyasint,omitempty"`
+	Text      string              `cbor:"4,keyasint,omitempty"` // Explanation of a code other than OK; sent to the client.
+	State     TransactionState    `cbor:"5,keyasint"`
+	Position  identifier.Position `cbor:"6,keyasint"` // Log position of the backend server; zero if not reported.
 
 	// Unreached is set if the statement did not run because this instance
 	// could not reach a backend server for it. Another instance may be able
 	// to.
-	Unreached bool `cbor:"unreached,omitempty"`
+	Unreached bool `cbor:"7,keyasint,omitempty"`
 }
 
 // ServerStatus is the status that a backend server reports in answer to
--- a/internal/protocol/requester/statement.go
+++ b/internal/protocol/requester/statement.go
@@ -32,22 +32,22 @@
 // PreparedStatement is the definition of a prepared statement without its
 // arguments.
 type PreparedStatement struct {
-	Writes bool   `cbor:"writes,omitempty"`
-	Text   string `cbor:"text"`
+	Writes bool   `cbor:"1,keyasint,omitempty"`
+	Text   string `cbor:"2,keyasint"`
 }
 
 // Statement is one request of a session.
 type Statement struct {
-	ID   StatementID `cbor:"id,omitempty"`
-	Kind Kind        `cbor:"kind"`
+	ID   StatementID `cbor:"1,keyasint,omitempty"`
+	Kind Kind        `cbor:"2,keyasint"`
 
 	// Text is the statement as the client wrote it, for the kinds that are
 	// forwarded unchanged.
-	Text string `cbor:"text,omitempty"`
+	Text string `cbor:"3,keyasint,omitempty"`
 
-	Name  string            `cbor:"name,omitempty"`  // Of a session setting or a prepared statement.
-	Value string            `cbor:"value,omitempty"` // Of a session setting, or the arguments of an execution.
-	Shape PreparedStatement `cbor:"-"`               // Of the statement to prepare.
+	Name  string            `cbor:"4,keyasint,omitempty"` // Of a session setting or a prepared statement.
+	Value string            `cbor:"5,keyasint,omitempty"` // Of a session setting, or the arguments of an execution.
+	Shape PreparedStatement `cbor:"-"`                    // Of the statement to prepare.
 
 	// After makes the backend server refuse the statement unless its log has
 	// reached the position. It applies to Read, Begin and BeginReadOnly.
--- a/internal/transport/lender/conn.go
+++ b/internal/transport/lender/conn.go
@@ -16,7 +16,6 @@
 var ErrNoAnswer = errors.New("no answer from the backend server")
 
 // ErrNotSent reports that no part of the statement reached the backend server.
-// Callers also return it for statements that may be repeated for other reasons.
 var ErrNotSent = errors.New("statement was not sent")
 
 // Link is an open connection to a backend server, independent of the wire
@@ -102,8 +101,8 @@
 
 // Setting is the value of one session setting.
 type Setting struct {
-	Name  string `cbor:"name"`
-	Value string `cbor:"value"`
+	Name  string `cbor:"1,keyasint"`
+	Value string `cbor:"2,keyasint"`
 }
 
 // With returns a copy in which the named setting has the value.
--- a/internal/transport/sessioner/forward.go
+++ b/internal/transport/sessioner/forward.go
@@ -32,30 +32,42 @@
 )
 
 // ForwardRequest is the message that forwards one statement. The sender has
-// authorized the statement and charged it to the rate limit.
+// authorized the statement and charged it to the rate limit. The keys of its
+// fields are integers, because it is most of the traffic between data centres.
 type ForwardRequest struct {
 	// Transaction identifies the transaction among those of the sender. It is
 	// 0 for a statement outside a transaction.
-	Transaction   uint64                       `cbor:"transaction,omitempty"`
-	Begin         requester.Kind               `cbor:"begin,omitempty"` // Set on the first statement of a transaction.
-	Workspace     identifier.WorkspaceName     `cbor:"workspace"`
-	Database      string                       `cbor:"database"`
-	Route         cataloger.Route              `cbor:"route"`
-	Elapsed       time.Duration                `cbor:"spent"` // Time since the statement arrived at the sender.
-	Settings      lender.Settings              `cbor:"values,omitempty"`
-	LastCommit    identifier.Position          `cbor:"written"`
-	LastCommitAge time.Duration                `cbor:"written_age,omitempty"`
-	Statement     requester.Statement          `cbor:"statement"`
-	Shape         *requester.PreparedStatement `cbor:"shape,omitempty"`
-	Writes        bool                         `cbor:"writes,omitempty"`
+	Transaction   uint64                       `cbor:"1,keyasint,omitempty"`
+	Begin         requester.Kind               `cbor:"2,keyasint,omitempty"` // Set on the first statement of a transaction.
+	Workspace     identifier.WorkspaceName     `cbor:"3,keyasint"`
+	Database      string                       `cbor:"4,keyasint"`
+	Route         ForwardedRoute               `cbor:"5,keyasint"`
+	Elapsed       time.Duration                `cbor:"6,keyasint"` // Time since the statement arrived at the sender.
+	Settings      lender.Settings              `cbor:"7,keyasint,omitempty"`
+	LastCommit    identifier.Position          `cbor:"8,keyasint"`
+	LastCommitAge time.Duration                `cbor:"9,keyasint,omitempty"`
+	Statement     requester.Statement          `cbor:"10,keyasint"`
+	Shape         *requester.PreparedStatement `cbor:"11,keyasint,omitempty"`
+	Writes        bool                         `cbor:"12,keyasint,omitempty"`
+}
+
+// ForwardedRoute is a [cataloger.Route] with shorter keys.
+type ForwardedRoute struct {
+	Service          identifier.ServiceName `cbor:"1,keyasint"`
+	Consistency      cataloger.Consistency  `cbor:"2,keyasint,omitempty"`
+	MaxStaleness     time.Duration          `cbor:"3,keyasint,omitempty"`
+	StatementTimeout time.Duration          `cbor:"4,keyasint"`
+	TargetLatency    time.Duration          `cbor:"5,keyasint"`
+	Priority         int                    `cbor:"6,keyasint,omitempty"`
+	Public           bool                   `cbor:"7,keyasint,omitempty"`
 }
 
 // ForwardReply is the reply to a [ForwardRequest].
 type ForwardReply struct {
-	Refused       bool                `cbor:"refused,omitempty"` // The peer has not run the statement and accepts no new ones.
-	Result        requester.Result    `cbor:"result"`
-	LastCommit    identifier.Position `cbor:"written"`
-	LastCommitAge time.Duration       `cbor:"written_age,omitempty"`
+	Refused       bool                `cbor:"1,keyasint,omitempty"` // The peer has not run the statement and accepts no new ones.
+	Result        requester.Result    `cbor:"2,keyasint"`
+	LastCommit    identifier.Position `cbor:"3,keyasint"`
+	LastCommitAge time.Duration       `cbor:"4,keyasint,omitempty"`
 }
 
 // remoteTransaction identifies a transaction that is open on a peer.
@@ -114,7 +126,7 @@
 // newForward returns the message that forwards a statement.
 func (n *session) newForward(o operation, rs resolvedStatement) ForwardRequest {
 	f := ForwardRequest{
-		Workspace: o.workspace, Database: n.database, Route: o.route, Elapsed: time.Since(o.arrived),
+		Workspace: o.workspace, Database: n.database, Route: ForwardedRoute(o.route), Elapsed: time.Since(o.arrived),
 		Settings: n.settings, LastCommit: n.lastCommit, Statement: rs.statement, Shape: rs.shape, Writes: rs.writes,
 	}
 	if !n.lastCommit.IsZero() {
--- a/internal/transport/sessioner/forwarded.go
+++ b/internal/transport/sessioner/forwarded.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"oleanderpulley/internal/protocol/requester"
+	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
 )
 
@@ -90,13 +91,14 @@
 // deadlines counted from the arrival at the sender.
 func (n *session) forwardedOperation(f ForwardRequest) operation {
 	arrived := time.Now().Add(-f.Elapsed)
+	route := cataloger.Route(f.Route)
 	return operation{
-		route:          f.Route,
+		route:          route,
 		workspace:      f.Workspace,
 		servers:        n.server.Holder.Catalog().Servers[f.Route.Service],
 		arrived:        arrived,
 		deadline:       arrived.Add(f.Route.StatementTimeout),
-		waitDeadline:   arrived.Add(maxWait(f.Route)),
+		waitDeadline:   arrived.Add(maxWait(route)),
 		searchDeadline: time.Now().Add(forwardedSearchTimeout),
 		trace:          &trace{},
 	}
--- a/internal/transport/sessioner/read.go
+++ b/internal/transport/sessioner/read.go
@@ -24,9 +24,13 @@
 	})
 }
 
+// errReadUnanswered reports a read that was sent and has no answer that counts. It
+// may be repeated, but it may have run.
+var errReadUnanswered = errors.New("read has no answer")
+
 // readFromLeader runs a read if the server leads and the permit is still held
-// when the read is answered. A read may be repeated, so every error is a
-// [lender.ErrNotSent].
+// when the read is answered. Its error is a [lender.ErrNotSent] before the read
+// was sent and an errReadUnanswered after that; in both cases it may be repeated.
 func (n *session) readFromLeader(c *lender.Conn, p fencer.Permit, deadline time.Time, read requester.Statement) (requester.Result, error) {
 	sentAt := time.Now()
 	r, err := c.Run(deadline, requester.Statement{Kind: requester.Begin})
@@ -40,17 +44,17 @@
 		return r, errors.Wrap(lender.ErrNotSent, err.Error())
 	}
 	if err := c.Send(deadline, read, requester.Statement{Kind: requester.Rollback}); err != nil {
-		return r, errors.Wrap(lender.ErrNotSent, err.Error())
+		return r, errors.Wrap(errReadUnanswered, err.Error())
 	}
 	r, err = c.Receive(deadline)
 	if err != nil {
-		return r, errors.Wrap(lender.ErrNotSent, err.Error())
+		return r, errors.Wrap(errReadUnanswered, err.Error())
 	}
 	if _, err = c.Receive(deadline); err != nil {
 		c.MarkBroken()
 	}
 	if r.Code == requester.OK && !n.server.Fencer.IsHeld(p) {
-		return r, errors.Wrapf(lender.ErrNotSent, "server %s: %v", c.Server.ID, errFenced)
+		return r, errors.Wrapf(errReadUnanswered, "server %s: %v", c.Server.ID, errFenced)
 	}
 	return r, nil
 }
@@ -94,6 +98,8 @@
 		tried = append(tried, b.ID)
 		r, err := run(b, f, len(tried))
 		switch {
+		case errors.Is(err, lender.ErrNoAnswer):
+			last = n.refusal(requester.OutcomeUnknown, err.Error())
 		case err != nil:
 			last = n.refusal(requester.Overloaded, err.Error())
 		case r.Code == requester.Lagging:
--- a/internal/transport/sessioner/run.go
+++ b/internal/transport/sessioner/run.go
@@ -37,7 +37,7 @@
 // it, and retries as long as the statement is known not to have run. The run
 // function must check the permit after each answer; it returns the
 // connection to the lender, unless it keeps a pinned one. It returns
-// [lender.ErrNotSent] if the call may be repeated.
+// [lender.ErrNotSent] or errReadUnanswered if the call may be repeated.
 func (n *session) runOnPrimary(o operation, pinned bool, run func(*lender.Conn, fencer.Permit) (requester.Result, error)) requester.Result {
 	var last requester.Result
 	for first := true; first || time.Now().Before(o.waitDeadline); first = false {
@@ -59,8 +59,8 @@
 		}
 		r, err := run(c, permit)
 		switch {
-		case errors.Is(err, lender.ErrNotSent):
-			last = n.refusal(requester.Overloaded, err.Error())
+		case errors.Is(err, lender.ErrNotSent), errors.Is(err, errReadUnanswered):
+			last = n.repeatableRefusal(err)
 			if !time.Now().Before(o.deadline) {
 				return last
 			}
@@ -79,6 +79,15 @@
 	return last
 }
 
+// repeatableRefusal returns the refusal of a statement that may be repeated and
+// for which no time is left. A read that was sent may have run.
+func (n *session) repeatableRefusal(err error) requester.Result {
+	if errors.Is(err, errReadUnanswered) {
+		return n.refusal(requester.OutcomeUnknown, err.Error())
+	}
+	return n.refusal(requester.Overloaded, err.Error())
+}
+
 // borrowRefusal returns the refusal of a statement for which no connection could
 // be borrowed.
 func (n *session) borrowRefusal(err error) requester.Result {
