internal/coordination/follower: an instance starts from its relay, and falls back to the store in turn

Cause: each instance that started read all pages of all lists (ten calls at 295 instances), and each one whose relay was late queried the store four times a second, all of them while the store is away. Change: the catalog comes from a relay, which sends differences; relays and small fleets read the lists themselves; a relay that is late is replaced by the next one; of each data centre a bounded number of instances a second falls back.

--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -59,6 +59,7 @@
 	reaper             reaper.Reaper
 	plans              homePlans
 	store              *platform.Store
+	storeCalls         callCounts
 	follower           follower.Follower
 	clientListener     net.Listener
 	probeServer        *http.Server
--- a/internal/coordination/follower/relay.go
+++ b/internal/coordination/follower/relay.go
@@ -73,13 +73,11 @@
 // store nor the traffic between data centres grow with the instances. Every
 // instance derives the same tree from the same members.
 func Parents(members map[identifier.InstanceID]cataloger.Instance, self identifier.InstanceID) []identifier.InstanceID {
-	byDataCentre := map[identifier.DataCentre][]rankedInstance{}
-	for id, m := range members {
-		byDataCentre[m.DataCentre] = append(byDataCentre[m.DataCentre], rankedInstance{id, relayRank(id)})
-	}
-	local := chooseRelays(byDataCentre[members[self].DataCentre])
+	byDataCentre := rankInstances(members)
+	own := members[self].DataCentre
+	local := chooseRelays(byDataCentre[own])
 	if !containsInstance(local, self) {
-		return rotate(local, self)
+		return append(rotate(local, self), foreignRelay(byDataCentre, own, self)...)
 	}
 	var relays []rankedInstance
 	for _, ids := range byDataCentre {
@@ -96,6 +94,33 @@
 	return parents
 }
 
+// isRelay reports whether the instance is a relay of its data centre.
+func isRelay(members map[identifier.InstanceID]cataloger.Instance, self identifier.InstanceID) bool {
+	return containsInstance(chooseRelays(rankInstances(members)[members[self].DataCentre]), self)
+}
+
+// rankInstances returns the instances by data centre.
+func rankInstances(members map[identifier.InstanceID]cataloger.Instance) map[identifier.DataCentre][]rankedInstance {
+	byDataCentre := map[identifier.DataCentre][]rankedInstance{}
+	for id, m := range members {
+		byDataCentre[m.DataCentre] = append(byDataCentre[m.DataCentre], rankedInstance{id, relayRank(id)})
+	}
+	return byDataCentre
+}
+
+// foreignRelay returns a relay of another data centre, for the case that the store
+// turns away all relays of the own one.
+func foreignRelay(byDataCentre map[identifier.DataCentre][]rankedInstance, own identifier.DataCentre, self identifier.InstanceID) []identifier.InstanceID {
+	var relays []rankedInstance
+	for d, instances := range byDataCentre {
+		if d != own {
+			relays = append(relays, chooseRelays(instances)...)
+		}
+	}
+	slices.SortFunc(relays, compareRanks)
+	return rotate(relays, self)[:min(1, len(relays))]
+}
+
 // rankedInstance is an instance with its rank among the candidates for relays.
 type rankedInstance struct {
 	id   identifier.InstanceID
@@ -105,13 +130,15 @@
 // chooseRelays sorts the instances by rank and returns those that serve as relays
 // for all of them.
 func chooseRelays(instances []rankedInstance) []rankedInstance {
-	slices.SortFunc(instances, func(a, b rankedInstance) int {
-		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.id, b.id))
-	})
+	slices.SortFunc(instances, compareRanks)
 	count := (len(instances) + instancesPerRelay - 1) / instancesPerRelay
 	return instances[:count]
 }
 
+func compareRanks(a, b rankedInstance) int {
+	return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.id, b.id))
+}
+
 func containsInstance(instances []rankedInstance, id identifier.InstanceID) bool {
 	return slices.ContainsFunc(instances, func(i rankedInstance) bool { return i.id == id })
 }
@@ -175,16 +202,16 @@
 	case errors.Is(err, ErrNoRelay):
 		return false, nil
 	case errors.Is(err, ErrConnecting):
-		return f.hasRecentProof(), err
+		return !f.fallsBack(), err
 	case err != nil:
 		f.Logger.Debug().Str("event", "relay_silent").Err(err).Send()
-		return f.hasRecentProof(), nil
+		return !f.fallsBack(), nil
 	case !r.IsRecent():
-		return f.hasRecentProof(), nil
+		return !f.fallsBack(), nil
 	case r.Change != nil && r.Change.Base == f.history.digest(known):
 		r.Catalog = known.Apply(r.Change)
 	case r.Change != nil:
-		return f.hasRecentProof(), nil
+		return !f.fallsBack(), nil
 	}
 	if r.Catalog != nil && !f.adoptCatalog(r.Catalog) {
 		return false, nil
@@ -194,11 +221,6 @@
 	return true, nil
 }
 
-func (f *Follower) hasRecentProof() bool {
-	age, ok := f.Holder.Age()
-	return ok && age < maxProofAgeWithoutRelay
-}
-
 // adoptCatalog replaces the catalog by that of a relay and reports whether it
 // did. It rejects a catalog that is older than the current one or does not
 // contain this instance; the round then queries the store.
--- a/internal/coordination/follower/relay_test.go
+++ b/internal/coordination/follower/relay_test.go
@@ -210,13 +210,18 @@
 	qt.Assert(t, h.Catalog().Instances, qt.HasLen, 2)
 }
 
-// startingFollower returns a follower whose store has a directory of one relay,
-// which answers with the catalog.
+// startingFollower returns a follower that is no relay in a fleet of 48, and whose
+// relay answers with the catalog.
 func startingFollower(s *fakeStore, c *cataloger.Catalog) (*follower.Follower, *cataloger.Holder, *time.Duration) {
 	f, h, now := newFollower(s)
 	*now = time.Second
 	f.Store.Directory = func(context.Context) (map[identifier.InstanceID]cataloger.Instance, error) {
-		return map[identifier.InstanceID]cataloger.Instance{"two": {ID: "two"}}, nil
+		members := map[identifier.InstanceID]cataloger.Instance{}
+		for i := range 47 {
+			id := identifier.InstanceID(fmt.Sprint("i", i))
+			members[id] = cataloger.Instance{ID: id}
+		}
+		return members, nil
 	}
 	f.OnDirectory = func(map[identifier.InstanceID]cataloger.Instance) {}
 	f.Relay = func(context.Context, follower.CatalogRequest) (follower.CatalogReply, error) {
@@ -242,14 +247,14 @@
 }
 
 // Guards against an instance that uses a catalog without its own registration,
-// and against one that waits for a relay for longer than a second.
+// and against one that waits long for its relay.
 func TestStartingInstanceRegistersAndGivesUpOnItsRelay(t *testing.T) {
 	s := &fakeStore{revision: 5, version: 1, configurationRevision: 3}
 	f, h, now := startingFollower(s, &cataloger.Catalog{Revision: 5, Configuration: &cataloger.Configuration{Version: 1, Revision: 3}})
 	qt.Assert(t, f.Round(context.Background()), qt.ErrorIs, follower.ErrConnecting)
 	qt.Assert(t, s.members, qt.HasLen, 1)
 	qt.Assert(t, h.Fresh(), qt.IsFalse)
-	*now += 1100 * time.Millisecond
+	*now += 700 * time.Millisecond
 	qt.Assert(t, f.Round(context.Background()), qt.IsNil)
 	qt.Assert(t, h.Fresh(), qt.IsTrue)
 	qt.Assert(t, s.configurationReads, qt.Equals, 1)
@@ -322,3 +327,72 @@
 	qt.Assert(t, child.Round(context.Background()), qt.IsNil)
 	qt.Assert(t, reply.Catalog, qt.Not(qt.IsNil))
 }
+
+// Guards against a fleet in which all instances wait for each other after a loss
+// of power: a relay reads the lists at once, and so does each instance of a small
+// fleet.
+func TestRelaysDoNotWaitToStart(t *testing.T) {
+	for name, members := range map[string]map[identifier.InstanceID]cataloger.Instance{
+		"small fleet": {"i1": {ID: "i1"}, "i2": {ID: "i2"}},
+		"relay":       fleetWithRelay("one"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &fakeStore{revision: 5, version: 1, configurationRevision: 3}
+			f, h, _ := startingFollower(s, nil)
+			f.Store.Directory = func(context.Context) (map[identifier.InstanceID]cataloger.Instance, error) { return members, nil }
+			qt.Assert(t, f.Round(context.Background()), qt.IsNil)
+			qt.Assert(t, h.Fresh(), qt.IsTrue)
+		})
+	}
+}
+
+// fleetWithRelay returns a fleet in which the instance is the only one of its data
+// centre.
+func fleetWithRelay(id identifier.InstanceID) map[identifier.InstanceID]cataloger.Instance {
+	members := map[identifier.InstanceID]cataloger.Instance{id: {ID: id}}
+	for i := range 47 {
+		other := identifier.InstanceID(fmt.Sprint("i", i))
+		members[other] = cataloger.Instance{ID: other, DataCentre: "other"}
+	}
+	return members
+}
+
+// Guards against a store that is flooded while it is away, or while all relays of
+// a data centre are turned away: each instance queried it four times a second.
+func TestInstancesFallBackInTurn(t *testing.T) {
+	for _, test := range []struct{ instances, most int }{{5, 60}, {60, 12}} {
+		members := map[identifier.InstanceID]cataloger.Instance{"one": {ID: "one", Address: "x"}}
+		for i := range test.instances - 1 {
+			id := identifier.InstanceID(fmt.Sprint("i", i))
+			members[id] = cataloger.Instance{ID: id}
+		}
+		calls := 0
+		s := &fakeStore{revision: 5, version: 1, configurationRevision: 3, members: members}
+		f, h, now := newFollower(s)
+		*now = time.Second
+		qt.Assert(t, f.Round(context.Background()), qt.IsNil)
+		qt.Assert(t, slices.Contains(follower.Parents(members, "one"), "one"), qt.IsFalse)
+		qt.Assert(t, len(follower.Parents(members, "one")) > 0, qt.IsTrue)
+		leaderships := f.Store.Leaderships
+		f.Store.Leaderships = func(ctx context.Context) (map[identifier.ServiceName]cataloger.Leadership, uint64, error) {
+			calls++
+			return leaderships(ctx)
+		}
+		s.unavailable = true
+		f.Relay = func(context.Context, follower.CatalogRequest) (follower.CatalogReply, error) {
+			return follower.CatalogReply{}, nil
+		}
+		for range 40 { // 10 s.
+			*now += 250 * time.Millisecond
+			_ = f.Round(context.Background())
+		}
+		qt.Check(t, calls >= 1 && calls <= test.most, qt.IsTrue, qt.Commentf("%d instances: %d calls", test.instances, calls))
+		qt.Check(t, h.Fresh(), qt.IsFalse)
+		s.unavailable = false
+		for range 40 {
+			*now += 250 * time.Millisecond
+			_ = f.Round(context.Background())
+		}
+		qt.Check(t, h.Fresh() || test.instances > 5, qt.IsTrue)
+	}
+}
--- a/internal/coordination/follower/start.go
+++ b/internal/coordination/follower/start.go
@@ -12,8 +12,9 @@
 
 const (
 	// startTimeout is the time after which an instance that starts reads the
-	// lists from the store itself if its relay has not sent them.
-	startTimeout = time.Second
+	// lists from the store itself if its relay has not sent them. It covers the
+	// start of a relay that was killed at the same moment.
+	startTimeout = 600 * time.Millisecond
 	// fleetStartTimeout is that time when the whole fleet starts, in which the
 	// relays themselves have no catalog before the first configuration.
 	fleetStartTimeout = 10 * time.Second
@@ -45,12 +46,19 @@
 	if f.FleetStarts && now-f.startedAt < fleetStartDelay {
 		return true, ErrConnecting
 	}
-	if !f.readDirectory(ctx, now) {
+	if !f.readDirectory(ctx, now) || !f.startsFromRelay {
 		return false, nil
 	}
 	return f.adoptFirstCatalog(ctx)
 }
 
+// needsRelayToStart reports whether the instance waits for its relay. A relay
+// does not, because others wait for it; and in a fleet that one relay could serve,
+// the lists are short.
+func needsRelayToStart(members map[identifier.InstanceID]cataloger.Instance, self identifier.InstanceID) bool {
+	return len(members) > instancesPerRelay && !isRelay(members, self)
+}
+
 // adoptFirstCatalog requests the catalog from the relay and adopts it if it
 // contains this instance, which registers otherwise. A process that starts again
 // need not register.
@@ -103,7 +111,13 @@
 	if members == nil {
 		members = map[identifier.InstanceID]cataloger.Instance{}
 	}
+	if known := members[f.Self.ID]; known.Address == f.Self.Address && known.DataCentre == f.Self.DataCentre {
+		f.joined = true // Verified by the first catalog, which must contain this instance.
+	}
 	members[f.Self.ID] = f.Self
-	f.OnDirectory(members)
+	f.startsFromRelay = needsRelayToStart(members, f.Self.ID)
+	if f.startsFromRelay {
+		f.OnDirectory(members)
+	}
 	return true
 }
--- a/internal/transport/messenger/messenger.go
+++ b/internal/transport/messenger/messenger.go
@@ -188,6 +188,13 @@
 	return l.isConnected()
 }
 
+// Links returns the number of outbound links, including those being opened.
+func (m *Messenger) Links() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.links)
+}
+
 // HasLink reports whether a link to the peer is established. It dials none.
 func (m *Messenger) HasLink(to identifier.InstanceID) bool {
 	m.mu.Lock()
