--- a/internal/coordination/follower/fallback.go
+++ b/internal/coordination/follower/fallback.go
@@ -8,7 +8,11 @@
 // maxFallbackRate is the number of queries a second to the store from the
 // instances of one data centre whose relays have no recent proof, besides those
 // of the relays. While the store is away, all of them would query it otherwise.
-const maxFallbackRate = 15
+const maxFallbackRate = 5
+
+// relayFallbackInterval is the time between two queries of a relay whose root has
+// no recent proof. The first one is sent at once, because others wait for it.
+const relayFallbackInterval = time.Second
 
 // fallsBack reports whether an instance that got no recent proof from a relay
 // queries the store in this round. It does without as long as its own proof is
@@ -21,11 +25,11 @@
 		return false
 	}
 	interval := f.fallbackInterval()
-	if interval <= defaultPeriod {
-		return true
-	}
 	if f.fallbackAt == 0 {
-		f.fallbackAt = now + rand.N(interval)
+		f.fallbackAt = now
+		if !isRelay(f.Holder.Catalog().Instances, f.Self.ID) {
+			f.fallbackAt += rand.N(interval)
+		}
 	}
 	if now < f.fallbackAt {
 		return false
@@ -39,7 +43,7 @@
 func (f *Follower) fallbackInterval() time.Duration {
 	members := f.Holder.Catalog().Instances
 	if isRelay(members, f.Self.ID) {
-		return 0 // Others wait for its proof.
+		return relayFallbackInterval
 	}
 	local := 0
 	for _, m := range members {
--- a/internal/coordination/follower/relay_test.go
+++ b/internal/coordination/follower/relay_test.go
@@ -360,7 +360,7 @@
 // Guards against a store that is flooded while it is away, or while all relays of
 // a data centre are turned away: each instance queried it four times a second.
 func TestInstancesFallBackInTurn(t *testing.T) {
-	for _, test := range []struct{ instances, most int }{{5, 60}, {60, 12}} {
+	for _, test := range []struct{ instances, most int }{{5, 22}, {60, 2}} {
 		members := map[identifier.InstanceID]cataloger.Instance{"one": {ID: "one", Address: "x"}}
 		for i := range test.instances - 1 {
 			id := identifier.InstanceID(fmt.Sprint("i", i))
@@ -382,7 +382,7 @@
 		f.Relay = func(context.Context, follower.CatalogRequest) (follower.CatalogReply, error) {
 			return follower.CatalogReply{}, nil
 		}
-		for range 40 { // 10 s.
+		for range 80 { // 20 s.
 			*now += 250 * time.Millisecond
 			_ = f.Round(context.Background())
 		}
