--- a/internal/coordination/follower/relay_test.go
+++ b/internal/coordination/follower/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -74,13 +75,15 @@
 	}
 	roots, relays, children := 0, 0, map[identifier.InstanceID]int{}
 	for id, m := range members {
-		parent, ok := follower.Parent(members, id)
-		if !ok {
+		parents := follower.Parents(members, id)
+		if len(parents) == 0 {
 			roots++
 			continue
 		}
+		qt.Assert(t, slices.Contains(parents, id), qt.IsFalse)
+		parent := parents[0]
 		children[parent]++
-		if _, isRelay := follower.Parent(members, parent); !isRelay && members[parent].DataCentre != m.DataCentre {
+		if isRoot := len(follower.Parents(members, parent)) == 0; isRoot && members[parent].DataCentre != m.DataCentre {
 			relays++
 			continue
 		}
@@ -95,10 +98,8 @@
 // store.
 func TestSingleInstanceIsItsOwnRoot(t *testing.T) {
 	members := map[identifier.InstanceID]cataloger.Instance{"one": {ID: "one", DataCentre: "dc0"}}
-	_, ok := follower.Parent(members, "one")
-	qt.Assert(t, ok, qt.IsFalse)
-	_, ok = follower.Parent(nil, "one")
-	qt.Assert(t, ok, qt.IsFalse)
+	qt.Assert(t, follower.Parents(members, "one"), qt.HasLen, 0)
+	qt.Assert(t, follower.Parents(nil, "one"), qt.HasLen, 0)
 }
 
 // Guards against an instance that starts with the older configuration of a store
@@ -208,3 +209,190 @@
 	}
 	qt.Assert(t, h.Catalog().Instances, qt.HasLen, 2)
 }
+
+// startingFollower returns a follower that is no relay in a fleet of 48, and whose
+// relay answers with the catalog.
+func startingFollower(s *fakeStore, c *cataloger.Catalog) (*follower.Follower, *cataloger.Holder, *time.Duration) {
+	f, h, now := newFollower(s)
+	*now = time.Second
+	f.Store.Directory = func(context.Context) (map[identifier.InstanceID]cataloger.Instance, error) {
+		members := map[identifier.InstanceID]cataloger.Instance{}
+		for i := range 47 {
+			id := identifier.InstanceID(fmt.Sprint("i", i))
+			members[id] = cataloger.Instance{ID: id}
+		}
+		return members, nil
+	}
+	f.OnDirectory = func(map[identifier.InstanceID]cataloger.Instance) {}
+	f.Relay = func(context.Context, follower.CatalogRequest) (follower.CatalogReply, error) {
+		return follower.CatalogReply{Proven: true, Age: 100 * time.Millisecond, Catalog: c}, nil
+	}
+	return f, h, now
+}
+
+// Guards against calls of the store that grow with the square of the fleet: each
+// instance that started read all pages of all lists.
+func TestStartingInstanceReadsNoLists(t *testing.T) {
+	s := &fakeStore{revision: 5, version: 1, configurationRevision: 3, unavailable: true}
+	c := &cataloger.Catalog{
+		Revision: 5, Configuration: &cataloger.Configuration{Version: 1, Revision: 3},
+		Instances: map[identifier.InstanceID]cataloger.Instance{"one": {ID: "one", Address: "x"}},
+	}
+	f, h, _ := startingFollower(s, c)
+	qt.Assert(t, f.Round(context.Background()), qt.IsNil)
+	age, ok := h.Age()
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, age, qt.Equals, 100*time.Millisecond)
+	qt.Assert(t, s.configurationReads, qt.Equals, 0)
+}
+
+// Guards against an instance that uses a catalog without its own registration,
+// and against one that waits long for its relay.
+func TestStartingInstanceRegistersAndGivesUpOnItsRelay(t *testing.T) {
+	s := &fakeStore{revision: 5, version: 1, configurationRevision: 3}
+	f, h, now := startingFollower(s, &cataloger.Catalog{Revision: 5, Configuration: &cataloger.Configuration{Version: 1, Revision: 3}})
+	qt.Assert(t, f.Round(context.Background()), qt.ErrorIs, follower.ErrConnecting)
+	qt.Assert(t, s.members, qt.HasLen, 1)
+	qt.Assert(t, h.Fresh(), qt.IsFalse)
+	*now += 700 * time.Millisecond
+	qt.Assert(t, f.Round(context.Background()), qt.IsNil)
+	qt.Assert(t, h.Fresh(), qt.IsTrue)
+	qt.Assert(t, s.configurationReads, qt.Equals, 1)
+}
+
+// Guards against a fleet that starts and whose instances all query the store
+// until the operators write the first configuration.
+func TestStartingFleetWaitsForItsRelays(t *testing.T) {
+	s := &fakeStore{revision: 5, version: 1, configurationRevision: 3}
+	f, _, now := startingFollower(s, nil)
+	f.FleetStarts = true
+	for range 80 {
+		*now += 100 * time.Millisecond
+		_ = f.Round(context.Background())
+	}
+	qt.Assert(t, s.members, qt.HasLen, 1)
+	qt.Assert(t, s.configurationReads, qt.Equals, 0)
+}
+
+// Guards against whole catalogs that go to each instance at each change of the
+// fleet, and against an instance whose catalog differs from that of its relay
+// after a change: the relay may have read its lists somewhat later than the
+// instance did.
+func TestRelaySendsChanges(t *testing.T) {
+	s := &fakeStore{revision: 5, version: 1, configurationRevision: 3, members: map[identifier.InstanceID]cataloger.Instance{
+		"one": {ID: "one", Address: "x", Revision: 1}, "two": {ID: "two", Revision: 2},
+	}}
+	relay, _, relayNow := newFollower(s)
+	child, h, now := newFollower(s)
+	*relayNow, *now = time.Second, time.Second
+	qt.Assert(t, relay.Round(context.Background()), qt.IsNil)
+	qt.Assert(t, child.Round(context.Background()), qt.IsNil)
+	var reply follower.CatalogReply
+	child.Relay = func(_ context.Context, r follower.CatalogRequest) (follower.CatalogReply, error) {
+		reply = relay.Answer(r)
+		return reply, nil
+	}
+	// The copy of the child lacks an instance that the relay has already read at
+	// the same revision.
+	s.members["three"] = cataloger.Instance{ID: "three", Revision: 6}
+	s.revision = 6
+	*relayNow += 10 * time.Second
+	qt.Assert(t, relay.Round(context.Background()), qt.IsNil)
+	qt.Assert(t, child.Round(context.Background()), qt.IsNil)
+	qt.Assert(t, reply.Catalog, qt.IsNil)
+	qt.Assert(t, reply.Change.Instances, qt.HasLen, 1)
+	qt.Assert(t, h.Catalog().Instances, qt.HasLen, 3)
+	qt.Assert(t, h.Catalog().Revision, qt.Equals, uint64(6))
+
+	delete(s.members, "two")
+	s.servers = []cataloger.BackendServer{{ID: "a", Revision: 7}}
+	s.revision = 8
+	qt.Assert(t, relay.Round(context.Background()), qt.IsNil)
+	*relayNow += 10 * time.Second
+	s.revision = 9
+	qt.Assert(t, relay.Round(context.Background()), qt.IsNil)
+	qt.Assert(t, child.Round(context.Background()), qt.IsNil)
+	qt.Assert(t, h.Catalog().Servers["rentals"], qt.HasLen, 1)
+	qt.Assert(t, h.Catalog().Digest(), qt.Equals, relay.Holder.Catalog().Digest())
+
+	// The configuration alone is newer.
+	s.version, s.configurationRevision, s.revision = 2, 10, 10
+	qt.Assert(t, relay.Round(context.Background()), qt.IsNil)
+	qt.Assert(t, child.Round(context.Background()), qt.IsNil)
+	qt.Assert(t, reply.Change.Configuration.Version, qt.Equals, identifier.ConfigVersion(2))
+
+	child.Holder.Replace(&cataloger.Catalog{Configuration: h.Catalog().Configuration, Revision: 10})
+	s.revision = 11
+	qt.Assert(t, relay.Round(context.Background()), qt.IsNil)
+	qt.Assert(t, child.Round(context.Background()), qt.IsNil)
+	qt.Assert(t, reply.Catalog, qt.Not(qt.IsNil))
+}
+
+// Guards against a fleet in which all instances wait for each other after a loss
+// of power: a relay reads the lists at once, and so does each instance of a small
+// fleet.
+func TestRelaysDoNotWaitToStart(t *testing.T) {
+	for name, members := range map[string]map[identifier.InstanceID]cataloger.Instance{
+		"small fleet": {"i1": {ID: "i1"}, "i2": {ID: "i2"}},
+		"relay":       fleetWithRelay("one"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &fakeStore{revision: 5, version: 1, configurationRevision: 3}
+			f, h, _ := startingFollower(s, nil)
+			f.Store.Directory = func(context.Context) (map[identifier.InstanceID]cataloger.Instance, error) { return members, nil }
+			qt.Assert(t, f.Round(context.Background()), qt.IsNil)
+			qt.Assert(t, h.Fresh(), qt.IsTrue)
+		})
+	}
+}
+
+// fleetWithRelay returns a fleet in which the instance is the only one of its data
+// centre.
+func fleetWithRelay(id identifier.InstanceID) map[identifier.InstanceID]cataloger.Instance {
+	members := map[identifier.InstanceID]cataloger.Instance{id: {ID: id}}
+	for i := range 47 {
+		other := identifier.InstanceID(fmt.Sprint("i", i))
+		members[other] = cataloger.Instance{ID: other, DataCentre: "other"}
+	}
+	return members
+}
+
+// Guards against a store that is flooded while it is away, or while all relays of
+// a data centre are turned away: each instance queried it four times a second.
+func TestInstancesFallBackInTurn(t *testing.T) {
+	for _, test := range []struct{ instances, most int }{{5, 22}, {60, 2}} {
+		members := map[identifier.InstanceID]cataloger.Instance{"one": {ID: "one", Address: "x"}}
+		for i := range test.instances - 1 {
+			id := identifier.InstanceID(fmt.Sprint("i", i))
+			members[id] = cataloger.Instance{ID: id}
+		}
+		calls := 0
+		s := &fakeStore{revision: 5, version: 1, configurationRevision: 3, members: members}
+		f, h, now := newFollower(s)
+		*now = time.Second
+		qt.Assert(t, f.Round(context.Background()), qt.IsNil)
+		qt.Assert(t, slices.Contains(follower.Parents(members, "one"), "one"), qt.IsFalse)
+		qt.Assert(t, len(follower.Parents(members, "one")) > 0, qt.IsTrue)
+		leaderships := f.Store.Leaderships
+		f.Store.Leaderships = func(ctx context.Context) (map[identifier.ServiceName]cataloger.Leadership, uint64, error) {
+			calls++
+			return leaderships(ctx)
+		}
+		s.unavailable = true
+		f.Relay = func(context.Context, follower.CatalogRequest) (follower.CatalogReply, error) {
+			return follower.CatalogReply{}, nil
+		}
+		for range 80 { // 20 s.
+			*now += 250 * time.Millisecond
+			_ = f.Round(context.Background())
+		}
+		qt.Check(t, calls >= 1 && calls <= test.most, qt.IsTrue, qt.Commentf("%d instances: %d calls", test.instances, calls))
+		qt.Check(t, h.Fresh(), qt.IsFalse)
+		s.unavailable = false
+		for range 40 {
+			*now += 250 * time.Millisecond
+			_ = f.Round(context.Background())
+		}
+		qt.Check(t, h.Fresh() || test.instances > 5, qt.IsTrue)
+	}
+}
--- a/internal/transport/messenger/messenger.go
+++ b/internal/transport/messenger/messenger.go
@@ -21,27 +21,32 @@
 	DefaultPing = time.Second      // Interval between pings; a link is closed after three without an answer.
 	DefaultIdle = 30 * time.Second // A link is closed after this time without a request.
 
-	missedPings    = 3
-	checkTimeout   = 400 * time.Millisecond // For the ping of Check after a request without a reply.
-	maxInFlight    = 256                    // Pending requests on one link.
-	maxHandlers    = 32                     // Concurrent handlers for one inbound link.
-	dialTimeout    = time.Second
-	headerTimeout  = 5 * time.Second
-	minRedialDelay = 50 * time.Millisecond
-	maxRedialDelay = 2 * time.Second
-	writeTimeout   = 2 * time.Second
-	requestTimeout = 2 * time.Second // Applies when the caller's context has no deadline.
+	missedPings = 3
+	// unusedPingPeriods is the number of intervals between two pings on a link
+	// that is not in use.
+	unusedPingPeriods = 5
+	checkTimeout      = 400 * time.Millisecond // For the ping of Check after a request without a reply.
+	maxInFlight       = 256                    // Pending requests on one link.
+	maxHandlers       = 32                     // Concurrent handlers for one inbound link.
+	dialTimeout       = time.Second
+	headerTimeout     = 5 * time.Second
+	minRedialDelay    = 50 * time.Millisecond
+	maxRedialDelay    = 2 * time.Second
+	writeTimeout      = 2 * time.Second
+	requestTimeout    = 2 * time.Second // Applies when the caller's context has no deadline.
 )
 
-// Sentinel errors of requests. [ErrUnknownPeer], [ErrBusy] and [ErrClosed] mean
-// that the request was not sent; after any other error, the peer may have
-// handled it.
+// Sentinel errors of requests. [ErrUnknownPeer], [ErrNotConnected], [ErrBusy] and
+// [ErrClosed] mean that the request was not sent; after any other error, the peer
+// may have handled it.
 var (
 	ErrUnknownPeer = errors.New("peer is not known")
 	ErrUnreachable = errors.New("peer is not reachable")
-	ErrBusy        = errors.New("too many requests in flight to the peer")
-	ErrRemote      = errors.New("peer failed to handle the request")
-	ErrClosed      = errors.New("messenger is closed")
+	// ErrNotConnected is an [ErrUnreachable] of a request that was not sent.
+	ErrNotConnected = errors.WithMessage(ErrUnreachable, "no connection")
+	ErrBusy         = errors.New("too many requests in flight to the peer")
+	ErrRemote       = errors.New("peer failed to handle the request")
+	ErrClosed       = errors.New("messenger is closed")
 )
 
 // Peer identifies an instance and the address of its messenger.
@@ -157,8 +162,8 @@
 // Request sends the body to a peer and returns the body of its reply, nil for
 // an empty reply. It waits until the context ends, or two seconds if the context
 // has no deadline. [ErrRemote] means that the peer's handler failed;
-// [ErrUnknownPeer], [ErrBusy] and [ErrClosed] mean that the request was not sent;
-// after any other error, the peer may have handled it.
+// [ErrUnknownPeer], [ErrNotConnected], [ErrBusy] and [ErrClosed] mean that the
+// request was not sent; after any other error, the peer may have handled it.
 func (m *Messenger) Request(ctx context.Context, to identifier.InstanceID, body any) (any, error) {
 	if _, ok := ctx.Deadline(); !ok {
 		var cancel context.CancelFunc
@@ -180,14 +185,22 @@
 		return false
 	}
 	l.lastUse.Store(time.Now().UnixNano())
-	select {
-	case <-l.done:
-		return false
-	case <-l.connected:
-		return true
-	default:
-		return false
-	}
+	return l.isConnected()
+}
+
+// Links returns the number of outbound links, including those being opened.
+func (m *Messenger) Links() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.links)
+}
+
+// HasLink reports whether a link to the peer is established. It dials none.
+func (m *Messenger) HasLink(to identifier.InstanceID) bool {
+	m.mu.Lock()
+	l, ok := m.links[to]
+	m.mu.Unlock()
+	return ok && l.isConnected()
 }
 
 // WaitConnected waits until a link to the peer is established, at most for the
--- a/internal/transport/sessioner/forwarded.go
+++ b/internal/transport/sessioner/forwarded.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"oleanderpulley/internal/protocol/requester"
+	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
 )
 
@@ -45,7 +46,7 @@
 	if f.Transaction != 0 {
 		return s.executeInForwarded(forwardedKey{from, f.Transaction}, f)
 	}
-	if s.Draining.Load() || s.Holder.Catalog() == nil {
+	if s.refusesForwarded(f) {
 		return ForwardReply{Refused: true}
 	}
 	n := s.newForwardedSession(f)
@@ -58,6 +59,15 @@
 	return n.reply(r)
 }
 
+// refusesForwarded reports whether a peer has to send the statement elsewhere,
+// for instance because it knows another fleet in which this instance is a home.
+func (s *Server) refusesForwarded(f ForwardRequest) bool {
+	if s.Draining.Load() || s.Holder.Catalog() == nil {
+		return true
+	}
+	return s.RunsHere != nil && !s.RunsHere(f.Route.Service)
+}
+
 // resolvedStatement returns the statement to run for the message.
 func (f ForwardRequest) resolvedStatement() resolvedStatement {
 	return resolvedStatement{statement: f.Statement, shape: f.Shape, writes: f.Writes}
@@ -81,13 +91,14 @@
 // deadlines counted from the arrival at the sender.
 func (n *session) forwardedOperation(f ForwardRequest) operation {
 	arrived := time.Now().Add(-f.Elapsed)
+	route := cataloger.Route(f.Route)
 	return operation{
-		route:          f.Route,
+		route:          route,
 		workspace:      f.Workspace,
 		servers:        n.server.Holder.Catalog().Servers[f.Route.Service],
 		arrived:        arrived,
 		deadline:       arrived.Add(f.Route.StatementTimeout),
-		waitDeadline:   arrived.Add(maxWait(f.Route)),
+		waitDeadline:   arrived.Add(maxWait(route)),
 		searchDeadline: time.Now().Add(forwardedSearchTimeout),
 		trace:          &trace{},
 	}
@@ -150,7 +161,7 @@
 	}
 	s.forwarded.mu.Lock()
 	defer s.forwarded.mu.Unlock()
-	if s.Draining.Load() || s.Holder.Catalog() == nil {
+	if s.refusesForwarded(f) {
 		return nil, true
 	}
 	n := s.newForwardedSession(f)
