internal/coordination: owners of rates and relays are the strongest instances of a data centre

Cause: after a loss of power of 295 instances 10,619 statements in 2 s were refused as over the rate: each instance asked nearly all others of its data centre for tokens, over links that it had to open first, and took a request that was not sent for one to a peer without tokens. Change: the fractions of rates are spread over the six instances of a data centre that rank first, by their share of a processor, as relays are; a request that was not sent is repeated soon; sessions wait for the first proof; the links to the homes of primaries open with the first statement.

--- a/internal/command/starter/forward.go
+++ b/internal/command/starter/forward.go
@@ -137,13 +137,11 @@
 	return connected, unconnected
 }
 
-// openLinks opens the links to the homes that the statements of the workspace
-// use.
+// openLinks starts to open the link to the home of the workspace that most
+// statements use.
 func (s *Starter) openLinks(service identifier.ServiceName, w identifier.WorkspaceName) {
-	for _, primary := range []bool{false, true} {
-		if candidates := s.homeCandidates(service, w, primary); len(candidates) > 0 {
-			s.peers.Connected(candidates[0].ID)
-		}
+	if candidates := s.homeCandidates(service, w, false); len(candidates) > 0 {
+		s.peers.Connected(candidates[0].ID)
 	}
 }
 
--- a/internal/command/starter/peers.go
+++ b/internal/command/starter/peers.go
@@ -113,6 +113,9 @@
 // requestTokens requests tokens of a workspace from a peer.
 func (s *Starter) requestTokens(ctx context.Context, to identifier.InstanceID, ask ratelimiter.TokenRequest) (ratelimiter.Grant, error) {
 	reply, err := s.peers.Request(ctx, to, ask)
+	if errors.Is(err, messenger.ErrNotConnected) {
+		return ratelimiter.Grant{}, errors.Wrap(ratelimiter.ErrNotConnected, err.Error())
+	}
 	if err != nil {
 		return ratelimiter.Grant{}, err
 	}
--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -125,7 +125,7 @@
 	s.follower = follower.Follower{
 		Store:    s.store.FollowerStore(),
 		Holder:   &s.holder,
-		Self:     cataloger.Instance{ID: settings.InstanceID, DataCentre: settings.DataCentre, Address: settings.PeerAddress},
+		Self:     cataloger.Instance{ID: settings.InstanceID, DataCentre: settings.DataCentre, Address: settings.PeerAddress, Processor: settings.Processor},
 		Logger:   s.Logger,
 		OnJoin:   s.limiter.MarkRegistered,
 		OnChange: s.catalogChanged,
--- a/internal/coordination/assigner/fleet.go
+++ b/internal/coordination/assigner/fleet.go
@@ -15,7 +15,8 @@
 // each list of instances. The zero value is an empty fleet.
 type Fleet struct {
 	members     map[identifier.DataCentre][]member
-	dataCentres []identifier.DataCentre // Sorted.
+	owners      map[identifier.DataCentre][]member // That may own fractions of rates.
+	dataCentres []identifier.DataCentre            // Sorted.
 	size        int
 }
 
@@ -27,14 +28,33 @@
 
 // NewFleet returns the fleet of the registered instances.
 func NewFleet(instances map[identifier.InstanceID]cataloger.Instance) *Fleet {
-	f := &Fleet{members: map[identifier.DataCentre][]member{}, size: len(instances)}
+	f := &Fleet{members: map[identifier.DataCentre][]member{}, owners: map[identifier.DataCentre][]member{}, size: len(instances)}
 	for id, i := range instances {
+		i.ID = id
 		f.members[i.DataCentre] = append(f.members[i.DataCentre], member{i, xxhash.Sum64String(string(id))})
 	}
 	f.dataCentres = slices.Sorted(maps.Keys(f.members))
+	for d, members := range f.members {
+		f.owners[d] = topRanked(members, maxOwners)
+	}
 	return f
 }
 
+// maxOwners is the number of instances of a data centre among which the fractions
+// of all rates are spread. Every instance has links to all of them, because it asks
+// them for the tokens of each operation that it admits.
+const maxOwners = 6
+
+// topRanked returns the count members that rank first.
+func topRanked(members []member, count int) []member {
+	if len(members) <= count {
+		return members
+	}
+	sorted := slices.Clone(members)
+	slices.SortFunc(sorted, func(a, b member) int { return cataloger.CompareRank(a.instance, b.instance) })
+	return sorted[:count]
+}
+
 // DataCentres returns the number of data centres with instances.
 func (f *Fleet) DataCentres() int {
 	return len(f.dataCentres)
@@ -48,7 +68,12 @@
 // highest returns up to count instances of a data centre, those with the highest
 // weights for the key first.
 func (f *Fleet) highest(d identifier.DataCentre, key uint64, count int) []member {
-	members := f.members[d]
+	return highest(f.members[d], key, count)
+}
+
+// highest returns up to count members, those with the highest weights for the key
+// first.
+func highest(members []member, key uint64, count int) []member {
 	count = min(count, len(members))
 	best := make([]ranked, 0, count+1)
 	for i := range members {
@@ -90,21 +115,19 @@
 	return x ^ x>>31
 }
 
-// Owners returns the instances among which the rate limit of a workspace is
-// divided, taken from the data centres in turn.
+// Owners returns up to count instances among which the rate limit of a workspace
+// is divided, taken from the data centres in turn.
 func (f *Fleet) Owners(w identifier.WorkspaceName, count int) []identifier.InstanceID {
 	if len(f.dataCentres) == 0 {
 		return nil
 	}
 	key := xxhash.Sum64String(string(w))
-	perDataCentre := (count + len(f.dataCentres) - 1) / len(f.dataCentres)
 	start := int(key % uint64(len(f.dataCentres)))
 	candidates := make([][]member, len(f.dataCentres))
 	most := 0
 	for i := range candidates {
-		// A small data centre leaves its part to the others.
 		d := f.dataCentres[(start+i)%len(f.dataCentres)]
-		candidates[i] = f.highest(d, key, max(perDataCentre, count-f.size+len(f.members[d])))
+		candidates[i] = highest(f.owners[d], key, maxOwners)
 		most = max(most, len(candidates[i]))
 	}
 	owners := make([]identifier.InstanceID, 0, count)
--- a/internal/coordination/follower/relay.go
+++ b/internal/coordination/follower/relay.go
@@ -1,7 +1,6 @@
 package follower
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -79,7 +78,7 @@
 	if !containsInstance(local, self) {
 		return append(rotate(local, self), foreignRelay(byDataCentre, own, self)...)
 	}
-	var relays []rankedInstance
+	var relays []cataloger.Instance
 	for _, ids := range byDataCentre {
 		relays = append(relays, chooseRelays(ids)...)
 	}
@@ -88,7 +87,7 @@
 		return nil
 	}
 	parents := rotate(roots, self)
-	if backup := relays[len(roots)].id; backup != self {
+	if backup := relays[len(roots)].ID; backup != self {
 		parents = append(parents, backup)
 	}
 	return parents
@@ -100,68 +99,54 @@
 }
 
 // rankInstances returns the instances by data centre.
-func rankInstances(members map[identifier.InstanceID]cataloger.Instance) map[identifier.DataCentre][]rankedInstance {
-	byDataCentre := map[identifier.DataCentre][]rankedInstance{}
+func rankInstances(members map[identifier.InstanceID]cataloger.Instance) map[identifier.DataCentre][]cataloger.Instance {
+	byDataCentre := map[identifier.DataCentre][]cataloger.Instance{}
 	for id, m := range members {
-		byDataCentre[m.DataCentre] = append(byDataCentre[m.DataCentre], rankedInstance{id, relayRank(id)})
+		m.ID = id
+		byDataCentre[m.DataCentre] = append(byDataCentre[m.DataCentre], m)
 	}
 	return byDataCentre
 }
 
 // foreignRelay returns a relay of another data centre, for the case that the store
 // turns away all relays of the own one.
-func foreignRelay(byDataCentre map[identifier.DataCentre][]rankedInstance, own identifier.DataCentre, self identifier.InstanceID) []identifier.InstanceID {
-	var relays []rankedInstance
+func foreignRelay(byDataCentre map[identifier.DataCentre][]cataloger.Instance, own identifier.DataCentre, self identifier.InstanceID) []identifier.InstanceID {
+	var relays []cataloger.Instance
 	for d, instances := range byDataCentre {
 		if d != own {
 			relays = append(relays, chooseRelays(instances)...)
 		}
 	}
-	slices.SortFunc(relays, compareRanks)
+	slices.SortFunc(relays, cataloger.CompareRank)
 	return rotate(relays, self)[:min(1, len(relays))]
 }
 
-// rankedInstance is an instance with its rank among the candidates for relays.
-type rankedInstance struct {
-	id   identifier.InstanceID
-	rank uint64
-}
-
 // chooseRelays sorts the instances by rank and returns those that serve as relays
 // for all of them.
-func chooseRelays(instances []rankedInstance) []rankedInstance {
-	slices.SortFunc(instances, compareRanks)
+func chooseRelays(instances []cataloger.Instance) []cataloger.Instance {
+	slices.SortFunc(instances, cataloger.CompareRank)
 	count := (len(instances) + instancesPerRelay - 1) / instancesPerRelay
 	return instances[:count]
 }
 
-func compareRanks(a, b rankedInstance) int {
-	return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.id, b.id))
-}
-
-func containsInstance(instances []rankedInstance, id identifier.InstanceID) bool {
-	return slices.ContainsFunc(instances, func(i rankedInstance) bool { return i.id == id })
+func containsInstance(instances []cataloger.Instance, id identifier.InstanceID) bool {
+	return slices.ContainsFunc(instances, func(i cataloger.Instance) bool { return i.ID == id })
 }
 
 // rotate returns the relays, starting with one that depends on the instance, so
 // that the instances are spread over them.
-func rotate(relays []rankedInstance, self identifier.InstanceID) []identifier.InstanceID {
+func rotate(relays []cataloger.Instance, self identifier.InstanceID) []identifier.InstanceID {
 	ids := make([]identifier.InstanceID, 0, len(relays))
 	if len(relays) == 0 {
 		return ids
 	}
 	start := int(xxhash.Sum64String(string(self)) % uint64(len(relays)))
 	for i := range relays {
-		ids = append(ids, relays[(start+i)%len(relays)].id)
+		ids = append(ids, relays[(start+i)%len(relays)].ID)
 	}
 	return ids
 }
 
-// relayRank orders instances; the highest are relays.
-func relayRank(id identifier.InstanceID) uint64 {
-	return xxhash.Sum64String("relay/" + string(id))
-}
-
 // Answer answers a peer's request from this instance's own catalog and proof.
 func (f *Follower) Answer(request CatalogRequest) CatalogReply {
 	age, proven := f.Holder.Age()
--- a/internal/coordination/ratelimiter/admitter.go
+++ b/internal/coordination/ratelimiter/admitter.go
@@ -4,15 +4,22 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"oleanderpulley/internal/state/identifier"
 )
 
+// ErrNotConnected reports that a request was not sent, because the connection to
+// the peer is still being opened.
+var ErrNotConnected = errors.New("peer is not connected")
+
 // Admitter admits operations and requests tokens from peers when its Limiter
 // runs short. Limiter and Request are required.
 type Admitter struct {
 	Limiter *Limiter
+	// Request sends a request to a peer. It returns [ErrNotConnected] if the
+	// request was not sent.
 	Request func(ctx context.Context, to identifier.InstanceID, request TokenRequest) (Grant, error)
 	Logger  zerolog.Logger
 }
@@ -81,6 +88,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
 	g, err := k.Request(ctx, peer, request)
+	if errors.Is(err, ErrNotConnected) {
+		k.Limiter.CancelRequest(w)
+		return
+	}
 	if err != nil {
 		k.Logger.Debug().Str("event", "tokens_not_granted").Str("peer", string(peer)).Err(err).Send()
 		k.Limiter.FinishRequest(w, peer, nil)
--- a/internal/coordination/ratelimiter/exchange.go
+++ b/internal/coordination/ratelimiter/exchange.go
@@ -109,7 +109,6 @@
 	if b == nil {
 		return
 	}
-	b.requestInFlight = false
 	b.requests++
 	if b.available() >= 1 {
 		b.requests = 0
@@ -118,6 +117,25 @@
 		b.requests = 0
 		b.backoffUntil = now.Add(l.shares[w].requestBackoff())
 	}
+	b.endRequest()
+}
+
+// CancelRequest ends the request of the workspace, which was not sent. The peer may
+// be asked again soon, as nothing is known of its tokens.
+func (l *Limiter) CancelRequest(w identifier.WorkspaceName) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.bucket(w)
+	if b == nil {
+		return
+	}
+	b.backoffUntil = l.now().Add(minRequestBackoff)
+	b.endRequest()
+}
+
+// endRequest notifies those that wait for the request in flight.
+func (b *bucket) endRequest() {
+	b.requestInFlight = false
 	if b.requestEnded != nil {
 		close(b.requestEnded)
 		b.requestEnded = nil
--- a/internal/state/cataloger/catalog.go
+++ b/internal/state/cataloger/catalog.go
@@ -1,8 +1,11 @@
 package cataloger
 
 import (
+	"cmp"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"oleanderpulley/internal/state/identifier"
 )
 
@@ -81,7 +84,24 @@
 	ID         identifier.InstanceID `json:"id" cbor:"id"`
 	DataCentre identifier.DataCentre `json:"data_centre" cbor:"data_centre"`
 	Address    string                `json:"address" cbor:"address"` // For peers.
-	Revision   uint64                `json:"-" cbor:"revision"`
+	// Processor is the share of a processor core that the instance may use, in
+	// thousandths. It is 0 if the instance has not told it.
+	Processor int    `json:"processor,omitempty" cbor:"processor,omitempty"`
+	Revision  uint64 `json:"-" cbor:"revision"`
+}
+
+// CompareRank orders the instances that work for the others of their data centre:
+// first those with the larger share of a processor, then by a hash of the id.
+func CompareRank(a, b Instance) int {
+	return cmp.Or(
+		cmp.Compare(b.Processor, a.Processor),
+		cmp.Compare(rankHash(b.ID), rankHash(a.ID)),
+		cmp.Compare(a.ID, b.ID),
+	)
+}
+
+func rankHash(id identifier.InstanceID) uint64 {
+	return xxhash.Sum64String("relay/" + string(id))
 }
 
 // Catalog is a consistent snapshot of the configuration, the registered backend
--- a/internal/transport/sessioner/server.go
+++ b/internal/transport/sessioner/server.go
@@ -72,7 +72,7 @@
 	// order of preference. The order depends on whether the statement needs
 	// the primary. If there are none, the statements run on this instance.
 	Homes func(service identifier.ServiceName, w identifier.WorkspaceName, primary bool) []identifier.InstanceID
-	// OpenLinks starts to open the links to the homes that the statements of a
+	// OpenLinks starts to open the link to the home that most statements of a
 	// workspace use, ahead of the first statement. It may be nil.
 	OpenLinks func(service identifier.ServiceName, w identifier.WorkspaceName)
 	// RunsHere reports whether this instance may connect to the servers of the
--- a/internal/transport/sessioner/session.go
+++ b/internal/transport/sessioner/session.go
@@ -23,6 +23,9 @@
 // configuration. It is shorter than the 2 s after which clients give up.
 const startupTimeout = 1500 * time.Millisecond
 
+// proofPollInterval is the time between two checks for the first proof.
+const proofPollInterval = 25 * time.Millisecond
+
 // session is the state of one client connection, or of a statement or
 // transaction that a peer forwards.
 type session struct {
@@ -76,18 +79,20 @@
 	return r.Signature == startupSignature
 }
 
-// waitForCatalog waits until the catalog has a configuration or the deadline has
-// passed.
+// waitForCatalog waits until the catalog has a configuration and a first proof, or
+// the deadline has passed. An instance that has just started has them soon.
 func (n *session) waitForCatalog(deadline time.Time) {
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
 	for {
 		changed := n.server.Holder.Changed()
-		if c := n.server.Holder.Catalog(); c != nil && c.Configuration != nil {
+		_, proven := n.server.Holder.Age()
+		if c := n.server.Holder.Catalog(); c != nil && c.Configuration != nil && proven {
 			return
 		}
 		select {
 		case <-changed:
+		case <-time.After(proofPollInterval): // A proof does not change the catalog.
 		case <-timer.C:
 			return
 		}
