internal/coordination/ratelimiter: tokens are requested only for operations that wait

Cause: a workspace whose operation once found no token stayed short until a request of its own brought one, so that each request to a peer asked for tokens of all such workspaces; they lapsed after 500 ms. TestRequestsCoverOnlyWaitingOperations: 30 workspaces in a request before, 1 after.

--- a/internal/coordination/ratelimiter/bucket.go
+++ b/internal/coordination/ratelimiter/bucket.go
@@ -14,8 +14,8 @@
 	demandAsOf      time.Time
 	requests        int // Requests in a row for the current shortage.
 	requestInFlight bool
-	queued          int  // Operations that wait for the refill by the own fraction.
-	starved         bool // An operation found no token since a request last ended with one.
+	queued          int       // Operations that wait for the refill by the own fraction.
+	missedAt        time.Time // When an operation last found no token; zero after a request that brought one.
 	backoffUntil    time.Time
 	requestEnded    chan struct{} // Closed when the request in flight ends.
 }
--- a/internal/coordination/ratelimiter/exchange.go
+++ b/internal/coordination/ratelimiter/exchange.go
@@ -34,7 +34,7 @@
 	if b.requestInFlight || now.Before(b.backoffUntil) {
 		return false
 	}
-	if b.available() < 1 && b.starved {
+	if b.available() < 1 && now.Sub(b.missedAt) <= maxMissAge {
 		return true
 	}
 	// With little demand, tokens are requested only when one is missing: a
@@ -112,7 +112,7 @@
 	b.requests++
 	if b.available() >= 1 {
 		b.requests = 0
-		b.starved = false
+		b.missedAt = time.Time{}
 	} else if b.requests >= maxRequestsPerShortage {
 		b.requests = 0
 		b.backoffUntil = now.Add(l.shares[w].requestBackoff())
--- a/internal/coordination/ratelimiter/ratelimiter.go
+++ b/internal/coordination/ratelimiter/ratelimiter.go
@@ -32,6 +32,9 @@
 	// maxRequestsPerShortage is the number of requests that one shortage may
 	// cause in a row before the backoff.
 	maxRequestsPerShortage = 3
+	// maxMissAge is the time after an operation found no token for which tokens
+	// are requested for it. It does not wait for longer.
+	maxMissAge = 150 * time.Millisecond
 	// Bounds of the retry delay that a refused caller receives.
 	minRetryAfter = 5 * time.Millisecond
 	maxRetryAfter = time.Second
@@ -141,7 +144,9 @@
 	}
 	b.recordArrival(l.now())
 	taken := b.take()
-	b.starved = b.starved || !taken
+	if !taken {
+		b.missedAt = l.now()
+	}
 	return taken
 }
 
--- a/internal/coordination/ratelimiter/ratelimiter_test.go
+++ b/internal/coordination/ratelimiter/ratelimiter_test.go
@@ -348,3 +348,47 @@
 	}
 	qt.Assert(t, admitted <= 2*30, qt.IsTrue, qt.Commentf("%d", admitted))
 }
+
+// Guards against tokens that nobody spends: an instance that has once refused an
+// operation of many workspaces asked for tokens of all of them with each further
+// request, and these lapsed. After a loss of power of 295 instances, each owner of
+// many workspaces gave away most of their rates in this way.
+func TestRequestsCoverOnlyWaitingOperations(t *testing.T) {
+	now := time.Unix(1000, 0)
+	shares := map[identifier.WorkspaceName]Share{}
+	for i := range 30 {
+		name := identifier.WorkspaceName(fmt.Sprint("w", i))
+		shares[name] = Share{Limit: Limit{Rate: 20, Burst: 20}, Owners: []identifier.InstanceID{"owner"}}
+	}
+	l := &Limiter{Now: func() time.Time { return now }}
+	l.Set(shares, "self", []Peer{{ID: "self"}, {ID: "owner"}})
+	for name := range shares {
+		qt.Assert(t, l.Take(name), qt.IsFalse)
+	}
+	_, request, ok := l.NextRequest("w0")
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, request.Wants, qt.HasLen, 30) // All of them wait.
+	l.FinishRequest("w0", "owner", &Grant{Given: map[identifier.WorkspaceName]float64{"w0": 1}})
+	now = now.Add(10 * time.Second)
+	qt.Assert(t, l.Take("w1"), qt.IsFalse)
+	_, request, ok = l.NextRequest("w1")
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, request.Wants, qt.HasLen, 1)
+}
+
+// Guards against an owner that is not asked for a second because the first request
+// to it was not sent: after a loss of power the links are still being opened.
+func TestCanceledRequestIsRepeatedSoon(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := &Limiter{Now: func() time.Time { return now }}
+	shares := map[identifier.WorkspaceName]Share{shop: {Limit: Limit{Rate: 20, Burst: 20}, Owners: []identifier.InstanceID{"owner"}}}
+	l.Set(shares, "self", []Peer{{ID: "self"}, {ID: "owner"}})
+	qt.Assert(t, l.Take(shop), qt.IsFalse)
+	_, _, ok := l.NextRequest(shop)
+	qt.Assert(t, ok, qt.IsTrue)
+	l.CancelRequest(shop)
+	now = now.Add(minRequestBackoff)
+	qt.Assert(t, l.Take(shop), qt.IsFalse)
+	_, _, ok = l.NextRequest(shop)
+	qt.Assert(t, ok, qt.IsTrue)
+}
