--- a/internal/coordination/ratelimiter/exchange.go
+++ b/internal/coordination/ratelimiter/exchange.go
@@ -34,7 +34,7 @@
 	if b.requestInFlight || now.Before(b.backoffUntil) {
 		return false
 	}
-	if b.available() < 1 && b.starved {
+	if b.available() < 1 && now.Sub(b.missedAt) <= maxMissAge {
 		return true
 	}
 	// With little demand, tokens are requested only when one is missing: a
@@ -109,15 +109,33 @@
 	if b == nil {
 		return
 	}
-	b.requestInFlight = false
 	b.requests++
 	if b.available() >= 1 {
 		b.requests = 0
-		b.starved = false
+		b.missedAt = time.Time{}
 	} else if b.requests >= maxRequestsPerShortage {
 		b.requests = 0
 		b.backoffUntil = now.Add(l.shares[w].requestBackoff())
 	}
+	b.endRequest()
+}
+
+// CancelRequest ends the request of the workspace, which was not sent. The peer may
+// be asked again soon, as nothing is known of its tokens.
+func (l *Limiter) CancelRequest(w identifier.WorkspaceName) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.bucket(w)
+	if b == nil {
+		return
+	}
+	b.backoffUntil = l.now().Add(minRequestBackoff)
+	b.endRequest()
+}
+
+// endRequest notifies those that wait for the request in flight.
+func (b *bucket) endRequest() {
+	b.requestInFlight = false
 	if b.requestEnded != nil {
 		close(b.requestEnded)
 		b.requestEnded = nil
