internal/transport: a panic ends its request or session alone

Cause: a panic in a session, a forwarded statement or the handler of a peer's message ended the whole process. Change: it is logged with its stack and counted, and a connection in use is not lent again.

--- a/internal/transport/lender/conn.go
+++ b/internal/transport/lender/conn.go
@@ -90,6 +90,15 @@
 	c.broken = true
 }
 
+// BreakOnPanic marks the connection as unusable if it is called by a panic, after
+// which an answer may be left on it. It must be deferred directly.
+func (c *Conn) BreakOnPanic() {
+	if p := recover(); p != nil {
+		c.broken = true
+		panic(p)
+	}
+}
+
 // Broken reports whether the connection is unusable.
 func (c *Conn) Broken() bool {
 	return c.broken
--- a/internal/transport/messenger/messenger.go
+++ b/internal/transport/messenger/messenger.go
@@ -92,6 +92,7 @@
 	MessagesSent, MessagesReceived atomic.Int64
 	BytesSent, BytesReceived       atomic.Int64
 	UnknownTypes                   atomic.Int64
+	Panics                         atomic.Int64 // Of handlers.
 }
 
 // Start listens on the address, an IP address with a port, and returns the
--- a/internal/transport/messenger/messenger_test.go
+++ b/internal/transport/messenger/messenger_test.go
@@ -281,3 +281,21 @@
 	}
 	qt.Assert(t, time.Now().Before(end), qt.IsTrue)
 }
+
+// Guards against a process that ends because the handler of one message panics.
+func TestPanicOfAHandlerEndsItsRequestAlone(t *testing.T) {
+	b, peer := start(t, "b", func(q question) (any, error) {
+		if q.Text == "bad" {
+			panic("malformed")
+		}
+		return reply(q), nil
+	})
+	a, _ := start(t, "a", echo)
+	a.SetPeers([]messenger.Peer{peer})
+	_, err := a.Request(context.Background(), "b", question{"bad"})
+	qt.Assert(t, err, qt.ErrorIs, messenger.ErrRemote)
+	body, err := a.Request(context.Background(), "b", question{"good"})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, body, qt.Equals, reply{"good"})
+	qt.Assert(t, b.Counters.Panics.Load(), qt.Equals, int64(1))
+}
--- a/internal/transport/messenger/server.go
+++ b/internal/transport/messenger/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"runtime/debug"
 	"sync"
 
 	"github.com/coder/websocket"
@@ -76,12 +77,29 @@
 		go func() {
 			defer handlers.Done()
 			defer func() { <-slots }()
-			reply, err := m.Handle(ctx, from, body)
+			reply, err := m.handle(ctx, from, body)
 			m.reply(ctx, conn, envelope.ID, reply, err)
 		}()
 	}
 }
 
+// errHandlerPanicked is the outcome of a request whose handler panicked. It may
+// have been handled in part.
+var errHandlerPanicked = errors.New("handler panicked")
+
+// handle passes a request to its handler. A panic ends this request alone.
+func (m *Messenger) handle(ctx context.Context, from encoder.Hello, body any) (reply any, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			m.Counters.Panics.Add(1)
+			m.Logger.Error().Str("event", "handler_panicked").Str("peer", string(from.Instance)).Type("request", body).
+				Interface("panic", p).Bytes("stack", debug.Stack()).Send()
+			reply, err = nil, errHandlerPanicked
+		}
+	}()
+	return m.Handle(ctx, from, body)
+}
+
 // reply sends the outcome of a request. A failed write closes the connection, so
 // that its read loop ends.
 func (m *Messenger) reply(ctx context.Context, conn *websocket.Conn, id uint64, body any, failure error) {
--- a/internal/transport/sessioner/log.go
+++ b/internal/transport/sessioner/log.go
@@ -19,6 +19,7 @@
 type Activity struct {
 	Served, Late, Failed, Refused atomic.Uint64
 	ReplicaReads, PrimaryReads    atomic.Uint64 // Reads outside transactions, by the role of the server that ran them.
+	Panics                        atomic.Uint64 // Sessions that ended by a panic.
 }
 
 // logRefused logs and counts a statement that was not run.
--- a/internal/transport/sessioner/run.go
+++ b/internal/transport/sessioner/run.go
@@ -160,6 +160,7 @@
 func (n *session) runOnConn(c *lender.Conn, o operation, rs resolvedStatement, run func(*lender.Conn, resolvedStatement) (requester.Result, error)) (requester.Result, error) {
 	s := n.server
 	defer s.Lender.Return(c)
+	defer c.BreakOnPanic()
 	s.Balancer.Start(c.Server.ID)
 	started := time.Now()
 	rs, err := n.prepareConn(c, o.deadline, rs)
--- a/internal/transport/sessioner/server.go
+++ b/internal/transport/sessioner/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -123,9 +124,11 @@
 	return len(s.sessions)
 }
 
-// Serve serves the session of a client until the session ends.
+// Serve serves the session of a client until the session ends. A panic ends this
+// session alone.
 func (s *Server) Serve(c Client) {
 	defer c.Close()
+	defer s.recoverSession()
 	n := &session{server: s, client: c}
 	if !n.start() {
 		return
@@ -135,6 +138,14 @@
 	n.serveStatements()
 }
 
+// recoverSession logs and counts a panic of a session.
+func (s *Server) recoverSession() {
+	if p := recover(); p != nil {
+		s.Activity.Panics.Add(1)
+		s.Logger.Error().Str("event", "session_panicked").Interface("panic", p).Bytes("stack", debug.Stack()).Send()
+	}
+}
+
 func (s *Server) add(n *session) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/transport/sessioner/transaction.go
+++ b/internal/transport/sessioner/transaction.go
@@ -116,6 +116,7 @@
 // if the permission to use the primary ended before the answer.
 func (n *session) runInTransaction(o operation, st requester.Statement) (requester.Result, error) {
 	s, c := n.server, n.tx.conn
+	defer c.BreakOnPanic()
 	s.Balancer.Start(c.Server.ID)
 	sentAt := time.Now()
 	r, err := c.Run(o.deadline, st)
