--- a/internal/coordination/assigner/assigner.go
+++ b/internal/coordination/assigner/assigner.go
@@ -31,17 +31,17 @@
 
 // Plan holds the homes of one service.
 type Plan struct {
-	homes       map[identifier.DataCentre][]member // Those with the highest weights first.
-	dataCentres []identifier.DataCentre            // With homes, sorted.
-	connections int                                // That each server accepts.
-	count       int                                // Of homes.
-	others      int                                // Instances that are no homes.
+	homes       map[identifier.DataCentre][]*member // Those with the highest weights first.
+	dataCentres []identifier.DataCentre             // With homes, sorted.
+	connections int                                 // That each server accepts.
+	count       int                                 // Of homes.
+	others      int                                 // Instances that are no homes.
 }
 
 // NewPlan computes the homes of a service with the given servers, each of which
 // accepts that many connections.
 func NewPlan(service identifier.ServiceName, f *Fleet, servers []cataloger.BackendServer, connections int) *Plan {
-	p := &Plan{homes: map[identifier.DataCentre][]member{}, connections: connections}
+	p := &Plan{homes: map[identifier.DataCentre][]*member{}, connections: connections}
 	p.dataCentres = f.dataCentresWithServers(servers)
 	key := xxhash.Sum64String(string(service))
 	perDataCentre := homesPerDataCentre(connections, len(p.dataCentres))
@@ -103,7 +103,7 @@
 	homes := make([]cataloger.Instance, 0, p.count)
 	for _, d := range dataCentres {
 		local := slices.Clone(p.homes[d])
-		slices.SortFunc(local, func(a, b member) int {
+		slices.SortFunc(local, func(a, b *member) int {
 			return cmp.Or(cmp.Compare(weight(key, b.hash), weight(key, a.hash)), cmp.Compare(a.instance.ID, b.instance.ID))
 		})
 		for _, m := range local {
@@ -127,7 +127,7 @@
 // HomeIn reports whether the instance is a home, and in which data centre.
 func (p *Plan) HomeIn(id identifier.InstanceID) (identifier.DataCentre, bool) {
 	for d, homes := range p.homes {
-		if slices.ContainsFunc(homes, func(m member) bool { return m.instance.ID == id }) {
+		if slices.ContainsFunc(homes, func(m *member) bool { return m.instance.ID == id }) {
 			return d, true
 		}
 	}
--- a/internal/coordination/assigner/fleet.go
+++ b/internal/coordination/assigner/fleet.go
@@ -14,9 +14,9 @@
 // Fleet holds the registered instances by data centre. It is computed once for
 // each list of instances. The zero value is an empty fleet.
 type Fleet struct {
-	members     map[identifier.DataCentre][]member
-	owners      map[identifier.DataCentre][]member // That may own fractions of rates.
-	dataCentres []identifier.DataCentre            // Sorted.
+	members     map[identifier.DataCentre][]*member
+	owners      map[identifier.DataCentre][]*member // That may own fractions of rates.
+	dataCentres []identifier.DataCentre             // Sorted.
 	size        int
 }
 
@@ -28,10 +28,10 @@
 
 // NewFleet returns the fleet of the registered instances.
 func NewFleet(instances map[identifier.InstanceID]cataloger.Instance) *Fleet {
-	f := &Fleet{members: map[identifier.DataCentre][]member{}, owners: map[identifier.DataCentre][]member{}, size: len(instances)}
+	f := &Fleet{members: map[identifier.DataCentre][]*member{}, owners: map[identifier.DataCentre][]*member{}, size: len(instances)}
 	for id, i := range instances {
 		i.ID = id
-		f.members[i.DataCentre] = append(f.members[i.DataCentre], member{i, xxhash.Sum64String(string(id))})
+		f.members[i.DataCentre] = append(f.members[i.DataCentre], &member{i, xxhash.Sum64String(string(id))})
 	}
 	f.dataCentres = slices.Sorted(maps.Keys(f.members))
 	for d, members := range f.members {
@@ -46,12 +46,12 @@
 const maxOwners = 6
 
 // topRanked returns the count members that rank first.
-func topRanked(members []member, count int) []member {
+func topRanked(members []*member, count int) []*member {
 	if len(members) <= count {
 		return members
 	}
 	sorted := slices.Clone(members)
-	slices.SortFunc(sorted, func(a, b member) int { return cataloger.CompareRank(a.instance, b.instance) })
+	slices.SortFunc(sorted, func(a, b *member) int { return cataloger.CompareRank(a.instance, b.instance) })
 	return sorted[:count]
 }
 
@@ -67,13 +67,13 @@
 
 // highest returns up to count instances of a data centre, those with the highest
 // weights for the key first.
-func (f *Fleet) highest(d identifier.DataCentre, key uint64, count int) []member {
+func (f *Fleet) highest(d identifier.DataCentre, key uint64, count int) []*member {
 	return highest(f.members[d], key, count)
 }
 
 // highest returns up to count members, those with the highest weights for the key
 // first.
-func highest(members []member, key uint64, count int) []member {
+func highest(members []*member, key uint64, count int) []*member {
 	count = min(count, len(members))
 	best := make([]ranked, 0, count+1)
 	for i := range members {
@@ -85,7 +85,7 @@
 		best = slices.Insert(best, at, r)
 		best = best[:min(len(best), count)]
 	}
-	chosen := make([]member, len(best))
+	chosen := make([]*member, len(best))
 	for i, r := range best {
 		chosen[i] = members[r.index]
 	}
@@ -99,7 +99,7 @@
 }
 
 // compareRanked orders members by their weight, the highest first.
-func compareRanked(members []member, a, b ranked) int {
+func compareRanked(members []*member, a, b ranked) int {
 	if a.weight != b.weight {
 		return cmp.Compare(b.weight, a.weight)
 	}
@@ -123,7 +123,7 @@
 	}
 	key := xxhash.Sum64String(string(w))
 	start := int(key % uint64(len(f.dataCentres)))
-	candidates := make([][]member, len(f.dataCentres))
+	candidates := make([][]*member, len(f.dataCentres))
 	most := 0
 	for i := range candidates {
 		d := f.dataCentres[(start+i)%len(f.dataCentres)]
