--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -108,60 +107,6 @@
 	provenAt     time.Time                               // Time as of which the catalog was proven when the round began.
 }
 
-// Run executes rounds until the context ends.
-func (f *Follower) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		started := time.Now()
-		err := f.Round(ctx)
-		f.logStoreState(err)
-		pause := f.nextPeriod(err) - time.Since(started)
-		select {
-		case <-ctx.Done():
-		case <-time.After(max(pause, 10*time.Millisecond)):
-		}
-	}
-}
-
-// nextPeriod returns the time from the start of a round with this result to the
-// start of the next. Jitter spreads the rounds of the instances.
-func (f *Follower) nextPeriod(err error) time.Duration {
-	period := f.Period
-	if period == 0 {
-		period = defaultPeriod
-	}
-	switch {
-	case errors.Is(err, ErrNoConfiguration):
-		period = unconfiguredPeriod
-	case errors.Is(err, ErrConnecting):
-		period = connectingPeriod
-	case err == nil && f.relayed:
-		period = min(period, relayPeriod)
-	case err != nil:
-		period = min(retryPeriod<<min(f.failures, 2), period)
-	}
-	return period*7/8 + rand.N(period/4)
-}
-
-// logStoreState counts failed rounds and logs when the store becomes unreachable
-// and reachable again.
-func (f *Follower) logStoreState(err error) {
-	switch {
-	case errors.Is(err, ErrConnecting):
-	case err != nil && !errors.Is(err, ErrNoConfiguration):
-		f.failures++
-		if f.storeReached {
-			f.storeReached = false
-			f.Logger.Warn().Str("event", "store_lost").Err(err).Send()
-		}
-	case !f.storeReached:
-		f.storeReached = true
-		f.failures = 0
-		f.Logger.Info().Str("event", "store_reached").Uint64("revision", f.knownRevision).Send()
-	default:
-		f.failures = 0
-	}
-}
-
 // Round updates the catalog and proves it as of the start of the round.
 func (f *Follower) Round(ctx context.Context) error {
 	f.provenAt = time.Time{}
@@ -246,54 +191,6 @@
 	return c != nil && c.Configuration != nil && f.knownRevision != 0
 }
 
-// readLists reads the lists and proves the catalog as of sent, the time before
-// the query that returned the leadership records and the revision. If that query
-// returned no records, they are read as well.
-func (f *Follower) readLists(ctx context.Context, sent time.Duration, leaderships map[identifier.ServiceName]cataloger.Leadership, revision uint64) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if leaderships == nil {
-		var err error
-		if leaderships, _, err = f.Store.Leaderships(ctx); err != nil {
-			return err
-		}
-	}
-	configuration, configurationRevision, err := f.Store.Configuration(ctx)
-	if err != nil {
-		return err
-	}
-	f.updateCatalog(func(c *cataloger.Catalog) {
-		c.Configuration = newerConfiguration(c.Configuration, configuration)
-		c.Leaderships = leaderships
-		c.Revision = 0
-	})
-	if f.knownRevision != 0 {
-		f.Holder.SetProof(sent)
-	}
-	servers, serversRevision, err := f.Store.Servers(ctx)
-	if err != nil {
-		return err
-	}
-	members, err := f.members(ctx)
-	if err != nil {
-		return err
-	}
-	if cataloger.Era(serversRevision) != cataloger.Era(revision) || cataloger.Era(configurationRevision) != cataloger.Era(revision) {
-		return errors.Wrapf(ErrEraChanged, "era %d in the list of servers, %d before", cataloger.Era(serversRevision), cataloger.Era(revision))
-	}
-	f.adoptPeerConfigurations(ctx, members)
-	retained := f.retainLapsedServers(servers)
-	retained += f.retainRemovedInstances(members, sent)
-	f.updateCatalog(func(c *cataloger.Catalog) {
-		c.Servers, c.Instances, c.Revision, c.Retained = servers, members, revision, retained
-	})
-	f.knownRevision = revision
-	// The first proof needs the complete catalog: an instance that does not
-	// see its own registration has no share of any rate.
-	f.Holder.SetProof(sent)
-	return nil
-}
-
 // join registers this instance.
 func (f *Follower) join(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- /dev/null
+++ b/internal/coordination/follower/lists.go
@@ -0,0 +1,59 @@
+package follower
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"oleanderpulley/internal/state/cataloger"
+	"oleanderpulley/internal/state/identifier"
+)
+
+// readLists reads the lists and proves the catalog as of sent, the time before
+// the query that returned the leadership records and the revision. If that query
+// returned no records, they are read as well.
+func (f *Follower) readLists(ctx context.Context, sent time.Duration, leaderships map[identifier.ServiceName]cataloger.Leadership, revision uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if leaderships == nil {
+		var err error
+		if leaderships, _, err = f.Store.Leaderships(ctx); err != nil {
+			return err
+		}
+	}
+	configuration, configurationRevision, err := f.Store.Configuration(ctx)
+	if err != nil {
+		return err
+	}
+	f.updateCatalog(func(c *cataloger.Catalog) {
+		c.Configuration = newerConfiguration(c.Configuration, configuration)
+		c.Leaderships = leaderships
+		c.Revision = 0
+	})
+	if f.knownRevision != 0 {
+		f.Holder.SetProof(sent)
+	}
+	servers, serversRevision, err := f.Store.Servers(ctx)
+	if err != nil {
+		return err
+	}
+	members, err := f.members(ctx)
+	if err != nil {
+		return err
+	}
+	if cataloger.Era(serversRevision) != cataloger.Era(revision) || cataloger.Era(configurationRevision) != cataloger.Era(revision) {
+		return errors.Wrapf(ErrEraChanged, "era %d in the list of servers, %d before", cataloger.Era(serversRevision), cataloger.Era(revision))
+	}
+	f.adoptPeerConfigurations(ctx, members)
+	retained := f.retainLapsedServers(servers)
+	retained += f.retainRemovedInstances(members, sent)
+	f.updateCatalog(func(c *cataloger.Catalog) {
+		c.Servers, c.Instances, c.Revision, c.Retained = servers, members, revision, retained
+	})
+	f.knownRevision = revision
+	// The first proof needs the complete catalog: an instance that does not
+	// see its own registration has no share of any rate.
+	f.Holder.SetProof(sent)
+	return nil
+}
--- /dev/null
+++ b/internal/coordination/follower/schedule.go
@@ -0,0 +1,63 @@
+package follower
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Run executes rounds until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		started := time.Now()
+		err := f.Round(ctx)
+		f.logStoreState(err)
+		pause := f.nextPeriod(err) - time.Since(started)
+		select {
+		case <-ctx.Done():
+		case <-time.After(max(pause, 10*time.Millisecond)):
+		}
+	}
+}
+
+// nextPeriod returns the time from the start of a round with this result to the
+// start of the next. Jitter spreads the rounds of the instances.
+func (f *Follower) nextPeriod(err error) time.Duration {
+	period := f.Period
+	if period == 0 {
+		period = defaultPeriod
+	}
+	switch {
+	case errors.Is(err, ErrNoConfiguration):
+		period = unconfiguredPeriod
+	case errors.Is(err, ErrConnecting):
+		period = connectingPeriod
+	case err == nil && f.relayed:
+		period = min(period, relayPeriod)
+	case err != nil:
+		period = min(retryPeriod<<min(f.failures, 2), period)
+	}
+	return period*7/8 + rand.N(period/4)
+}
+
+// logStoreState counts failed rounds and logs when the store becomes unreachable
+// and reachable again.
+func (f *Follower) logStoreState(err error) {
+	switch {
+	case errors.Is(err, ErrConnecting):
+	case err != nil && !errors.Is(err, ErrNoConfiguration):
+		f.failures++
+		if f.storeReached {
+			f.storeReached = false
+			f.Logger.Warn().Str("event", "store_lost").Err(err).Send()
+		}
+	case !f.storeReached:
+		f.storeReached = true
+		f.failures = 0
+		f.Logger.Info().Str("event", "store_reached").Uint64("revision", f.knownRevision).Send()
+	default:
+		f.failures = 0
+	}
+}
