--- a/internal/coordination/ratelimiter/ratelimiter.go
+++ b/internal/coordination/ratelimiter/ratelimiter.go
@@ -33,7 +33,7 @@
 	// cause in a row before the backoff.
 	maxRequestsPerShortage = 3
 	// maxMissAge is the time after an operation found no token for which tokens
-	// are requested for it. It does not wait for longer.
+	// are requested for it. Most operations do not wait for longer.
 	maxMissAge = 150 * time.Millisecond
 	// Bounds of the retry delay that a refused caller receives.
 	minRetryAfter = 5 * time.Millisecond
