internal/transport/prober: TestSuspicion waits for an answer from after the pause

The test took the first answer in its queue as the one after the pause; when it is not scheduled for a period of 400 ms, that is an answer of a periodic sample from before it, and the member is still suspected. The check is as strict: the answer has to be sent after the fault has ended.

--- a/internal/transport/prober/prober_test.go
+++ b/internal/transport/prober/prober_test.go
@@ -57,6 +57,14 @@
 	return v
 }
 
+// receiveSince waits for the answer to a query that was sent at since or later.
+// Answers of periodic samples from before may still be queued.
+func receiveSince(t *testing.T, what string, answers <-chan observation, since time.Time) {
+	t.Helper()
+	for receive(t, what, answers, 5*time.Second).sent.Before(since) {
+	}
+}
+
 // Guards against load from groups that are not in use, against too long intervals
 // between the samples of a group in use, and against too short ones on demand.
 func TestSamplingFollowsUse(t *testing.T) {
@@ -109,8 +117,9 @@
 	qt.Assert(t, errors.Is(cause, prober.ErrNoAnswer), qt.IsTrue, qt.Commentf("%v", cause))
 	qt.Assert(t, time.Since(began) >= 2*time.Second, qt.IsTrue)
 	s.SetFaults(backendserver.Faults{})
+	resumed := time.Now()
 	p.RequestSample("s")
-	receive(t, "answer after the pause", answers, 5*time.Second)
+	receiveSince(t, "answer after the pause", answers, resumed)
 	qt.Assert(t, p.Suspected("s", "b-1"), qt.IsFalse)
 
 	qt.Assert(t, s.Kill(true), qt.IsNil)
