docs, internal/coordination/follower: a list of 295 instances is one page

The counts by kind (event activity) show one call a list: six calls at a start before, with the registration; one at a start from a relay now.

--- a/internal/coordination/follower/relay_test.go
+++ b/internal/coordination/follower/relay_test.go
@@ -230,8 +230,8 @@
 	return f, h, now
 }
 
-// Guards against calls of the store that grow with the square of the fleet: each
-// instance that started read all pages of all lists.
+// Guards against a store that answers each instance of a fleet that starts with
+// the lists of all others.
 func TestStartingInstanceReadsNoLists(t *testing.T) {
 	s := &fakeStore{revision: 5, version: 1, configurationRevision: 3, unavailable: true}
 	c := &cataloger.Catalog{
