--- /dev/null
+++ b/internal/state/cataloger/change_test.go
@@ -0,0 +1,84 @@
+package cataloger_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
+	"pgregory.net/rapid"
+
+	"oleanderpulley/internal/state/cataloger"
+	"oleanderpulley/internal/state/identifier"
+)
+
+// drawCatalog returns a catalog of few entries, so that two of them share some.
+func drawCatalog(t *rapid.T, label string) *cataloger.Catalog {
+	c := &cataloger.Catalog{
+		Configuration: &cataloger.Configuration{Version: 1, Revision: rapid.Uint64Range(1, 3).Draw(t, label+" configuration")},
+		Servers:       map[identifier.ServiceName][]cataloger.BackendServer{},
+		Instances:     map[identifier.InstanceID]cataloger.Instance{},
+		Leaderships:   map[identifier.ServiceName]cataloger.Leadership{},
+		Revision:      rapid.Uint64Range(1, 9).Draw(t, label+" revision"),
+	}
+	revisions := rapid.MapOfN(rapid.IntRange(0, 5), rapid.Uint64Range(1, 3), 0, 6)
+	for i, revision := range revisions.Draw(t, label+" instances") {
+		id := identifier.InstanceID(fmt.Sprint("i", i))
+		c.Instances[id] = cataloger.Instance{ID: id, Revision: revision}
+	}
+	for i, revision := range revisions.Draw(t, label+" servers") {
+		service := identifier.ServiceName(fmt.Sprint("s", i%2))
+		id := identifier.BackendServerID(fmt.Sprint("b", i))
+		c.Servers[service] = append(c.Servers[service], cataloger.BackendServer{ID: id, Service: service, Revision: revision})
+	}
+	for i, revision := range revisions.Draw(t, label+" records") {
+		c.Leaderships[identifier.ServiceName(fmt.Sprint("s", i))] = cataloger.Leadership{Revision: revision}
+	}
+	return c
+}
+
+// Guards against an instance whose catalog differs from that of its relay after a
+// change, for instance one that keeps a withdrawn key or a server that left.
+func TestChangeLeadsToTheNextCatalog(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		base, next := drawCatalog(t, "base"), drawCatalog(t, "next")
+		data, err := cbor.Marshal(base.ChangeTo(next, base.Digest()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var change cataloger.Change
+		if err := cbor.Unmarshal(data, &change); err != nil {
+			t.Fatal(err)
+		}
+		if change.Base != base.Digest() {
+			t.Fatal("the change is for another catalog")
+		}
+		got := base.Apply(&change)
+		if got.Digest() != next.Digest() || got.Revision != next.Revision {
+			t.Fatalf("got %+v, want %+v", got, next)
+		}
+	})
+}
+
+// Guards against two catalogs that differ in the configuration alone and are taken
+// for the same one: a withdrawn key stayed in use.
+func TestDigestCoversEachPart(t *testing.T) {
+	c := cataloger.Catalog{Configuration: &cataloger.Configuration{Version: 1, Revision: 1}}
+	seen := map[uint64]bool{c.Digest(): true}
+	for _, change := range []func(*cataloger.Catalog){
+		func(c *cataloger.Catalog) { c.Configuration = &cataloger.Configuration{Version: 1, Revision: 2} },
+		func(c *cataloger.Catalog) { c.Configuration = &cataloger.Configuration{Version: 2, Revision: 1} },
+		func(c *cataloger.Catalog) { c.Instances = map[identifier.InstanceID]cataloger.Instance{"a": {}} },
+		func(c *cataloger.Catalog) {
+			c.Servers = map[identifier.ServiceName][]cataloger.BackendServer{"s": {{ID: "a"}}}
+		},
+		func(c *cataloger.Catalog) {
+			c.Leaderships = map[identifier.ServiceName]cataloger.Leadership{"a": {Revision: 1}}
+		},
+	} {
+		changed := c
+		change(&changed)
+		qt.Check(t, seen[changed.Digest()], qt.IsFalse)
+		seen[changed.Digest()] = true
+	}
+}
--- a/internal/transport/lender/lender_test.go
+++ b/internal/transport/lender/lender_test.go
@@ -168,3 +168,29 @@
 		t.Fatal("borrowing does not return")
 	}
 }
+
+// Guards against connections beyond a share that has become smaller because the
+// fleet has changed: another instance may use them by then.
+func TestAdaptClosesConnectionsBeyondTheLimit(t *testing.T) {
+	limit := 3
+	b := newFakeServer(0)
+	b.lender.Limit = func(cataloger.BackendServer) int { return limit }
+	var lent []*lender.Conn
+	for range limit {
+		lent = append(lent, b.borrow(t, "shops"))
+	}
+	for _, c := range lent[:2] {
+		b.lender.Return(c)
+	}
+	limit = 1
+	b.lender.Adapt(&cataloger.Catalog{Servers: map[identifier.ServiceName][]cataloger.BackendServer{
+		"rentals": {{ID: "a", Service: "rentals"}},
+	}})
+	qt.Assert(t, b.closed, qt.Equals, 2)
+	limit = 0
+	b.lender.Return(lent[2])
+	qt.Assert(t, b.closed, qt.Equals, 3)
+	_, err := b.lender.Borrow(request("shops"))
+	qt.Assert(t, err, qt.ErrorIs, lender.ErrNoShare)
+	qt.Assert(t, b.dialed, qt.Equals, 3)
+}
