internal/coordination/assigner: homes remain when the registration of a server lapses

Cause: a primary that was cut off from the store with part of the instances lost its registration, so that its data centre had no server and no homes any more; the instances that still reached the store might not connect to its successor: "no server can become the primary" for 7 s, and nothing was served. Change: five data centres have homes, those without a server last, with a share of their own; instances that are no homes have a tenth again.

--- a/internal/coordination/assigner/assigner.go
+++ b/internal/coordination/assigner/assigner.go
@@ -13,9 +13,10 @@
 // Shares of the connections that a backend server accepts. The rest is the
 // reserve.
 const (
-	localShare  = 0.6  // Of the homes in the server's data centre.
-	remoteShare = 0.25 // Of the homes in other data centres.
-	otherShare  = 0.1  // Of the instances that are no homes.
+	localShare    = 0.58 // Of the homes in the server's data centre.
+	remoteShare   = 0.22 // Of the homes in other data centres with a server.
+	fallbackShare = 0.1  // Of the homes in data centres without one.
+	otherShare    = 0.1  // Of the instances that are no homes.
 )
 
 const (
@@ -27,33 +28,47 @@
 	// maxHomes is the number of homes in a data centre. Each of them monitors
 	// the primary.
 	maxHomes = 3
+	// minDataCentres is the number of data centres with homes, if there are as
+	// many. Those without a server serve when the others cannot be reached, or
+	// when the registration of their server lapses because it is cut off from
+	// the store.
+	minDataCentres = 5
 )
 
 // Plan holds the homes of one service.
 type Plan struct {
 	homes       map[identifier.DataCentre][]*member // Those with the highest weights first.
-	dataCentres []identifier.DataCentre             // With homes, sorted.
-	connections int                                 // That each server accepts.
-	count       int                                 // Of homes.
-	others      int                                 // Instances that are no homes.
+	dataCentres []identifier.DataCentre             // With homes.
+	hasServer   map[identifier.DataCentre]bool
+	connections int // That each server accepts.
+	count       int // Of homes.
+	fallbacks   int // Of homes in data centres without a server.
+	others      int // Instances that are no homes.
 }
 
 // NewPlan computes the homes of a service with the given servers, each of which
 // accepts that many connections.
 func NewPlan(service identifier.ServiceName, f *Fleet, servers []cataloger.BackendServer, connections int) *Plan {
-	p := &Plan{homes: map[identifier.DataCentre][]*member{}, connections: connections}
-	p.dataCentres = f.dataCentresWithServers(servers)
+	p := &Plan{homes: map[identifier.DataCentre][]*member{}, hasServer: map[identifier.DataCentre]bool{}, connections: connections}
+	for _, s := range servers {
+		p.hasServer[s.DataCentre] = true
+	}
 	key := xxhash.Sum64String(string(service))
-	perDataCentre := homesPerDataCentre(connections, len(p.dataCentres))
+	p.dataCentres = p.chooseDataCentres(f, key)
+	perDataCentre := homesPerDataCentre(connections, max(1, len(p.hasServer)))
 	for _, d := range p.dataCentres {
 		p.homes[d] = f.highest(d, key, perDataCentre)
 		p.count += len(p.homes[d])
+		if !p.hasServer[d] {
+			p.fallbacks += len(p.homes[d])
+		}
 	}
 	p.others = f.size - p.count
 	return p
 }
 
-// homesPerDataCentre returns the number of homes in each of the data centres. It
+// homesPerDataCentre returns the number of homes in each data centre, given the
+// number of those with a server. It
 // leaves each home a connection to the servers of the other data centres, because
 // a home monitors the primary and chooses its successor.
 func homesPerDataCentre(connections, dataCentres int) int {
@@ -69,36 +84,51 @@
 	return count
 }
 
-// dataCentresWithServers returns the data centres with instances that have one of
-// the servers, or all data centres with instances if there are none. A statement
-// that crosses to a home in such a data centre need not cross again.
-func (f *Fleet) dataCentresWithServers(servers []cataloger.BackendServer) []identifier.DataCentre {
-	chosen := slices.DeleteFunc(slices.Clone(f.dataCentres), func(d identifier.DataCentre) bool {
-		return !slices.ContainsFunc(servers, func(s cataloger.BackendServer) bool { return s.DataCentre == d })
+// chooseDataCentres returns the data centres with homes: those with a server, and
+// then those with the highest weights for the key.
+func (p *Plan) chooseDataCentres(f *Fleet, key uint64) []identifier.DataCentre {
+	dataCentres := slices.Clone(f.dataCentres)
+	slices.SortFunc(dataCentres, func(a, b identifier.DataCentre) int {
+		if p.hasServer[a] != p.hasServer[b] {
+			return p.rankOf(a, nil) - p.rankOf(b, nil)
+		}
+		return compareDataCentres(key, a, b)
 	})
-	if len(chosen) == 0 {
-		return f.dataCentres
+	count := 0
+	for count < len(dataCentres) && (count < minDataCentres || p.hasServer[dataCentres[count]]) {
+		count++
+	}
+	return dataCentres[:count]
+}
+
+// rankOf returns the rank of a data centre for statements that prefer the groups.
+// A statement that crosses to a home beside a server need not cross again, so that
+// data centres without one come last.
+func (p *Plan) rankOf(d identifier.DataCentre, groups [][]identifier.DataCentre) int {
+	if !p.hasServer[d] {
+		return len(groups) + 1
 	}
-	return chosen
+	if i := slices.IndexFunc(groups, func(g []identifier.DataCentre) bool { return slices.Contains(g, d) }); i >= 0 {
+		return i
+	}
+	return len(groups)
+}
+
+// compareDataCentres orders data centres by their weight for the key.
+func compareDataCentres(key uint64, a, b identifier.DataCentre) int {
+	return cmp.Compare(weight(key, xxhash.Sum64String(string(a))), weight(key, xxhash.Sum64String(string(b))))
 }
 
 // Homes returns all homes in the order in which the statements of the workspace
 // use them. Those in the data centres of the first group come first, then those
-// of the next, and the homes in other data centres last. Workspaces are spread
-// over the data centres of a group and over the homes in a data centre.
+// of the next, then those in other data centres with a server, and those in data
+// centres without one last. Workspaces are spread over the data centres of a group
+// and over the homes in a data centre.
 func (p *Plan) Homes(w identifier.WorkspaceName, groups ...[]identifier.DataCentre) []cataloger.Instance {
 	key := xxhash.Sum64String(string(w))
-	rank := func(d identifier.DataCentre) int {
-		i := slices.IndexFunc(groups, func(g []identifier.DataCentre) bool { return slices.Contains(g, d) })
-		if i < 0 {
-			return len(groups)
-		}
-		return i
-	}
 	dataCentres := slices.Clone(p.dataCentres)
 	slices.SortFunc(dataCentres, func(a, b identifier.DataCentre) int {
-		return cmp.Or(cmp.Compare(rank(a), rank(b)),
-			cmp.Compare(weight(key, xxhash.Sum64String(string(a))), weight(key, xxhash.Sum64String(string(b)))))
+		return cmp.Or(cmp.Compare(p.rankOf(a, groups), p.rankOf(b, groups)), compareDataCentres(key, a, b))
 	})
 	homes := make([]cataloger.Instance, 0, p.count)
 	for _, d := range dataCentres {
@@ -147,8 +177,10 @@
 		return max(part(localShare, p.connections, p.count), min(1, p.connections/p.count))
 	case home == server:
 		return max(1, part(localShare, p.connections, local))
+	case !p.hasServer[home]:
+		return part(fallbackShare, p.connections, p.fallbacks)
 	default:
-		return part(remoteShare, p.connections, p.count-local)
+		return part(remoteShare, p.connections, p.count-p.fallbacks-local)
 	}
 }
 
