--- a/internal/coordination/assigner/assigner_test.go
+++ b/internal/coordination/assigner/assigner_test.go
@@ -216,8 +216,7 @@
 
 // Guards against a service that nobody replaces the primary of, and that is not
 // served, while the primary is cut off from the store with the homes that remain:
-// its registration lapses, so that its data centre has no server any more
-// (scale-1 of vandpyt-drift: no primary for 7 s).
+// its registration lapses, so that its data centre has no server any more.
 func TestHomesRemainWhenAServerLapses(t *testing.T) {
 	fleet := assigner.NewFleet(instances(13, 3))
 	before := assigner.NewPlan(service, fleet, servers(0, 1, 2), 69)
