entry: evacuation of a data centre

Cause: operators could not take the backend servers of a data centre out of use.

The catalog has the evacuated data centres, read from the store where the settings have a bound for it and passed on by the relays. Nothing is sent after the bound less one second. With no server elsewhere statements are refused at once. A store that came back from an older copy neither ends an evacuation nor brings one back. Status and log lines show each evacuation and the primaries that are still there.

--- a/internal/command/starter/forward.go
+++ b/internal/command/starter/forward.go
@@ -62,12 +62,23 @@
 	p.adopt(c)
 	plan, ok := p.byService[service]
 	if !ok {
-		plan = assigner.NewPlan(service, p.members, c.Servers[service], c.Configuration.Services[service].MaxConnections)
+		plan = assigner.NewPlan(service, p.members, usableServers(c.Servers[service]), c.Configuration.Services[service].MaxConnections)
 		p.byService[service] = plan
 	}
 	return plan
 }
 
+// usableServers returns the servers that are not evacuated, or all if all are. The
+// homes beside an evacuated server are no better than those of a data centre
+// without a server.
+func usableServers(servers []cataloger.BackendServer) []cataloger.BackendServer {
+	usable := slices.DeleteFunc(slices.Clone(servers), func(b cataloger.BackendServer) bool { return b.Evacuated })
+	if len(usable) == 0 {
+		return servers
+	}
+	return usable
+}
+
 func (p *homePlans) avoid(id identifier.InstanceID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -183,7 +194,7 @@
 	}
 	var replicas []identifier.DataCentre
 	for _, b := range c.Servers[service] {
-		if b.ID != leader.ID {
+		if b.ID != leader.ID && !b.Evacuated {
 			replicas = append(replicas, b.DataCentre)
 		}
 	}
--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -36,6 +36,11 @@
 	// may get statements. It covers the propagation of the server's state
 	// through the store and a relay.
 	drainMargin = 3 * time.Second
+	// evacuationMargin is subtracted from the time within which the servers of an
+	// evacuated data centre may get statements. It covers the longest wait of a
+	// statement for a connection. The propagation of the request is not part of
+	// it, because that time counts from the last proof without the request.
+	evacuationMargin = time.Second
 	// acceptRetryDelay is the time to the next accept after a failed one, for
 	// example when no file descriptor is left.
 	acceptRetryDelay = 20 * time.Millisecond
@@ -66,6 +71,7 @@
 	reporter           *reporter.Reporter
 	workspaces         map[identifier.WorkspaceName]cataloger.Workspace // Of the current catalog.
 	peersOf            *cataloger.Catalog                               // To which messenger and limiter were updated last.
+	evacuations        map[identifier.DataCentre]cataloger.Evacuation   // Of the current catalog.
 	relays             []identifier.InstanceID                          // Of the current catalog, the one in use first; none if this instance is a root.
 	draining           atomic.Bool
 	clientListenerDone chan struct{}
@@ -103,6 +109,7 @@
 	s.balancer.DataCentre = settings.DataCentre
 	s.balancer.HasIdle = s.lender.HasIdle
 	s.balancer.DrainLimit = settings.DrainLimit - drainMargin
+	s.balancer.EvacuationLimit = max(0, settings.EvacuationLimit-evacuationMargin)
 	s.fencer.Holder = &s.holder
 	s.fencer.OnChange = s.leadershipChanged
 	s.sessions.Holder = &s.holder
@@ -122,8 +129,12 @@
 	s.sessions.Forward = s.forward
 	s.configureReplacer()
 	s.configureReaper()
+	followerStore := s.store.FollowerStore()
+	if settings.EvacuationLimit == 0 {
+		followerStore.Evacuations = nil // Saves a call for each change of the store.
+	}
 	s.follower = follower.Follower{
-		Store:    s.store.FollowerStore(),
+		Store:    followerStore,
 		Holder:   &s.holder,
 		Self:     cataloger.Instance{ID: settings.InstanceID, DataCentre: settings.DataCentre, Address: settings.PeerAddress, Processor: settings.Processor},
 		Logger:   s.Logger,
@@ -143,6 +154,7 @@
 	s.lender.Adapt(c)
 	s.updatePeers(c)
 	s.dropRemovedWorkspaces(c)
+	s.logEvacuations(c)
 }
 
 // connectionLimit returns the number of connections that this instance may open
--- a/internal/command/starter/status.go
+++ b/internal/command/starter/status.go
@@ -19,6 +19,7 @@
 	Sessions      int                   `json:"sessions"`
 	Forwarded     int                   `json:"forwarded_transactions"`
 	Services      []serviceStatus       `json:"services"`
+	Evacuations   []evacuationStatus    `json:"evacuations,omitempty"`
 }
 
 // serviceStatus is the instance's view of a service and its primary.
@@ -62,6 +63,7 @@
 		return result
 	}
 	result.Members = len(c.Instances)
+	result.Evacuations = s.evacuationStatuses(c)
 	for name := range c.Configuration.Services {
 		id, term, at := s.balancer.LastLed(name)
 		service := serviceStatus{Service: name, Servers: len(c.Servers[name]), Primary: id, Term: term, LastLedMs: -1, SampleAgeMs: -1}
--- a/internal/coordination/assigner/assigner.go
+++ b/internal/coordination/assigner/assigner.go
@@ -180,7 +180,11 @@
 	case !p.hasServer[home]:
 		return part(fallbackShare, p.connections, p.fallbacks)
 	default:
-		return part(remoteShare, p.connections, p.count-p.fallbacks-local)
+		remote := p.count - p.fallbacks
+		if p.hasServer[server] {
+			remote -= local
+		}
+		return part(remoteShare, p.connections, remote)
 	}
 }
 
--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -45,6 +45,10 @@
 	// DrainLimit is the time after which a draining primary gets no more
 	// statements. 0 means no limit.
 	DrainLimit time.Duration
+	// EvacuationLimit is the same for a server whose data centre is evacuated.
+	// It holds for all statements, also those of open transactions. 0 means no
+	// limit.
+	EvacuationLimit time.Duration
 	// HasIdle reports whether an idle connection of the workspace to the server
 	// is open. Nil means always.
 	HasIdle func(identifier.BackendServerID, identifier.WorkspaceName) bool
@@ -203,7 +207,7 @@
 	var best cataloger.BackendServer
 	found := false
 	for _, s := range servers {
-		if b.isPastDrainLimit(s) {
+		if b.isPastDrainLimit(s) || b.IsWithdrawn(s) {
 			continue
 		}
 		if s.ID == l.id {
@@ -225,6 +229,12 @@
 	return s.Draining && b.DrainLimit > 0 && b.now().Sub(s.DrainingSince) > b.DrainLimit
 }
 
+// IsWithdrawn reports whether the server gets nothing any more, because its data
+// centre has been evacuated for longer than EvacuationLimit.
+func (b *Balancer) IsWithdrawn(s cataloger.BackendServer) bool {
+	return s.Evacuated && b.EvacuationLimit > 0 && b.now().Sub(s.EvacuatedSince) > b.EvacuationLimit
+}
+
 // LeaderChanged returns a channel that is closed when another server is observed
 // leading the service.
 func (b *Balancer) LeaderChanged(service identifier.ServiceName) <-chan struct{} {
--- a/internal/coordination/balancer/balancer_test.go
+++ b/internal/coordination/balancer/balancer_test.go
@@ -109,3 +109,24 @@
 	_, ok = b.Primary(service, all)
 	qt.Assert(t, ok, qt.IsFalse)
 }
+
+// Guards against reads at a server whose data centre is evacuated while others
+// serve, and against statements that reach its primary after the limit.
+func TestEvacuatedServersAreWithdrawn(t *testing.T) {
+	b, c := newBalancer()
+	b.EvacuationLimit = 4 * time.Second
+	all := servers()
+	for i := range 2 {
+		all[i].Evacuated, all[i].EvacuatedSince = true, c.now
+	}
+	qt.Assert(t, ids(b.Readers(service, all, time.Second, "shop")), qt.Equals, "c")
+	primary, ok := b.Primary(service, all)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, primary.ID, qt.Equals, identifier.BackendServerID("a"))
+	qt.Assert(t, b.IsWithdrawn(all[0]), qt.IsFalse)
+	c.now = c.now.Add(4*time.Second + 1)
+	_, ok = b.Primary(service, all)
+	qt.Assert(t, ok, qt.IsFalse)
+	qt.Assert(t, b.IsWithdrawn(all[0]), qt.IsTrue)
+	qt.Assert(t, b.IsWithdrawn(all[2]), qt.IsFalse)
+}
--- a/internal/coordination/follower/era.go
+++ b/internal/coordination/follower/era.go
@@ -22,6 +22,7 @@
 	}
 	if f.eraKnown {
 		f.lapseGraceEnd = f.Holder.Clock() + lapsedServerGrace
+		f.restored = true
 		f.joined = false // The copy may lack the registration of this instance.
 		f.Logger.Warn().Str("event", "store_restored").Uint64("era_before", f.era).Uint64("era", era).
 			Uint64("revision_before", f.knownRevision).Uint64("revision", revision).Send()
--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -47,6 +47,9 @@
 	Configuration func(ctx context.Context) (*cataloger.Configuration, uint64, error)
 	Servers       func(ctx context.Context) (map[identifier.ServiceName][]cataloger.BackendServer, uint64, error)
 	Members       func(ctx context.Context) (map[identifier.InstanceID]cataloger.Instance, uint64, error)
+	// Evacuations reads the data centres that operators evacuate. Nil means that
+	// none can be evacuated.
+	Evacuations func(ctx context.Context) (map[identifier.DataCentre]cataloger.Evacuation, uint64, error)
 	// Directory reads the registered instances as of some seconds ago, at a
 	// lower cost. May be nil.
 	Directory func(ctx context.Context) (map[identifier.InstanceID]cataloger.Instance, error)
@@ -102,6 +105,7 @@
 	startsFromRelay bool          // By the directory.
 	fallbackAt      time.Duration // Next query of the store for want of a recent proof; 0 while there is one.
 	lapseGraceEnd   time.Duration // End of the grace for lapsed servers; 0 outside of one.
+	restored        bool          // The grace is one after the store came back from a copy.
 
 	missingSince map[identifier.InstanceID]time.Duration // When each removed instance was first missing.
 	provenAt     time.Time                               // Time as of which the catalog was proven when the round began.
@@ -243,7 +247,7 @@
 		*next = *old
 	}
 	change(next)
-	f.setDrainingSince(old, next)
+	f.stampServers(old, next)
 	if old == nil || old.Configuration == nil || old.Configuration.Version != next.Configuration.Version {
 		f.Logger.Info().Str("event", "configuration_read").
 			Uint64("version", uint64(next.Configuration.Version)).
--- a/internal/coordination/follower/follower_test.go
+++ b/internal/coordination/follower/follower_test.go
@@ -27,6 +27,7 @@
 	configurationReads    int
 	members               map[identifier.InstanceID]cataloger.Instance
 	servers               []cataloger.BackendServer
+	evacuations           map[identifier.DataCentre]cataloger.Evacuation
 
 	joinAnswerLost bool // Of the next registration, which is nevertheless executed.
 }
@@ -60,6 +61,9 @@
 			servers["rentals"] = append(servers["rentals"], s.servers...)
 			return servers, s.revision, nil
 		},
+		Evacuations: func(context.Context) (map[identifier.DataCentre]cataloger.Evacuation, uint64, error) {
+			return maps.Clone(s.evacuations), s.revision, nil
+		},
 		Members: func(context.Context) (map[identifier.InstanceID]cataloger.Instance, uint64, error) {
 			return maps.Clone(s.members), s.revision, nil
 		},
--- a/internal/coordination/follower/lists.go
+++ b/internal/coordination/follower/lists.go
@@ -42,14 +42,20 @@
 	if err != nil {
 		return err
 	}
-	if cataloger.Era(serversRevision) != cataloger.Era(revision) || cataloger.Era(configurationRevision) != cataloger.Era(revision) {
+	evacuations, evacuationsRevision, err := f.readEvacuations(ctx, revision)
+	if err != nil {
+		return err
+	}
+	if cataloger.Era(evacuationsRevision) != cataloger.Era(revision) || cataloger.Era(serversRevision) != cataloger.Era(revision) || cataloger.Era(configurationRevision) != cataloger.Era(revision) {
 		return errors.Wrapf(ErrEraChanged, "era %d in the list of servers, %d before", cataloger.Era(serversRevision), cataloger.Era(revision))
 	}
 	f.adoptPeerConfigurations(ctx, members)
 	retained := f.retainLapsedServers(servers)
 	retained += f.retainRemovedInstances(members, sent)
+	evacuations, retainedEvacuations := f.retainEvacuations(evacuations)
 	f.updateCatalog(func(c *cataloger.Catalog) {
-		c.Servers, c.Instances, c.Revision, c.Retained = servers, members, revision, retained
+		c.Servers, c.Instances, c.Evacuations = servers, members, evacuations
+		c.Revision, c.Retained = revision, retained+retainedEvacuations
 	})
 	f.knownRevision = revision
 	// The first proof needs the complete catalog: an instance that does not
@@ -57,3 +63,12 @@
 	f.Holder.SetProof(sent)
 	return nil
 }
+
+// readEvacuations reads the evacuated data centres, none if they cannot be
+// evacuated.
+func (f *Follower) readEvacuations(ctx context.Context, revision uint64) (map[identifier.DataCentre]cataloger.Evacuation, uint64, error) {
+	if f.Store.Evacuations == nil {
+		return nil, revision, nil
+	}
+	return f.Store.Evacuations(ctx)
+}
--- a/internal/coordination/follower/relay.go
+++ b/internal/coordination/follower/relay.go
@@ -220,7 +220,7 @@
 		if c.Configuration != nil {
 			next.Configuration = newerConfiguration(next.Configuration, c.Configuration)
 		}
-		next.Servers, next.Instances, next.Leaderships = c.Servers, c.Instances, c.Leaderships
+		next.Servers, next.Instances, next.Leaderships, next.Evacuations = c.Servers, c.Instances, c.Leaderships, c.Evacuations
 		next.Revision, next.Retained = c.Revision, c.Retained
 	})
 	f.knownRevision = c.Revision
--- a/internal/coordination/follower/retention.go
+++ b/internal/coordination/follower/retention.go
@@ -24,10 +24,34 @@
 	}
 	if f.lapseGraceEnd > 0 && now > f.lapseGraceEnd {
 		f.lapseGraceEnd = 0
+		f.restored = false
 		f.knownRevision = 0
 	}
 }
 
+// retainEvacuations returns the evacuations to use in place of those read. A store
+// that came back from an older copy may lack an evacuation that is in force and
+// have one that was removed, until the operators' changes are written again, so
+// the known ones stay for that time. It also returns by how many entries the
+// returned ones differ from those read.
+func (f *Follower) retainEvacuations(read map[identifier.DataCentre]cataloger.Evacuation) (used map[identifier.DataCentre]cataloger.Evacuation, retained int) {
+	old := f.Holder.Catalog()
+	if !f.restored || old == nil {
+		return read, 0
+	}
+	for d := range old.Evacuations {
+		if _, ok := read[d]; !ok {
+			retained++
+		}
+	}
+	for d := range read {
+		if _, ok := old.Evacuations[d]; !ok {
+			retained++
+		}
+	}
+	return old.Evacuations, retained
+}
+
 // retainLapsedServers adds servers that are missing from the lists to them while
 // they may still register again after an outage of the store, and returns their
 // number.
@@ -73,23 +97,43 @@
 	return len(missingSince)
 }
 
-// setDrainingSince sets the earliest time from which each draining server of the
-// next catalog may have been draining. That is the last proof of a catalog in
-// which it was not, because an outage of the store may have delayed the change.
-func (f *Follower) setDrainingSince(old, next *cataloger.Catalog) {
+// stampServers sets the times of the servers in the next catalog that depend on
+// when this instance learned of them.
+func (f *Follower) stampServers(old, next *cataloger.Catalog) {
 	stamped := make(map[identifier.ServiceName][]cataloger.BackendServer, len(next.Servers))
 	for service, servers := range next.Servers {
 		copied := slices.Clone(servers) // Readers share the lists of the current catalog.
-		for i, s := range copied {
-			if !s.Draining {
-				continue
-			}
-			copied[i].DrainingSince = f.provenAt
-			if previous, ok := old.Server(service, s.ID); ok && previous.Draining {
-				copied[i].DrainingSince = previous.DrainingSince
-			}
+		for i := range copied {
+			previous, _ := old.Server(service, copied[i].ID)
+			f.stampServer(&copied[i], previous, next.Evacuations)
 		}
 		stamped[service] = copied
 	}
 	next.Servers = stamped
 }
+
+// stampServer sets the times of one server. It is draining or evacuated since the
+// last proof of a catalog in which it was not, because an outage of the store may
+// have delayed the change.
+func (f *Follower) stampServer(s *cataloger.BackendServer, previous cataloger.BackendServer, evacuations map[identifier.DataCentre]cataloger.Evacuation) {
+	s.DrainingSince, s.EvacuatedSince, s.ColdUntil = time.Time{}, time.Time{}, time.Time{}
+	if s.Draining {
+		s.DrainingSince = f.provenAt
+		if previous.Draining {
+			s.DrainingSince = previous.DrainingSince
+		}
+	}
+	if _, s.Evacuated = evacuations[s.DataCentre]; s.Evacuated {
+		s.EvacuatedSince = f.provenAt
+		if previous.Evacuated {
+			s.EvacuatedSince = previous.EvacuatedSince
+		}
+	}
+	switch {
+	case s.ColdRemaining <= 0:
+	case previous.Revision == s.Revision:
+		s.ColdUntil = previous.ColdUntil
+	default:
+		s.ColdUntil = time.Now().Add(s.ColdRemaining)
+	}
+}
--- a/internal/coordination/replacer/decide.go
+++ b/internal/coordination/replacer/decide.go
@@ -42,10 +42,10 @@
 }
 
 // ChooseSuccessor returns the candidate that has received most of the log,
-// leaving out draining servers. Ties go to the lowest id, so that two instances
+// leaving out servers that drain or are evacuated. Ties go to the lowest id, so that two instances
 // with the same view choose the same server.
 func ChooseSuccessor(candidates []Candidate) (Candidate, bool) {
-	eligible := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Server.Draining })
+	eligible := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Server.IsLeaving() })
 	if len(eligible) == 0 {
 		return Candidate{}, false
 	}
@@ -77,6 +77,12 @@
 	return answered > replicas-syncReplicas
 }
 
+// hasSuccessor reports whether a registered server other than the primary may take
+// over.
+func hasSuccessor(servers []cataloger.BackendServer, primary identifier.BackendServerID) bool {
+	return slices.ContainsFunc(servers, func(s cataloger.BackendServer) bool { return s.ID != primary && !s.IsLeaving() })
+}
+
 // hasSelfDeclaredPrimary reports whether a registered server declares itself the
 // primary.
 func hasSelfDeclaredPrimary(servers []cataloger.BackendServer) bool {
--- a/internal/coordination/replacer/doc.go
+++ b/internal/coordination/replacer/doc.go
@@ -17,5 +17,6 @@
 // that answers has seen it lead. No other instance has to answer once the
 // registration of the primary has lapsed. A draining primary first steps down,
 // and its successor must have received all of its log, so that no acknowledged
-// commit is lost.
+// commit is lost. So does the primary in an evacuated data centre while it
+// answers; one that does not is replaced like a failed one.
 package replacer
--- a/internal/coordination/replacer/replacer.go
+++ b/internal/coordination/replacer/replacer.go
@@ -122,9 +122,10 @@
 	// Observe, if set, records the duration of each step of a replacement.
 	Observe func(step string, took time.Duration)
 
-	mu       sync.Mutex
-	watches  map[identifier.ServiceName]*serviceWatch
-	lastUsed map[identifier.ServiceName]time.Time
+	mu          sync.Mutex
+	watches     map[identifier.ServiceName]*serviceWatch
+	lastUsed    map[identifier.ServiceName]time.Time
+	evacuations int // Hand-overs of evacuated primaries that this instance performs.
 }
 
 // PeerSightings summarizes the answers of peers that were asked whether a
@@ -155,8 +156,9 @@
 	term           identifier.Term            // Of the record under which silentSince was set.
 	announcement   uint64                     // Revision of the newest known announcement of another instance.
 	announcedSince time.Time                  // When this instance first knew that announcement.
-	draining       identifier.BackendServerID // The primary that was last seen draining.
-	drainingSince  time.Time
+	leaving        identifier.BackendServerID // The primary that was last seen to drain or to be evacuated.
+	leavingSince   time.Time
+	blocked        bool      // The primary is evacuated and no server may take over; logged.
 	lackingSince   time.Time // When the catalog was first seen to lack the known record; zero while it has it.
 	pausedUntil    time.Time
 }
@@ -275,9 +277,14 @@
 	}
 	id, term, lastLed := r.LastLed(service)
 	primary, registered := c.Server(service, id)
-	if registered && primary.Draining {
-		if w.drainingFor(id) >= r.rankDelay(service) {
-			r.replacePrimary(ctx, service, w, known, &primary)
+	if registered && primary.Evacuated && !hasSuccessor(c.Servers[service], id) {
+		r.logBlockedEvacuation(service, w, primary)
+		return
+	}
+	w.blocked = false
+	if registered && r.canHandOver(primary, lastLed) {
+		if w.leavingFor(id) >= r.rankDelay(service) {
+			r.handOverPrimary(ctx, service, w, known, primary)
 		}
 		return
 	}
@@ -330,13 +337,13 @@
 	return time.Since(w.announcedSince)
 }
 
-// drainingFor returns the time since this instance first saw that the primary
-// drains.
-func (w *serviceWatch) drainingFor(id identifier.BackendServerID) time.Duration {
-	if w.draining != id {
-		w.draining, w.drainingSince = id, time.Now()
+// leavingFor returns the time since this instance first saw that the primary
+// drains or is evacuated.
+func (w *serviceWatch) leavingFor(id identifier.BackendServerID) time.Duration {
+	if w.leaving != id {
+		w.leaving, w.leavingSince = id, time.Now()
 	}
-	return time.Since(w.drainingSince)
+	return time.Since(w.leavingSince)
 }
 
 // restoreRecord writes the record of a finished replacement into the store if
--- a/internal/coordination/replacer/replacer_test.go
+++ b/internal/coordination/replacer/replacer_test.go
@@ -446,6 +446,6 @@
 	r.Self = "two"
 	w := &serviceWatch{}
 	qt.Assert(t, s.check(r, w), qt.HasLen, 0)
-	w.drainingSince = w.drainingSince.Add(-delayPerRank)
+	w.leavingSince = w.leavingSince.Add(-delayPerRank)
 	qt.Assert(t, len(s.check(r, w)) > 0, qt.IsTrue)
 }
--- a/internal/state/cataloger/catalog.go
+++ b/internal/state/cataloger/catalog.go
@@ -47,6 +47,9 @@
 type Service struct {
 	MaxConnections int `cbor:"max_connections"` // To one backend server, from all instances together.
 	SyncReplicas   int `cbor:"sync_replicas"`   // Replicas that receive a commit before it is acknowledged.
+	// ColdRate is the number of statements a second that a cold server may get
+	// from all instances together. 0 means no limit.
+	ColdRate float64 `cbor:"cold_rate,omitempty"`
 }
 
 // BackendServer is a registered member of a database group.
@@ -64,10 +67,39 @@
 	// is zero if that time is not known.
 	DrainingSince time.Time `cbor:"-"`
 
+	// Evacuated reports that operators have requested that the servers of its
+	// data centre get nothing more. EvacuatedSince is the earliest time at which
+	// they may have done so, like DrainingSince.
+	Evacuated      bool      `cbor:"-"`
+	EvacuatedSince time.Time `cbor:"-"`
+
+	// ColdRemaining is the time for which the server will be slow after its
+	// start, as of its registration. ColdUntil is the latest time at which that
+	// may end, by the clock of this instance; it is zero for a warm server.
+	ColdRemaining time.Duration `cbor:"cold_remaining,omitempty"`
+	ColdUntil     time.Time     `cbor:"-"`
+
 	Born     int64  `cbor:"born"` // Start time in Unix milliseconds, which identifies the incarnation.
 	Revision uint64 `cbor:"revision"`
 }
 
+// IsLeaving reports whether the server gets no reads and must not become the
+// primary, because it drains or its data centre is evacuated.
+func (s BackendServer) IsLeaving() bool {
+	return s.Draining || s.Evacuated
+}
+
+// IsCold reports whether the server is still slow after its start.
+func (s BackendServer) IsCold(now time.Time) bool {
+	return now.Before(s.ColdUntil)
+}
+
+// Evacuation is the operators' request that nothing more is sent to the backend
+// servers of a data centre. It holds until it is removed from the store.
+type Evacuation struct {
+	Revision uint64 `cbor:"revision"`
+}
+
 // Configuration is one version of the configuration that the operators set.
 type Configuration struct {
 	Version     identifier.ConfigVersion               `cbor:"version"`
@@ -111,6 +143,7 @@
 	Servers       map[identifier.ServiceName][]BackendServer `cbor:"servers"`
 	Instances     map[identifier.InstanceID]Instance         `cbor:"members"`
 	Leaderships   map[identifier.ServiceName]Leadership      `cbor:"leaderships"`
+	Evacuations   map[identifier.DataCentre]Evacuation       `cbor:"evacuations,omitempty"`
 
 	// Revision is the revision of the store as of which the catalog is
 	// complete. It is 0 while the catalog is still being read.
--- a/internal/state/cataloger/change.go
+++ b/internal/state/cataloger/change.go
@@ -23,12 +23,14 @@
 	RemovedInstances   []identifier.InstanceID                    `cbor:"removed_members,omitempty"`
 	Leaderships        map[identifier.ServiceName]Leadership      `cbor:"leaderships,omitempty"` // New and changed ones.
 	RemovedLeaderships []identifier.ServiceName                   `cbor:"removed_leaderships,omitempty"`
+	Evacuations        map[identifier.DataCentre]Evacuation       `cbor:"evacuations,omitempty"` // New and changed ones.
+	RemovedEvacuations []identifier.DataCentre                    `cbor:"removed_evacuations,omitempty"`
 	Revision           uint64                                     `cbor:"revision"`
 	Retained           int                                        `cbor:"retained"`
 }
 
-// Digest returns a digest of the configuration, servers, instances and leadership
-// records. Two catalogs with the same digest have the same entries: entries that
+// Digest returns a digest of the configuration, servers, instances, leadership
+// records and evacuations. Two catalogs with the same digest have the same entries: entries that
 // differ have different revisions.
 func (c *Catalog) Digest() uint64 {
 	var sum uint64
@@ -50,6 +52,9 @@
 	for service, l := range c.Leaderships {
 		add("leadership/", string(service), l.Revision)
 	}
+	for dataCentre, e := range c.Evacuations {
+		add("evacuation/", string(dataCentre), e.Revision)
+	}
 	return sum
 }
 
@@ -73,6 +78,7 @@
 	}
 	d.Instances, d.RemovedInstances = changedEntries(c.Instances, next.Instances)
 	d.Leaderships, d.RemovedLeaderships = changedEntries(c.Leaderships, next.Leaderships)
+	d.Evacuations, d.RemovedEvacuations = changedEntries(c.Evacuations, next.Evacuations)
 	return d
 }
 
@@ -108,6 +114,7 @@
 	}
 	next.Instances = appliedEntries(c.Instances, d.Instances, d.RemovedInstances)
 	next.Leaderships = appliedEntries(c.Leaderships, d.Leaderships, d.RemovedLeaderships)
+	next.Evacuations = appliedEntries(c.Evacuations, d.Evacuations, d.RemovedEvacuations)
 	return next
 }
 
--- a/internal/state/cataloger/change_test.go
+++ b/internal/state/cataloger/change_test.go
@@ -34,6 +34,10 @@
 	for i, revision := range revisions.Draw(t, label+" records") {
 		c.Leaderships[identifier.ServiceName(fmt.Sprint("s", i))] = cataloger.Leadership{Revision: revision}
 	}
+	c.Evacuations = map[identifier.DataCentre]cataloger.Evacuation{}
+	for i, revision := range revisions.Draw(t, label+" evacuations") {
+		c.Evacuations[identifier.DataCentre(fmt.Sprint("d", i))] = cataloger.Evacuation{Revision: revision}
+	}
 	return c
 }
 
@@ -75,6 +79,9 @@
 		func(c *cataloger.Catalog) {
 			c.Leaderships = map[identifier.ServiceName]cataloger.Leadership{"a": {Revision: 1}}
 		},
+		func(c *cataloger.Catalog) {
+			c.Evacuations = map[identifier.DataCentre]cataloger.Evacuation{"a": {Revision: 1}}
+		},
 	} {
 		changed := c
 		change(&changed)
--- a/internal/transport/sessioner/commit.go
+++ b/internal/transport/sessioner/commit.go
@@ -48,9 +48,9 @@
 			return r
 		}
 	}
-	if t.wrote && !n.mayUseConn() {
+	if err := n.checkConn(); err != nil && (t.wrote || errors.Is(err, errEvacuated)) {
 		t.rollBack(n)
-		return n.refusal(requester.Aborted, errReplacing.Error())
+		return n.refusal(requester.Aborted, err.Error())
 	}
 	sentAt := time.Now()
 	r, err := n.runInTransaction(o, st)
--- a/internal/transport/sessioner/primary.go
+++ b/internal/transport/sessioner/primary.go
@@ -1,6 +1,7 @@
 package sessioner
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -38,6 +39,7 @@
 	errReplacing   = errors.New("the primary is being replaced")
 	errProofTooOld = errors.New("the proof of the configuration is too old to use the primary; use another instance")
 	errNoPrimary   = errors.New("no primary is known")
+	errEvacuated   = errors.New("the data centre of the backend server is evacuated")
 	errNoSample    = errors.New("no primary showed a position in time")
 )
 
@@ -155,6 +157,9 @@
 				return b, permit, nil
 			}
 			err = errNoPrimary
+			if s.isPrimaryWithdrawn(service) {
+				return cataloger.BackendServer{}, permit, errEvacuated
+			}
 		case !s.Fencer.IsProven():
 			return cataloger.BackendServer{}, permit, errProofTooOld
 		}
@@ -164,6 +169,32 @@
 	}
 }
 
+// onlyEvacuated reports whether the service has servers and every one of them is
+// in an evacuated data centre, so that a read would wait in vain.
+func (s *Server) onlyEvacuated(service identifier.ServiceName) bool {
+	servers := s.Holder.Catalog().Servers[service]
+	return len(servers) > 0 && !slices.ContainsFunc(servers, func(b cataloger.BackendServer) bool { return !b.Evacuated })
+}
+
+// isPrimaryWithdrawn reports whether the primary of the service gets nothing any
+// more and no replacement of it is under way, so that a statement would wait in
+// vain.
+func (s *Server) isPrimaryWithdrawn(service identifier.ServiceName) bool {
+	id := s.Fencer.Record(service).Server
+	if id == "" {
+		id, _, _ = s.Balancer.LastLed(service)
+	}
+	b, registered := s.Holder.Catalog().Server(service, id)
+	return registered && s.Balancer.IsWithdrawn(b)
+}
+
+// isWithdrawn reports whether nothing may be sent to the server any more, by the
+// newest catalog.
+func (s *Server) isWithdrawn(b cataloger.BackendServer) bool {
+	current, registered := s.Holder.Catalog().Server(b.Service, b.ID)
+	return registered && s.Balancer.IsWithdrawn(current)
+}
+
 // findPrimary returns the primary of the operation's service, searching for it
 // if it is not known, or false if none answers at present.
 func (s *Server) findPrimary(o operation) (cataloger.BackendServer, bool) {
@@ -223,10 +254,13 @@
 	s.searchEnds[service] = time.Now()
 }
 
-// confirmAll queries all servers of the service in parallel.
+// confirmAll queries all servers of the service that may be used in parallel.
 func (s *Server) confirmAll(service identifier.ServiceName, w identifier.WorkspaceName) {
 	var tasks sync.WaitGroup
 	for _, b := range s.Holder.Catalog().Servers[service] {
+		if s.Balancer.IsWithdrawn(b) {
+			continue
+		}
 		tasks.Go(func() {
 			if err := s.borrowAndConfirm(b, w); err != nil {
 				s.Logger.Debug().Str("event", "leader_question").Str("server", string(b.ID)).Err(err).Send()
--- a/internal/transport/sessioner/read.go
+++ b/internal/transport/sessioner/read.go
@@ -77,6 +77,9 @@
 // another until one has run the statement. If the statement fails on the first
 // server, it is retried on one other server.
 func (n *session) runOnReaders(o operation, run func(b cataloger.BackendServer, f floor, attempt int) (requester.Result, error)) requester.Result {
+	if n.server.onlyEvacuated(o.route.Service) {
+		return n.unreachedRefusal(requester.Overloaded, errEvacuated.Error())
+	}
 	var tried []identifier.BackendServerID
 	last := n.unreachedRefusal(requester.Lagging, errNoSample.Error())
 	for time.Now().Before(o.deadline) {
--- a/internal/transport/sessioner/transaction.go
+++ b/internal/transport/sessioner/transaction.go
@@ -87,8 +87,8 @@
 			return n.fail(rs.statement.ID, r)
 		}
 	}
-	if !n.mayUseConn() {
-		return n.fail(rs.statement.ID, n.refusal(requester.Aborted, errReplacing.Error()))
+	if err := n.checkConn(); err != nil {
+		return n.fail(rs.statement.ID, n.refusal(requester.Aborted, err.Error()))
 	}
 	rs, err := n.prepareConn(n.tx.conn, o.deadline, rs)
 	if err != nil {
@@ -105,10 +105,18 @@
 	return r
 }
 
-// mayUseConn reports whether a statement of the transaction may still be sent on
-// its connection.
-func (n *session) mayUseConn() bool {
-	return !n.tx.onPrimary || n.server.Fencer.IsHeld(n.tx.permit)
+// checkConn returns an error if no statement of the transaction may be sent on its
+// connection any more. The connection to a server that gets nothing any more is
+// closed without a rollback, which the server does by itself.
+func (n *session) checkConn() error {
+	if n.server.isWithdrawn(n.tx.conn.Server) {
+		n.tx.conn.MarkBroken()
+		return errEvacuated
+	}
+	if n.tx.onPrimary && !n.server.Fencer.IsHeld(n.tx.permit) {
+		return errReplacing
+	}
+	return nil
 }
 
 // runInTransaction runs a statement on the transaction's connection and reports
