--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -108,6 +108,7 @@
 	s.lender.ConcurrencyLimit = func(b cataloger.BackendServer) int { return s.balancer.ConcurrencyLimit(b.ID) }
 	s.balancer.DataCentre = settings.DataCentre
 	s.balancer.HasIdle = s.lender.HasIdle
+	s.balancer.ColdRate = s.coldRate
 	s.balancer.DrainLimit = settings.DrainLimit - drainMargin
 	s.balancer.EvacuationLimit = max(0, settings.EvacuationLimit-evacuationMargin)
 	s.fencer.Holder = &s.holder
@@ -118,6 +119,7 @@
 	s.sessions.Balancer = &s.balancer
 	s.sessions.Registry = &s.registry
 	s.sessions.Logger = s.Logger
+	s.sessions.Regions, s.sessions.Region = settings.Regions, settings.Regions[settings.DataCentre]
 	tokenRequester := &ratelimiter.Admitter{Limiter: &s.limiter, Request: s.requestTokens, Logger: s.Logger}
 	s.sessions.Admit = tokenRequester.Admit
 	s.sessions.FetchPeerSample = s.fetchSampleFromPeers
@@ -167,6 +169,17 @@
 	return s.plans.plan(c, b.Service).Limit(s.Settings.InstanceID, b.DataCentre)
 }
 
+// coldRate returns the statements a second that this instance may send to a server
+// that is still slow after its start, and false if its service has no limit.
+func (s *Starter) coldRate(b cataloger.BackendServer) (perSecond float64, limited bool) {
+	c := s.holder.Catalog()
+	rate := c.Configuration.Services[b.Service].ColdRate
+	if rate <= 0 {
+		return 0, false
+	}
+	return rate * s.plans.plan(c, b.Service).ColdShare(s.Settings.InstanceID, b.DataCentre), true
+}
+
 func (s *Starter) listen(ctx context.Context) error {
 	var err error
 	if s.clientListener, err = net.Listen("tcp4", s.Settings.ClientAddress); err != nil {
--- a/internal/coordination/assigner/assigner.go
+++ b/internal/coordination/assigner/assigner.go
@@ -188,6 +188,21 @@
 	}
 }
 
+// ColdShare returns the part of the statements to a server that is still slow after
+// its start that the instance may send. The homes in the data centre of the server
+// share them, so that few instances count against a small rate.
+func (p *Plan) ColdShare(id identifier.InstanceID, server identifier.DataCentre) float64 {
+	home, ok := p.HomeIn(id)
+	switch local := len(p.homes[server]); {
+	case !ok || (local > 0 && home != server):
+		return 0
+	case local > 0:
+		return 1 / float64(local+1) // Leaves room for one home more, as in part.
+	default:
+		return 1 / float64(p.count+1)
+	}
+}
+
 // part returns the part of each home in a share of the connections. It leaves
 // room for one home more, because a home that has just been replaced by another
 // keeps its connections until it knows so.
--- a/internal/coordination/assigner/assigner_test.go
+++ b/internal/coordination/assigner/assigner_test.go
@@ -232,3 +232,21 @@
 	qt.Assert(t, homes[0].DataCentre, qt.Equals, identifier.DataCentre("dc2"))
 	qt.Assert(t, homes[len(homes)-1].DataCentre, qt.Equals, identifier.DataCentre("dc0"))
 }
+
+// Guards against a server that gets more than its cold rate because the parts of
+// all instances add up to more, also while some of them know another fleet.
+func TestColdSharesAddUpToLessThanOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 40).Draw(t, "instances")
+		dataCentres := rapid.IntRange(1, 5).Draw(t, "data centres")
+		fleet := instances(count, dataCentres)
+		plan := assigner.NewPlan(service, assigner.NewFleet(fleet), servers(0, 1, 2), rapid.IntRange(20, 400).Draw(t, "connections"))
+		sum := 0.0
+		for id := range fleet {
+			sum += plan.ColdShare(id, dataCentre(0))
+		}
+		if sum <= 0 || sum >= 1 {
+			t.Fatalf("sum %v", sum)
+		}
+	})
+}
--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -49,6 +49,10 @@
 	// It holds for all statements, also those of open transactions. 0 means no
 	// limit.
 	EvacuationLimit time.Duration
+	// ColdRate returns the statements a second that this instance may send to a
+	// server that is still slow after its start, and false if there is no limit.
+	// Nil means that there is none. It must not call the balancer.
+	ColdRate func(cataloger.BackendServer) (perSecond float64, limited bool)
 	// HasIdle reports whether an idle connection of the workspace to the server
 	// is open. Nil means always.
 	HasIdle func(identifier.BackendServerID, identifier.WorkspaceName) bool
@@ -67,6 +71,7 @@
 	failures     int
 	ejectedUntil time.Time
 	notLeadingAt time.Time
+	nextCold     time.Time // Earliest time of the next statement while the server is cold.
 	window       window
 }
 
--- a/internal/coordination/balancer/balancer_test.go
+++ b/internal/coordination/balancer/balancer_test.go
@@ -130,3 +130,27 @@
 	qt.Assert(t, b.IsWithdrawn(all[0]), qt.IsTrue)
 	qt.Assert(t, b.IsWithdrawn(all[2]), qt.IsFalse)
 }
+
+// Guards against a server that gets more than its cold rate just after its start,
+// and against one that stays limited once it is warm.
+func TestColdServerGetsFewStatements(t *testing.T) {
+	b, c := newBalancer()
+	b.ColdRate = func(cataloger.BackendServer) (float64, bool) { return 4, true }
+	all := servers()
+	all[1].ColdUntil = c.now.Add(3 * time.Second)
+	started := 0
+	for range 2000 {
+		if ids(b.Readers(service, all, time.Second, "shop"))[0] == 'b' && b.TakeCold(all[1]) {
+			started++
+		}
+		c.now = c.now.Add(time.Millisecond)
+	}
+	qt.Assert(t, started, qt.Equals, 8)
+	c.now = c.now.Add(time.Second)
+	for range 20 {
+		qt.Assert(t, b.TakeCold(all[1]), qt.IsTrue)
+	}
+	b.ColdRate = func(cataloger.BackendServer) (float64, bool) { return 0, true }
+	all[1].ColdUntil = c.now.Add(time.Second)
+	qt.Assert(t, b.TakeCold(all[1]), qt.IsFalse)
+}
--- a/internal/coordination/balancer/reader.go
+++ b/internal/coordination/balancer/reader.go
@@ -13,7 +13,8 @@
 
 // Readers returns the servers for a read that must find every commit older than
 // the age, the one with the lowest expected cost first. Servers that lag by more
-// follow, then ejected ones. Draining and evacuated servers are left out.
+// follow, then ejected ones. Draining and evacuated servers
+// are left out, and cold ones that may not get a statement now.
 func (b *Balancer) Readers(service identifier.ServiceName, servers []cataloger.BackendServer,
 	age time.Duration, w identifier.WorkspaceName,
 ) []cataloger.BackendServer {
@@ -27,7 +28,7 @@
 	leaderID := b.leader(service).id
 	candidates := make([]candidate, 0, len(servers))
 	for _, s := range servers {
-		if s.IsLeaving() {
+		if s.IsLeaving() || !b.admitsCold(s) {
 			continue
 		}
 		isLeader := s.ID == leaderID || (leaderID == "" && s.ClaimsPrimary)
--- a/internal/state/cataloger/catalog.go
+++ b/internal/state/cataloger/catalog.go
@@ -34,6 +34,8 @@
 	TargetLatency    time.Duration          `cbor:"target_latency"`    // For an entire operation.
 	Priority         int                    `cbor:"priority,omitempty"`
 	Public           bool                   `cbor:"public,omitempty"` // Requires no key.
+	// Regions are those in which the statements may run. Empty means all.
+	Regions []identifier.Region `cbor:"regions,omitempty"`
 }
 
 // Workspace is a customer of the platform, with keys and a rate limit.
@@ -41,6 +43,8 @@
 	Name  identifier.WorkspaceName `cbor:"name"`
 	Rate  float64                  `cbor:"rate"`  // Operations per second over all instances.
 	Burst float64                  `cbor:"burst"` // Operations over all instances.
+	// Regions are those in which the statements may run. Empty means all.
+	Regions []identifier.Region `cbor:"regions,omitempty"`
 }
 
 // Service is the configuration of a database group.
--- a/internal/state/identifier/identifier.go
+++ b/internal/state/identifier/identifier.go
@@ -8,6 +8,9 @@
 // instance.
 type DataCentre string
 
+// Region is the name of a group of data centres, as given in the settings.
+type Region string
+
 // WorkspaceName is the name of a workspace: a customer of the platform, to which
 // keys and rate limits belong.
 type WorkspaceName string
--- a/internal/transport/sessioner/admit.go
+++ b/internal/transport/sessioner/admit.go
@@ -44,6 +44,7 @@
 	}
 	owner, known := c.Owner(n.key)
 	o.workspace = owner
+	n.limitRegions(&o, c.Configuration.Workspaces[owner])
 	switch {
 	case route.Public:
 		return o, requester.Result{}
--- a/internal/transport/sessioner/forward.go
+++ b/internal/transport/sessioner/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -60,6 +61,7 @@
 	TargetLatency    time.Duration          `cbor:"5,keyasint"`
 	Priority         int                    `cbor:"6,keyasint,omitempty"`
 	Public           bool                   `cbor:"7,keyasint,omitempty"`
+	Regions          []identifier.Region    `cbor:"8,keyasint,omitempty"`
 }
 
 // ForwardReply is the reply to a [ForwardRequest].
@@ -120,7 +122,8 @@
 	if n.forwarded || n.server.Homes == nil {
 		return nil
 	}
-	return n.server.Homes(o.route.Service, o.workspace, primary)
+	homes := n.server.Homes(o.route.Service, o.workspace, primary)
+	return slices.DeleteFunc(homes, func(id identifier.InstanceID) bool { return !n.server.mayForward(id, o.route.Regions) })
 }
 
 // newForward returns the message that forwards a statement.
--- a/internal/transport/sessioner/forwarded.go
+++ b/internal/transport/sessioner/forwarded.go
@@ -95,7 +95,7 @@
 	return operation{
 		route:          route,
 		workspace:      f.Workspace,
-		servers:        n.server.Holder.Catalog().Servers[f.Route.Service],
+		servers:        n.server.serversWithin(n.server.Holder.Catalog().Servers[f.Route.Service], f.Route.Regions),
 		arrived:        arrived,
 		deadline:       arrived.Add(f.Route.StatementTimeout),
 		waitDeadline:   arrived.Add(maxWait(route)),
--- a/internal/transport/sessioner/primary.go
+++ b/internal/transport/sessioner/primary.go
@@ -153,7 +153,11 @@
 		err := errReplacing
 		switch {
 		case permitted:
-			if b, ok := s.findPrimary(o); ok {
+			b, ok := s.findPrimary(o)
+			if ok && !s.isWithin(b.DataCentre, o.route.Regions) {
+				return cataloger.BackendServer{}, permit, errOutsideRegions
+			}
+			if ok {
 				return b, permit, nil
 			}
 			err = errNoPrimary
--- a/internal/transport/sessioner/read.go
+++ b/internal/transport/sessioner/read.go
@@ -80,6 +80,9 @@
 	if n.server.onlyEvacuated(o.route.Service) {
 		return n.unreachedRefusal(requester.Overloaded, errEvacuated.Error())
 	}
+	if len(o.route.Regions) > 0 && len(o.servers) == 0 {
+		return n.unreachedRefusal(requester.Overloaded, errOutsideRegions.Error())
+	}
 	var tried []identifier.BackendServerID
 	last := n.unreachedRefusal(requester.Lagging, errNoSample.Error())
 	for time.Now().Before(o.deadline) {
--- a/internal/transport/sessioner/run.go
+++ b/internal/transport/sessioner/run.go
@@ -116,8 +116,15 @@
 	}
 }
 
+// errCold reports that a server that is still slow after its start may not get a
+// statement now.
+var errCold = errors.New("the backend server has started just now and takes few statements")
+
 // borrow borrows a connection for the operation and adds the wait to its trace.
 func (n *session) borrow(o operation, w lender.Request) (*lender.Conn, error) {
+	if !n.server.Balancer.TakeCold(w.Server) {
+		return nil, errors.Wrapf(errCold, "server %s", w.Server.ID)
+	}
 	started := time.Now()
 	defer o.trace.addConnectionWait(started)
 	return n.server.borrow(w)
@@ -132,7 +139,7 @@
 	c, err := n.borrow(o, n.connRequest(o, b, pinned, o.waitDeadline))
 	if err != nil {
 		o.trace.addAttempt(b.ID, requester.Result{}, err, time.Since(o.arrived))
-		isOwnLimit := errors.Is(err, lender.ErrNoConnection) || errors.Is(err, lender.ErrNoShare)
+		isOwnLimit := errors.Is(err, lender.ErrNoConnection) || errors.Is(err, lender.ErrNoShare) || errors.Is(err, errCold)
 		if errors.Is(err, lender.ErrUnreachable) || (pinned && !isOwnLimit) {
 			s.Balancer.RecordNotLeading(b.Service, b.ID)
 		}
--- a/internal/transport/sessioner/server.go
+++ b/internal/transport/sessioner/server.go
@@ -53,6 +53,12 @@
 	Registry *reporter.Registry
 	Logger   zerolog.Logger
 
+	// Regions has the region of each data centre, and Region is that of this
+	// instance. They are required only if routes or workspaces are limited to
+	// regions.
+	Regions map[identifier.DataCentre]identifier.Region
+	Region  identifier.Region
+
 	// Admit charges one operation to the rate limit of the workspace, waiting
 	// for at most limit. If the rate is used up, it returns false and the time
 	// after which the client may retry.
--- a/internal/transport/sessioner/transaction.go
+++ b/internal/transport/sessioner/transaction.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+
 	"oleanderpulley/internal/coordination/fencer"
 	"oleanderpulley/internal/protocol/requester"
 	"oleanderpulley/internal/state/cataloger"
@@ -125,6 +127,9 @@
 func (n *session) runInTransaction(o operation, st requester.Statement) (requester.Result, error) {
 	s, c := n.server, n.tx.conn
 	defer c.BreakOnPanic()
+	if err := n.awaitCold(o, c.Server); err != nil {
+		return requester.Result{}, err
+	}
 	s.Balancer.Start(c.Server.ID)
 	sentAt := time.Now()
 	r, err := c.Run(o.deadline, st)
@@ -145,6 +150,17 @@
 	return r, nil
 }
 
+// awaitCold waits until a server that is still slow after its start may get the
+// next statement of the transaction. Its error is a [lender.ErrNotSent].
+func (n *session) awaitCold(o operation, b cataloger.BackendServer) error {
+	for !n.server.Balancer.TakeCold(b) {
+		if !waitWithin(nil, retryPause, o.waitDeadline) {
+			return errors.Wrapf(lender.ErrNotSent, "server %s: %v", b.ID, errCold)
+		}
+	}
+	return nil
+}
+
 // fail rolls back the transaction at the backend server and puts the session into
 // the failed state. The result keeps its code only if the code promises no more
 // than that no write was kept, which the rollback ensures; OK is replaced.
