--- a/internal/command/starter/fixture_test.go
+++ b/internal/command/starter/fixture_test.go
@@ -1,6 +1,7 @@
 package starter_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"strings"
@@ -21,6 +22,9 @@
 // waitLimit is the time limit of every wait in these tests.
 const waitLimit = 10 * time.Second
 
+// evacuationLimit is that of the users' platform.
+const evacuationLimit = 5 * time.Second
+
 // testPlatform is a store with a configuration, and one database group of three
 // servers.
 type testPlatform struct {
@@ -29,6 +33,7 @@
 	address   string
 	group     imitator.Group
 	members   map[string]*imitator.Member
+	zones     map[string]string // Of the members, "centro" where there is none.
 	instances []*testInstance
 	routes    []map[string]any
 	tenants   []map[string]any
@@ -90,7 +95,7 @@
 			role = "primary"
 		}
 		p.store.Put("servers", id, map[string]any{
-			"service": "rentals", "address": m.Address(), "zone": "centro", "slots": 3,
+			"service": "rentals", "address": m.Address(), "zone": cmp.Or(p.zones[id], "centro"), "slots": 3,
 			"state": "ready", "reportedRole": role, "born": 1,
 		})
 	}
@@ -113,7 +118,7 @@
 		InstanceID: identifier.InstanceID(name), DataCentre: "centro", IP: "127.0.0.1",
 		ClientAddress: freeAddress(p.t), ProbeAddress: freeAddress(p.t), PeerAddress: freeAddress(p.t),
 		StoreAddress: p.address, CloudAddress: p.address,
-		Grace: 2 * time.Second, KeyWithdrawal: 5 * time.Second,
+		Grace: 2 * time.Second, KeyWithdrawal: 5 * time.Second, EvacuationLimit: evacuationLimit,
 	}
 	i := &testInstance{
 		Starter: &starter.Starter{Settings: s, Logger: zerolog.New(logs)},
