internal/transport/messenger: requests in flight check a silent link

Cause: on a cut between instances a forwarded statement waited until its own deadline, 480 ms for a read and 800 ms for others, before the link was checked; with deadlines of 1.2 s no time was left to try another home. A request without a sign of life for 100 ms pings its peer.

--- a/internal/command/starter/forward.go
+++ b/internal/command/starter/forward.go
@@ -204,7 +204,11 @@
 // forward sends a statement to a peer and returns the result.
 func (s *Starter) forward(ctx context.Context, to identifier.InstanceID, f sessioner.ForwardRequest) (sessioner.ForwardReply, error) {
 	sentAt := time.Now()
-	reply, err := s.peers.Request(ctx, to, f)
+	request := s.peers.Request
+	if f.IsRepeatable() {
+		request = s.peers.RequestRepeatable
+	}
+	reply, err := request(ctx, to, f)
 	switch {
 	case errors.Is(err, messenger.ErrNotConnected):
 		s.plans.avoid(to)
--- a/internal/transport/messenger/link.go
+++ b/internal/transport/messenger/link.go
@@ -55,8 +55,10 @@
 	return l
 }
 
-// request sends one request and waits for its reply.
-func (l *link) request(ctx context.Context, body any) (any, error) {
+// request sends one request and waits for its reply. It checks the link while the
+// peer is silent. A repeatable request ends once the peer has been silent for
+// [repeatTimeout].
+func (l *link) request(ctx context.Context, body any, repeatable bool) (any, error) {
 	l.lastUse.Store(time.Now().UnixNano())
 	select {
 	case <-l.connected:
@@ -78,11 +80,35 @@
 	if err := l.messenger.write(ctx, conn, data); err != nil {
 		return nil, errors.Wrapf(ErrUnreachable, "instance %s: %v", l.peer.ID, err)
 	}
-	select {
-	case o := <-result:
-		return o.body, o.err
-	case <-ctx.Done():
-		return nil, errors.Wrapf(ErrUnreachable, "instance %s: no answer in time", l.peer.ID)
+	return l.awaitReply(ctx, result, repeatable)
+}
+
+// awaitReply waits for the outcome of a request that was sent just now.
+func (l *link) awaitReply(ctx context.Context, result <-chan outcome, repeatable bool) (any, error) {
+	sentAt := time.Now()
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case o := <-result:
+			return o.body, o.err
+		case <-ctx.Done():
+			return nil, errors.Wrapf(ErrUnreachable, "instance %s: no answer in time", l.peer.ID)
+		case now := <-ticker.C:
+			silentSince := time.Unix(0, max(sentAt.UnixNano(), l.lastReply.Load()))
+			if repeatable && now.Sub(silentSince) >= repeatTimeout {
+				return nil, errors.Wrapf(ErrUnreachable, "instance %s: no sign of life", l.peer.ID)
+			}
+			l.check(now.Add(-checkInterval))
+		}
+	}
+}
+
+// check pings the peer in the background if nothing was received from it since the
+// given time, and closes the link if the ping is not answered.
+func (l *link) check(since time.Time) {
+	if l.lastReply.Load() < since.UnixNano() && l.pingRunning.CompareAndSwap(false, true) {
+		go l.closeIfUnresponsive()
 	}
 }
 
@@ -268,7 +294,9 @@
 	defer cancel()
 	if err := conn.Ping(ctx); err != nil {
 		l.close(errors.Wrapf(ErrUnreachable, "instance %s: no answer to a ping", l.peer.ID))
+		return
 	}
+	l.lastReply.Store(time.Now().UnixNano())
 }
 
 // register adds a request to the pending ones before it is sent and returns the
--- a/internal/transport/messenger/messenger.go
+++ b/internal/transport/messenger/messenger.go
@@ -26,14 +26,21 @@
 	// that is not in use.
 	unusedPingPeriods = 5
 	checkTimeout      = 400 * time.Millisecond // For the ping of Check after a request without a reply.
-	maxInFlight       = 256                    // Pending requests on one link.
-	maxHandlers       = 32                     // Concurrent handlers for one inbound link.
-	dialTimeout       = time.Second
-	headerTimeout     = 5 * time.Second
-	minRedialDelay    = 50 * time.Millisecond
-	maxRedialDelay    = 2 * time.Second
-	writeTimeout      = 2 * time.Second
-	requestTimeout    = 2 * time.Second // Applies when the caller's context has no deadline.
+	// checkInterval is the time without anything from the peer after which a
+	// request in flight checks the link.
+	checkInterval = 100 * time.Millisecond
+	// repeatTimeout is the time without anything from the peer, not even an answer
+	// to the ping of a check, after which a repeatable request is given up. It is
+	// longer than a processor share of a tenth of a second is suspended.
+	repeatTimeout  = 250 * time.Millisecond
+	maxInFlight    = 256 // Pending requests on one link.
+	maxHandlers    = 32  // Concurrent handlers for one inbound link.
+	dialTimeout    = time.Second
+	headerTimeout  = 5 * time.Second
+	minRedialDelay = 50 * time.Millisecond
+	maxRedialDelay = 2 * time.Second
+	writeTimeout   = 2 * time.Second
+	requestTimeout = 2 * time.Second // Applies when the caller's context has no deadline.
 )
 
 // Sentinel errors of requests. [ErrUnknownPeer], [ErrNotConnected], [ErrBusy] and
@@ -166,6 +173,17 @@
 // [ErrUnknownPeer], [ErrNotConnected], [ErrBusy] and [ErrClosed] mean that the
 // request was not sent; after any other error, the peer may have handled it.
 func (m *Messenger) Request(ctx context.Context, to identifier.InstanceID, body any) (any, error) {
+	return m.request(ctx, to, body, false)
+}
+
+// RequestRepeatable is [Messenger.Request] for a request that can be sent to another
+// peer as well. It gives up a peer that shows no sign of life, in place of waiting
+// until the context ends. The peer may have handled the request.
+func (m *Messenger) RequestRepeatable(ctx context.Context, to identifier.InstanceID, body any) (any, error) {
+	return m.request(ctx, to, body, true)
+}
+
+func (m *Messenger) request(ctx context.Context, to identifier.InstanceID, body any, repeatable bool) (any, error) {
 	if _, ok := ctx.Deadline(); !ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, requestTimeout)
@@ -175,7 +193,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return l.request(ctx, body)
+	return l.request(ctx, body, repeatable)
 }
 
 // Connected reports whether a link to the peer is established. If there is none,
@@ -233,8 +251,8 @@
 	m.mu.Lock()
 	l, ok := m.links[to]
 	m.mu.Unlock()
-	if ok && l.lastReply.Load() < since.UnixNano() && l.pingRunning.CompareAndSwap(false, true) {
-		go l.closeIfUnresponsive()
+	if ok {
+		l.check(since)
 	}
 }
 
--- a/internal/transport/messenger/messenger_test.go
+++ b/internal/transport/messenger/messenger_test.go
@@ -299,3 +299,37 @@
 	qt.Assert(t, body, qt.Equals, reply{"good"})
 	qt.Assert(t, b.Counters.Panics.Load(), qt.Equals, int64(1))
 }
+
+// Guards against a read that waits for a peer that was cut off until its deadline,
+// when no time is left to send it elsewhere, and against giving up a peer that
+// works on the request for longer than it takes to find out.
+func TestRepeatableRequestGivesUpASilentPeer(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	_, peer := start(t, "b", func(q question) (any, error) {
+		if q.Text == "slow" {
+			<-release
+		}
+		return reply(q), nil
+	})
+	s := newSilencingProxy(t, peer.Address)
+	peer.Address = s.address
+	a, _ := start(t, "a", echo)
+	a.Ping = time.Hour
+	a.SetPeers([]messenger.Peer{peer})
+	_, err := a.Request(context.Background(), "b", question{Text: "x"})
+	qt.Assert(t, err, qt.IsNil)
+
+	ctx, cancel := context.WithTimeout(context.Background(), 700*time.Millisecond)
+	defer cancel()
+	_, err = a.RequestRepeatable(ctx, "b", question{Text: "slow"})
+	qt.Assert(t, err, qt.ErrorIs, messenger.ErrUnreachable)
+	qt.Assert(t, ctx.Err(), qt.IsNotNil, qt.Commentf("a peer that answers pings was given up"))
+
+	s.silent.Store(true)
+	ctx, cancel = context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	_, err = a.RequestRepeatable(ctx, "b", question{Text: "x"})
+	qt.Assert(t, err, qt.ErrorIs, messenger.ErrUnreachable)
+	qt.Assert(t, ctx.Err(), qt.IsNil)
+}
--- a/internal/transport/sessioner/forward.go
+++ b/internal/transport/sessioner/forward.go
@@ -52,6 +52,12 @@
 	Writes        bool                         `cbor:"12,keyasint,omitempty"`
 }
 
+// IsRepeatable reports whether the statement may run twice, so that it can be sent
+// to another peer while this one is silent: a read outside a transaction.
+func (f ForwardRequest) IsRepeatable() bool {
+	return f.Transaction == 0 && !f.Writes
+}
+
 // ForwardedRoute is a [cataloger.Route] with shorter keys.
 type ForwardedRoute struct {
 	Service          identifier.ServiceName `cbor:"1,keyasint"`
