internal/coordination/ratelimiter: buckets that hold whole tokens, requests for all who wait

A rate divided among an owner in each data centre leaves buckets of less than one token (rate and burst 1, or 3 in five data centres): no or almost no operation was admitted. Buckets of one or two tokens overflow between operations. When a grant brought one token, the other operations that waited at the instance were refused without a request of their own. After three owners without tokens an instance asked nobody for up to 150 ms, although others had some.

Change: a bucket holds six tokens where burst and ten operations beyond it allow that, and a rate has no more owners than have three each. Requests name the operations that wait; further tokens come from half of the spare ones. Owners are asked by what is known of their tokens; a denial carries the time at which a token can be expected, and only denials of contended owners stop the search. If an owner does not answer within 15 ms, a second one is asked. Admit returns a refusal with its cause and this time.

--- a/internal/coordination/ratelimiter/admitter.go
+++ b/internal/coordination/ratelimiter/admitter.go
@@ -25,36 +25,38 @@
 }
 
 // Admit takes a token of the workspace. If there is none, it waits up to the
-// limit for a peer's grant or for the refill by this instance's own fraction.
-// It does not wait if neither can bring a token in time. If it gets no token,
-// it returns the time after which the caller may retry.
-func (k *Admitter) Admit(w identifier.WorkspaceName, limit time.Duration) (retryAfter time.Duration, ok bool) {
+// limit for a peer's grant or for a refill. It does not wait if neither can
+// bring a token in time. If it gets no token, it returns a [*RefusalError].
+func (k *Admitter) Admit(w identifier.WorkspaceName, limit time.Duration) error {
 	l := k.Limiter
 	if l.Take(w) {
 		k.requestIfShort(w)
-		return 0, true
+		return nil
 	}
+	l.Wait(w)
+	defer l.EndWait(w)
 	end := time.Now().Add(limit)
-	if k.awaitGrant(w, limit) {
-		return 0, true
-	}
-	wait, ok := l.Queue(w, time.Until(end))
-	if !ok {
-		return l.RetryAfter(w), false
-	}
-	defer l.Leave(w)
-	time.Sleep(wait)
-	if l.TakeAgain(w) {
-		return 0, true
+	for {
+		if k.awaitGrant(w, end) {
+			return nil
+		}
+		wait, ok := l.Queue(w, time.Until(end))
+		if !ok {
+			return l.Refuse(w)
+		}
+		time.Sleep(wait)
+		l.Leave(w)
+		if l.TakeAgain(w) {
+			return nil
+		}
 	}
-	return l.RetryAfter(w), false
 }
 
-// awaitGrant requests tokens from peers, waits up to the limit while a request
-// is in flight and reports whether it got a token.
-func (k *Admitter) awaitGrant(w identifier.WorkspaceName, limit time.Duration) bool {
+// awaitGrant requests tokens from peers, waits while a request is in flight and
+// reports whether it got a token before the end.
+func (k *Admitter) awaitGrant(w identifier.WorkspaceName, end time.Time) bool {
 	l := k.Limiter
-	timer := time.NewTimer(limit)
+	timer := time.NewTimer(slowAnswer)
 	defer timer.Stop()
 	for {
 		k.requestIfShort(w)
@@ -62,13 +64,14 @@
 		if l.TakeAgain(w) {
 			return true
 		}
-		if ended == nil {
+		remaining := time.Until(end)
+		if ended == nil || remaining <= 0 {
 			return false
 		}
+		timer.Reset(min(remaining, slowAnswer))
 		select {
 		case <-ended:
-		case <-timer.C:
-			return l.TakeAgain(w)
+		case <-timer.C: // Another owner may be asked now.
 		}
 	}
 }
@@ -89,7 +92,7 @@
 	defer cancel()
 	g, err := k.Request(ctx, peer, request)
 	if errors.Is(err, ErrNotConnected) {
-		k.Limiter.CancelRequest(w)
+		k.Limiter.CancelRequest(w, peer)
 		return
 	}
 	if err != nil {
--- a/internal/coordination/ratelimiter/bucket.go
+++ b/internal/coordination/ratelimiter/bucket.go
@@ -2,22 +2,35 @@
 
 import (
 	"math"
+	"slices"
 	"time"
+
+	"oleanderpulley/internal/state/identifier"
 )
 
 // bucket holds the tokens of one workspace at this instance.
 type bucket struct {
-	tokens          float64 // From the own fraction, at most its part of the burst.
-	grants          []grant // In order of expiry.
-	refilledAt      time.Time
-	demand          float64 // Moving average at demandAsOf, in operations per second.
-	demandAsOf      time.Time
-	requests        int // Requests in a row for the current shortage.
-	requestInFlight bool
-	queued          int       // Operations that wait for the refill by the own fraction.
-	missedAt        time.Time // When an operation last found no token; zero after a request that brought one.
-	backoffUntil    time.Time
-	requestEnded    chan struct{} // Closed when the request in flight ends.
+	tokens       float64 // From the own fraction, at most its part of the burst.
+	grants       []grant // In order of expiry.
+	refilledAt   time.Time
+	fullBy       time.Time // When a bucket that was created empty would be full; zero without an own fraction.
+	demand       movingRate
+	admitted     movingRate
+	waiting      int // Operations that wait for a grant.
+	queued       int // Operations that wait for a refill.
+	denials      int // Peers in a row that had no tokens for the operations that wait.
+	inFlight     []requestInFlight
+	missedAt     time.Time // When an operation last found no token; zero once it got one or gave up.
+	backoffUntil time.Time
+	requestEnded chan struct{} // Closed when a request in flight ends.
+	retries      retrySchedule // Of the callers that this instance refused.
+	denied       retrySchedule // Of the peers that got no token.
+}
+
+// requestInFlight is a request to a peer that has not ended.
+type requestInFlight struct {
+	peer   identifier.InstanceID
+	sentAt time.Time
 }
 
 // grant holds the unspent tokens that a peer has transferred.
@@ -54,27 +67,45 @@
 	return true
 }
 
-// recordArrival adds an operation to the moving average of demand.
-func (b *bucket) recordArrival(now time.Time) {
-	b.demand = b.demandAt(now) + 1/demandWindow.Seconds()
-	b.demandAsOf = now
+// isAwaiting reports whether a request to the peer is in flight.
+func (b *bucket) isAwaiting(peer identifier.InstanceID) bool {
+	return slices.ContainsFunc(b.inFlight, func(r requestInFlight) bool { return r.peer == peer })
 }
 
-// demandAt returns the demand decayed to now.
-func (b *bucket) demandAt(now time.Time) float64 {
-	return b.demand * math.Exp(-max(0, now.Sub(b.demandAsOf).Seconds())/demandWindow.Seconds())
+// isStarting reports whether the bucket lacks tokens because the process
+// started a short time ago.
+func (b *bucket) isStarting(now time.Time) bool {
+	return now.Before(b.fullBy)
 }
 
 // refill adds the tokens for the time since the last call. The rest of expired
 // grants joins the own tokens, up to their capacity.
-func (b *bucket) refill(now time.Time, limit Limit, fraction float64) {
+func (b *bucket) refill(now time.Time, rate, capacity float64) {
 	for len(b.grants) > 0 && !now.Before(b.grants[0].expires) {
 		b.tokens += b.grants[0].tokens
 		b.grants = b.grants[1:]
 	}
 	if elapsed := now.Sub(b.refilledAt).Seconds(); elapsed > 0 {
 		b.refilledAt = now
-		b.tokens += limit.Rate * fraction * elapsed
+		b.tokens += rate * elapsed
 	}
-	b.tokens = min(b.tokens, limit.Burst*fraction)
+	b.tokens = min(b.tokens, capacity)
+}
+
+// movingRate is a moving average of events per second. The zero value is ready
+// to use.
+type movingRate struct {
+	value float64 // At asOf.
+	asOf  time.Time
+}
+
+// add counts an event.
+func (r *movingRate) add(now time.Time) {
+	r.value = r.at(now) + 1/demandWindow.Seconds()
+	r.asOf = now
+}
+
+// at returns the rate decayed to now.
+func (r *movingRate) at(now time.Time) float64 {
+	return r.value * math.Exp(-max(0, now.Sub(r.asOf).Seconds())/demandWindow.Seconds())
 }
--- a/internal/coordination/ratelimiter/exchange.go
+++ b/internal/coordination/ratelimiter/exchange.go
@@ -2,21 +2,28 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"oleanderpulley/internal/state/identifier"
 )
 
-// TokenRequest requests tokens from a peer.
+// TokenRequest requests tokens from a peer. Waiting is the part of Wants for
+// which operations wait already.
 type TokenRequest struct {
-	Wants map[identifier.WorkspaceName]float64 `cbor:"wants"`
+	Wants   map[identifier.WorkspaceName]float64 `cbor:"wants"`
+	Waiting map[identifier.WorkspaceName]float64 `cbor:"waiting,omitempty"`
 }
 
 // Grant transfers tokens to the peer that requested them. Left is the number
-// that the grantor could still give.
+// that the grantor could still give. RetryAfter is the time until a token for
+// which this peer may return, if it got none. Starting lists the workspaces
+// whose bucket lacks tokens because the grantor has just started.
 type Grant struct {
-	Given map[identifier.WorkspaceName]float64 `cbor:"given"`
-	Left  map[identifier.WorkspaceName]float64 `cbor:"left"`
+	Given      map[identifier.WorkspaceName]float64       `cbor:"given"`
+	Left       map[identifier.WorkspaceName]float64       `cbor:"left"`
+	RetryAfter map[identifier.WorkspaceName]time.Duration `cbor:"retry_after,omitempty"`
+	Starting   []identifier.WorkspaceName                 `cbor:"starting,omitempty"`
 }
 
 // IsShort reports whether to request tokens for the workspace from a peer now,
@@ -31,16 +38,21 @@
 // isShort is [Limiter.IsShort] for a refilled bucket; l.mu must be held.
 func (l *Limiter) isShort(b *bucket) bool {
 	now := l.now()
-	if b.requestInFlight || now.Before(b.backoffUntil) {
+	if now.Before(b.backoffUntil) || len(b.inFlight) >= maxInFlight {
 		return false
 	}
-	if b.available() < 1 && now.Sub(b.missedAt) <= maxMissAge {
+	for _, r := range b.inFlight {
+		if now.Sub(r.sentAt) < slowAnswer {
+			return false
+		}
+	}
+	if b.available() < float64(max(1, b.waiting)) && (b.waiting > 0 || now.Sub(b.missedAt) <= maxMissAge) {
 		return true
 	}
 	// With little demand, tokens are requested only when one is missing: a
 	// prefetched token might never be spent.
-	upcoming := b.demandAt(now) * demandHorizon.Seconds() / 2
-	return upcoming >= 1 && b.available() < upcoming
+	upcoming := b.demand.at(now) * demandHorizon.Seconds() / 2
+	return len(b.inFlight) == 0 && upcoming >= 1 && b.available() < upcoming
 }
 
 // NextRequest returns a request for tokens and the peer to send it to, or false
@@ -54,26 +66,30 @@
 	if b == nil || !l.isShort(b) {
 		return "", TokenRequest{}, false
 	}
-	peer, ok := l.peers.bestOwner(w, l.shares[w], l.now())
+	now := l.now()
+	peer, ok := l.peers.bestOwner(w, l.shares[w], now, b.isAwaiting)
 	if !ok {
-		b.backoffUntil = l.now().Add(minRequestBackoff)
 		return "", TokenRequest{}, false
 	}
-	request := TokenRequest{Wants: map[identifier.WorkspaceName]float64{}}
+	request := TokenRequest{Wants: map[identifier.WorkspaceName]float64{}, Waiting: map[identifier.WorkspaceName]float64{}}
 	for name := range l.buckets {
 		if o := l.bucket(name); o == b || l.isShort(o) {
-			request.Wants[name] = o.missingTokens()
+			request.Wants[name] = o.missingTokens(now)
+			if o.waiting > 0 {
+				request.Waiting[name] = min(request.Wants[name], float64(o.waiting))
+			}
 		}
 	}
-	b.requestInFlight = true
+	b.inFlight = append(b.inFlight, requestInFlight{peer, now})
 	return peer, request, true
 }
 
-// missingTokens returns the number of tokens to request for the demand within
-// demandHorizon. Together with those at hand they make up at least one whole
-// token.
-func (b *bucket) missingTokens() float64 {
-	return max(1, b.demand*demandHorizon.Seconds()) - min(b.available(), 1-minRequestedTokens)
+// missingTokens returns the number of tokens to request for the operations that
+// wait and the demand within demandHorizon. Together with those at hand they make
+// up at least one whole token.
+func (b *bucket) missingTokens(now time.Time) float64 {
+	needed := max(1, float64(b.waiting), b.demand.at(now)*demandHorizon.Seconds())
+	return needed - min(b.available(), 1-minRequestedTokens)
 }
 
 // minRequestedTokens is the smallest fraction of a token that is requested.
@@ -96,70 +112,66 @@
 	defer l.mu.Unlock()
 	now := l.now()
 	if g == nil {
-		l.peers.recordFailure(from, now)
+		l.peers.exclude(from, now, failureBackoff)
 	} else {
 		for name, given := range g.Given {
 			if b := l.bucket(name); b != nil && given > 0 {
 				b.grants = append(b.grants, grant{given, now.Add(grantLifetime)})
 			}
 		}
-		l.peers.recordBalances(from, g.Left, now)
+		l.peers.recordGrant(from, w, l.shares[w], g, now)
 	}
 	b := l.bucket(w)
 	if b == nil {
 		return
 	}
-	b.requests++
-	if b.available() >= 1 {
-		b.requests = 0
+	switch {
+	case b.available() >= 1:
 		b.missedAt = time.Time{}
-	} else if b.requests >= maxRequestsPerShortage {
-		b.requests = 0
-		b.backoffUntil = now.Add(l.shares[w].requestBackoff())
+		b.denials = 0
+	case g != nil && l.isContended(w, g):
+		if b.denials++; b.denials >= maxDenials {
+			b.denials = 0
+			b.backoffUntil = now.Add(denialBackoff)
+		}
 	}
-	b.endRequest()
+	b.endRequest(from)
+}
+
+// isContended reports whether the peer that sent the grant has promised its next
+// token to others before.
+func (l *Limiter) isContended(w identifier.WorkspaceName, g *Grant) bool {
+	wait, ok := g.RetryAfter[w]
+	return !ok || wait > min(time.Second, secondsPer(l.shares[w].refillRate())*3/2)
 }
 
 // CancelRequest ends the request of the workspace, which was not sent. The peer may
 // be asked again soon, as nothing is known of its tokens.
-func (l *Limiter) CancelRequest(w identifier.WorkspaceName) {
+func (l *Limiter) CancelRequest(w identifier.WorkspaceName, to identifier.InstanceID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	b := l.bucket(w)
-	if b == nil {
-		return
+	l.peers.exclude(to, l.now(), minRequestBackoff)
+	if b := l.bucket(w); b != nil {
+		b.endRequest(to)
 	}
-	b.backoffUntil = l.now().Add(minRequestBackoff)
-	b.endRequest()
 }
 
 // endRequest notifies those that wait for the request in flight.
-func (b *bucket) endRequest() {
-	b.requestInFlight = false
+func (b *bucket) endRequest(peer identifier.InstanceID) {
+	b.inFlight = slices.DeleteFunc(b.inFlight, func(r requestInFlight) bool { return r.peer == peer })
 	if b.requestEnded != nil {
 		close(b.requestEnded)
 		b.requestEnded = nil
 	}
 }
 
-// requestBackoff returns the time without requests after peers had no tokens:
-// the time in which the rate over all instances yields one token, within
-// minRequestBackoff and maxRequestBackoff.
-func (s Share) requestBackoff() time.Duration {
-	if s.Limit.Rate <= 0 {
-		return maxRequestBackoff
-	}
-	next := time.Duration(float64(time.Second) / s.Limit.Rate)
-	return min(max(next, minRequestBackoff), maxRequestBackoff)
-}
-
 // RequestEnded returns a channel that is closed when the workspace's request in
 // flight ends, or nil if none is in flight.
 func (l *Limiter) RequestEnded(w identifier.WorkspaceName) <-chan struct{} {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.bucket(w)
-	if b == nil || !b.requestInFlight {
+	if b == nil || len(b.inFlight) == 0 {
 		return nil
 	}
 	if b.requestEnded == nil {
@@ -173,23 +185,51 @@
 func (l *Limiter) Give(request TokenRequest) Grant {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	g := Grant{Given: map[identifier.WorkspaceName]float64{}, Left: map[identifier.WorkspaceName]float64{}}
-	now := l.now()
+	g := Grant{
+		Given: map[identifier.WorkspaceName]float64{}, Left: map[identifier.WorkspaceName]float64{},
+		RetryAfter: map[identifier.WorkspaceName]time.Duration{},
+	}
 	for w, wanted := range request.Wants {
-		b := l.bucket(w)
-		if b == nil || !(wanted > 0) {
-			continue
+		if b := l.bucket(w); b != nil && wanted > 0 {
+			l.give(w, b, wanted, request.Waiting[w], &g)
 		}
-		spare := max(0, b.tokens-b.demandAt(now)*grantorReserve.Seconds())
-		given := grantableTokens(wanted, spare)
-		b.tokens -= given
-		if given > 0 {
-			g.Given[w] = given
-		}
-		g.Left[w] = spare - given
 	}
 	return g
 }
 
-// requestTimeout limits the wait for a peer's grant.
-const requestTimeout = 150 * time.Millisecond
+// give adds the grant from one bucket to g. Tokens for which no operation of the
+// peer waits yet are taken from half of the spare ones only, because they lapse
+// if the operations do not come.
+func (l *Limiter) give(w identifier.WorkspaceName, b *bucket, wanted, waiting float64, g *Grant) {
+	now := l.now()
+	spare := max(0, b.tokens-b.demand.at(now)*grantorReserve.Seconds())
+	if waiting > 0 {
+		wanted = min(wanted, max(waiting, math.Floor(spare/2)))
+	}
+	given := grantableTokens(wanted, spare)
+	b.tokens -= given
+	g.Left[w] = spare - given
+	if given > 0 {
+		g.Given[w] = given
+		return
+	}
+	s := l.shares[w]
+	if s.ownedFraction(l.self) == 0 {
+		return
+	}
+	if b.isStarting(now) {
+		g.Starting = append(g.Starting, w)
+	}
+	g.RetryAfter[w] = b.denied.next(now, l.timeUntilTokens(w, b, 1), secondsPer(s.refillRate())).Sub(now)
+}
+
+const (
+	// requestTimeout limits the wait for a peer's grant.
+	requestTimeout = 150 * time.Millisecond
+	// slowAnswer is the time without a peer's answer after which another owner is
+	// asked as well.
+	slowAnswer = 15 * time.Millisecond
+	// maxInFlight is the number of requests that may be in flight for a workspace
+	// while their peers do not answer.
+	maxInFlight = 2
+)
--- a/internal/coordination/ratelimiter/peers.go
+++ b/internal/coordination/ratelimiter/peers.go
@@ -12,6 +12,12 @@
 	// failureBackoff is the time without requests to a peer after one to it
 	// failed.
 	failureBackoff = time.Second
+	// unknownLimitBackoff is the time without requests to a peer for a workspace
+	// whose limit the peer does not know yet.
+	unknownLimitBackoff = 100 * time.Millisecond
+	// maxBalanceAge is the age up to which a peer's answer counts as evidence for
+	// the cause of a refusal.
+	maxBalanceAge = 3 * time.Second
 )
 
 // Peer is an instance that may own a fraction of a limit.
@@ -24,6 +30,7 @@
 // data centre get requests first.
 type peers struct {
 	local, remote []*peer
+	byID          map[identifier.InstanceID]*peer
 }
 
 type peer struct {
@@ -34,18 +41,35 @@
 
 // balance is the number of tokens that a peer could give at a time.
 type balance struct {
-	tokens float64
-	at     time.Time
+	tokens   float64
+	at       time.Time
+	retryAt  time.Time // When the peer expects a token for this instance.
+	starting bool      // The peer does not know the limit or has just started.
+}
+
+// estimate returns the number of tokens that the peer has now if nobody took
+// any since.
+func (b balance) estimate(s Share, now time.Time) float64 {
+	return min(s.capacity(), b.tokens+s.refillRate()*now.Sub(b.at).Seconds())
+}
+
+// timeUntilToken returns the time until the estimate reaches one token, at most
+// maxRetryAfter.
+func (b balance) timeUntilToken(s Share, now time.Time) time.Duration {
+	missing := 1 - b.estimate(s, now)
+	if missing <= 0 {
+		return 0
+	}
+	if missing >= s.refillRate()*maxRetryAfter.Seconds() {
+		return maxRetryAfter
+	}
+	return time.Duration(missing / s.refillRate() * float64(time.Second))
 }
 
 // update replaces the peers and keeps the state of those that remain.
 func (p *peers) update(self identifier.InstanceID, members []Peer) {
-	known := map[identifier.InstanceID]*peer{}
-	for _, list := range [][]*peer{p.local, p.remote} {
-		for _, e := range list {
-			known[e.id] = e
-		}
-	}
+	known := p.byID
+	p.byID = make(map[identifier.InstanceID]*peer, len(members))
 	var own identifier.DataCentre
 	for _, m := range members {
 		if m.ID == self {
@@ -61,6 +85,7 @@
 		if !ok {
 			e = &peer{id: m.ID, balances: map[identifier.WorkspaceName]balance{}}
 		}
+		p.byID[m.ID] = e
 		if m.DataCentre == own {
 			p.local = append(p.local, e)
 		} else {
@@ -71,10 +96,9 @@
 
 // bestOwner returns the owner that is estimated to have the most tokens of the
 // workspace, at least one token or a full bucket if that holds less. Owners in
-// the own data centre take precedence.
-func (p *peers) bestOwner(w identifier.WorkspaceName, s Share, now time.Time) (identifier.InstanceID, bool) {
-	refillRate := s.Limit.Rate / float64(max(1, len(s.Owners)))
-	capacity := s.Limit.Burst / float64(max(1, len(s.Owners)))
+// the own data centre take precedence. It skips those for which skip is true.
+func (p *peers) bestOwner(w identifier.WorkspaceName, s Share, now time.Time, skip func(identifier.InstanceID) bool) (identifier.InstanceID, bool) {
+	capacity := s.capacity()
 	for _, list := range [][]*peer{p.local, p.remote} {
 		if len(list) == 0 {
 			continue
@@ -84,12 +108,12 @@
 		highest := 0.0
 		for i := range list {
 			e := list[(start+i)%len(list)]
-			if now.Before(e.backoffUntil) || !slices.Contains(s.Owners, e.id) {
+			if now.Before(e.backoffUntil) || !slices.Contains(s.Owners, e.id) || skip(e.id) {
 				continue
 			}
 			estimate := capacity
 			if b, ok := e.balances[w]; ok {
-				estimate = min(capacity, b.tokens+refillRate*now.Sub(b.at).Seconds())
+				estimate = b.estimate(s, now)
 			}
 			if estimate >= min(1, capacity) && estimate > highest {
 				best, highest = e, estimate
@@ -102,31 +126,52 @@
 	return "", false
 }
 
-func (p *peers) find(id identifier.InstanceID) *peer {
-	for _, list := range [][]*peer{p.local, p.remote} {
-		for _, e := range list {
-			if e.id == id {
-				return e
-			}
+// timeUntilToken returns the time until an owner is estimated to have a token.
+func (p *peers) timeUntilToken(w identifier.WorkspaceName, s Share, now time.Time) time.Duration {
+	soonest := maxRetryAfter
+	for _, id := range s.Owners {
+		e := p.find(id)
+		if e == nil || now.Before(e.backoffUntil) {
+			continue
+		}
+		if b, ok := e.balances[w]; ok {
+			soonest = min(soonest, b.timeUntilToken(s, now))
 		}
 	}
-	return nil
+	return soonest
+}
+
+func (p *peers) count() int {
+	return len(p.byID)
 }
 
-// recordBalances records the tokens that a peer has left after a grant.
-func (p *peers) recordBalances(id identifier.InstanceID, left map[identifier.WorkspaceName]float64, now time.Time) {
+func (p *peers) find(id identifier.InstanceID) *peer {
+	return p.byID[id]
+}
+
+// recordGrant records the tokens that a peer has left after its grant to a
+// request for the workspace. A peer that does not name the workspace does not
+// know its limit yet.
+func (p *peers) recordGrant(id identifier.InstanceID, w identifier.WorkspaceName, s Share, g *Grant, now time.Time) {
 	e := p.find(id)
 	if e == nil {
 		return
 	}
-	for w, tokens := range left {
-		e.balances[w] = balance{tokens, now}
+	for name, left := range g.Left {
+		b := balance{tokens: left, at: now, starting: slices.Contains(g.Starting, name)}
+		if wait, ok := g.RetryAfter[name]; ok {
+			b.retryAt = now.Add(wait)
+		}
+		e.balances[name] = b
+	}
+	if _, ok := g.Left[w]; !ok {
+		e.balances[w] = balance{tokens: 1 - s.refillRate()*unknownLimitBackoff.Seconds(), at: now, starting: true}
 	}
 }
 
-// recordFailure starts the backoff of a peer to which a request failed.
-func (p *peers) recordFailure(id identifier.InstanceID, now time.Time) {
+// exclude stops requests to a peer for the time.
+func (p *peers) exclude(id identifier.InstanceID, now time.Time, backoff time.Duration) {
 	if e := p.find(id); e != nil {
-		e.backoffUntil = now.Add(failureBackoff)
+		e.backoffUntil = now.Add(backoff)
 	}
 }
--- a/internal/coordination/ratelimiter/ratelimiter.go
+++ b/internal/coordination/ratelimiter/ratelimiter.go
@@ -17,10 +17,13 @@
 	grantorReserve = 200 * time.Millisecond
 	// demandWindow is the time constant of the moving average of demand.
 	demandWindow = time.Second
-	// Bounds of the time without requests after the peers of one shortage had
-	// no tokens.
+	// minRequestBackoff is the time without requests to a peer to which a request
+	// could not be sent.
 	minRequestBackoff = 60 * time.Millisecond
-	maxRequestBackoff = 150 * time.Millisecond
+	// denialBackoff is the time without requests for a workspace after
+	// maxDenials peers in a row had no tokens.
+	denialBackoff = 60 * time.Millisecond
+	maxDenials    = 3
 	// grantLifetime is the time within which transferred tokens must be spent.
 	// The grantor's bucket refills meanwhile, so tokens that are kept for
 	// longer would add to the burst. It is a tenth of the window over which
@@ -29,15 +32,15 @@
 	// minRestartTime is the shortest time from the end of a process to the
 	// first operation of its successor.
 	minRestartTime = 250 * time.Millisecond
-	// maxRequestsPerShortage is the number of requests that one shortage may
-	// cause in a row before the backoff.
-	maxRequestsPerShortage = 3
 	// maxMissAge is the time after an operation found no token for which tokens
 	// are requested for it. Most operations do not wait for longer.
 	maxMissAge = 150 * time.Millisecond
+	// maxStartTime limits the time after the start of a bucket for which missing
+	// tokens are attributed to the start.
+	maxStartTime = 3 * time.Second
 	// Bounds of the retry delay that a refused caller receives.
 	minRetryAfter = 5 * time.Millisecond
-	maxRetryAfter = time.Second
+	maxRetryAfter = 3 * time.Second
 )
 
 // Limit is the rate limit of a workspace over all instances: the rate in
@@ -60,19 +63,52 @@
 	return 1 / float64(len(s.Owners))
 }
 
+// refillRate returns the tokens that each owner's bucket gets per second.
+func (s Share) refillRate() float64 {
+	return s.Limit.Rate / float64(max(1, len(s.Owners)))
+}
+
+// capacity returns the number of tokens that each owner's bucket holds.
+func (s Share) capacity() float64 {
+	if len(s.Owners) == 0 {
+		return 0
+	}
+	return max(s.Limit.Burst/float64(len(s.Owners)), min(usualCapacity, (s.Limit.Burst+maxExtraBurst)/float64(len(s.Owners))))
+}
+
 // Owners returns the number of instances among which a limit is divided: one
-// for each minOwnerRate in the rate, but at least one per data centre and at
-// most all members.
+// for each minOwnerRate in the rate, but at least one per data centre. There are
+// at most all members, and no more than have [minCapacity] each within the burst
+// and maxExtraBurst. Where most members can be owners, the rate is divided
+// further, because owners need no message for their own operations.
 func Owners(l Limit, members, dataCentres int) int {
-	return min(members, max(dataCentres, int(l.Rate/minOwnerRate)))
+	count := max(dataCentres, int(l.Rate/minOwnerRate))
+	if most := int(l.Rate / minMajorityOwnerRate); 2*most > members {
+		count = most
+	}
+	return max(1, min(members, count, int((l.Burst+maxExtraBurst)/minCapacity)))
 }
 
-// minOwnerRate is the smallest rate that an owner gets, in operations per
-// second, unless each data centre needs an owner. With smaller fractions a
-// bucket may hold no whole token, and the buckets of instances without demand
-// are full most of the time: the tokens that do not fit are lost to the
-// workspace.
-const minOwnerRate = 5
+const (
+	// minOwnerRate is the smallest rate that an owner gets, in operations per
+	// second, unless each data centre needs an owner.
+	minOwnerRate = 20
+	// minMajorityOwnerRate is the smallest rate that an owner gets if owners are
+	// the majority of the members.
+	minMajorityOwnerRate = 5
+	// minCapacity is the smallest number of tokens that an owner's bucket holds
+	// when it is full. A smaller bucket may hold no whole token, and loses most
+	// of its refill between two operations.
+	minCapacity = 3
+	// usualCapacity is the number of tokens that an owner's bucket holds, unless
+	// the burst is larger, or too small even with maxExtraBurst.
+	usualCapacity = 6
+	// maxExtraBurst limits the tokens that the buckets of all owners hold beyond
+	// the burst so that each holds usualCapacity. Users accept 20 operations beyond
+	// the limit in their window. The other half covers operations that wait
+	// between their admission and their run.
+	maxExtraBurst = 10
+)
 
 // Limiter holds the token buckets of one instance. The zero value admits
 // nothing until [Limiter.Set] is called. It is safe for concurrent use.
@@ -85,6 +121,7 @@
 	shares     map[identifier.WorkspaceName]Share
 	buckets    map[identifier.WorkspaceName]*bucket
 	peers      peers
+	unknown    retrySchedule // Of the callers of workspaces that are not known.
 }
 
 // JoinWait is the time after its registration during which an instance owns no
@@ -142,12 +179,14 @@
 	if b == nil {
 		return false
 	}
-	b.recordArrival(l.now())
-	taken := b.take()
-	if !taken {
-		b.missedAt = l.now()
+	now := l.now()
+	b.demand.add(now)
+	if !b.take() {
+		b.missedAt = now
+		return false
 	}
-	return taken
+	b.admitted.add(now)
+	return true
 }
 
 // TakeAgain is [Limiter.Take] for an operation that is already counted as
@@ -156,25 +195,41 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.bucket(w)
-	return b != nil && b.take()
+	if b == nil || !b.take() {
+		return false
+	}
+	b.admitted.add(l.now())
+	return true
 }
 
-// RetryAfter returns the time until the refill from this instance's own
-// fraction brings the bucket to one token, within minRetryAfter and
-// maxRetryAfter.
-func (l *Limiter) RetryAfter(w identifier.WorkspaceName) time.Duration {
+// Wait registers an operation that waits for tokens. It must call
+// [Limiter.EndWait] when it has one or gives up.
+func (l *Limiter) Wait(w identifier.WorkspaceName) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if b := l.bucket(w); b != nil {
+		b.waiting++
+	}
+}
+
+// EndWait removes an operation that [Limiter.Wait] registered.
+func (l *Limiter) EndWait(w identifier.WorkspaceName) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.bucket(w)
-	if b == nil {
-		return maxRetryAfter
+	if b == nil || b.waiting == 0 {
+		return // The bucket was replaced during the wait.
+	}
+	b.waiting--
+	if b.waiting == 0 {
+		b.missedAt = time.Time{}
+		b.denials = 0
 	}
-	return l.timeUntilTokens(w, b, 1)
 }
 
-// Queue registers an operation that waits for a token from this instance's own
-// fraction, behind those that wait already. It returns the time to wait, and
-// false if that exceeds the limit. A registered operation must call
+// Queue registers an operation that waits for a refill, of this instance's own
+// bucket behind those that wait already, or of a peer's. It returns the time to
+// wait, and false if that exceeds the limit. A registered operation must call
 // [Limiter.Leave] after the wait.
 func (l *Limiter) Queue(w identifier.WorkspaceName, limit time.Duration) (wait time.Duration, ok bool) {
 	l.mu.Lock()
@@ -184,6 +239,9 @@
 		return 0, false
 	}
 	wait = l.timeUntilTokens(w, b, float64(b.queued)+1)
+	if b.queued == 0 && !l.now().Before(b.backoffUntil) {
+		wait = min(wait, max(minRetryAfter, l.peers.timeUntilToken(w, l.shares[w], l.now())))
+	}
 	if wait > limit {
 		return wait, false
 	}
@@ -195,7 +253,7 @@
 func (l *Limiter) Leave(w identifier.WorkspaceName) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if b := l.bucket(w); b != nil {
+	if b := l.bucket(w); b != nil && b.queued > 0 {
 		b.queued--
 	}
 }
@@ -229,13 +287,21 @@
 		// A new bucket starts with the refill of one restart instead of a
 		// full burst: the previous process of this instance may have spent
 		// that burst just before.
-		b = &bucket{refilledAt: now.Add(-minRestartTime), demandAsOf: now}
+		b = &bucket{refilledAt: now.Add(-minRestartTime)}
 		if l.shareStart.After(b.refilledAt) {
 			b.refilledAt = l.shareStart
 		}
+		if rate := s.Limit.Rate * s.ownedFraction(l.self); rate > 0 {
+			b.fullBy = b.refilledAt.Add(min(maxStartTime, time.Duration(s.capacity()/rate*float64(time.Second))))
+		}
 		l.buckets[w] = b
 	}
-	b.refill(now, s.Limit, s.ownedFraction(l.self))
+	fraction := s.ownedFraction(l.self)
+	capacity := 0.0
+	if fraction > 0 {
+		capacity = s.capacity()
+	}
+	b.refill(now, s.Limit.Rate*fraction, capacity)
 	return b
 }
 
--- a/internal/coordination/ratelimiter/ratelimiter_test.go
+++ b/internal/coordination/ratelimiter/ratelimiter_test.go
@@ -386,7 +386,7 @@
 	qt.Assert(t, l.Take(shop), qt.IsFalse)
 	_, _, ok := l.NextRequest(shop)
 	qt.Assert(t, ok, qt.IsTrue)
-	l.CancelRequest(shop)
+	l.CancelRequest(shop, "owner")
 	now = now.Add(minRequestBackoff)
 	qt.Assert(t, l.Take(shop), qt.IsFalse)
 	_, _, ok = l.NextRequest(shop)
--- a/internal/transport/sessioner/admit.go
+++ b/internal/transport/sessioner/admit.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+
+	"oleanderpulley/internal/coordination/ratelimiter"
 	"oleanderpulley/internal/protocol/requester"
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
@@ -19,6 +22,7 @@
 	waitDeadline   time.Time // Until when the statement may wait to run.
 	searchDeadline time.Time // Until when to search for the leader.
 	trace          *trace
+	rateRefusal    ratelimiter.Reason // Set if the rate limit refused the statement.
 }
 
 // authorize checks the session's database and key against the catalog. The
@@ -92,10 +96,12 @@
 	if o.workspace == "" {
 		return o, requester.Result{}
 	}
-	retryAfter, ok := n.server.Admit(o.workspace, maxWait(o.route)/4)
+	err := n.server.Admit(o.workspace, maxWait(o.route)/4)
 	waited := time.Since(o.arrived)
-	if !ok {
-		return o, n.refusal(requester.Overloaded, "over the rate; retry after "+retryAfter.Round(time.Millisecond).String())
+	if err != nil {
+		o.rateRefusal = refusalReason(err)
+		n.countRateRefusal(o.rateRefusal)
+		return o, n.refusal(requester.Overloaded, err.Error())
 	}
 	if waited < time.Millisecond {
 		return o, requester.Result{}
@@ -109,3 +115,13 @@
 	}
 	return renewed, refusal
 }
+
+// refusalReason returns the label of the cause for which the rate limit refused
+// a statement.
+func refusalReason(err error) ratelimiter.Reason {
+	var refusal *ratelimiter.RefusalError
+	if errors.As(err, &refusal) {
+		return refusal.Reason()
+	}
+	return ""
+}
--- a/internal/transport/sessioner/log.go
+++ b/internal/transport/sessioner/log.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"oleanderpulley/internal/coordination/ratelimiter"
 	"oleanderpulley/internal/protocol/requester"
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
@@ -23,10 +24,22 @@
 }
 
 // logRefused logs and counts a statement that was not run.
-func (n *session) logRefused(event string, id requester.StatementID, r requester.Result) {
+func (n *session) logRefused(event string, id requester.StatementID, o operation, r requester.Result) {
 	n.server.Activity.Refused.Add(1)
 	n.countCode("statements_refused", r.Code)
-	n.server.Logger.Info().Str("event", event).Func(func(e *zerolog.Event) { n.addDecisionFields(e, id, r) }).Send()
+	n.server.Logger.Info().Str("event", event).Func(func(e *zerolog.Event) {
+		n.addDecisionFields(e, id, r)
+		if o.rateRefusal != "" {
+			e.Str("cause", string(o.rateRefusal)).Str("workspace", string(o.workspace))
+		}
+	}).Send()
+}
+
+// countRateRefusal counts a statement that the rate limit refused, by the cause.
+func (n *session) countRateRefusal(reason ratelimiter.Reason) {
+	if n.server.Registry != nil {
+		n.server.Registry.Count(reporter.Series{Name: "rate_refusals", Reason: string(reason)}, 1)
+	}
 }
 
 // addDecisionFields adds the result and the configuration state that it is based
--- a/internal/transport/sessioner/server.go
+++ b/internal/transport/sessioner/server.go
@@ -54,9 +54,9 @@
 	Logger   zerolog.Logger
 
 	// Admit charges one operation to the rate limit of the workspace, waiting
-	// for at most limit. If the rate is used up, it returns false and the time
-	// after which the client may retry.
-	Admit func(w identifier.WorkspaceName, limit time.Duration) (retryAfter time.Duration, ok bool)
+	// for at most limit. It refuses the operation with a
+	// [*ratelimiter.RefusalError].
+	Admit func(w identifier.WorkspaceName, limit time.Duration) error
 	// FetchPeerSample fetches a position sample of the service, taken at or
 	// after since, from the peers. It reports whether it got one. If
 	// FetchPeerSample is nil, peers are not queried.
--- a/internal/transport/sessioner/session.go
+++ b/internal/transport/sessioner/session.go
@@ -60,7 +60,7 @@
 	n.waitForCatalog(deadline)
 	o, refusal := n.authorize()
 	if refusal.Code != requester.OK {
-		n.logRefused("session_refused", "", refusal)
+		n.logRefused("session_refused", "", o, refusal)
 		n.client.Refuse(refusal)
 		return false
 	}
@@ -227,7 +227,7 @@
 	}
 	o, refusal := n.admit()
 	if refusal.Code != requester.OK {
-		n.logRefused("statement_refused", st.ID, refusal)
+		n.logRefused("statement_refused", st.ID, o, refusal)
 		return refusal
 	}
 	started := time.Now()
--- a/internal/transport/sessioner/transaction.go
+++ b/internal/transport/sessioner/transaction.go
@@ -31,7 +31,7 @@
 	}
 	o, refusal := n.admit()
 	if refusal.Code != requester.OK {
-		n.logRefused("statement_refused", st.ID, refusal)
+		n.logRefused("statement_refused", st.ID, o, refusal)
 		return refusal
 	}
 	n.tx = newTransaction(o, st.Kind)
