internal/coordination/ratelimiter: death of an owner, loss of power, random failures

Cause: after a loss of power the buckets began with a quarter of a second of the rate when the limits were known, although the processes had admitted nothing since their start 0.9 s before. With three owners the loss of one takes more of a rate than callers at five eighths of it can spare.

Change: the buckets of the first shares refill from the start of the process. A small rate has at least four owners where members and burst allow. The simulation gains the death of an owner (silent, or with closed connections), a loss of power, and random orders of floods, failures, removals, restarts, partitions and changes of the limit, in which the sum over all instances must stay within the limit.

--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -91,6 +91,8 @@
 	if err := s.startPeers(); err != nil {
 		return err
 	}
+	// Both addresses are bound, so that no previous process admits operations.
+	s.limiter.StartedAt = time.Now()
 	s.tasks.Go(func() { s.replacer.Run(ctx) })
 	s.tasks.Go(func() { s.runMaintenance(ctx) })
 	s.tasks.Go(func() { s.reaper.Run(ctx) })
--- a/internal/coordination/ratelimiter/ratelimiter.go
+++ b/internal/coordination/ratelimiter/ratelimiter.go
@@ -77,12 +77,12 @@
 }
 
 // Owners returns the number of instances among which a limit is divided: one
-// for each minOwnerRate in the rate, but at least one per data centre. There are
-// at most all members, and no more than have [minCapacity] each within the burst
-// and maxExtraBurst. Where most members can be owners, the rate is divided
-// further, because owners need no message for their own operations.
+// for each minOwnerRate in the rate, but at least minOwners and one per data
+// centre. There are at most all members, and no more than have minCapacity each
+// within the burst and maxExtraBurst. Where most members can be owners, the rate
+// is divided further, because owners need no message for their own operations.
 func Owners(l Limit, members, dataCentres int) int {
-	count := max(dataCentres, int(l.Rate/minOwnerRate))
+	count := max(minOwners, dataCentres, int(l.Rate/minOwnerRate))
 	if most := int(l.Rate / minMajorityOwnerRate); 2*most > members {
 		count = most
 	}
@@ -90,6 +90,9 @@
 }
 
 const (
+	// minOwners is the usual number of owners of a small rate. While one of them
+	// does not answer, the others yield three quarters of the rate.
+	minOwners = 4
 	// minOwnerRate is the smallest rate that an owner gets, in operations per
 	// second, unless each data centre needs an owner.
 	minOwnerRate = 20
@@ -114,9 +117,14 @@
 // nothing until [Limiter.Set] is called. It is safe for concurrent use.
 type Limiter struct {
 	Now func() time.Time // Nil selects time.Now.
+	// StartedAt is the time at which this process started, after the end of the
+	// previous process of this instance. The buckets of the first shares refill
+	// from then on. The zero time means the time of the first shares.
+	StartedAt time.Time
 
 	mu         sync.Mutex
 	shareStart time.Time // Start of the own fractions, after the JoinWait.
+	newSince   time.Time // From when new buckets refill, apart from minRestartTime.
 	self       identifier.InstanceID
 	shares     map[identifier.WorkspaceName]Share
 	buckets    map[identifier.WorkspaceName]*bucket
@@ -157,6 +165,10 @@
 	for w := range l.buckets {
 		l.bucket(w) // Refills by the old shares up to now.
 	}
+	l.newSince = l.now()
+	if l.shares == nil && !l.StartedAt.IsZero() {
+		l.newSince = l.StartedAt
+	}
 	l.self = self
 	l.shares = shares
 	l.peers.update(self, members)
@@ -287,7 +299,7 @@
 		// A new bucket starts with the refill of one restart instead of a
 		// full burst: the previous process of this instance may have spent
 		// that burst just before.
-		b = &bucket{refilledAt: now.Add(-minRestartTime)}
+		b = &bucket{refilledAt: l.newSince.Add(-minRestartTime)}
 		if l.shareStart.After(b.refilledAt) {
 			b.refilledAt = l.shareStart
 		}
--- a/internal/coordination/ratelimiter/simulation_test.go
+++ b/internal/coordination/ratelimiter/simulation_test.go
@@ -12,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
+	"pgregory.net/rapid"
 
 	"oleanderpulley/internal/state/identifier"
 )
@@ -24,6 +25,8 @@
 	random            *rand.Rand
 	nodes             []*node
 	report            report
+	limits            []limitChange
+	isPartitioned     func(from, to int) bool
 
 	mu        sync.Mutex
 	attempts  sync.WaitGroup
@@ -37,6 +40,8 @@
 	limiter  *Limiter
 	admitter *Admitter
 	silent   bool    // Gets no messages and answers none.
+	closed   bool    // Its connections are closed, so that requests are not sent.
+	removed  bool    // Is in no member list.
 	given    float64 // Tokens that peers transferred to it.
 	admitted int
 }
@@ -47,7 +52,8 @@
 	messages                          int
 	waits                             time.Duration
 	longestWait                       time.Duration
-	idleTokens                        float64 // Sum over the wrongful refusals of the whole tokens in the buckets of all instances.
+	idleTokens                        float64 // Whole tokens in the buckets of all instances, summed over idleSamples.
+	idleSamples                       int     // Wrongful refusals at which the tokens were counted.
 	lapsed                            float64 // Transferred tokens that were not spent at instances that own nothing.
 	admitted                          []time.Time
 	retries                           []time.Duration
@@ -88,19 +94,26 @@
 		s.nodes = append(s.nodes, &node{index: i, peer: peer})
 	}
 	for _, n := range s.nodes {
-		s.restart(n)
+		s.restart(n, 0)
 	}
 	s.reference = referenceBucket{limit, limit.Burst, time.Now()}
+	s.limits = []limitChange{{time.Now(), limit}}
 	s.reset()
 	return s
 }
 
-// restart replaces the process of an instance by a new one.
-func (s *simulation) restart(n *node) {
-	n.limiter = &Limiter{}
-	n.admitter = &Admitter{Limiter: n.limiter, Request: func(ctx context.Context, to identifier.InstanceID, request TokenRequest) (Grant, error) {
+// restart replaces the process of an instance by a new one, which knows the
+// limits after startup.
+func (s *simulation) restart(n *node, startup time.Duration) {
+	limiter := &Limiter{StartedAt: time.Now()}
+	s.mu.Lock()
+	n.limiter = limiter
+	n.admitter = &Admitter{Limiter: limiter, Request: func(ctx context.Context, to identifier.InstanceID, request TokenRequest) (Grant, error) {
 		return s.send(ctx, n, to, request)
 	}}
+	n.silent, n.closed = false, false
+	s.mu.Unlock()
+	time.Sleep(startup)
 	s.setShares(n)
 }
 
@@ -109,14 +122,37 @@
 	share := Share{Limit: s.limit}
 	peers := make([]Peer, 0, s.size)
 	for _, m := range s.nodes {
-		peers = append(peers, m.peer)
+		if !m.removed {
+			peers = append(peers, m.peer)
+		}
 	}
-	for _, p := range peers[:Owners(s.limit, s.size, s.dataCentres)] {
+	for _, p := range peers[:Owners(s.limit, len(peers), s.dataCentres)] {
 		share.Owners = append(share.Owners, p.ID)
 	}
-	n.limiter.Set(map[identifier.WorkspaceName]Share{shop: share}, n.peer.ID, peers)
+	s.mu.Lock()
+	limiter := n.limiter
+	s.mu.Unlock()
+	limiter.Set(map[identifier.WorkspaceName]Share{shop: share}, n.peer.ID, peers)
+}
+
+// updateShares passes the limit and the member list to all instances, within the
+// time that a change takes to reach them.
+func (s *simulation) updateShares() {
+	for _, n := range s.nodes {
+		if !n.removed {
+			delay := time.Duration(s.random.Int64N(int64(propagation)))
+			s.attempts.Go(func() {
+				time.Sleep(delay)
+				s.setShares(n)
+			})
+		}
+	}
 }
 
+// propagation is the longest time from the first instance that knows a change of
+// the catalog to the last one.
+const propagation = 800 * time.Millisecond
+
 // send delivers a request after half of the round trip and its grant after the
 // other half.
 func (s *simulation) send(ctx context.Context, from *node, to identifier.InstanceID, request TokenRequest) (Grant, error) {
@@ -127,10 +163,16 @@
 		}
 	}
 	s.mu.Lock()
-	s.report.messages++
-	silent := target.silent
+	silent, closed, limiter := target.silent, target.closed, target.limiter
+	partitioned := s.isPartitioned != nil && s.isPartitioned(from.index, target.index)
+	if !closed {
+		s.report.messages++
+	}
 	s.mu.Unlock()
-	if silent {
+	if closed {
+		return Grant{}, ErrNotConnected
+	}
+	if silent || partitioned {
 		<-ctx.Done()
 		return Grant{}, ctx.Err()
 	}
@@ -139,7 +181,7 @@
 		delay = localRoundTrip
 	}
 	time.Sleep(delay / 2)
-	g := target.limiter.Give(request)
+	g := limiter.Give(request)
 	time.Sleep(delay / 2)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -156,7 +198,7 @@
 			break
 		}
 		n := s.nodes[choose()]
-		if n.silent {
+		if s.isDown(n) {
 			continue
 		}
 		s.attempts.Go(func() { s.attempt(n) })
@@ -164,6 +206,12 @@
 	s.attempts.Wait()
 }
 
+func (s *simulation) isDown(n *node) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return n.silent || n.closed
+}
+
 // attempt admits one operation at the instance and records the result.
 func (s *simulation) attempt(n *node) {
 	s.mu.Lock()
@@ -172,14 +220,18 @@
 	if owed {
 		s.report.owed++
 	}
+	admitter := n.admitter
 	s.mu.Unlock()
 	began := time.Now()
-	err := n.admitter.Admit(shop, attemptWait)
+	err := admitter.Admit(shop, attemptWait)
 	waited := time.Since(began)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.report.waits += waited
 	s.report.longestWait = max(s.report.longestWait, waited)
+	if n.silent || n.closed || n.admitter != admitter {
+		return // The process has ended.
+	}
 	if err == nil {
 		n.admitted++
 		s.report.admitted = append(s.report.admitted, time.Now())
@@ -194,7 +246,8 @@
 	if owed {
 		s.report.wrongful++
 		if s.report.wrongful%16 == 1 { // A sample, because it visits all instances.
-			s.report.idleTokens += 16 * s.wholeTokens()
+			s.report.idleTokens += s.wholeTokens()
+			s.report.idleSamples++
 		}
 	}
 }
@@ -241,7 +294,7 @@
 
 func (r report) String() string {
 	return fmt.Sprintf("attempts %d owed %d refused %d wrongful %.2f%% idle/wrongful %.1f lapsed %.0f wait %v (max %v) messages/attempt %.2f served/owed %.3f most in 5 s %d %v",
-		r.attempts, r.owed, r.refused, 100*r.wrongfulShare(), r.idleTokens/float64(max(1, r.wrongful)), r.lapsed,
+		r.attempts, r.owed, r.refused, 100*r.wrongfulShare(), r.idleTokens/float64(max(1, r.idleSamples)), r.lapsed,
 		(r.waits / time.Duration(max(1, r.attempts))).Round(100*time.Microsecond), r.longestWait, r.messagesPerAttempt(), r.servedShare(), r.mostInWindow(), r.reasons)
 }
 
@@ -255,6 +308,7 @@
 	r.waits += o.waits
 	r.longestWait = max(r.longestWait, o.longestWait)
 	r.idleTokens += o.idleTokens
+	r.idleSamples += o.idleSamples
 	r.lapsed += o.lapsed
 	for reason, n := range o.reasons {
 		r.reasons[reason] += n
@@ -371,3 +425,199 @@
 	})
 	return r
 }
+
+// fail ends the process of an instance.
+func (s *simulation) fail(n *node, closed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n.silent, n.closed = !closed, closed
+}
+
+// removalDelay is the time from the end of an instance until others remove its
+// registration.
+const removalDelay = 8 * time.Second
+
+// Guards against the loss of more than an owner's fraction while the owner does
+// not answer, and against refusals of operations that wait for its answer.
+func TestSimulatedDeathOfAnOwner(t *testing.T) {
+	for _, z := range everySize {
+		for _, closed := range []bool{false, true} {
+			t.Run(fmt.Sprint(z.size, "/closed=", closed), func(t *testing.T) {
+				sum := report{reasons: map[Reason]int{}}
+				for _, rate := range []float64{1, 3, 10, 50} {
+					for _, c := range everyCallers {
+						limit := Limit{rate, rate}
+						r := simulate(t, 1, z.size, z.dataCentres, limit, func(s *simulation) {
+							choose := c.make(s)
+							s.run(5*time.Second, rate*0.625, choose)
+							s.reset()
+							owner := s.nodes[(s.size-1)%z.dataCentres] // In the data centre of the single caller.
+							s.fail(owner, closed)
+							s.run(removalDelay, rate*0.625, choose)
+							owner.removed = true
+							s.updateShares()
+							s.run(4*time.Second, rate*0.625, choose)
+						})
+						t.Logf("%v/%s: %v", rate, c.name, r)
+						qt.Check(t, r.mostInWindow() <= quota(limit), qt.IsTrue, qt.Commentf("%v/%s: %d", rate, c.name, r.mostInWindow()))
+						sum.add(r)
+					}
+				}
+				t.Logf("all: %v", sum)
+				qt.Check(t, sum.wrongfulShare() < 0.02, qt.IsTrue, qt.Commentf("wrongful %.4f", sum.wrongfulShare()))
+			})
+		}
+	}
+}
+
+// Guards against refusals after a loss of power: the buckets began with a quarter
+// of a second of the rate when the limits were known, although nothing had been
+// admitted since the processes had started.
+func TestSimulatedLossOfPower(t *testing.T) {
+	const powerless, startup = 1400 * time.Millisecond, 900 * time.Millisecond
+	for _, z := range everySize {
+		t.Run(fmt.Sprint(z.size), func(t *testing.T) {
+			sum := report{reasons: map[Reason]int{}}
+			for _, rate := range []float64{1, 3, 10, 50} {
+				for _, c := range everyCallers {
+					limit := Limit{rate, rate}
+					r := simulate(t, 1, z.size, z.dataCentres, limit, func(s *simulation) {
+						choose := c.make(s)
+						s.run(5*time.Second, rate*0.625, choose)
+						time.Sleep(powerless)
+						for _, n := range s.nodes {
+							s.attempts.Go(func() { s.restart(n, startup) })
+						}
+						s.attempts.Wait()
+						s.reset()
+						s.run(time.Second, rate*1.5, choose) // Callers return.
+						s.run(4*time.Second, rate*0.625, choose)
+					})
+					t.Logf("%v/%s: %v", rate, c.name, r)
+					qt.Check(t, r.mostInWindow() <= quota(limit), qt.IsTrue, qt.Commentf("%v/%s: %d", rate, c.name, r.mostInWindow()))
+					sum.add(r)
+				}
+			}
+			t.Logf("all: %v", sum)
+			qt.Check(t, sum.wrongfulShare() < 0.03, qt.IsTrue, qt.Commentf("wrongful %.4f", sum.wrongfulShare()))
+		})
+	}
+}
+
+// limitChange is the limit from a time on.
+type limitChange struct {
+	at    time.Time
+	limit Limit
+}
+
+// setLimit changes the limit at all instances, within the time that a change
+// takes to reach them.
+func (s *simulation) setLimit(l Limit) {
+	s.mu.Lock()
+	s.limit, s.reference.limit = l, l
+	s.limits = append(s.limits, limitChange{time.Now(), l})
+	s.mu.Unlock()
+	s.updateShares()
+}
+
+// excess returns by how many operations the fullest quotaWindow exceeds the
+// largest limit that was in force at an instance within it.
+func (s *simulation) excess() int {
+	excess, first := math.MinInt, 0
+	for i, t := range s.report.admitted {
+		for t.Sub(s.report.admitted[first]) > quotaWindow {
+			first++
+		}
+		allowed := 0
+		for j, c := range s.limits {
+			ended := j+1 < len(s.limits) && s.limits[j+1].at.Add(propagation).Before(s.report.admitted[first])
+			if !ended && !c.at.After(t) {
+				allowed = max(allowed, quota(c.limit))
+			}
+		}
+		excess = max(excess, i-first+1-allowed)
+	}
+	return excess
+}
+
+// rejoin starts an instance again, which registers if it was removed.
+func (s *simulation) rejoin(n *node) {
+	if !n.removed {
+		s.restart(n, 0)
+		return
+	}
+	n.removed = false
+	s.restart(n, 0)
+	n.limiter.MarkRegistered()
+	s.updateShares()
+}
+
+// disturb changes the simulation at random.
+func (s *simulation) disturb(kind int) {
+	n := s.nodes[s.random.IntN(min(s.size, 8))]
+	switch kind {
+	case 0:
+		s.fail(n, s.random.IntN(2) == 0)
+	case 1:
+		for _, n := range s.nodes {
+			if s.isDown(n) && !n.removed {
+				n.removed = true
+			}
+		}
+		s.updateShares()
+	case 2:
+		if s.isDown(n) {
+			time.Sleep(minRestartTime)
+			s.rejoin(n)
+		}
+	case 3:
+		for _, n := range s.nodes {
+			s.fail(n, false)
+		}
+		time.Sleep(minRestartTime)
+		for _, n := range s.nodes {
+			s.rejoin(n)
+		}
+	case 4:
+		rate := float64(1 + s.random.IntN(50))
+		s.setLimit(Limit{rate, float64(1+s.random.IntN(20)) / 10 * rate})
+	case 5:
+		parts := 1 + s.random.IntN(3)
+		s.mu.Lock()
+		s.isPartitioned = func(i, j int) bool { return i%parts != j%parts }
+		s.mu.Unlock()
+	default: // The load alone.
+	}
+}
+
+// disturbances is the number of kinds of [simulation.disturb].
+const disturbances = 7
+
+// Guards against a sum over all instances beyond the limit, in any order of
+// floods, failures, removals, restarts, partitions and changes of the limit.
+func TestSimulatedSumStaysWithinTheLimit(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		size := rapid.IntRange(1, 20).Draw(rt, "size")
+		dataCentres := rapid.IntRange(1, 5).Draw(rt, "data centres")
+		rate := float64(rapid.IntRange(1, 50).Draw(rt, "rate"))
+		limit := Limit{rate, max(1, rate*rapid.Float64Range(0.1, 3).Draw(rt, "burst"))}
+		kinds := rapid.SliceOfN(rapid.IntRange(0, disturbances-1), 1, 8).Draw(rt, "kinds")
+		spans := rapid.SliceOfN(rapid.IntRange(50, 2000), len(kinds), len(kinds)).Draw(rt, "spans")
+		callers := rapid.SampledFrom(everyCallers).Draw(rt, "callers")
+		excess := 0
+		simulate(t, seed, size, dataCentres, limit, func(s *simulation) {
+			choose := callers.make(s)
+			time.Sleep(3 * time.Second) // Fills the buckets.
+			for i, kind := range kinds {
+				s.run(time.Duration(spans[i])*time.Millisecond, 7.5*s.limit.Rate, choose)
+				s.disturb(kind)
+			}
+			s.run(2*time.Second, 7.5*s.limit.Rate, choose)
+			excess = s.excess()
+		})
+		if excess > 0 {
+			rt.Fatalf("%d operations beyond the limit", excess)
+		}
+	})
+}
