internal/command/runner: evacuation of a data centre

An operator could not take the backend servers of a data centre out of use on the own interface: draining is a state in the platform's list, and it lets reads that no other server covers, and open transactions, go on.

The configuration has the field evacuated_data_centres, which a patch or the commands "admin evacuate" and "admin return" change. The router sends no read to such a server, and no write after the grace period of a draining primary; the promoter replaces a primary there as a draining one, and nothing is promoted in a group of which only evacuated members are known. A service without other servers is refused at once. After the grace period open transactions are rolled back, running statements interrupted, and connections closed.

--- a/internal/command/commander/admin.go
+++ b/internal/command/commander/admin.go
@@ -23,7 +23,8 @@
 	flags.StringVar(&client.caFile, "ca-file", "", "CA certificate file for the API's certificate; default: the system's CAs")
 	flags.StringVarP(&client.output, "output", "o", "table", "output format: table or json")
 	c.AddCommand(newAdminGet(client), newAdminPatch(client), newAdminHistory(client), newAdminRollback(client),
-		newAdminWorkspace(client), newAdminKey(client), newAdminStatus(client), newAdminRetire(client))
+		newAdminWorkspace(client), newAdminKey(client), newAdminStatus(client), newAdminRetire(client),
+		newAdminEvacuate(client), newAdminReturn(client))
 	return c
 }
 
--- a/internal/command/runner/clients.go
+++ b/internal/command/runner/clients.go
@@ -33,6 +33,7 @@
 			RouteRead:       r.routeRead,
 			RouteWrite:      r.routeWrite,
 			HoldsWriteRight: r.confirmer.Valid,
+			MayUse:          r.evacuations.mayUse,
 			AcquireSlot:     r.dispatcher.Acquire,
 			SampledPosition: func(service identifier.ServiceName, after time.Time) (identifier.Position, bool) {
 				// Term 0: the session itself compares the term of a write.
@@ -84,12 +85,16 @@
 }
 
 // acceptorChoice adds the address of the backend server to a routing decision, and
-// converts [router.ErrPositionLost] into the refusal that is sent to the client.
+// converts [router.ErrPositionLost] and [router.ErrEvacuated] into the refusals that
+// are sent to the client.
 // After any other error, nothing was sent to a backend server.
 func (r *Runner) acceptorChoice(c router.Choice, err error) (acceptor.Target, error) {
 	if errors.Is(err, router.ErrPositionLost) {
 		return acceptor.Target{}, refuser.New(refuser.PositionLost, err.Error())
 	}
+	if errors.Is(err, router.ErrEvacuated) {
+		return acceptor.Target{}, refuser.New(refuser.Evacuated, err.Error())
+	}
 	if err != nil {
 		return acceptor.Target{}, err
 	}
--- a/internal/command/runner/failover.go
+++ b/internal/command/runner/failover.go
@@ -44,6 +44,10 @@
 			_, draining := r.lister.LeavingSince(string(server))
 			return draining
 		},
+		Evacuated: func(server identifier.BackendServerID) bool {
+			_, evacuated := r.evacuations.since(server)
+			return evacuated
+		},
 		OnTermOpened: r.notifyTermOpened,
 		OnStep:       r.recordFailover,
 	}
--- a/internal/command/runner/follow.go
+++ b/internal/command/runner/follow.go
@@ -16,6 +16,7 @@
 		changed := r.distributor.Changes()
 		if view, err := r.distributor.Current(); err == nil && view != applied {
 			applied = view
+			r.evacuations.current() // Starts the grace period also without traffic.
 			r.applyConfiguration(view)
 		}
 		select {
--- a/internal/command/runner/groups.go
+++ b/internal/command/runner/groups.go
@@ -27,6 +27,7 @@
 
 func (r *Runner) buildGroups() {
 	s := r.Settings
+	r.evacuations.view, r.evacuations.logger = r.distributor.Current, r.Logger
 	r.pooler = &pooler.Pooler{
 		User: s.Backend.User, Password: s.Backend.Password, Application: string(s.InstanceID), DataCentre: s.DataCentre,
 		MaxConnections: r.dispatcher.Budget, OnTooManyConnections: r.dispatcher.ReportTooManyConnections,
@@ -53,6 +54,7 @@
 		LeavingSince: func(server identifier.BackendServerID) (time.Time, bool) {
 			return r.lister.LeavingSince(string(server))
 		},
+		EvacuatedSince: r.evacuations.since,
 		Suspected: func(service identifier.ServiceName) bool {
 			server, _, ok := r.groups.Get(service).Primary()
 			return ok && r.prober.Suspected(service, server)
--- a/internal/command/runner/runner.go
+++ b/internal/command/runner/runner.go
@@ -61,6 +61,7 @@
 	registry            reporter.Registry
 	series              seriesCache
 	backendServers      backendServersPointer
+	evacuations         evacuations
 	instanceCount       atomic.Int64                    // Length of the platform's instance list.
 	instanceListChanges atomic.Int64                    // Number of changes of the instance list.
 	services            map[identifier.ServiceName]bool // Used by followConfiguration only.
@@ -107,6 +108,7 @@
 	if err := r.startClients(); err != nil {
 		return err
 	}
+	r.tasks.Go(func() { r.enforceEvacuations(lifetime) })
 	r.Logger.Info().Str("event", "instance_started").Str("clients", r.addresses.Clients).
 		Str("admin", r.addresses.Admin).Str("peers", r.addresses.Peers).Str("metrics", r.addresses.Metrics).Send()
 	return nil
--- a/internal/command/runner/status.go
+++ b/internal/command/runner/status.go
@@ -12,6 +12,7 @@
 	Reasons       []string                `json:"reasons,omitempty"`
 	Configuration distributor.Status      `json:"configuration"`
 	Groups        map[string]GroupStatus  `json:"groups"`
+	Evacuations   []EvacuationStatus      `json:"evacuations,omitempty"`
 	Traffic       Traffic                 `json:"traffic"`
 	Instances     []identifier.InstanceID `json:"instances"`
 }
@@ -39,6 +40,7 @@
 		Reasons:       r.NotReadyReasons(),
 		Configuration: r.distributor.Status(),
 		Groups:        map[string]GroupStatus{},
+		Evacuations:   r.evacuationStatuses(),
 		Traffic: Traffic{
 			PeerMessagesSent:     r.messenger.Counters.MessagesSent.Load(),
 			PeerMessagesReceived: r.messenger.Counters.MessagesReceived.Load(),
--- a/internal/coordination/promoter/instance_test.go
+++ b/internal/coordination/promoter/instance_test.go
@@ -92,6 +92,11 @@
 		defer m.mu.Unlock()
 		return m.draining == s
 	}
+	i.Evacuated = func(s identifier.BackendServerID) bool {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return m.evacuated[s]
+	}
 	i.NewAttemptID = func() string {
 		if disabled.attemptID {
 			return "attempt"
--- a/internal/coordination/promoter/model_test.go
+++ b/internal/coordination/promoter/model_test.go
@@ -30,6 +30,7 @@
 	loseAnswers   bool            // Updates of the platform take effect, but return an error.
 	partitioned   map[string]bool // Partitioned links, "caller/server" or "server/server".
 	draining      identifier.BackendServerID
+	evacuated     map[identifier.BackendServerID]bool
 	maxDelay      time.Duration // Limit for the usual one-way delay of a message; 1 in 20 takes 20 times as long.
 	seed          uint64
 	messages      map[string]uint64
@@ -70,7 +71,8 @@
 func newModel(seed uint64, n int) *model {
 	m := &model{
 		members: map[identifier.BackendServerID]*modelMember{}, partitioned: map[string]bool{},
-		messages: map[string]uint64{}, extraDelay: map[string]time.Duration{}, seed: seed, maxDelay: 20 * time.Millisecond,
+		evacuated: map[identifier.BackendServerID]bool{},
+		messages:  map[string]uint64{}, extraDelay: map[string]time.Duration{}, seed: seed, maxDelay: 20 * time.Millisecond,
 	}
 	for i := range n {
 		id := identifier.BackendServerID(fmt.Sprintf("m%d", i))
--- a/internal/coordination/promoter/open.go
+++ b/internal/coordination/promoter/open.go
@@ -170,7 +170,9 @@
 
 // chooseCandidate returns the member with the longest log of the newest term. If
 // several have it, it prefers a member that is not draining, then the previous
-// primary.
+// primary. A draining member that alone has the longest log is chosen, because
+// the others lack writes that may have been acknowledged; a later attempt hands
+// its log over.
 func (a *attempt) chooseCandidate(answers map[identifier.BackendServerID]tracker.MemberStatus) (identifier.BackendServerID, error) {
 	var best tracker.MemberStatus
 	for _, server := range a.record.Members {
--- a/internal/coordination/promoter/promoter.go
+++ b/internal/coordination/promoter/promoter.go
@@ -67,6 +67,10 @@
 	// Leaving reports whether the backend server is draining. Nil means that
 	// none is.
 	Leaving func(server identifier.BackendServerID) bool
+	// Evacuated reports whether the data centre of the backend server is
+	// evacuated. Such a server counts as draining; a group of which only such
+	// servers are known gets no new primary. Nil means that none is.
+	Evacuated func(server identifier.BackendServerID) bool
 	// OnTermOpened is called when a term has a primary, so that this instance
 	// and its peers sample the group at once. It is optional.
 	OnTermOpened func(service identifier.ServiceName, term identifier.Term)
--- a/internal/coordination/promoter/reason.go
+++ b/internal/coordination/promoter/reason.go
@@ -16,7 +16,7 @@
 	None       Reason = ""
 	Failed     Reason = "failed"     // The primary is suspected to have failed.
 	Unfinished Reason = "unfinished" // There is no usable primary, because an attempt was not completed.
-	Leave      Reason = "leave"      // The primary is draining.
+	Leave      Reason = "leave"      // The primary is draining or its data centre is evacuated.
 	Repair     Reason = "repair"     // A member follows no primary or one of an older term.
 )
 
@@ -26,6 +26,9 @@
 	g := p.Group(service)
 	primary, term, ok := g.Primary()
 	statuses := g.Statuses()
+	if p.onlyEvacuated(statuses) {
+		return None
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	state := p.serviceState(service)
@@ -81,6 +84,23 @@
 	return false
 }
 
+// onlyEvacuated reports whether all members with a log that are known are in
+// evacuated data centres. Nothing is sent to them then, so that a primary would
+// serve nobody.
+func (p *Promoter) onlyEvacuated(statuses []tracker.MemberStatus) bool {
+	evacuated := false
+	for _, st := range statuses {
+		if st.Term == 0 {
+			continue
+		}
+		if !p.isEvacuated(st.Server) {
+			return false
+		}
+		evacuated = true
+	}
+	return evacuated
+}
+
 // needsRepair reports whether the member has an older term than the primary, has
 // promised no later one, and was not repaired recently. The caller must hold mu.
 func (p *Promoter) needsRepair(state *serviceState, st tracker.MemberStatus, primary identifier.BackendServerID, term identifier.Term, now time.Time) bool {
@@ -123,6 +143,12 @@
 	return ""
 }
 
+// isDraining reports whether the backend server is to be replaced as primary,
+// because it is draining or its data centre is evacuated.
 func (p *Promoter) isDraining(server identifier.BackendServerID) bool {
-	return p.Leaving != nil && p.Leaving(server)
+	return p.Leaving != nil && p.Leaving(server) || p.isEvacuated(server)
+}
+
+func (p *Promoter) isEvacuated(server identifier.BackendServerID) bool {
+	return p.Evacuated != nil && p.Evacuated(server)
 }
--- a/internal/coordination/router/doc.go
+++ b/internal/coordination/router/doc.go
@@ -10,5 +10,7 @@
 // Invariants: the primary is chosen only while the instance holds the write
 // right for its term (see package confirmer); a replica is chosen only if it
 // covers the floor or its data are within the accepted age; a draining backend
-// server is not chosen for a write, nor for a read that another one can serve.
+// server is not chosen for a write, nor for a read that another one can serve; a
+// backend server in an evacuated data centre is not chosen for a read, and for a
+// write only while its successor takes over, at most for the grace period.
 package router
--- a/internal/coordination/router/read.go
+++ b/internal/coordination/router/read.go
@@ -31,7 +31,8 @@
 // RouteRead returns a replica that covers the floor or whose data are within the
 // accepted age, or else the primary. It waits for a replica if the wait is
 // expected to cost less than the primary, and for the first sample after the
-// start of a session.
+// start of a session. It returns [ErrEvacuated] at once if no backend server may
+// be used.
 func (r *Router) RouteRead(service identifier.ServiceName, rd Read) (Choice, error) {
 	r.keepSampled(service)
 	start := r.now()
@@ -40,6 +41,9 @@
 	}
 	g := r.Group(service)
 	for {
+		if err := r.checkEvacuation(service); err != nil {
+			return Choice{}, err
+		}
 		changed := g.Changed()
 		waitFutile := r.isWaitFutile(service, g, start)
 		c, wait, err := r.tryRead(service, g, rd, r.now().Sub(start))
@@ -109,7 +113,7 @@
 			return Choice{}, 0, r.noFloorError(service, g)
 		}
 	}
-	primary, err := r.primary(service, g)
+	primary, err := r.primaryForRead(service, g)
 	if !rd.FloorKnown {
 		return primary, 0, err
 	}
--- a/internal/coordination/router/router.go
+++ b/internal/coordination/router/router.go
@@ -18,6 +18,7 @@
 	ErrPositionLost   = errors.New("session position no longer reachable")
 	ErrNoReplica      = errors.New("no backend server covers the session position")
 	ErrUnknownService = errors.New("service has no backend servers")
+	ErrEvacuated      = errors.New("every backend server of the service is in an evacuated data centre")
 )
 
 // Default limits.
@@ -26,9 +27,9 @@
 	// in use has no right until its members have been sampled.
 	DefaultWriteWait = time.Second
 	// DefaultLeavingGrace is how long statements are still routed to a draining
-	// primary while its successor takes over. Together with the second that
-	// polling the list of draining backend servers takes, it ends within three
-	// seconds of the listing.
+	// primary, and writes to one in an evacuated data centre, while its successor
+	// takes over. Together with the second that polling the list of draining
+	// backend servers takes, it ends within three seconds of the listing.
 	DefaultLeavingGrace = 1500 * time.Millisecond
 )
 
@@ -48,6 +49,9 @@
 	// draining, and false if it is not. Nil means that no backend server is
 	// draining.
 	LeavingSince func(server identifier.BackendServerID) (time.Time, bool)
+	// EvacuatedSince returns since when the data centre of a backend server has
+	// been evacuated, and false if it is not. Nil means that none is.
+	EvacuatedSince func(server identifier.BackendServerID) (time.Time, bool)
 	// Outstanding returns the number of statements that run or wait at a
 	// backend server. Nil means 0.
 	Outstanding func(server identifier.BackendServerID) int
@@ -83,12 +87,16 @@
 
 // RouteWrite returns the primary if the instance holds the write right for its
 // term. Otherwise it returns [ErrNoPrimary] or [ErrNoRight]: immediately if
-// further waiting is futile, and else after [Router.WriteWait].
+// further waiting is futile, and else after [Router.WriteWait]. It returns
+// [ErrEvacuated] at once if no backend server may be used.
 func (r *Router) RouteWrite(service identifier.ServiceName) (Choice, error) {
 	r.keepSampled(service)
 	start := r.now()
 	g := r.Group(service)
 	for {
+		if err := r.checkEvacuation(service); err != nil {
+			return Choice{}, err
+		}
 		changed := g.Changed()
 		waitFutile := r.isWaitFutile(service, g, start)
 		c, err := r.primary(service, g)
@@ -113,7 +121,7 @@
 		return Choice{}, errors.WithStack(ErrNoPrimary)
 	}
 	if since, draining := r.draining(server); draining && r.now().Sub(since) > r.drainingGrace() {
-		return Choice{}, errors.Wrapf(ErrNoPrimary, "%s is leaving", server)
+		return Choice{}, r.leavingError(server)
 	}
 	if !r.HasWriteRight(service, term) {
 		return Choice{}, errors.Wrapf(ErrNoRight, "term %d", term)
@@ -134,11 +142,18 @@
 	return members == 0 || g.CountAnswered(start) >= members
 }
 
+// draining returns since when the backend server has been draining or its data
+// centre evacuated, and false if neither is the case.
 func (r *Router) draining(server identifier.BackendServerID) (time.Time, bool) {
+	evacuatedSince, evacuated := r.evacuated(server)
 	if r.LeavingSince == nil {
-		return time.Time{}, false
+		return evacuatedSince, evacuated
+	}
+	since, leaving := r.LeavingSince(server)
+	if !leaving || evacuated && evacuatedSince.Before(since) {
+		return evacuatedSince, evacuated
 	}
-	return r.LeavingSince(server)
+	return since, true
 }
 
 func (r *Router) keepSampled(service identifier.ServiceName) {
--- a/internal/protocol/refuser/refusal.go
+++ b/internal/protocol/refuser/refusal.go
@@ -30,6 +30,7 @@
 	ReadOnly                        // A write on a read-only route.
 	IdleTransaction                 // The client left a transaction idle for too long.
 	StatementExists                 // A prepared statement with this name exists.
+	Evacuated                       // Not run: the data centres of the backend servers are evacuated.
 )
 
 var cases = [...]struct {
@@ -54,6 +55,7 @@
 	ReadOnly:            {"25006", "not run: route is read-only", false, 0},
 	IdleTransaction:     {"25P03", "terminating connection due to idle-in-transaction timeout", true, 0},
 	StatementExists:     {"42P05", "not run: prepared statement already exists", false, 0},
+	Evacuated:           {"57P03", "not run: evacuation", false, time.Second},
 }
 
 // RefusalError is an error that is sent to a client.
--- a/internal/state/configurer/document.go
+++ b/internal/state/configurer/document.go
@@ -11,6 +11,10 @@
 	Workspaces map[identifier.WorkspaceName]Workspace `json:"workspaces"`
 	Keys       map[identifier.KeyID]Key               `json:"keys"`
 	Routes     map[string]Route                       `json:"routes"`
+	// EvacuatedDataCentres are the data centres to whose backend servers no
+	// statements are sent. The field is absent from the encoding if it is empty,
+	// so that instances that do not know it can read such a document.
+	EvacuatedDataCentres []identifier.DataCentre `json:"evacuated_data_centres,omitempty"`
 
 	keysByHash map[string]identifier.KeyID // Set by indexKeys.
 }
--- a/internal/state/configurer/validate.go
+++ b/internal/state/configurer/validate.go
@@ -60,6 +60,7 @@
 	checkEntries(c, "/workspaces", d.Workspaces, c.checkWorkspace)
 	c.checkKeys()
 	checkEntries(c, "/routes", d.Routes, c.checkRoute)
+	c.checkEvacuations()
 	if len(c.errors) == 0 {
 		return nil
 	}
@@ -83,7 +84,7 @@
 	for _, section := range []struct {
 		path  string
 		count int
-	}{{"/services", len(d.Services)}, {"/workspaces", len(d.Workspaces)}, {"/keys", len(d.Keys)}, {"/routes", len(d.Routes)}} {
+	}{{"/services", len(d.Services)}, {"/workspaces", len(d.Workspaces)}, {"/keys", len(d.Keys)}, {"/routes", len(d.Routes)}, {"/evacuated_data_centres", len(d.EvacuatedDataCentres)}} {
 		if section.count > maxEntries {
 			c.addError(section.path, "has %d entries, at most %d are allowed", section.count, maxEntries)
 		}
@@ -161,6 +162,19 @@
 	}
 }
 
+func (c *checker) checkEvacuations() {
+	evacuated := c.document.EvacuatedDataCentres
+	for i, dc := range evacuated {
+		path := fmt.Sprintf("/evacuated_data_centres/%d", i)
+		if !c.document.HasServersIn(dc) {
+			c.addError(path, "data centre %.60q has no backend servers", dc)
+		}
+		if slices.Index(evacuated, dc) < i {
+			c.addError(path, "data centre %.60q is listed twice", dc)
+		}
+	}
+}
+
 // checkEntries checks the names of the entries and calls check for each entry.
 // It iterates in sorted order, so that the order of the errors is stable.
 func checkEntries[K ~string, V any](c *checker, path string, entries map[K]V, check func(path string, v V)) {
--- a/internal/transport/acceptor/batch.go
+++ b/internal/transport/acceptor/batch.go
@@ -22,6 +22,7 @@
 	beginsTx        bool
 	readOnlyTx      bool
 	endsTx          bool
+	rollsBack       bool // The only statement rolls the transaction back.
 	usesSavepoint   bool
 	setsState       bool
 	proxyMessages   int      // Number of messages that the proxy answers itself.
--- a/internal/transport/acceptor/execute.go
+++ b/internal/transport/acceptor/execute.go
@@ -96,6 +96,8 @@
 		return err
 	case b.sent, b.sentBefore:
 		return refuser.New(refuser.OutcomeUnknown, err.Error())
+	case errors.Is(err, ErrEvacuated):
+		return refuser.New(refuser.Evacuated, err.Error())
 	}
 	// These errors include addresses of backend servers, which must not be
 	// disclosed to the client.
--- a/internal/transport/acceptor/handle.go
+++ b/internal/transport/acceptor/handle.go
@@ -100,8 +100,14 @@
 	if err := s.planBatch(b); err != nil {
 		return err
 	}
+	if err := s.releaseEvacuated(); err != nil {
+		return err
+	}
 	switch {
 	case s.txAborted:
+		if err := s.takeAbortCause(b); err != nil {
+			return err
+		}
 		return s.respondAborted(b)
 	case b.proxyMessages > 0 && s.awaitingSync:
 		return refuser.New(refuser.Unsupported, "a statement of the proxy between Flush and Sync")
--- a/internal/transport/acceptor/hooks.go
+++ b/internal/transport/acceptor/hooks.go
@@ -44,6 +44,11 @@
 	// HoldsWriteRight reports whether the instance holds the write right for
 	// the service in the given term. If nil, it never does.
 	HoldsWriteRight func(identifier.ServiceName, identifier.Term) bool
+	// MayUse returns an error that wraps [ErrEvacuated] if no statement may be
+	// sent to the server any more. The argument held selects whether statements
+	// of an open transaction, and writes, may still be sent. If nil, every server
+	// may be used.
+	MayUse func(server identifier.BackendServerID, held bool) error
 	// AcquireSlot waits for a slot to run a batch on the server. If nil, the
 	// number of batches is not limited.
 	AcquireSlot func(ctx context.Context, server identifier.BackendServerID, workspace identifier.WorkspaceName,
--- a/internal/transport/acceptor/lease.go
+++ b/internal/transport/acceptor/lease.go
@@ -137,7 +137,7 @@
 func (s *session) attachLease(l *lease) {
 	s.lease = l
 	s.mu.Lock()
-	s.activeConn = l.conn
+	s.activeConn, s.activeServer = l.conn, l.choice.Server
 	s.mu.Unlock()
 }
 
--- a/internal/transport/acceptor/plan.go
+++ b/internal/transport/acceptor/plan.go
@@ -228,6 +228,7 @@
 	b.beginsTx = b.beginsTx || sum.Begin
 	b.readOnlyTx = sum.ReadOnly && b.statementCount == 1
 	b.endsTx = b.endsTx || sum.End
+	b.rollsBack = sum.Rollback && b.statementCount == 1
 	b.usesSavepoint = b.usesSavepoint || sum.Savepoint
 	if sum.ProxyStatement != nil && (!s.pinned || sum.ProxyStatement.Verb != classifier.Deallocate) {
 		m.proxyStmt = sum.ProxyStatement
--- a/internal/transport/acceptor/send.go
+++ b/internal/transport/acceptor/send.go
@@ -8,9 +8,13 @@
 	"oleanderpulley/internal/state/identifier"
 )
 
-// sendBatch checks the write right and sends the batch.
+// sendBatch checks the write right and whether the server may be used, and sends
+// the batch.
 func (s *session) sendBatch(ctx *statementContext, b *batch) error {
 	l := s.lease
+	if err := s.checkEvacuation(b); err != nil {
+		return err
+	}
 	if l.choice.Primary && !s.holdsWriteRight(s.lease.choice.Term) {
 		return errNoWriteRight
 	}
--- a/internal/transport/acceptor/session.go
+++ b/internal/transport/acceptor/session.go
@@ -51,11 +51,12 @@
 	lease        *lease // The connection in use; nil between batches unless it is kept.
 	leaseStorage lease  // Backing storage for lease, which avoids an allocation.
 	pinned       bool
-	txStatus     byte // 'I', 'T' or 'E', as last reported to the client.
-	txAborted    bool // The proxy aborted the transaction; only its end is accepted.
-	txWrote      bool // The open transaction may have written.
-	txHasRecord  bool // The open transaction includes a record of a request ID.
-	skipToSync   bool // After an error, messages are ignored up to the next Sync.
+	txStatus     byte                  // 'I', 'T' or 'E', as last reported to the client.
+	txAborted    bool                  // The proxy aborted the transaction; only its end is accepted.
+	abortCause   *refuser.RefusalError // Why the proxy aborted the transaction between batches; nil once the client was told.
+	txWrote      bool                  // The open transaction may have written.
+	txHasRecord  bool                  // The open transaction includes a record of a request ID.
+	skipToSync   bool                  // After an error, messages are ignored up to the next Sync.
 	prepared     map[string]*preparedStatement
 	// preparedBytes is the total size of the statements in prepared.
 	preparedBytes    int
@@ -67,7 +68,8 @@
 	wakeRequested   bool
 	started         bool
 	activeConn      *pooler.Conn
-	sampledPosition identifier.Position // Position of the primary sampled after the last write.
+	activeServer    identifier.BackendServerID // Of activeConn.
+	sampledPosition identifier.Position        // Position of the primary sampled after the last write.
 }
 
 // assignCancelKey generates a random cancel key whose process ID is not in use.
@@ -147,6 +149,9 @@
 		if err := s.checkTermination(); err != nil {
 			return err
 		}
+		if err := s.releaseEvacuated(); err != nil {
+			return err
+		}
 		if err := s.forwardNotices(); err != nil {
 			return err
 		}
--- a/internal/transport/administrator/administrator.go
+++ b/internal/transport/administrator/administrator.go
@@ -108,19 +108,21 @@
 func (a *Administrator) Handler() http.Handler {
 	mux := http.NewServeMux()
 	for pattern, handle := range map[string]func(*http.Request) (any, error){
-		"GET /v1/config":                      a.getConfig,
-		"PATCH /v1/config":                    a.patchConfig,
-		"GET /v1/config/history":              a.getHistory,
-		"POST /v1/config/rollback":            a.rollback,
-		"GET /v1/attempts/{id}":               a.getAttempt,
-		"GET /v1/workspaces":                  a.listWorkspaces,
-		"PUT /v1/workspaces/{name}":           a.putWorkspace,
-		"DELETE /v1/workspaces/{name}":        a.deleteWorkspace,
-		"GET /v1/keys":                        a.listKeys,
-		"POST /v1/keys":                       a.createKey,
-		"DELETE /v1/keys/{id}":                a.withdrawKey,
-		"GET /v1/status":                      a.getStatus,
-		"POST /v1/data_centres/{name}/retire": a.retire,
+		"GET /v1/config":                        a.getConfig,
+		"PATCH /v1/config":                      a.patchConfig,
+		"GET /v1/config/history":                a.getHistory,
+		"POST /v1/config/rollback":              a.rollback,
+		"GET /v1/attempts/{id}":                 a.getAttempt,
+		"GET /v1/workspaces":                    a.listWorkspaces,
+		"PUT /v1/workspaces/{name}":             a.putWorkspace,
+		"DELETE /v1/workspaces/{name}":          a.deleteWorkspace,
+		"GET /v1/keys":                          a.listKeys,
+		"POST /v1/keys":                         a.createKey,
+		"DELETE /v1/keys/{id}":                  a.withdrawKey,
+		"GET /v1/status":                        a.getStatus,
+		"POST /v1/data_centres/{name}/retire":   a.retire,
+		"POST /v1/data_centres/{name}/evacuate": a.evacuate,
+		"POST /v1/data_centres/{name}/return":   a.returnDataCentre,
 	} {
 		mux.Handle(pattern, a.authenticated(handle))
 	}
--- a/internal/transport/pooler/pool.go
+++ b/internal/transport/pooler/pool.go
@@ -93,6 +93,17 @@
 	pl.idle = kept
 }
 
+// CloseIdle closes the idle connections to a server.
+func (p *Pooler) CloseIdle(server identifier.BackendServerID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for t, pl := range p.pools {
+		if t.Server == server {
+			p.closeIdleIf(t, pl, func(*Conn) bool { return true })
+		}
+	}
+}
+
 // evictIdle closes idle connections that exceed the idle timeout or the
 // connection budget of their server, and removes empty pools.
 func (p *Pooler) evictIdle() {
