internal/coordination/ratelimiter: causes of refusals, times to retry that are spread

An owner that denies a token assigns the next free time of its refill; an instance spreads these times over the callers that it refuses, in their order and never beyond three seconds. The text has whole milliseconds. The player counts all four texts as refusals for the rate, as before, so that none leaves its wrongful refusals.

--- a/internal/bench/player/generator.go
+++ b/internal/bench/player/generator.go
@@ -6,11 +6,14 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"oleanderpulley/internal/coordination/ratelimiter"
 )
 
 var errSessionFailed = errors.New("session failed")
@@ -25,7 +28,7 @@
 	sent                 time.Duration // Scheduled time, from the start of the day.
 	latency              time.Duration // From the scheduled time to the answer.
 	code                 string        // Error code, "" for success or "none" without an answer.
-	overRate             bool          // Refused because its workspace exceeded its rate.
+	overRate             bool          // Refused for the rate of its workspace, whatever the stated cause.
 }
 
 // history collects the requests of a day.
@@ -163,9 +166,17 @@
 		switch word {
 		case "ERROR":
 			code, _, _ = strings.Cut(rest, " ")
-			overRate = strings.Contains(rest, "over the rate")
+			overRate = isRateRefusal(rest)
 		case "READY":
 			return code, overRate, nil
 		}
 	}
 }
+
+// isRateRefusal reports whether the text of an error states one of the causes for
+// which the rate limit refuses a statement.
+func isRateRefusal(text string) bool {
+	return slices.ContainsFunc([]error{
+		ratelimiter.ErrOverRate, ratelimiter.ErrTokensElsewhere, ratelimiter.ErrNoOwner, ratelimiter.ErrOwnerStarting,
+	}, func(cause error) bool { return strings.Contains(text, cause.Error()) })
+}
--- a/internal/coordination/ratelimiter/bucket.go
+++ b/internal/coordination/ratelimiter/bucket.go
@@ -13,7 +13,8 @@
 	tokens       float64 // From the own fraction, at most its part of the burst.
 	grants       []grant // In order of expiry.
 	refilledAt   time.Time
-	fullBy       time.Time // When a bucket that was created empty would be full; zero without an own fraction.
+	missing      float64   // Tokens that the bucket lacked at the start of the process, less the operations refused since.
+	missingUntil time.Time // When the refill has made up for them.
 	demand       movingRate
 	admitted     movingRate
 	waiting      int // Operations that wait for a grant.
@@ -72,10 +73,14 @@
 	return slices.ContainsFunc(b.inFlight, func(r requestInFlight) bool { return r.peer == peer })
 }
 
-// isStarting reports whether the bucket lacks tokens because the process
-// started a short time ago.
-func (b *bucket) isStarting(now time.Time) bool {
-	return now.Before(b.fullBy)
+// isDueToStart counts a part of a refused operation. It reports whether a bucket
+// that had been full at the start of the process would have had a token for it.
+func (b *bucket) isDueToStart(now time.Time, part float64) bool {
+	if b.missing < part || !now.Before(b.missingUntil) {
+		return false
+	}
+	b.missing -= part
+	return true
 }
 
 // refill adds the tokens for the time since the last call. The rest of expired
--- a/internal/coordination/ratelimiter/exchange.go
+++ b/internal/coordination/ratelimiter/exchange.go
@@ -217,13 +217,17 @@
 	if s.ownedFraction(l.self) == 0 {
 		return
 	}
-	if b.isStarting(now) {
+	if now.Before(l.shareStart) || b.isDueToStart(now, 1.0/deniedOwners) {
 		g.Starting = append(g.Starting, w)
 	}
-	g.RetryAfter[w] = b.denied.next(now, l.timeUntilTokens(w, b, 1), secondsPer(s.refillRate())).Sub(now)
+	g.RetryAfter[w] = b.denied.next(now, l.timeUntilTokens(w, b, 1), secondsPer(s.refillRate()*deniedOwners)).Sub(now)
 }
 
 const (
+	// deniedOwners is the usual number of owners that deny a token to an operation
+	// before it is refused. Its caller returns at the time of one of them, so that
+	// the times of the others stay unused.
+	deniedOwners = 2
 	// requestTimeout limits the wait for a peer's grant.
 	requestTimeout = 150 * time.Millisecond
 	// slowAnswer is the time without a peer's answer after which another owner is
--- a/internal/coordination/ratelimiter/ratelimiter.go
+++ b/internal/coordination/ratelimiter/ratelimiter.go
@@ -35,8 +35,8 @@
 	// maxMissAge is the time after an operation found no token for which tokens
 	// are requested for it. Most operations do not wait for longer.
 	maxMissAge = 150 * time.Millisecond
-	// maxStartTime limits the time after the start of a bucket for which missing
-	// tokens are attributed to the start.
+	// maxStartTime limits the time for which refusals are attributed to the start
+	// of a process.
 	maxStartTime = 3 * time.Second
 	// Bounds of the retry delay that a refused caller receives.
 	minRetryAfter = 5 * time.Millisecond
@@ -303,9 +303,6 @@
 		if l.shareStart.After(b.refilledAt) {
 			b.refilledAt = l.shareStart
 		}
-		if rate := s.Limit.Rate * s.ownedFraction(l.self); rate > 0 {
-			b.fullBy = b.refilledAt.Add(min(maxStartTime, time.Duration(s.capacity()/rate*float64(time.Second))))
-		}
 		l.buckets[w] = b
 	}
 	fraction := s.ownedFraction(l.self)
@@ -314,6 +311,10 @@
 		capacity = s.capacity()
 	}
 	b.refill(now, s.Limit.Rate*fraction, capacity)
+	if !ok && b.tokens < capacity {
+		b.missing = capacity - b.tokens
+		b.missingUntil = now.Add(min(maxStartTime, time.Duration(b.missing/(s.Limit.Rate*fraction)*float64(time.Second))))
+	}
 	return b
 }
 
--- a/internal/coordination/ratelimiter/refusal.go
+++ b/internal/coordination/ratelimiter/refusal.go
@@ -42,9 +42,10 @@
 	RetryAfter time.Duration
 }
 
-// Error implements error.
+// Error implements error. Clients read the time, which is always in whole
+// milliseconds.
 func (e *RefusalError) Error() string {
-	return fmt.Sprintf("%v; retry after %v", e.Err, e.RetryAfter.Round(time.Millisecond))
+	return fmt.Sprintf("%v; retry after %dms", e.Err, e.RetryAfter.Milliseconds()+1)
 }
 
 // Unwrap returns the sentinel error.
@@ -82,7 +83,8 @@
 	return &RefusalError{l.cause(w, b, now), at.Sub(now)}
 }
 
-// cause returns why an operation of the workspace gets no token now.
+// cause returns why an operation of the workspace gets no token now. It must be
+// called once for each refused operation.
 func (l *Limiter) cause(w identifier.WorkspaceName, b *bucket, now time.Time) error {
 	s := l.shares[w]
 	denied := now.Before(b.backoffUntil)
@@ -90,7 +92,7 @@
 	for _, id := range s.Owners {
 		if id == l.self {
 			reached = true
-			starting = starting || b.isStarting(now)
+			starting = starting || now.Before(l.shareStart) || b.isDueToStart(now, 1)
 			continue
 		}
 		e := l.peers.find(id)
--- a/internal/coordination/ratelimiter/simulation_test.go
+++ b/internal/coordination/ratelimiter/simulation_test.go
@@ -56,7 +56,6 @@
 	idleSamples                       int     // Wrongful refusals at which the tokens were counted.
 	lapsed                            float64 // Transferred tokens that were not spent at instances that own nothing.
 	admitted                          []time.Time
-	retries                           []time.Duration
 	reasons                           map[Reason]int
 }
 
@@ -212,8 +211,9 @@
 	return n.silent || n.closed
 }
 
-// attempt admits one operation at the instance and records the result.
-func (s *simulation) attempt(n *node) {
+// attempt admits one operation at the instance, records the result and returns
+// the refusal, if any.
+func (s *simulation) attempt(n *node) *RefusalError {
 	s.mu.Lock()
 	owed := s.reference.take(time.Now())
 	s.report.attempts++
@@ -230,17 +230,16 @@
 	s.report.waits += waited
 	s.report.longestWait = max(s.report.longestWait, waited)
 	if n.silent || n.closed || n.admitter != admitter {
-		return // The process has ended.
+		return nil // The process has ended.
 	}
 	if err == nil {
 		n.admitted++
 		s.report.admitted = append(s.report.admitted, time.Now())
-		return
+		return nil
 	}
 	s.report.refused++
-	var refusal *RefusalError
+	refusal := &RefusalError{}
 	if errors.As(err, &refusal) {
-		s.report.retries = append(s.report.retries, refusal.RetryAfter)
 		s.report.reasons[refusal.Reason()]++
 	}
 	if owed {
@@ -250,6 +249,7 @@
 			s.report.idleSamples++
 		}
 	}
+	return refusal
 }
 
 // wholeTokens returns the number of whole tokens in the buckets of all instances.
--- a/internal/transport/sessioner/admit.go
+++ b/internal/transport/sessioner/admit.go
@@ -99,9 +99,7 @@
 	err := n.server.Admit(o.workspace, maxWait(o.route)/4)
 	waited := time.Since(o.arrived)
 	if err != nil {
-		o.rateRefusal = refusalReason(err)
-		n.countRateRefusal(o.rateRefusal)
-		return o, n.refusal(requester.Overloaded, err.Error())
+		return n.refuseForRate(o, err)
 	}
 	if waited < time.Millisecond {
 		return o, requester.Result{}
@@ -116,12 +114,13 @@
 	return renewed, refusal
 }
 
-// refusalReason returns the label of the cause for which the rate limit refused
-// a statement.
-func refusalReason(err error) ratelimiter.Reason {
+// refuseForRate counts a statement that the rate limit refused and returns its
+// refusal.
+func (n *session) refuseForRate(o operation, err error) (operation, requester.Result) {
 	var refusal *ratelimiter.RefusalError
 	if errors.As(err, &refusal) {
-		return refusal.Reason()
+		o.rateRefusal = refusal.Reason()
+		n.countRateRefusal(o.rateRefusal)
 	}
-	return ""
+	return o, n.refusal(requester.Overloaded, err.Error())
 }
