--- a/internal/coordination/ratelimiter/exchange.go
+++ b/internal/coordination/ratelimiter/exchange.go
@@ -232,7 +232,7 @@
 	requestTimeout = 150 * time.Millisecond
 	// slowAnswer is the time without a peer's answer after which another owner is
 	// asked as well.
-	slowAnswer = 15 * time.Millisecond
+	slowAnswer = 20 * time.Millisecond
 	// maxInFlight is the number of requests that may be in flight for a workspace
 	// while their peers do not answer.
 	maxInFlight = 2
--- a/internal/coordination/ratelimiter/simulation_test.go
+++ b/internal/coordination/ratelimiter/simulation_test.go
@@ -504,6 +504,36 @@
 	}
 }
 
+// Guards against refusals after a limit is raised, because owners that are new
+// for the larger rate hold nothing yet, and against the old limit after it is
+// lowered.
+func TestSimulatedChangesOfTheLimit(t *testing.T) {
+	for _, z := range everySize {
+		t.Run(fmt.Sprint(z.size), func(t *testing.T) {
+			sum := report{reasons: map[Reason]int{}}
+			for _, c := range everyCallers {
+				excess := 0
+				r := simulate(t, 1, z.size, z.dataCentres, Limit{10, 10}, func(s *simulation) {
+					choose := c.make(s)
+					s.run(5*time.Second, 6, choose)
+					s.reset()
+					for _, rate := range []float64{50, 10, 50, 5} {
+						s.setLimit(Limit{rate, rate})
+						s.run(propagation, min(rate, 6), choose)
+						s.run(5*time.Second, rate*0.625, choose)
+					}
+					excess = s.excess()
+				})
+				t.Logf("%s: %v", c.name, r)
+				qt.Check(t, excess <= 0, qt.IsTrue, qt.Commentf("%s: %d", c.name, excess))
+				sum.add(r)
+			}
+			t.Logf("all: %v", sum)
+			qt.Check(t, sum.wrongfulShare() < 0.005, qt.IsTrue, qt.Commentf("wrongful %.4f", sum.wrongfulShare()))
+		})
+	}
+}
+
 // limitChange is the limit from a time on.
 type limitChange struct {
 	at    time.Time
