--- a/internal/coordination/ratelimiter/simulation_test.go
+++ b/internal/coordination/ratelimiter/simulation_test.go
@@ -56,7 +56,6 @@
 	idleSamples                       int     // Wrongful refusals at which the tokens were counted.
 	lapsed                            float64 // Transferred tokens that were not spent at instances that own nothing.
 	admitted                          []time.Time
-	retries                           []time.Duration
 	reasons                           map[Reason]int
 }
 
@@ -212,8 +211,9 @@
 	return n.silent || n.closed
 }
 
-// attempt admits one operation at the instance and records the result.
-func (s *simulation) attempt(n *node) {
+// attempt admits one operation at the instance, records the result and returns
+// the refusal, if any.
+func (s *simulation) attempt(n *node) *RefusalError {
 	s.mu.Lock()
 	owed := s.reference.take(time.Now())
 	s.report.attempts++
@@ -230,17 +230,16 @@
 	s.report.waits += waited
 	s.report.longestWait = max(s.report.longestWait, waited)
 	if n.silent || n.closed || n.admitter != admitter {
-		return // The process has ended.
+		return nil // The process has ended.
 	}
 	if err == nil {
 		n.admitted++
 		s.report.admitted = append(s.report.admitted, time.Now())
-		return
+		return nil
 	}
 	s.report.refused++
-	var refusal *RefusalError
+	refusal := &RefusalError{}
 	if errors.As(err, &refusal) {
-		s.report.retries = append(s.report.retries, refusal.RetryAfter)
 		s.report.reasons[refusal.Reason()]++
 	}
 	if owed {
@@ -250,6 +249,7 @@
 			s.report.idleSamples++
 		}
 	}
+	return refusal
 }
 
 // wholeTokens returns the number of whole tokens in the buckets of all instances.
@@ -504,6 +504,36 @@
 	}
 }
 
+// Guards against refusals after a limit is raised, because owners that are new
+// for the larger rate hold nothing yet, and against the old limit after it is
+// lowered.
+func TestSimulatedChangesOfTheLimit(t *testing.T) {
+	for _, z := range everySize {
+		t.Run(fmt.Sprint(z.size), func(t *testing.T) {
+			sum := report{reasons: map[Reason]int{}}
+			for _, c := range everyCallers {
+				excess := 0
+				r := simulate(t, 1, z.size, z.dataCentres, Limit{10, 10}, func(s *simulation) {
+					choose := c.make(s)
+					s.run(5*time.Second, 6, choose)
+					s.reset()
+					for _, rate := range []float64{50, 10, 50, 5} {
+						s.setLimit(Limit{rate, rate})
+						s.run(propagation, min(rate, 6), choose)
+						s.run(5*time.Second, rate*0.625, choose)
+					}
+					excess = s.excess()
+				})
+				t.Logf("%s: %v", c.name, r)
+				qt.Check(t, excess <= 0, qt.IsTrue, qt.Commentf("%s: %d", c.name, excess))
+				sum.add(r)
+			}
+			t.Logf("all: %v", sum)
+			qt.Check(t, sum.wrongfulShare() < 0.005, qt.IsTrue, qt.Commentf("wrongful %.4f", sum.wrongfulShare()))
+		})
+	}
+}
+
 // limitChange is the limit from a time on.
 type limitChange struct {
 	at    time.Time
