internal/coordination/follower: search for a proof while relays have none

When the relays of a data centre or the root lost the store, the other instances queried it five times a second per data centre, so that most of them had no recent proof for seconds.

An instance whose parents have no recent proof now asks further candidates, in an order that is nearly the same everywhere. A candidate without a recent proof queries the store and does so as long as it is asked and answered. A query that is not answered no longer delays the search. After a failed query an instance waits for an interval that grows with its data centre.

--- a/internal/command/starter/peers.go
+++ b/internal/command/starter/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -158,42 +157,21 @@
 	return true
 }
 
-// fetchCatalogFromRelay requests the catalog from a relay of this instance. It
-// returns [follower.ErrNoRelay] if this instance is a root of the relays. A relay
-// that does not answer with a recent proof is replaced by the next one.
-func (s *Starter) fetchCatalogFromRelay(ctx context.Context, request follower.CatalogRequest) (follower.CatalogReply, error) {
-	if len(s.relays) == 0 {
-		return follower.CatalogReply{}, follower.ErrNoRelay
-	}
-	relay := s.relays[0]
-	if !s.peers.Connected(relay) {
-		s.useNextRelay()
-		return follower.CatalogReply{}, follower.ErrConnecting
-	}
-	ctx, cancel := context.WithTimeout(ctx, follower.RelayTimeout)
-	defer cancel()
+// requestCatalog requests the catalog from a candidate of the search for a proof.
+func (s *Starter) requestCatalog(ctx context.Context, to identifier.InstanceID, request follower.CatalogRequest) (follower.CatalogReply, error) {
 	sentAt := time.Now()
-	reply, err := s.peers.Request(ctx, relay, request)
+	reply, err := s.peers.Request(ctx, to, request)
 	if err != nil {
-		s.useNextRelay()
-		s.peers.Check(relay, sentAt)
+		s.peers.Check(to, sentAt)
 		return follower.CatalogReply{}, err
 	}
 	r, ok := reply.(follower.CatalogReply)
 	if !ok {
 		return follower.CatalogReply{}, errors.Wrapf(errUnexpectedMessage, "%T", reply)
 	}
-	if !r.IsRecent() {
-		s.useNextRelay()
-	}
 	return r, nil
 }
 
-// useNextRelay moves the relay in use behind the others.
-func (s *Starter) useNextRelay() {
-	s.relays = append(s.relays[1:], s.relays[0])
-}
-
 // updatePeers passes the instances of the catalog to the messenger, and the
 // shares of the rates to the limiter, and chooses the relays. It does nothing for
 // a change of other parts of the catalog.
@@ -210,7 +188,7 @@
 		ratePeers = append(ratePeers, ratelimiter.Peer{ID: m.ID, DataCentre: m.DataCentre})
 	}
 	s.peers.SetPeers(peers)
-	s.adoptRelays(c.Instances)
+	s.search.Adopt(c.Instances)
 	fleet := s.plans.fleet(c)
 	shares := make(map[identifier.WorkspaceName]ratelimiter.Share, len(c.Configuration.Workspaces))
 	for name, w := range c.Configuration.Workspaces {
@@ -228,17 +206,5 @@
 		peers = append(peers, messenger.Peer{ID: m.ID, DataCentre: m.DataCentre, Address: m.Address})
 	}
 	s.peers.SetPeers(peers)
-	s.adoptRelays(instances)
-}
-
-// adoptRelays takes over the relays among the instances. A relay in use that is
-// still one stays in use.
-func (s *Starter) adoptRelays(instances map[identifier.InstanceID]cataloger.Instance) {
-	relays := follower.Parents(instances, s.Settings.InstanceID)
-	if len(s.relays) > 0 {
-		if i := slices.Index(relays, s.relays[0]); i > 0 {
-			relays = append(relays[i:], relays[:i]...)
-		}
-	}
-	s.relays = relays
+	s.search.Adopt(instances)
 }
--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -72,7 +72,7 @@
 	workspaces         map[identifier.WorkspaceName]cataloger.Workspace // Of the current catalog.
 	peersOf            *cataloger.Catalog                               // To which messenger and limiter were updated last.
 	evacuations        map[identifier.DataCentre]cataloger.Evacuation   // Of the current catalog.
-	relays             []identifier.InstanceID                          // Of the current catalog, the one in use first; none if this instance is a root.
+	search             follower.Search                                  // For a proof from other instances.
 	draining           atomic.Bool
 	clientListenerDone chan struct{}
 	cancel             context.CancelFunc
@@ -129,6 +129,10 @@
 	s.sessions.Forward = s.forward
 	s.configureReplacer()
 	s.configureReaper()
+	s.search = follower.Search{
+		Self: settings.InstanceID, Holder: &s.holder, Fallback: &s.follower.Fallback,
+		Connected: s.peers.Connected, Request: s.requestCatalog,
+	}
 	followerStore := s.store.FollowerStore()
 	if settings.EvacuationLimit == 0 {
 		followerStore.Evacuations = nil // Saves a call for each change of the store.
@@ -143,7 +147,7 @@
 		OnEra:    s.eraChanged,
 
 		PeerCatalogs: s.fetchPeerCatalogs,
-		Relay:        s.fetchCatalogFromRelay,
+		Relay:        s.search.Fetch,
 		OnDirectory:  s.adoptDirectory,
 		FleetStarts:  settings.FleetStarts,
 	}
--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -107,16 +109,40 @@
 	lapseGraceEnd   time.Duration // End of the grace for lapsed servers; 0 outside of one.
 	restored        bool          // The grace is one after the store came back from a copy.
 
+	// Fallback decides when an instance that does not get a proof from its parents
+	// queries the store.
+	Fallback     Fallback
+	pending      *storeQuery  // Has not been answered yet.
+	searches     bool         // The last round got no recent proof from others.
+	searchRounds int          // Such rounds in succession.
+	fallsBackNow bool         // The query of this round is one of a fallback.
+	fallbackHops atomic.Int32 // [CatalogReply.Fallback] of the newest proof.
+	wakeOnce     sync.Once
+	wakes        chan struct{}
+
 	missingSince map[identifier.InstanceID]time.Duration // When each removed instance was first missing.
 	provenAt     time.Time                               // Time as of which the catalog was proven when the round began.
 }
 
 // Round updates the catalog and proves it as of the start of the round.
 func (f *Follower) Round(ctx context.Context) error {
+	err := f.updateOrSearch(ctx)
+	f.searchRounds++
+	if !f.searches {
+		f.searchRounds = 0
+	}
+	return err
+}
+
+func (f *Follower) updateOrSearch(ctx context.Context) error {
 	f.provenAt = time.Time{}
 	if age, ok := f.Holder.Age(); ok {
 		f.provenAt = time.Now().Add(-age)
 	}
+	f.searches, f.fallsBackNow, f.relayed = false, false, false
+	if answered, err := f.collectAnswer(ctx); answered {
+		return err
+	}
 	done, err := f.updateFromRelay(ctx)
 	f.relayed = done
 	if done {
@@ -132,60 +158,7 @@
 			return err
 		}
 	}
-	sent := f.Holder.Clock()
-	timeout := callTimeout
-	if f.failures == 0 {
-		timeout = firstAttemptTimeout
-	}
-	callCtx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	leaderships, revision, err := f.queryRevision(callCtx)
-	if err != nil {
-		return err
-	}
-	if err := f.observeEra(revision); err != nil {
-		return err
-	}
-	f.recordStoreAnswer(sent)
-	if f.isCatalogComplete() && revision == f.knownRevision {
-		f.Holder.SetProof(sent)
-		return nil
-	}
-	if f.isCatalogComplete() && areOnlyChanges(leaderships, f.knownRevision, revision) {
-		f.updateCatalog(func(c *cataloger.Catalog) { c.Leaderships, c.Revision = leaderships, revision })
-		f.knownRevision = revision
-		f.Holder.SetProof(sent)
-		return nil
-	}
-	return f.readLists(ctx, sent, leaderships, revision)
-}
-
-// maxProbedRecords is the number of leadership records up to which their list
-// serves as the query for the store's revision.
-const maxProbedRecords = 64
-
-// queryRevision queries the store's revision. As long as there are few leadership
-// records, it lists them, so that a change takes one call less; otherwise the
-// returned records are nil.
-func (f *Follower) queryRevision(ctx context.Context) (map[identifier.ServiceName]cataloger.Leadership, uint64, error) {
-	if c := f.Holder.Catalog(); c != nil && len(c.Leaderships) > maxProbedRecords {
-		revision, err := f.Store.Revision(ctx)
-		return nil, revision, err
-	}
-	return f.Store.Leaderships(ctx)
-}
-
-// areOnlyChanges reports whether the store has changed nothing but these records
-// since the known revision. Each change has a revision of its own, so that none is
-// left for another change if the records have as many newer ones.
-func areOnlyChanges(records map[identifier.ServiceName]cataloger.Leadership, known, revision uint64) bool {
-	changed := uint64(0)
-	for _, r := range records {
-		if r.Revision > known && r.Revision <= revision {
-			changed++
-		}
-	}
-	return cataloger.Era(known) == cataloger.Era(revision) && changed == revision-known
+	return f.queryStore(ctx)
 }
 
 // isCatalogComplete reports whether all lists of the catalog have been read and
--- a/internal/coordination/follower/relay.go
+++ b/internal/coordination/follower/relay.go
@@ -46,6 +46,9 @@
 	Known    uint64 `cbor:"known"`
 	Retained int    `cbor:"retained"`         // [cataloger.Catalog.Retained] of the known one.
 	Digest   uint64 `cbor:"digest,omitempty"` // Of the known catalog, or 0 to get a whole one.
+	// MaxAge is the age of a proof above which the requester continues with another
+	// instance. 0 means maxRelayedProofAge.
+	MaxAge time.Duration `cbor:"max_age,omitempty"`
 }
 
 // CatalogReply answers a [CatalogRequest]. Age is the age of the relay's proof.
@@ -58,6 +61,14 @@
 	Age     time.Duration      `cbor:"age"`
 	Catalog *cataloger.Catalog `cbor:"catalog,omitempty"`
 	Change  *cataloger.Change  `cbor:"change,omitempty"`
+	// Fallback is 0 if the proof came over the tree, 1 if the sender is a fallback
+	// relay that queried the store, and one more for each further instance.
+	Fallback int `cbor:"fallback,omitempty"`
+	// Querying means that the sender has no recent proof and queries the store.
+	Querying bool `cbor:"querying,omitempty"`
+	// Late means that the proof is older than the requester asked for. It is set by
+	// the requester.
+	Late bool `cbor:"-"`
 }
 
 // IsRecent reports whether the reply has a proof that is recent enough to be used.
@@ -68,15 +79,15 @@
 // Parents returns the instances that the given one asks for the catalog, the
 // first one as long as it answers. There are none if that instance queries the
 // store itself. The instances of a data centre ask its relays, and the relays ask
-// the roots among them and then the next in rank, so that neither the calls of the
-// store nor the traffic between data centres grow with the instances. Every
-// instance derives the same tree from the same members.
+// the roots among them, so that neither the calls of the store nor the traffic
+// between data centres grow with the instances. Every instance derives the same
+// tree from the same members.
 func Parents(members map[identifier.InstanceID]cataloger.Instance, self identifier.InstanceID) []identifier.InstanceID {
 	byDataCentre := rankInstances(members)
 	own := members[self].DataCentre
 	local := chooseRelays(byDataCentre[own])
 	if !containsInstance(local, self) {
-		return append(rotate(local, self), foreignRelay(byDataCentre, own, self)...)
+		return rotate(local, self)
 	}
 	var relays []cataloger.Instance
 	for _, ids := range byDataCentre {
@@ -86,11 +97,7 @@
 	if containsInstance(roots, self) {
 		return nil
 	}
-	parents := rotate(roots, self)
-	if backup := relays[len(roots)].ID; backup != self {
-		parents = append(parents, backup)
-	}
-	return parents
+	return rotate(roots, self)
 }
 
 // isRelay reports whether the instance is a relay of its data centre.
@@ -108,19 +115,6 @@
 	return byDataCentre
 }
 
-// foreignRelay returns a relay of another data centre, for the case that the store
-// turns away all relays of the own one.
-func foreignRelay(byDataCentre map[identifier.DataCentre][]cataloger.Instance, own identifier.DataCentre, self identifier.InstanceID) []identifier.InstanceID {
-	var relays []cataloger.Instance
-	for d, instances := range byDataCentre {
-		if d != own {
-			relays = append(relays, chooseRelays(instances)...)
-		}
-	}
-	slices.SortFunc(relays, cataloger.CompareRank)
-	return rotate(relays, self)[:min(1, len(relays))]
-}
-
 // chooseRelays sorts the instances by rank and returns those that serve as relays
 // for all of them.
 func chooseRelays(instances []cataloger.Instance) []cataloger.Instance {
@@ -147,7 +141,9 @@
 	return ids
 }
 
-// Answer answers a peer's request from this instance's own catalog and proof.
+// Answer answers a peer's request from this instance's own catalog and proof. If
+// the proof is too old for the requester, this instance queries the store in a
+// round that begins at once, and serves as a fallback relay while it is asked.
 func (f *Follower) Answer(request CatalogRequest) CatalogReply {
 	age, proven := f.Holder.Age()
 	c := f.Holder.Catalog()
@@ -157,7 +153,7 @@
 	if !proven || c == nil || c.Revision == 0 {
 		return CatalogReply{}
 	}
-	r := CatalogReply{Proven: true, Age: age}
+	r := CatalogReply{Proven: true, Age: age, Fallback: int(f.fallbackHops.Load()), Querying: f.observeRequest(request, age)}
 	// An older catalog of the relay proves the asker's newer one as well: the store
 	// had nothing newer when it answered the relay.
 	if c.Revision < request.Known || (c.Revision == request.Known && c.Retained == request.Retained) {
@@ -171,6 +167,24 @@
 	return r
 }
 
+// observeRequest records a request for a proof and reports whether the store is
+// queried for it.
+func (f *Follower) observeRequest(request CatalogRequest, age time.Duration) (queries bool) {
+	maxAge := request.MaxAge
+	if maxAge <= 0 {
+		maxAge = maxRelayedProofAge
+	}
+	if age <= maxAge {
+		f.Fallback.Touch(f.Holder.Clock())
+		return false
+	}
+	queries = f.Fallback.Ask(f.Holder.Clock(), maxAge)
+	if queries {
+		f.wake()
+	}
+	return queries
+}
+
 // updateFromRelay updates the catalog from a relay and reports whether the round
 // is done without a query to the store. The age of the relay's proof counts from
 // before the request was sent. Without a proof of the relay, the round is done as
@@ -186,26 +200,41 @@
 	switch {
 	case errors.Is(err, ErrNoRelay):
 		return false, nil
+	case errors.Is(err, ErrOwnTurn):
+		f.fallsBackNow = true
+		return false, nil
+	case errors.Is(err, ErrResting):
+		return true, nil
 	case errors.Is(err, ErrConnecting):
-		return !f.fallsBack(), err
+		return f.searchOn(), err
 	case err != nil:
 		f.Logger.Debug().Str("event", "relay_silent").Err(err).Send()
-		return !f.fallsBack(), nil
+		return f.searchOn(), nil
 	case !r.IsRecent():
-		return !f.fallsBack(), nil
+		return f.searchOn(), nil
 	case r.Change != nil && r.Change.Base == f.history.digest(known):
 		r.Catalog = known.Apply(r.Change)
 	case r.Change != nil:
-		return !f.fallsBack(), nil
+		return f.searchOn(), nil
 	}
 	if r.Catalog != nil && !f.adoptCatalog(r.Catalog) {
 		return false, nil
 	}
 	f.lastSuccess = sent
+	f.fallbackHops.Store(int32(r.Fallback))
 	f.Holder.SetProof(sent - r.Age)
+	f.searches = r.Late
 	return true, nil
 }
 
+// searchOn ends a round without a proof. It reports whether the round is done
+// without a query to the store.
+func (f *Follower) searchOn() (done bool) {
+	f.searches = true
+	f.fallsBackNow = f.fallsBack()
+	return !f.fallsBackNow
+}
+
 // adoptCatalog replaces the catalog by that of a relay and reports whether it
 // did. It rejects a catalog that is older than the current one or does not
 // contain this instance; the round then queries the store.
--- a/internal/coordination/follower/schedule.go
+++ b/internal/coordination/follower/schedule.go
@@ -17,11 +17,25 @@
 		pause := f.nextPeriod(err) - time.Since(started)
 		select {
 		case <-ctx.Done():
+		case <-f.wakeups():
 		case <-time.After(max(pause, 10*time.Millisecond)):
 		}
 	}
 }
 
+// wake starts the next round at once.
+func (f *Follower) wake() {
+	select {
+	case f.wakeups() <- struct{}{}:
+	default:
+	}
+}
+
+func (f *Follower) wakeups() chan struct{} {
+	f.wakeOnce.Do(func() { f.wakes = make(chan struct{}, 1) })
+	return f.wakes
+}
+
 // nextPeriod returns the time from the start of a round with this result to the
 // start of the next. Jitter spreads the rounds of the instances.
 func (f *Follower) nextPeriod(err error) time.Duration {
@@ -32,6 +46,8 @@
 	switch {
 	case errors.Is(err, ErrNoConfiguration):
 		period = unconfiguredPeriod
+	case f.searches:
+		period = min(period, f.searchPeriod())
 	case errors.Is(err, ErrConnecting):
 		period = connectingPeriod
 	case err == nil && f.relayed:
@@ -42,11 +58,19 @@
 	return period*7/8 + rand.N(period/4)
 }
 
+// searchPeriod returns the time between two requests of a search.
+func (f *Follower) searchPeriod() time.Duration {
+	if f.searchRounds > quickSearch {
+		return longSearchPeriod
+	}
+	return searchPeriod
+}
+
 // logStoreState counts failed rounds and logs when the store becomes unreachable
 // and reachable again.
 func (f *Follower) logStoreState(err error) {
 	switch {
-	case errors.Is(err, ErrConnecting):
+	case errors.Is(err, ErrConnecting), errors.Is(err, errUnanswered):
 	case err != nil && !errors.Is(err, ErrNoConfiguration):
 		f.failures++
 		if f.storeReached {
