internal/coordination/follower: keep fallback proofs apart and bound the searches

Two relays could take the same proof from each other until it was old, and a request to an instance whose query of the store was still unanswered began another step of its search, so that while the store was silent 168 of 295 instances queried it within one second.

A relay no longer uses a proof that was forwarded outside of the tree more than once, and an instance that only has such a proof queries the store when it is asked. Requests wake an instance only if it may query the store.

--- a/internal/coordination/follower/fallback.go
+++ b/internal/coordination/follower/fallback.go
@@ -51,15 +51,17 @@
 }
 
 // Ask records a request for a proof of at most this age, which this instance does
-// not have. It reports whether the store is queried for it.
-func (b *Fallback) Ask(now, maxAge time.Duration) bool {
+// not have. It reports whether the store has to be queried for it, and whether a
+// query is or will be under way.
+func (b *Fallback) Ask(now, maxAge time.Duration) (due, querying bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.asked, b.askedAt = true, now
-	if b.isDue(now) {
+	due = b.isDue(now)
+	if due {
 		b.wantedAge = maxAge
 	}
-	return b.isDue(now) || b.outstanding
+	return due, due || b.outstanding
 }
 
 // isWanted reports whether the store has to be queried for a request at once.
@@ -148,20 +150,34 @@
 		f.fallbackAt = 0
 		return false
 	}
-	interval := fallbackInterval(f.Holder.Catalog().Instances, f.Self.ID)
+	f.rotation.adopt(f.Holder.Catalog(), f.Self.ID)
 	if f.fallbackAt == 0 {
 		f.fallbackAt = now
-		if !isRelay(f.Holder.Catalog().Instances, f.Self.ID) {
-			f.fallbackAt += rand.N(interval)
+		if !f.rotation.isRelay {
+			f.fallbackAt += rand.N(f.rotation.interval)
 		}
 	}
 	if now < f.fallbackAt || !f.Fallback.Due(now) {
 		return false
 	}
-	f.fallbackAt = now + interval
+	f.fallbackAt = now + f.rotation.interval
 	return true
 }
 
+// rotation is what an instance derives from a catalog for its queries of the store
+// while its relays have no recent proof.
+type rotation struct {
+	catalog  *cataloger.Catalog
+	isRelay  bool
+	interval time.Duration
+}
+
+func (r *rotation) adopt(c *cataloger.Catalog, self identifier.InstanceID) {
+	if r.catalog != c {
+		*r = rotation{c, isRelay(c.Instances, self), fallbackInterval(c.Instances, self)}
+	}
+}
+
 // fallbackInterval returns the time between two queries of an instance while the
 // store does not answer. A root queries it as often as otherwise.
 func fallbackInterval(members map[identifier.InstanceID]cataloger.Instance, self identifier.InstanceID) time.Duration {
--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -104,7 +104,8 @@
 	lastSuccess     time.Duration // Holder's clock before the last query that was answered.
 	startedAt       time.Duration // Holder's clock at the first round.
 	directoryReadAt time.Duration
-	startsFromRelay bool          // By the directory.
+	startsFromRelay bool // By the directory.
+	rotation        rotation
 	fallbackAt      time.Duration // Next query of the store for want of a recent proof; 0 while there is one.
 	lapseGraceEnd   time.Duration // End of the grace for lapsed servers; 0 outside of one.
 	restored        bool          // The grace is one after the store came back from a copy.
--- a/internal/coordination/follower/relay.go
+++ b/internal/coordination/follower/relay.go
@@ -169,20 +169,24 @@
 
 // observeRequest records a request for a proof and reports whether the store is
 // queried for it.
-func (f *Follower) observeRequest(request CatalogRequest, age time.Duration) (queries bool) {
+func (f *Follower) observeRequest(request CatalogRequest, age time.Duration) (querying bool) {
 	maxAge := request.MaxAge
 	if maxAge <= 0 {
 		maxAge = maxRelayedProofAge
 	}
-	if age <= maxAge {
+	switch {
+	case age > maxAge:
+	case f.fallbackHops.Load() > maxFallbackHops:
+		maxAge = 1 // The requester may not be able to use the present proof, whatever its age is.
+	default:
 		f.Fallback.Touch(f.Holder.Clock())
 		return false
 	}
-	queries = f.Fallback.Ask(f.Holder.Clock(), maxAge)
-	if queries {
+	due, querying := f.Fallback.Ask(f.Holder.Clock(), maxAge)
+	if due {
 		f.wake()
 	}
-	return queries
+	return querying
 }
 
 // updateFromRelay updates the catalog from a relay and reports whether the round
--- a/internal/coordination/follower/search.go
+++ b/internal/coordination/follower/search.go
@@ -47,8 +47,8 @@
 	// once it has proofs again.
 	exclusion       = time.Second
 	parentExclusion = 500 * time.Millisecond
-	// maxFallbackHops is the largest [CatalogReply.Fallback] of an instance that is
-	// not a parent whose proof is used.
+	// maxFallbackHops is the largest [CatalogReply.Fallback] of a proof that is used,
+	// except by the instances of a data centre from their relay.
 	maxFallbackHops = 2
 	// linkWait is the time for which a candidate is not passed over while its link is
 	// being opened.
@@ -277,10 +277,11 @@
 }
 
 // accepts reports whether the proof of a reply may be used. One that has been
-// forwarded outside of the tree is not forwarded further, except from a parent:
-// otherwise two instances could get the same proof from each other until it is old.
+// forwarded outside of the tree is not forwarded further, except from a relay to
+// its data centre: otherwise two instances could get the same proof from each other
+// until it is old.
 func (s *Search) accepts(step searchStep, r CatalogReply) bool {
-	return step.regular || r.Fallback <= maxFallbackHops
+	return r.Fallback <= maxFallbackHops || step.regular && !s.candidates.isRelay
 }
 
 // exclude excludes a candidate for a while.
