internal/transport/sessioner: tell that the proof is too old to use a primary

A home without a recent proof answered forwarded statements as not run, and kept its rank, so that it got the next ones as well.

The reply has a new optional field for this reason. For a second, or until the home has run a statement that needs the primary, other homes rank before it for such statements of the instance that got the reply. An instance that is a home itself and has no recent proof forwards such statements to other homes instead of refusing them.

--- a/internal/command/starter/forward.go
+++ b/internal/command/starter/forward.go
@@ -19,6 +19,11 @@
 // failed to answer a statement, or that was not connected within homeConnectWait.
 const avoidDuration = 2 * time.Second
 
+// unprovenDuration is the time for which other homes are preferred, for statements
+// that need the primary, to a home whose proof was too old to use one. A home that
+// reaches an instance with a recent proof has found it by then.
+const unprovenDuration = time.Second
+
 // homeConnectWait is the time for which a statement waits for the connection to
 // its home.
 const homeConnectWait = 150 * time.Millisecond
@@ -35,6 +40,9 @@
 	members      *assigner.Fleet
 	byService    map[identifier.ServiceName]*assigner.Plan
 	avoidedUntil map[identifier.InstanceID]time.Time
+	// unprovenUntil holds the homes that are avoided for statements that need the
+	// primary.
+	unprovenUntil map[identifier.InstanceID]time.Time
 }
 
 // adopt drops what was computed for another catalog. The caller holds mu.
@@ -88,14 +96,29 @@
 	p.avoidedUntil[id] = time.Now().Add(avoidDuration)
 }
 
+// observeReply records whether the home could use a primary for the statement.
+func (p *homePlans) observeReply(id identifier.InstanceID, f sessioner.ForwardRequest, r sessioner.ForwardReply) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case r.Unproven:
+		if p.unprovenUntil == nil {
+			p.unprovenUntil = map[identifier.InstanceID]time.Time{}
+		}
+		p.unprovenUntil[id] = time.Now().Add(unprovenDuration)
+	case !r.NotRun() && f.NeedsPrimary():
+		delete(p.unprovenUntil, id)
+	}
+}
+
 // moveAvoidedToEnd moves the instances that are avoided at present behind the
 // others.
-func (p *homePlans) moveAvoidedToEnd(instances []cataloger.Instance) {
+func (p *homePlans) moveAvoidedToEnd(instances []cataloger.Instance, primary bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	isAvoided := func(i cataloger.Instance) int {
-		if now.Before(p.avoidedUntil[i.ID]) {
+		if now.Before(p.avoidedUntil[i.ID]) || primary && now.Before(p.unprovenUntil[i.ID]) {
 			return 1
 		}
 		return 0
@@ -108,11 +131,15 @@
 // instance, or if no home is reached.
 func (s *Starter) homes(service identifier.ServiceName, w identifier.WorkspaceName, primary bool) []identifier.InstanceID {
 	candidates := s.homeCandidates(service, w, primary)
-	if s.isHomeOfFirstDataCentre(candidates) {
+	switch {
+	case primary && !s.fencer.IsProven():
+		// Another home may have a recent proof.
+		candidates = slices.DeleteFunc(candidates, func(i cataloger.Instance) bool { return i.ID == s.Settings.InstanceID })
+	case s.isHomeOfFirstDataCentre(candidates):
 		return nil
 	}
 	for range maxConnectAttempts {
-		s.plans.moveAvoidedToEnd(candidates)
+		s.plans.moveAvoidedToEnd(candidates, primary)
 		connected, unconnected := s.linkedHomes(candidates)
 		if len(connected) > 0 || unconnected == "" {
 			return connected
@@ -220,6 +247,7 @@
 	if !ok {
 		return sessioner.ForwardReply{}, errors.Wrapf(errUnexpectedMessage, "%T", reply)
 	}
+	s.plans.observeReply(to, f, r)
 	return r, nil
 }
 
--- /dev/null
+++ b/internal/command/starter/forward_test.go
@@ -0,0 +1,36 @@
+package starter
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"oleanderpulley/internal/protocol/requester"
+	"oleanderpulley/internal/state/cataloger"
+	"oleanderpulley/internal/state/identifier"
+	"oleanderpulley/internal/transport/sessioner"
+)
+
+// Guards against statements that need the primary and are sent again and again to
+// a home without a recent proof, and against a home that is avoided for other
+// statements or after it has a recent proof again.
+func TestHomeWithoutARecentProofIsAvoidedForPrimaries(t *testing.T) {
+	var p homePlans
+	first := func(primary bool) identifier.InstanceID {
+		homes := []cataloger.Instance{{ID: "one"}, {ID: "two"}}
+		p.moveAvoidedToEnd(homes, primary)
+		return homes[0].ID
+	}
+	write := sessioner.ForwardRequest{Writes: true}
+	unreached := requester.Result{Code: requester.Overloaded, Unreached: true}
+	p.observeReply("one", write, sessioner.ForwardReply{Result: unreached})
+	qt.Assert(t, first(true), qt.Equals, identifier.InstanceID("one"))
+	p.observeReply("one", write, sessioner.ForwardReply{Result: unreached, Unproven: true})
+	qt.Assert(t, first(true), qt.Equals, identifier.InstanceID("two"))
+	qt.Assert(t, first(false), qt.Equals, identifier.InstanceID("one"))
+	p.observeReply("one", sessioner.ForwardRequest{Route: sessioner.ForwardedRoute{Consistency: cataloger.BoundedStaleness}}, sessioner.ForwardReply{})
+	p.observeReply("one", write, sessioner.ForwardReply{Refused: true})
+	qt.Assert(t, first(true), qt.Equals, identifier.InstanceID("two"))
+	p.observeReply("one", write, sessioner.ForwardReply{})
+	qt.Assert(t, first(true), qt.Equals, identifier.InstanceID("one"))
+}
--- a/internal/transport/sessioner/forward.go
+++ b/internal/transport/sessioner/forward.go
@@ -68,6 +68,20 @@
 	Result        requester.Result    `cbor:"2,keyasint"`
 	LastCommit    identifier.Position `cbor:"3,keyasint"`
 	LastCommitAge time.Duration       `cbor:"4,keyasint,omitempty"`
+	// Unproven means that the peer has not run the statement, and that the proof of
+	// its configuration is too old to use a primary.
+	Unproven bool `cbor:"5,keyasint,omitempty"`
+}
+
+// NotRun reports whether the peer has not run the statement, so that it can be sent
+// to another one.
+func (r ForwardReply) NotRun() bool {
+	return r.Refused || r.Result.Unreached
+}
+
+// NeedsPrimary reports whether only the primary can run the statement.
+func (f ForwardRequest) NeedsPrimary() bool {
+	return f.Writes || f.Route.Consistency == cataloger.PrimaryOnly
 }
 
 // remoteTransaction identifies a transaction that is open on a peer.
@@ -97,7 +111,7 @@
 		o.trace.peer = peer
 		reply, err := n.sendForward(peer, limit, n.newForward(o, rs))
 		switch {
-		case err == nil && !reply.Refused && !reply.Result.Unreached:
+		case err == nil && !reply.NotRun():
 			return reply.Result, true
 		case err == nil || errors.Is(err, ErrNotForwarded):
 		case rs.writes:
@@ -178,7 +192,7 @@
 // returns false if the peer has not run the statement.
 func (n *session) openRemote(r remoteTransaction, o operation, f ForwardRequest) (requester.Result, bool) {
 	reply, err := n.sendForward(r.peer, o.deadline.Add(forwardSlack), f)
-	notRun := err == nil && (reply.Refused || reply.Result.Unreached)
+	notRun := err == nil && reply.NotRun()
 	if notRun || errors.Is(err, ErrNotForwarded) {
 		return requester.Result{}, false
 	}
--- a/internal/transport/sessioner/forwarded.go
+++ b/internal/transport/sessioner/forwarded.go
@@ -106,7 +106,7 @@
 
 // reply returns the reply to a forwarded statement with the given result.
 func (n *session) reply(r requester.Result) ForwardReply {
-	reply := ForwardReply{Result: r, LastCommit: n.lastCommit}
+	reply := ForwardReply{Result: r, LastCommit: n.lastCommit, Unproven: r.Unreached && !n.server.Fencer.IsProven()}
 	if !n.lastCommit.IsZero() {
 		reply.LastCommitAge = time.Since(n.lastCommitAt)
 	}
--- a/internal/transport/sessioner/forwarded_test.go
+++ b/internal/transport/sessioner/forwarded_test.go
@@ -98,3 +98,24 @@
 	qt.Assert(t, s.ForwardedTransactions(), qt.Equals, 0)
 	qt.Assert(t, seen["shops"][2], qt.Equals, requester.Rollback)
 }
+
+// Guards against statements that are sent repeatedly to a home that cannot use the
+// primary, because it does not tell that its proof is too old.
+func TestReplyTellsThatTheProofIsTooOld(t *testing.T) {
+	s, seen := newTestServer()
+	now := s.Holder.Clock()
+	s.Holder.Now = func() time.Duration { return now }
+	for _, id := range []uint64{0, 1} {
+		f := openingForward("shops", id)
+		if id == 0 {
+			f.Begin = requester.Unknown
+		}
+		qt.Assert(t, s.Execute("peer", f).Unproven, qt.IsFalse)
+		now += fencer.Validity + time.Second
+		r := s.Execute("peer", f)
+		qt.Assert(t, r.Unproven, qt.IsTrue)
+		qt.Assert(t, r.NotRun(), qt.IsTrue)
+		s.Holder.SetProof(now)
+	}
+	qt.Assert(t, seen["shops"], qt.DeepEquals, []requester.Kind{requester.Write, requester.Begin, requester.Write, requester.Rollback})
+}
