internal/coordination/follower: query the store when cut off, log fallback relays

An instance whose links to all others are open but silent went on to ask the next one, and did not query the store itself.

Run waits for a query of the store that is under way when it ends. Log lines tell when an instance begins and ends to serve as a fallback relay. A home without a recent proof forwards what needs the primary; this decision has its own test now.

--- a/internal/command/starter/forward.go
+++ b/internal/command/starter/forward.go
@@ -131,13 +131,12 @@
 // instance, or if no home is reached.
 func (s *Starter) homes(service identifier.ServiceName, w identifier.WorkspaceName, primary bool) []identifier.InstanceID {
 	candidates := s.homeCandidates(service, w, primary)
-	switch {
-	case primary && !s.fencer.IsProven():
-		// Another home may have a recent proof.
-		candidates = slices.DeleteFunc(candidates, func(i cataloger.Instance) bool { return i.ID == s.Settings.InstanceID })
-	case s.isHomeOfFirstDataCentre(candidates):
+	if s.runsItself(candidates, primary) {
 		return nil
 	}
+	if primary && !s.fencer.IsProven() {
+		candidates = slices.DeleteFunc(candidates, func(i cataloger.Instance) bool { return i.ID == s.Settings.InstanceID })
+	}
 	for range maxConnectAttempts {
 		s.plans.moveAvoidedToEnd(candidates, primary)
 		connected, unconnected := s.linkedHomes(candidates)
@@ -183,6 +182,13 @@
 	}
 }
 
+// runsItself reports whether this instance runs the statements, of which others are
+// homes as well. Without a recent proof it cannot use the primary, but another home
+// may have one.
+func (s *Starter) runsItself(homes []cataloger.Instance, primary bool) bool {
+	return s.isHomeOfFirstDataCentre(homes) && (!primary || s.fencer.IsProven())
+}
+
 // isHomeOfFirstDataCentre reports whether this instance is one of the homes in the
 // data centre of the first one.
 func (s *Starter) isHomeOfFirstDataCentre(homes []cataloger.Instance) bool {
--- a/internal/command/starter/forward_test.go
+++ b/internal/command/starter/forward_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"oleanderpulley/internal/coordination/fencer"
 	"oleanderpulley/internal/protocol/requester"
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
@@ -34,3 +36,20 @@
 	p.observeReply("one", write, sessioner.ForwardReply{})
 	qt.Assert(t, first(true), qt.Equals, identifier.InstanceID("one"))
 }
+
+// Guards against a home that refuses what only the primary can run because its
+// proof is too old, although another home may have a recent one.
+func TestHomeWithoutARecentProofForwards(t *testing.T) {
+	now := time.Hour
+	s := &Starter{}
+	s.Settings.InstanceID = "one"
+	s.holder.Now = func() time.Duration { return now }
+	s.holder.Replace(&cataloger.Catalog{})
+	s.holder.SetProof(now)
+	s.fencer.Holder = &s.holder
+	homes := []cataloger.Instance{{ID: "two"}, {ID: "one"}}
+	qt.Assert(t, s.runsItself(homes, true), qt.IsTrue)
+	now += fencer.Validity + 1
+	qt.Assert(t, s.runsItself(homes, true), qt.IsFalse)
+	qt.Assert(t, s.runsItself(homes, false), qt.IsTrue)
+}
--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -117,6 +117,7 @@
 	searches     bool         // The last round got no recent proof from others.
 	searchRounds int          // Such rounds in succession.
 	fallsBackNow bool         // The query of this round is one of a fallback.
+	serves       bool         // As a fallback relay, by the log.
 	fallbackHops atomic.Int32 // [CatalogReply.Fallback] of the newest proof.
 	wakeOnce     sync.Once
 	wakes        chan struct{}
@@ -132,6 +133,7 @@
 	if !f.searches {
 		f.searchRounds = 0
 	}
+	f.logFallback()
 	return err
 }
 
--- a/internal/coordination/follower/schedule.go
+++ b/internal/coordination/follower/schedule.go
@@ -21,6 +21,9 @@
 		case <-time.After(max(pause, 10*time.Millisecond)):
 		}
 	}
+	if f.pending != nil {
+		<-f.pending.answer // The query ends with its context.
+	}
 }
 
 // wake starts the next round at once.
@@ -85,3 +88,17 @@
 		f.failures = 0
 	}
 }
+
+// logFallback logs when this instance begins and ends to serve as a fallback relay.
+func (f *Follower) logFallback() {
+	serves := f.Fallback.Serves(f.Holder.Clock())
+	if serves == f.serves {
+		return
+	}
+	f.serves = serves
+	event := "fallback_relay_ended"
+	if serves {
+		event = "fallback_relay_began"
+	}
+	f.Logger.Info().Str("event", event).Send()
+}
--- a/internal/coordination/follower/search.go
+++ b/internal/coordination/follower/search.go
@@ -166,7 +166,7 @@
 		}
 		w.over(c.order[c.parents:])
 	}
-	if w.step.ask == "" && !starts && s.silent >= silentRequests && age >= maxProofAgeWithoutRelay && s.Fallback.Due(now) {
+	if !starts && s.silent >= silentRequests && age >= maxProofAgeWithoutRelay && s.Fallback.Due(now) {
 		return searchStep{store: true}
 	}
 	w.step.regular = w.step.ask != "" && c.isParent(w.step.ask)
--- a/internal/coordination/follower/simulation_test.go
+++ b/internal/coordination/follower/simulation_test.go
@@ -394,6 +394,16 @@
 	return f
 }
 
+// severalCutOff cuts one instance in ten off from all others, but not from the
+// store.
+func severalCutOff(r *rand.Rand, fl *fleet) failure {
+	f := failure{side: map[identifier.InstanceID]int{}}
+	for id := range instancesOf(fl, func(cataloger.Instance) bool { return r.IntN(10) == 0 }) {
+		f.side[id] = len(f.side) + 1
+	}
+	return f
+}
+
 func storeLost(_ *rand.Rand, fl *fleet) failure {
 	return failure{lost: instancesOf(fl, func(cataloger.Instance) bool { return true })}
 }
@@ -419,6 +429,7 @@
 	{"data centre lost", dataCentreLost, false, false},
 	{"data centre cut off", partitioned, true, false},
 	{"fleet split", split, true, true},
+	{"several cut off", severalCutOff, false, false},
 	{"store lost, refused", storeLost, false, false},
 	{"store lost, silent", storeLost, true, true},
 }
