--- a/internal/command/starter/evacuation.go
+++ b/internal/command/starter/evacuation.go
@@ -13,7 +13,7 @@
 type evacuationStatus struct {
 	DataCentre identifier.DataCentre `json:"data_centre"`
 	Servers    int                   `json:"servers"` // Registered in the data centre.
-	// Withdrawn reports that this instance sends nothing to the servers any more.
+	// Withdrawn reports that this instance sends no statements to the servers.
 	Withdrawn bool `json:"withdrawn"`
 	// Primaries has the services whose primary is still in the data centre.
 	Primaries []identifier.ServiceName `json:"primaries"`
--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -234,8 +234,8 @@
 	return s.Draining && b.DrainLimit > 0 && b.now().Sub(s.DrainingSince) > b.DrainLimit
 }
 
-// IsWithdrawn reports whether the server gets nothing any more, because its data
-// centre has been evacuated for longer than EvacuationLimit.
+// IsWithdrawn reports whether no statement may be sent to the server, because its
+// data centre has been evacuated for longer than EvacuationLimit.
 func (b *Balancer) IsWithdrawn(s cataloger.BackendServer) bool {
 	return s.Evacuated && b.EvacuationLimit > 0 && b.now().Sub(s.EvacuatedSince) > b.EvacuationLimit
 }
--- a/internal/state/cataloger/catalog.go
+++ b/internal/state/cataloger/catalog.go
@@ -71,9 +71,9 @@
 	// is zero if that time is not known.
 	DrainingSince time.Time `cbor:"-"`
 
-	// Evacuated reports that operators have requested that the servers of its
-	// data centre get nothing more. EvacuatedSince is the earliest time at which
-	// they may have done so, like DrainingSince.
+	// Evacuated reports that operators have requested that no statements are sent
+	// to the servers of its data centre. EvacuatedSince is the earliest time at
+	// which they may have done so, like DrainingSince.
 	Evacuated      bool      `cbor:"-"`
 	EvacuatedSince time.Time `cbor:"-"`
 
@@ -98,7 +98,7 @@
 	return now.Before(s.ColdUntil)
 }
 
-// Evacuation is the operators' request that nothing more is sent to the backend
+// Evacuation is the operators' request that no statements are sent to the backend
 // servers of a data centre. It holds until it is removed from the store.
 type Evacuation struct {
 	Revision uint64 `cbor:"revision"`
--- a/internal/transport/messenger/link.go
+++ b/internal/transport/messenger/link.go
@@ -97,7 +97,7 @@
 		case now := <-ticker.C:
 			silentSince := time.Unix(0, max(sentAt.UnixNano(), l.lastReply.Load()))
 			if repeatable && now.Sub(silentSince) >= repeatTimeout {
-				return nil, errors.Wrapf(ErrUnreachable, "instance %s: no sign of life", l.peer.ID)
+				return nil, errors.Wrapf(ErrUnreachable, "instance %s: nothing received", l.peer.ID)
 			}
 			l.check(now.Add(-checkInterval))
 		}
--- a/internal/transport/messenger/messenger.go
+++ b/internal/transport/messenger/messenger.go
@@ -30,8 +30,9 @@
 	// request in flight checks the link.
 	checkInterval = 100 * time.Millisecond
 	// repeatTimeout is the time without anything from the peer, not even an answer
-	// to the ping of a check, after which a repeatable request is given up. It is
-	// longer than a processor share of a tenth of a second is suspended.
+	// to the ping of a check, after which a repeatable request ends. It is longer
+	// than the pause of a process that has used up its processor quota of a tenth
+	// of a second.
 	repeatTimeout  = 250 * time.Millisecond
 	maxInFlight    = 256 // Pending requests on one link.
 	maxHandlers    = 32  // Concurrent handlers for one inbound link.
@@ -177,8 +178,9 @@
 }
 
 // RequestRepeatable is [Messenger.Request] for a request that can be sent to another
-// peer as well. It gives up a peer that shows no sign of life, in place of waiting
-// until the context ends. The peer may have handled the request.
+// peer as well. It returns [ErrUnreachable] once nothing was received from the peer
+// for [repeatTimeout], before the context ends. The peer may have handled the
+// request.
 func (m *Messenger) RequestRepeatable(ctx context.Context, to identifier.InstanceID, body any) (any, error) {
 	return m.request(ctx, to, body, true)
 }
--- a/internal/transport/sessioner/primary.go
+++ b/internal/transport/sessioner/primary.go
@@ -174,15 +174,15 @@
 }
 
 // onlyEvacuated reports whether the service has servers and every one of them is
-// in an evacuated data centre, so that a read would wait in vain.
+// in an evacuated data centre, so that no read can be served.
 func (s *Server) onlyEvacuated(service identifier.ServiceName) bool {
 	servers := s.Holder.Catalog().Servers[service]
 	return len(servers) > 0 && !slices.ContainsFunc(servers, func(b cataloger.BackendServer) bool { return !b.Evacuated })
 }
 
-// isPrimaryWithdrawn reports whether the primary of the service gets nothing any
-// more and no replacement of it is under way, so that a statement would wait in
-// vain.
+// isPrimaryWithdrawn reports whether no statement may be sent to the primary of the
+// service. It is called while no replacement is under way, so that waiting would
+// not help.
 func (s *Server) isPrimaryWithdrawn(service identifier.ServiceName) bool {
 	id := s.Fencer.Record(service).Server
 	if id == "" {
--- a/internal/transport/sessioner/run.go
+++ b/internal/transport/sessioner/run.go
@@ -118,7 +118,7 @@
 
 // errCold reports that a server that is still slow after its start may not get a
 // statement now.
-var errCold = errors.New("the backend server has started just now and takes few statements")
+var errCold = errors.New("the backend server is still slow after its start and takes few statements")
 
 // borrow borrows a connection for the operation and adds the wait to its trace.
 func (n *session) borrow(o operation, w lender.Request) (*lender.Conn, error) {
--- a/internal/transport/sessioner/transaction.go
+++ b/internal/transport/sessioner/transaction.go
@@ -107,9 +107,9 @@
 	return r
 }
 
-// checkConn returns an error if no statement of the transaction may be sent on its
-// connection any more. The connection to a server that gets nothing any more is
-// closed without a rollback, which the server does by itself.
+// checkConn returns an error if no further statement of the transaction may be sent
+// on its connection. The connection to a withdrawn server is closed without a
+// rollback statement; the server rolls back when it ends.
 func (n *session) checkConn() error {
 	if n.server.isWithdrawn(n.tx.conn.Server) {
 		n.tx.conn.MarkBroken()
