internal/coordination/scheduler: fair order and admission of waiting statements

Statements of the line protocol wait for a connection strictly by priority and otherwise first come, first served. One workspace can fill the queue, a less urgent priority can starve, and a statement waits although it cannot start before its deadline.

--- /dev/null
+++ b/internal/coordination/scheduler/statement.go
@@ -0,0 +1,90 @@
+package scheduler
+
+import (
+	"time"
+
+	"oleanderpulley/internal/state/identifier"
+)
+
+// Statement is a statement that waits in a [Queue] or was started by it. It must
+// not be copied once it was passed to the queue.
+type Statement struct {
+	Workspace identifier.WorkspaceName
+	Priority  int       // 0 is the most urgent.
+	Target    time.Time // When the statement should be answered; zero means at the deadline.
+	Deadline  time.Time // Until when the statement may start.
+	Slotless  bool      // Is not subject to the limit of concurrent statements, such as a transaction.
+	Exempt    bool      // A query of the proxy itself, which is never refused by fairness.
+	Owner     any       // Is not used by the queue.
+
+	flow      *flow
+	sequence  uint64 // Order of arrival.
+	late      bool   // Can no longer meet its target.
+	waiting   bool
+	index     int           // Position in the heap of the flow.
+	charged   time.Duration // Service time that was charged at the start.
+	startedAt time.Time
+}
+
+// target returns when the statement should be answered.
+func (s *Statement) target() time.Time {
+	if s.Target.IsZero() {
+		return s.Deadline
+	}
+	return s.Target
+}
+
+// isBefore reports whether the statement is served before another one of its
+// workspace and priority.
+func (s *Statement) isBefore(other *Statement) bool {
+	if s.late != other.late {
+		return other.late
+	}
+	if a, b := s.target(), other.target(); !a.Equal(b) {
+		return a.Before(b)
+	}
+	return s.sequence < other.sequence
+}
+
+// kind distinguishes statements by what they need to start.
+type kind int
+
+const (
+	slotted  kind = iota // A connection and a slot.
+	slotless             // A connection.
+	kindCount
+)
+
+func (s *Statement) kind() kind {
+	if s.Slotless {
+		return slotless
+	}
+	return slotted
+}
+
+// statementHeap orders the statements of a flow. It implements heap.Interface.
+type statementHeap []*Statement
+
+func (h statementHeap) Len() int           { return len(h) }
+func (h statementHeap) Less(i, j int) bool { return h[i].isBefore(h[j]) }
+
+func (h statementHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *statementHeap) Push(x any) {
+	s := x.(*Statement)
+	s.index = len(*h)
+	*h = append(*h, s)
+}
+
+// Pop implements heap.Interface.
+func (h *statementHeap) Pop() any {
+	old := *h
+	s := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return s
+}
