internal/transport/lender: let the scheduler choose the next borrower

The lender kept up to 24 waiters per server in the order of their priority and arrival. A borrower that was woken competed with new ones for the connection.

A borrower that cannot be served at once now waits in a scheduler.Queue, and a connection that becomes free is granted to the statement that the queue selects. Several are granted if the concurrency limit has grown. A borrower whose Cancelled channel is closed leaves the queue. The refusal is an ErrNoConnection with the cause and with "retry after". Waits and refusals by cause are counted.

--- a/internal/transport/lender/conn.go
+++ b/internal/transport/lender/conn.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"oleanderpulley/internal/coordination/scheduler"
 	"oleanderpulley/internal/protocol/requester"
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
@@ -49,6 +50,8 @@
 	broken   bool
 	stale    bool // To a retired pool; close on return.
 	returned time.Time
+
+	statement *scheduler.Statement // For which the connection is lent; nil if it did not wait.
 }
 
 // Run sends one statement and returns its result. An error is [ErrNotSent] or
--- a/internal/transport/lender/lender.go
+++ b/internal/transport/lender/lender.go
@@ -10,13 +10,17 @@
 
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
+	"oleanderpulley/internal/transport/reporter"
 )
 
 // Sentinel errors of [Lender.Borrow] and [Lender.Dial].
 var (
-	// ErrNoConnection reports that no connection became free before the
-	// deadline, or that too many borrowers wait.
+	// ErrNoConnection reports that no connection became free in time, or that the
+	// borrower was not allowed to wait for one. The cause is also in the error:
+	// [ErrCancelled] or a [*scheduler.RefusalError].
 	ErrNoConnection = errors.New("no connection to the backend server became free")
+	// ErrCancelled reports that the borrower needs the connection no longer.
+	ErrCancelled = errors.New("the client has disconnected")
 	// ErrNoShare reports that this instance may have no connections to the
 	// backend server.
 	ErrNoShare = errors.New("this instance may not connect to the backend server")
@@ -46,26 +50,27 @@
 	// be lent at the same time outside transactions. If ConcurrencyLimit is
 	// nil, only Limit applies. It may call methods of the lender.
 	ConcurrencyLimit func(s cataloger.BackendServer) int
+	// Registry gets the waits in the queues and the refusals by cause. It may be
+	// nil.
+	Registry *reporter.Registry
 
-	mu        sync.Mutex
-	pools     map[identifier.BackendServerID]*serverPool
-	dialCount uint64
+	mu    sync.Mutex
+	pools map[identifier.BackendServerID]*serverPool
 }
 
-// maxWaiters is the number of borrowers that may wait for a connection to one
-// server. Further ones are refused at once, because they would not get a
-// connection in time.
-const maxWaiters = 24
-
 // Request describes the connection that a borrower needs.
 type Request struct {
 	Server       cataloger.BackendServer
 	Workspace    identifier.WorkspaceName
-	Pinned       bool     // For a transaction, which is idle most of the time and not subject to ConcurrencyLimit.
-	Priority     int      // 0 is served first among the waiting borrowers.
-	AnyWorkspace bool     // Accept a connection of any workspace; not subject to ConcurrencyLimit.
-	Settings     Settings // Preferred, not required.
+	Pinned       bool      // For a transaction, which is idle most of the time and not subject to ConcurrencyLimit.
+	Priority     int       // 0 is the most urgent.
+	AnyWorkspace bool      // For a query of the proxy itself: accept a connection of any workspace; not subject to ConcurrencyLimit.
+	Settings     Settings  // Preferred, not required.
+	Target       time.Time // When the statement should be answered; zero means at the deadline.
 	Deadline     time.Time
+	// Cancelled is closed when the connection is needed no longer. Nil means
+	// never.
+	Cancelled <-chan struct{}
 }
 
 // Borrow lends a connection, waiting for one until the deadline of the request.
@@ -76,22 +81,24 @@
 		return nil, errors.Wrapf(ErrNoShare, "server %s", req.Server.ID)
 	}
 	for {
-		c, pool, turn := l.acquire(req, l.concurrencyLimit(req))
-		switch {
-		case c != nil && c.link.Open():
-			return c, nil
-		case c != nil:
-			c.MarkBroken()
-			l.Return(c)
-		case pool != nil:
-			return l.dialReserved(req, pool)
-		case turn == nil:
-			return nil, errors.Wrapf(ErrNoConnection, "server %s: too many wait", req.Server.ID)
-		default:
-			if err := l.waitTurn(req, turn); err != nil {
+		g, w, err := l.acquire(req, l.concurrencyLimit(req))
+		if err != nil {
+			return nil, err
+		}
+		if w != nil {
+			if g, err = l.await(w); err != nil {
 				return nil, err
 			}
 		}
+		switch {
+		case g.reserved:
+			return l.dialReserved(req, g)
+		case g.conn != nil && g.conn.link.Open():
+			return g.conn, nil
+		case g.conn != nil:
+			g.conn.MarkBroken()
+			l.Return(g.conn)
+		}
 		if !time.Now().Before(req.Deadline) {
 			return nil, errors.Wrapf(ErrNoConnection, "server %s", req.Server.ID)
 		}
@@ -102,109 +109,135 @@
 // be granted. It must be called without the lock, because
 // [Lender.ConcurrencyLimit] may call the lender.
 func (l *Lender) concurrencyLimit(req Request) int {
-	if l.ConcurrencyLimit == nil || req.AnyWorkspace || req.Pinned {
+	if req.AnyWorkspace || req.Pinned {
 		return math.MaxInt
 	}
-	return max(1, l.ConcurrencyLimit(req.Server))
+	return l.slots(req.Server)
 }
 
-// acquire returns an idle connection, or a pool in which room for a new
-// connection is reserved, or a channel that is closed when the borrower may try
-// again. All three are nil if too many borrowers wait.
-func (l *Lender) acquire(req Request, concurrency int) (*Conn, *serverPool, chan struct{}) {
+// slots returns the number of connections to the server that may be lent outside
+// transactions. It must be called without the lock.
+func (l *Lender) slots(server cataloger.BackendServer) int {
+	if l.ConcurrencyLimit == nil {
+		return math.MaxInt
+	}
+	return max(1, l.ConcurrencyLimit(server))
+}
+
+// acquire returns a grant, or a waiter if the borrower has to wait for one. It
+// returns an error if the borrower may not wait.
+func (l *Lender) acquire(req Request, concurrency int) (grant, *waiter, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.serverPool(req.Server)
-	if len(s.borrowed)+s.dialing-s.pinned >= concurrency {
-		return nil, nil, s.enqueue(req.Priority)
+	if s.queue.Len() == 0 && s.inUse() < concurrency {
+		if g, ok := l.grant(s, req); ok {
+			return g, nil, nil
+		}
 	}
+	w, err := l.enqueue(s, req)
+	return grant{}, w, err
+}
+
+// grant lends an idle connection or reserves room for a new one. It returns false
+// if neither is possible.
+func (l *Lender) grant(s *serverPool, req Request) (grant, bool) {
 	if i := s.bestIdle(req); i >= 0 {
 		c := s.idle[i]
 		s.idle = slices.Delete(s.idle, i, i+1)
 		s.markBorrowed(c, req)
-		return c, nil, nil
-	}
-	limit := max(1, l.Limit(req.Server)) // It may have become 0 since Borrow has checked it.
-	full := time.Now().Before(s.fullUntil)
-	if s.total() < limit && !full {
-		s.dialing++
-		return nil, s, nil
+		return grant{pool: s, conn: c}, true
 	}
-	if len(s.idle) > 0 {
+	switch {
+	case l.mayDial(s):
+	case len(s.idle) > 0:
 		s.closeOldest()
-		s.dialing++
-		return nil, s, nil
+	default:
+		return grant{}, false
 	}
-	return nil, nil, s.enqueue(req.Priority)
+	s.dialing++
+	return grant{pool: s, reserved: true}, true
 }
 
-// waitTurn waits until the channel is closed or the deadline of the request has
-// passed.
-func (l *Lender) waitTurn(req Request, turn chan struct{}) error {
-	timer := time.NewTimer(time.Until(req.Deadline))
-	defer timer.Stop()
-	select {
-	case <-turn:
-		return nil
-	case <-timer.C:
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := l.serverPool(req.Server)
-	i := slices.IndexFunc(s.waiters, func(o waiter) bool { return o.ready == turn })
-	if i >= 0 {
-		s.waiters = slices.Delete(s.waiters, i, i+1)
-	} else {
-		s.wakeNext() // Woken at the deadline: pass the turn to the next borrower.
-	}
-	return errors.Wrapf(ErrNoConnection, "server %s", req.Server.ID)
+// mayDial reports whether a new connection may be opened.
+func (l *Lender) mayDial(s *serverPool) bool {
+	limit := max(1, l.Limit(s.server)) // It may have become 0 since Borrow has checked it.
+	return s.total() < limit && !time.Now().Before(s.fullUntil)
 }
 
-// dialReserved opens a connection in the room that acquire has reserved.
-func (l *Lender) dialReserved(req Request, s *serverPool) (*Conn, error) {
+// hasRoom reports whether a connection can be lent: one is idle or a new one may
+// be opened.
+func (l *Lender) hasRoom(s *serverPool) bool {
+	return len(s.idle) > 0 || l.mayDial(s)
+}
+
+// dialReserved opens a connection in the room that the grant has reserved.
+func (l *Lender) dialReserved(req Request, g grant) (*Conn, error) {
 	link, err := l.Dial(req.Deadline, req.Server, req.Workspace)
+	if err != nil {
+		l.release(g, err)
+		return nil, err
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	s := g.pool
 	s.dialing--
-	l.dialCount++
-	if err != nil {
-		if errors.Is(err, ErrServerFull) {
-			s.fullUntil = time.Now().Add(serverFullPause)
-		}
-		s.wakeNext()
-		return nil, err
+	c := &Conn{
+		Server: req.Server, Workspace: req.Workspace, LastAnswer: time.Now(), link: link, pool: s,
+		stale: s.retired, statement: g.statement,
 	}
-	now := time.Now()
-	c := &Conn{Server: req.Server, Workspace: req.Workspace, LastAnswer: now, link: link, pool: s, stale: s.retired}
 	s.markBorrowed(c, req)
 	return c, nil
 }
 
+// release gives back the room that the grant has reserved. The error is the one
+// for which no connection was opened, or nil if none was tried.
+func (l *Lender) release(g grant, err error) {
+	l.mu.Lock()
+	s := g.pool
+	s.dialing--
+	if errors.Is(err, ErrServerFull) {
+		s.fullUntil = time.Now().Add(serverFullPause)
+	}
+	s.finish(g.statement)
+	l.unlockAndDispatch(s)
+}
+
 // Return takes back a borrowed connection. It closes the connection if it is
 // broken, stale or over the limit.
 func (l *Lender) Return(c *Conn) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	s := c.pool
 	delete(s.borrowed, c)
 	if c.pinned {
 		s.pinned--
 	}
+	s.finish(c.statement)
+	c.statement = nil
 	if c.broken || c.stale || s.total() >= l.Limit(c.Server) {
 		c.link.Close()
 	} else {
 		c.returned = time.Now()
 		s.idle = append(s.idle, c)
 	}
-	s.wakeNext()
+	l.unlockAndDispatch(s)
 }
 
 // Adapt drops the connections to backend servers that are not in the catalog,
 // and closes idle connections beyond the limits, which may have changed with the
 // catalog.
 func (l *Lender) Adapt(catalog *cataloger.Catalog) {
+	for _, s := range l.adapt(catalog) {
+		l.dispatch(s)
+	}
+}
+
+// adapt does the work of [Lender.Adapt] and returns the pools in which borrowers
+// wait, for which the limit may have grown.
+func (l *Lender) adapt(catalog *cataloger.Catalog) []*serverPool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	var waiting []*serverPool
 	for id, s := range l.pools {
 		if _, ok := catalog.Server(s.server.Service, id); !ok {
 			s.retire()
@@ -214,7 +247,11 @@
 		for limit := l.Limit(s.server); len(s.idle) > 0 && s.total() > limit; {
 			s.closeOldest()
 		}
+		if s.queue.Len() > 0 {
+			waiting = append(waiting, s)
+		}
 	}
+	return waiting
 }
 
 // idleTimeout is the time after which an unused connection is closed, so that
@@ -255,7 +292,7 @@
 	if !ok {
 		return 0, 0
 	}
-	return len(s.borrowed) + s.dialing, len(s.waiters)
+	return len(s.borrowed) + s.dialing, s.queue.Len()
 }
 
 // Close closes the idle connections and marks the lent ones, which are closed on
--- a/internal/transport/lender/pool.go
+++ b/internal/transport/lender/pool.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"oleanderpulley/internal/coordination/scheduler"
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
 )
@@ -14,8 +15,8 @@
 	idle      []*Conn // Least recently returned first.
 	borrowed  map[*Conn]struct{}
 	dialing   int
-	pinned    int      // Number of borrowed connections that are pinned to transactions.
-	waiters   []waiter // In the order in which they are woken.
+	pinned    int // Number of borrowed connections that are pinned to transactions.
+	queue     scheduler.Queue
 	fullUntil time.Time
 	retired   bool // A newer incarnation exists, or the server is gone.
 }
@@ -31,25 +32,18 @@
 	s.idle = slices.Delete(s.idle, 0, 1)
 }
 
-// waiter is a borrower that waits for a connection.
-type waiter struct {
-	ready    chan struct{}
-	priority int
+// inUse returns the number of connections that count as concurrent statements.
+func (s *serverPool) inUse() int {
+	return len(s.borrowed) + s.dialing - s.pinned
 }
 
-// enqueue adds a borrower to the waiters, behind those of the same priority, and
-// returns the channel that wakes it. It returns nil if too many wait.
-func (s *serverPool) enqueue(priority int) chan struct{} {
-	if len(s.waiters) >= maxWaiters {
-		return nil
-	}
-	w := waiter{make(chan struct{}), priority}
-	i := len(s.waiters)
-	for i > 0 && s.waiters[i-1].priority > priority {
-		i--
-	}
-	s.waiters = slices.Insert(s.waiters, i, w)
-	return w.ready
+// grant is what a borrower gets: a connection, or room reserved in the pool for a
+// new one.
+type grant struct {
+	pool      *serverPool
+	conn      *Conn
+	reserved  bool
+	statement *scheduler.Statement // Nil if the borrower did not wait.
 }
 
 // bestIdle returns the index of the most recently used idle connection that fits
@@ -81,11 +75,11 @@
 	s.borrowed[c] = struct{}{}
 }
 
-// wakeNext wakes the first waiter, if any.
-func (s *serverPool) wakeNext() {
-	if len(s.waiters) > 0 {
-		close(s.waiters[0].ready)
-		s.waiters = slices.Delete(s.waiters, 0, 1)
+// finish accounts for a statement that has returned its connection. The statement
+// is nil if it did not wait.
+func (s *serverPool) finish(st *scheduler.Statement) {
+	if st != nil {
+		s.queue.Finish(st, time.Now())
 	}
 }
 
@@ -118,7 +112,8 @@
 	for c := range s.borrowed {
 		c.stale = true
 	}
-	for len(s.waiters) > 0 {
-		s.wakeNext()
+	for s.queue.Len() > 0 {
+		st, _ := s.queue.Next(true, time.Now()) // What is charged no longer matters.
+		st.Owner.(*waiter).decide(grant{}, nil)
 	}
 }
--- a/internal/transport/sessioner/read.go
+++ b/internal/transport/sessioner/read.go
@@ -75,12 +75,14 @@
 
 // runOnReaders calls run, which must be safe to repeat, with one server after
 // another until one has run the statement. If the statement fails on the first
-// server, it is retried on one other server.
+// server, it is retried on one other server. If the queues of all servers refuse
+// it, it is refused once each was asked to let it wait for the entire time.
 func (n *session) runOnReaders(o operation, run func(b cataloger.BackendServer, f floor, attempt int) (requester.Result, error)) requester.Result {
 	if n.server.onlyEvacuated(o.route.Service) {
 		return n.unreachedRefusal(requester.Overloaded, errEvacuated.Error())
 	}
 	var tried []identifier.BackendServerID
+	refused, skipped := 0, 0 // Attempts that the queues refused; attempts skipped to get the entire time.
 	last := n.unreachedRefusal(requester.Lagging, errNoSample.Error())
 	for time.Now().Before(o.deadline) {
 		f, err := n.floor(o)
@@ -91,16 +93,26 @@
 			return last
 		}
 		b, ok := n.nextReader(o, f.age, tried)
+		if !ok && refused > 0 && refused == len(tried) {
+			if skipped > 0 {
+				return last
+			}
+			tried, refused, skipped = nil, 0, dividedAttempts
+			continue
+		}
 		if !ok {
 			if !waitWithin(nil, retryPause, o.waitDeadline) {
 				return last
 			}
-			tried = nil
+			tried, refused = nil, 0
 			continue
 		}
 		tried = append(tried, b.ID)
-		r, err := run(b, f, len(tried))
+		r, err := run(b, f, len(tried)+skipped)
 		switch {
+		case errors.Is(err, lender.ErrNoConnection):
+			last = n.borrowRefusal(err)
+			refused++
 		case errors.Is(err, lender.ErrNoAnswer):
 			last = n.refusal(requester.OutcomeUnknown, err.Error())
 		case err != nil:
@@ -152,12 +164,15 @@
 	return cataloger.BackendServer{}, false
 }
 
-// readFromServer runs a read on one server. The first two attempts get only a
-// part of the remaining time, so that the read can be retried on another server
-// if this one does not answer.
+// dividedAttempts is the number of attempts of a read that get only a part of the
+// remaining time, so that the read can be retried on another server if one does
+// not answer.
+const dividedAttempts = 2
+
+// readFromServer runs a read on one server.
 func (n *session) readFromServer(b cataloger.BackendServer, o operation, rs resolvedStatement, attempt int) (requester.Result, error) {
 	limit := time.Now().Add(time.Until(o.deadline) * 3 / 5)
-	if attempt >= 3 {
+	if attempt > dividedAttempts {
 		limit = o.deadline
 	}
 	o.deadline = limit
--- a/internal/transport/sessioner/run.go
+++ b/internal/transport/sessioner/run.go
@@ -112,7 +112,7 @@
 func (n *session) connRequest(o operation, b cataloger.BackendServer, pinned bool, wait time.Time) lender.Request {
 	return lender.Request{
 		Server: b, Workspace: o.workspace, Settings: n.settings, Pinned: pinned,
-		Priority: o.route.Priority, Deadline: wait,
+		Priority: o.route.Priority, Target: o.arrived.Add(o.route.TargetLatency), Deadline: wait,
 	}
 }
 
