internal/coordination/scheduler: refuse what would wait behind others

A statement that will be too late for its target when its turn comes is put behind those that can meet theirs, and mostly expires there. It was admitted, because its turn comes before its deadline. It now counts as waiting twice as long.

What workspaces owe to each other is forgotten after a second without waiting statements.

--- a/internal/coordination/scheduler/class.go
+++ b/internal/coordination/scheduler/class.go
@@ -17,6 +17,7 @@
 	priority int
 	flows    [kindCount]flowHeap // Flows with waiting statements of a kind.
 	virtual  float64             // Highest start tag of a started statement.
+	finished float64             // Highest finish tag.
 	waiting  [kindCount]int
 	weight   float64 // Sum over the flows with waiting statements.
 
@@ -25,6 +26,8 @@
 	// urgent one waited.
 	served, servedBefore, totalBefore time.Duration
 
+	startedAt time.Time // When the last statement started.
+
 	share float64 // Part of the dispatches that the class got while it waited.
 }
 
@@ -33,6 +36,16 @@
 	return c.waiting[slotted] + c.waiting[slotless]
 }
 
+// begin prepares the class for its first waiting statement. After a time without
+// any, what the flows owe to each other is forgotten.
+func (c *class) begin(now time.Time) {
+	if now.Sub(c.startedAt) > rateMemory {
+		c.virtual = max(c.virtual, c.finished)
+	}
+	c.restart()
+	c.share = 1
+}
+
 // restart lets the minimum share count from now on.
 func (c *class) restart() {
 	c.servedBefore, c.totalBefore = c.served, c.queue.total
--- a/internal/coordination/scheduler/flow.go
+++ b/internal/coordination/scheduler/flow.go
@@ -52,6 +52,11 @@
 	return max(f.class.queue.service, initialService)
 }
 
+// likelyService returns the service time that most statements do not exceed.
+func (f *flow) likelyService() time.Duration {
+	return f.service() + 2*f.deviation
+}
+
 // observe adds a service time to the average.
 func (f *flow) observe(took time.Duration) {
 	if f.mean == 0 {
@@ -90,11 +95,10 @@
 }
 
 // next returns the statement of a kind that is to be started next. It first moves
-// the statements that can no longer meet their target behind the others. The
-// service time may turn out longer than the average by twice its deviation.
+// the statements that can no longer meet their target behind the others.
 func (f *flow) next(k kind, now time.Time) *Statement {
 	h := &f.waiting[k]
-	answered := now.Add(f.service() + 2*f.deviation)
+	answered := now.Add(f.likelyService())
 	for {
 		s := (*h)[0]
 		if s.late || !answered.After(s.target()) {
@@ -137,6 +141,7 @@
 // retag derives the start tag from the finish tag.
 func (f *flow) retag() {
 	f.startTag = max(f.minTag, f.finishTag)
+	f.class.finished = max(f.class.finished, f.finishTag)
 	for k, h := range f.waiting {
 		if len(h) > 0 {
 			heap.Fix(&f.class.flows[k], f.index[k])
--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -21,8 +21,8 @@
 type Queue struct {
 	// Limit is the number of statements that may wait. 0 means [DefaultLimit].
 	Limit int
-	// Weight returns the weight of a workspace, more than 0. If it is nil, all
-	// workspaces have the same weight.
+	// Weight returns the weight of a workspace, more than 0. It is called when the
+	// workspace is first seen. If it is nil, all workspaces have the same weight.
 	Weight func(w identifier.WorkspaceName) float64
 
 	accounts map[identifier.WorkspaceName]*account
@@ -165,8 +165,14 @@
 // refusalCause returns why a statement may not wait, or nil.
 func (q *Queue) refusalCause(f *flow, s *Statement, now time.Time) error {
 	// If all were refused while none waits, the rate would not be observed.
-	if q.waiting[s.kind()] > 0 && now.Add(q.expectedWait(f, s.kind(), now)).After(s.Deadline) {
-		return ErrDeadline
+	if q.waiting[s.kind()] > 0 {
+		wait := q.expectedWait(f, s.kind(), now)
+		if now.Add(wait + f.likelyService()).After(s.target()) {
+			wait *= 2 // Behind those that arrive meanwhile and can meet their target.
+		}
+		if now.Add(wait).After(s.Deadline) {
+			return ErrDeadline
+		}
 	}
 	a := f.account
 	if a.waiting >= max(1, q.limit()/2) && q.length() > a.waiting {
@@ -232,8 +238,7 @@
 		q.rates[k].begin(now)
 	}
 	if c.length() == 0 {
-		c.restart()
-		c.share = 1
+		c.begin(now)
 	}
 	f.push(s)
 	s.waiting = true
@@ -276,6 +281,7 @@
 	q.sequence++
 	f.charge(s, q.sequence)
 	s.startedAt = now
+	c.startedAt = now
 	q.total += s.charged
 	c.served += s.charged
 	if !due {
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -49,6 +49,25 @@
 	assertOrder(t, &q, start.Add(time.Millisecond), first, second, third, late)
 }
 
+// Guards against a division of the service that ignores the weights.
+func TestWeights(t *testing.T) {
+	weights := map[identifier.WorkspaceName]float64{"shops": 3, "fitters": 1}
+	q := scheduler.Queue{Weight: func(w identifier.WorkspaceName) float64 { return weights[w] }}
+	for range 24 {
+		add(t, &q, statement("shops", 0, time.Second))
+	}
+	for range 24 {
+		add(t, &q, statement("fitters", 0, time.Second))
+	}
+	started := map[identifier.WorkspaceName]int{}
+	for range 24 {
+		s, err := q.Next(true, start)
+		qt.Assert(t, err, qt.IsNil)
+		started[s.Workspace]++
+	}
+	qt.Assert(t, started, qt.DeepEquals, map[identifier.WorkspaceName]int{"shops": 18, "fitters": 6})
+}
+
 // Guards against a query of the proxy itself that is refused or delayed by
 // statements, and against a transaction that waits for a slot that it needs not.
 func TestQueriesAndTransactionsNeedNoSlot(t *testing.T) {
--- a/internal/coordination/scheduler/simulation_test.go
+++ b/internal/coordination/scheduler/simulation_test.go
@@ -20,11 +20,13 @@
 	rate      float64 // Statements a second.
 	service   time.Duration
 	target    time.Duration
+	slowUntil time.Duration // Until then, service takes 40 times as long.
 }
 
 // outcome counts the statements of a workspace.
 type outcome struct {
 	arrived, inTime, refused int
+	expired                  int // Of the refused ones, those that had waited until their deadline.
 	served                   time.Duration
 	latencies                []time.Duration
 }
@@ -74,7 +76,7 @@
 // simulate runs the loads for [duration].
 func simulate(t *testing.T, slots int, loads ...load) *simulation {
 	m := &simulation{
-		t: t, slots: slots, now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(1, 2)),
+		t: t, slots: slots, now: start, random: rand.New(rand.NewPCG(1, 2)),
 		outcomes: map[identifier.WorkspaceName]*outcome{},
 	}
 	end := m.now.Add(duration)
@@ -101,9 +103,14 @@
 
 func (m *simulation) arrive(l load) {
 	o := m.outcomes[l.workspace]
-	o.arrived++
 	deadline := m.now.Add(l.target)
 	service := time.Duration(m.random.ExpFloat64() * float64(l.service))
+	if m.now.Sub(start) < l.slowUntil {
+		service *= 40
+	} else if l.slowUntil > 0 && m.now.Sub(start) < l.slowUntil+time.Second {
+		*o = outcome{} // What counts is from a second after the slow time.
+	}
+	o.arrived++
 	arrived := m.now
 	s := &scheduler.Statement{Workspace: l.workspace, Priority: l.priority, Target: deadline, Deadline: deadline}
 	s.Owner = func() {
@@ -137,6 +144,7 @@
 	m.after(l.target, func() {
 		if m.queue.Remove(s) {
 			o.refused++
+			o.expired++
 		}
 	})
 }
@@ -151,6 +159,7 @@
 			return
 		case err != nil:
 			m.outcomes[s.Workspace].refused++
+			m.outcomes[s.Workspace].expired++
 		default:
 			s.Owner.(func())()
 		}
@@ -212,7 +221,19 @@
 	m := simulate(t, 2,
 		load{workspace: "shops", rate: 1000, service: 10 * time.Millisecond, target: 100 * time.Millisecond})
 	o := m.outcomes["shops"]
-	t.Logf("arrived %d, in time %d, refused %d, answered %d", o.arrived, o.inTime, o.refused, len(o.latencies))
+	t.Logf("arrived %d, in time %d, refused %d, expired %d, answered %d", o.arrived, o.inTime, o.refused, o.expired, len(o.latencies))
+	qt.Check(t, o.expired <= o.refused/10, qt.IsTrue)
 	qt.Check(t, float64(o.inTime)/float64(len(o.latencies)) >= 0.9, qt.IsTrue)
 	qt.Check(t, o.served >= 59*time.Second, qt.IsTrue)
 }
+
+// Guards against a rate of service that is remembered for too long: after a slow
+// time, statements that can be served must not be refused.
+func TestRateRecoversAfterASlowTime(t *testing.T) {
+	m := simulate(t, 4, load{
+		workspace: "shops", rate: 500, service: 5 * time.Millisecond, target: 100 * time.Millisecond, slowUntil: 10 * time.Second,
+	})
+	o := m.outcomes["shops"]
+	t.Logf("arrived %d, in time %d, refused %d", o.arrived, o.inTime, o.refused)
+	qt.Check(t, o.goodput() >= 0.99, qt.IsTrue)
+}
