internal/transport/sessioner: cancel waiting statements of disconnected clients

A statement whose client had closed the connection kept its place in the queue of a backend server until its deadline.

The instance polls the sockets of the sessions that borrow a connection every 50 ms for a closed sending direction (POLLRDHUP). This reads nothing, so that pipelined statements stay unread. The waits of the disconnected ones are cancelled. Statements that a peer forwards are not covered: the home does not know the client.

--- a/internal/transport/sessioner/read.go
+++ b/internal/transport/sessioner/read.go
@@ -112,6 +112,9 @@
 		switch {
 		case errors.Is(err, lender.ErrNoConnection):
 			last = n.borrowRefusal(err)
+			if errors.Is(err, lender.ErrCancelled) {
+				return last
+			}
 			refused++
 		case errors.Is(err, lender.ErrNoAnswer):
 			last = n.refusal(requester.OutcomeUnknown, err.Error())
--- a/internal/transport/sessioner/run.go
+++ b/internal/transport/sessioner/run.go
@@ -113,6 +113,7 @@
 	return lender.Request{
 		Server: b, Workspace: o.workspace, Settings: n.settings, Pinned: pinned,
 		Priority: o.route.Priority, Target: o.arrived.Add(o.route.TargetLatency), Deadline: wait,
+		Cancelled: n.gone,
 	}
 }
 
@@ -120,6 +121,8 @@
 func (n *session) borrow(o operation, w lender.Request) (*lender.Conn, error) {
 	started := time.Now()
 	defer o.trace.addConnectionWait(started)
+	n.borrowing.Store(true)
+	defer n.borrowing.Store(false)
 	return n.server.borrow(w)
 }
 
--- a/internal/transport/sessioner/server.go
+++ b/internal/transport/sessioner/server.go
@@ -39,6 +39,9 @@
 	Interrupt func()
 	// Pending reports whether bytes have arrived that were not read yet.
 	Pending func() bool
+	// Gone reports whether the client has closed the connection, without reading
+	// from it. It is safe to call from other goroutines. Nil means never.
+	Gone func() bool
 	// Close closes the connection once all written bytes were sent.
 	Close func()
 }
@@ -129,7 +132,7 @@
 func (s *Server) Serve(c Client) {
 	defer c.Close()
 	defer s.recoverSession()
-	n := &session{server: s, client: c}
+	n := &session{server: s, client: c, gone: make(chan struct{})}
 	if !n.start() {
 		return
 	}
@@ -161,6 +164,34 @@
 	delete(s.sessions, n)
 }
 
+// DisconnectCheckInterval is the time between two calls of
+// [Server.CancelDisconnected]: short against the time for which a statement may
+// wait.
+const DisconnectCheckInterval = 50 * time.Millisecond
+
+// CancelDisconnected ends the waits for a connection of the sessions whose clients
+// have disconnected.
+func (s *Server) CancelDisconnected() {
+	for _, n := range s.borrowingSessions() {
+		if n.client.Gone != nil && n.client.Gone() {
+			n.cancelOnce.Do(func() { close(n.gone) })
+		}
+	}
+}
+
+// borrowingSessions returns the sessions that are borrowing a connection.
+func (s *Server) borrowingSessions() []*session {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []*session
+	for n := range s.sessions {
+		if n.borrowing.Load() {
+			all = append(all, n)
+		}
+	}
+	return all
+}
+
 // EndIdle marks at most the given number of sessions to close as soon as they
 // have no open transaction and no outstanding request. It returns the number of
 // open sessions.
