internal/transport/lender: keep transactions out of the queue for slots

A transaction, or a query of the proxy itself, was refused while the queue was full of statements that wait for a slot, although a connection was free for it. It joins the queue only if a waiting statement competes for the connection.

A borrower that has waited and is granted a connection that the server has closed opens a new one in its place, instead of waiting again.

--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -43,6 +43,11 @@
 	return q.length() + len(q.exempt)
 }
 
+// HasNext reports whether [Queue.Next] would return a statement.
+func (q *Queue) HasNext(slot bool) bool {
+	return len(q.exempt) > 0 || q.waiting[slotless] > 0 || (slot && q.waiting[slotted] > 0)
+}
+
 // length returns the number of waiting statements without the exempt ones.
 func (q *Queue) length() int {
 	return q.waiting[slotted] + q.waiting[slotless]
--- a/internal/transport/lender/lender.go
+++ b/internal/transport/lender/lender.go
@@ -95,6 +95,8 @@
 			return l.dialReserved(req, g)
 		case g.conn != nil && g.conn.link.Open():
 			return g.conn, nil
+		case g.statement != nil:
+			return l.dialReserved(req, l.replace(g))
 		case g.conn != nil:
 			g.conn.MarkBroken()
 			l.Return(g.conn)
@@ -130,7 +132,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.serverPool(req.Server)
-	if s.queue.Len() == 0 && s.inUse() < concurrency {
+	slots := concurrency
+	if req.Pinned || req.AnyWorkspace {
+		slots = s.slots // Those who wait for a slot do not compete for the connection.
+	}
+	if !s.queue.HasNext(s.inUse() < slots) && s.inUse() < concurrency {
 		if g, ok := l.grant(s, req); ok {
 			return g, nil, nil
 		}
@@ -171,6 +177,17 @@
 	return len(s.idle) > 0 || l.mayDial(s)
 }
 
+// replace closes the connection of a grant and reserves its room, so that a borrower
+// that has waited keeps its turn.
+func (l *Lender) replace(g grant) grant {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	g.pool.markReturned(g.conn)
+	g.conn.link.Close()
+	g.pool.dialing++
+	return grant{pool: g.pool, reserved: true, statement: g.statement}
+}
+
 // dialReserved opens a connection in the room that the grant has reserved.
 func (l *Lender) dialReserved(req Request, g grant) (*Conn, error) {
 	link, err := l.Dial(req.Deadline, req.Server, req.Workspace)
@@ -208,10 +225,7 @@
 func (l *Lender) Return(c *Conn) {
 	l.mu.Lock()
 	s := c.pool
-	delete(s.borrowed, c)
-	if c.pinned {
-		s.pinned--
-	}
+	s.markReturned(c)
 	s.finish(c.statement)
 	c.statement = nil
 	if c.broken || c.stale || s.total() >= l.Limit(c.Server) {
--- a/internal/transport/lender/pool.go
+++ b/internal/transport/lender/pool.go
@@ -1,6 +1,7 @@
 package lender
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -17,6 +18,7 @@
 	dialing   int
 	pinned    int // Number of borrowed connections that are pinned to transactions.
 	queue     scheduler.Queue
+	slots     int // Limit of concurrent statements when the queue was last served.
 	fullUntil time.Time
 	retired   bool // A newer incarnation exists, or the server is gone.
 }
@@ -75,6 +77,14 @@
 	s.borrowed[c] = struct{}{}
 }
 
+// markReturned records the connection as not lent any more.
+func (s *serverPool) markReturned(c *Conn) {
+	delete(s.borrowed, c)
+	if c.pinned {
+		s.pinned--
+	}
+}
+
 // finish accounts for a statement that has returned its connection. The statement
 // is nil if it did not wait.
 func (s *serverPool) finish(st *scheduler.Statement) {
@@ -96,7 +106,7 @@
 	if ok {
 		s.retire()
 	}
-	s = &serverPool{server: server, borrowed: map[*Conn]struct{}{}}
+	s = &serverPool{server: server, borrowed: map[*Conn]struct{}{}, slots: math.MaxInt}
 	l.pools[server.ID] = s
 	return s
 }
--- a/internal/transport/lender/wait.go
+++ b/internal/transport/lender/wait.go
@@ -147,11 +147,9 @@
 	slots := l.slots(s.server)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for s.queue.Len() > 0 && l.hasRoom(s) {
+	s.slots = slots
+	for s.queue.HasNext(s.inUse() < slots) && l.hasRoom(s) {
 		st, err := s.queue.Next(s.inUse() < slots, time.Now())
-		if st == nil {
-			return
-		}
 		w := st.Owner.(*waiter)
 		if err != nil {
 			w.decide(grant{}, l.refuse(w, err))
--- a/internal/transport/lender/wait_test.go
+++ b/internal/transport/lender/wait_test.go
@@ -62,15 +62,19 @@
 }
 
 // Guards against a borrower that overtakes one that waits, and against a
-// transaction that waits behind statements that need a slot.
+// transaction that is refused because of statements that wait for a slot.
 func TestNewBorrowersJoinTheQueue(t *testing.T) {
 	b := newFakeServer(2)
 	b.lender.ConcurrencyLimit = func(cataloger.BackendServer) int { return 1 }
 	c := b.borrow(t, "shops")
 	first, second := b.wait(patient("shops")), b.wait(patient("shops"))
+	for range scheduler.DefaultLimit - 2 {
+		b.wait(patient("shops"))
+	}
 	pinned := patient("shops")
 	pinned.Pinned = true
-	qt.Assert(t, (<-b.wait(pinned)).err, qt.IsNil)
+	_, err := b.lender.Borrow(pinned)
+	qt.Assert(t, err, qt.IsNil)
 	b.lender.Return(c)
 	a := <-first
 	qt.Assert(t, a.err, qt.IsNil)
