internal/coordination/scheduler: strict order of the times to come back

A workspace whose statement was refused later could be given an earlier time when the number of waiting workspaces had fallen, because the offset between workspaces was drawn for each refusal. Intervals below a millisecond gave equal times. The offset is now part of the workspace's first time, and the first times of workspaces are one interval apart.

--- a/internal/coordination/scheduler/refusal.go
+++ b/internal/coordination/scheduler/refusal.go
@@ -45,34 +45,45 @@
 	// unknownInterval is the assumed interval between two dispatches while none
 	// was observed.
 	unknownInterval = 5 * time.Millisecond
+	// minRetryInterval is the shortest interval between two times to come back,
+	// the resolution of the text of a refusal.
+	minRetryInterval = time.Millisecond
 )
 
 // refuse returns the refusal of a statement.
 //
 // The times to come back follow the time in which the waiting statements will
 // have started. Those of one workspace are as far apart as the workspace's
-// statements would start, those of different workspaces are interleaved. The
-// delay approaches [maxRetryAfter] in such a way that a later refusal of a
-// workspace never gets an earlier time.
+// statements would start, and the first ones of different workspaces as far as any
+// two statements. The delay approaches [maxRetryAfter] in such a way that a later
+// refusal of a workspace never gets an earlier time.
 func (q *Queue) refuse(s *Statement, cause error, now time.Time) error {
 	a := s.flow.account
 	interval := q.rates[s.kind()].interval(now)
 	if interval == 0 {
 		interval = unknownInterval
 	}
-	others := max(1, len(q.backlog))
+	interval = max(interval, minRetryInterval)
 	base := now.Add(interval * time.Duration(q.waiting[s.kind()]+1))
+	limit := now.Add(8 * maxRetryAfter) // Beyond it, the delay hardly grows any more.
 	if a.retryAt.Before(base) {
-		a.retryAt = base
+		if q.retryAt.Before(base) {
+			q.retryAt = base
+		}
+		a.retryAt = q.retryAt
+		q.retryAt = earlier(q.retryAt.Add(interval), limit)
+	} else {
+		a.retryAt = a.retryAt.Add(interval * time.Duration(max(1, len(q.backlog))))
 	}
-	// Beyond this bound the delay below hardly grows any more.
-	if limit := now.Add(8 * maxRetryAfter); a.retryAt.After(limit) {
-		a.retryAt = limit
-	}
-	a.retryAt = a.retryAt.Add(interval * time.Duration(others))
-	phase := interval * time.Duration(q.refusals%uint64(others))
-	q.refusals++
-	offset := a.retryAt.Add(phase).Sub(now).Seconds() / maxRetryAfter.Seconds()
+	a.retryAt = earlier(a.retryAt, limit)
+	offset := a.retryAt.Sub(now).Seconds() / maxRetryAfter.Seconds()
 	delay := time.Duration(float64(maxRetryAfter) * (1 - math.Exp(-offset)))
-	return &RefusalError{Cause: cause, RetryAfter: max(delay, time.Millisecond)}
+	return &RefusalError{Cause: cause, RetryAfter: delay}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -31,7 +31,7 @@
 	exempt   []*Statement   // Queries of the proxy itself, in order of arrival.
 	waiting  [kindCount]int // Without the exempt ones.
 	sequence uint64
-	refusals uint64
+	retryAt  time.Time // Earliest time to come back for the next workspace of which a statement is refused.
 	rates    [kindCount]rate
 	service  time.Duration // Average service time.
 	total    time.Duration // Service of all classes.
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -160,13 +160,15 @@
 // order, or later than the rate of service says anything about.
 func TestRefusedClientsComeBackInOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		q := scheduler.Queue{Limit: 2}
+		q := scheduler.Queue{Limit: rapid.IntRange(1, 6).Draw(t, "limit")}
 		now := start
 		last := map[identifier.WorkspaceName]time.Time{}
-		times := map[time.Time]bool{}
 		for range rapid.IntRange(1, 400).Draw(t, "refusals") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "gap")) * time.Microsecond)
-			w := rapid.SampledFrom([]identifier.WorkspaceName{"a", "b", "c"}).Draw(t, "workspace")
+			if rapid.IntRange(0, 9).Draw(t, "next") == 0 {
+				_, _ = q.Next(true, now)
+			}
+			w := rapid.SampledFrom([]identifier.WorkspaceName{"a", "b", "c", "d", "e"}).Draw(t, "workspace")
 			var refusal *scheduler.RefusalError
 			shed, err1, err2 := q.Add(statement(w, 0, time.Hour), now)
 			if shed != nil {
@@ -182,11 +184,34 @@
 			if !at.After(last[w]) {
 				t.Fatalf("retry at %v, an earlier refusal at %v", at, last[w])
 			}
-			last[w], times[at] = at, true
+			last[w] = at
 		}
 	})
 }
 
+// Guards against clients of many workspaces that come back at the same moment, and
+// against a long time for the first of one workspace after many of another.
+func TestWorkspacesComeBackApart(t *testing.T) {
+	q := scheduler.Queue{Limit: 1}
+	add(t, &q, statement("flood", 0, time.Hour))
+	retryAfter := func(w identifier.WorkspaceName) time.Duration {
+		var refusal *scheduler.RefusalError
+		_, _, err := q.Add(statement(w, 0, time.Hour), start)
+		qt.Assert(t, errors.As(err, &refusal), qt.IsTrue)
+		return refusal.RetryAfter
+	}
+	for range 1000 {
+		retryAfter("flood")
+	}
+	last := time.Duration(0)
+	for i := range 50 {
+		after := retryAfter(identifier.WorkspaceName(fmt.Sprint("workspace", i)))
+		qt.Assert(t, after >= last+time.Millisecond, qt.IsTrue)
+		last = after
+	}
+	qt.Assert(t, last < time.Second, qt.IsTrue)
+}
+
 // Guards against another order than first come, first served if there is one
 // workspace, one priority and one target latency, whatever the statements take.
 func TestOneWorkspaceIsServedAsItArrives(t *testing.T) {
