--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -95,6 +95,7 @@
 	s.limiter.StartedAt = time.Now()
 	s.tasks.Go(func() { s.replacer.Run(ctx) })
 	s.tasks.Go(func() { s.runMaintenance(ctx) })
+	s.tasks.Go(func() { s.cancelDisconnected(ctx) })
 	s.tasks.Go(func() { s.reaper.Run(ctx) })
 	s.tasks.Go(func() { s.follower.Run(ctx) })
 	s.Logger.Info().Str("event", "started").Str("address", s.Settings.ClientAddress).Send()
@@ -107,6 +108,7 @@
 	s.holder.MaxAge = settings.KeyWithdrawal - proofMargin
 	s.lender.Dial = platform.Dial
 	s.lender.Limit = s.connectionLimit
+	s.lender.Registry = &s.registry
 	s.lender.ConcurrencyLimit = func(b cataloger.BackendServer) int { return s.balancer.ConcurrencyLimit(b.ID) }
 	s.balancer.DataCentre = settings.DataCentre
 	s.balancer.HasIdle = s.lender.HasIdle
