internal/transport/lender: cancellation is polled while a borrower waits

A timer of its own woke each instance 20 times a second and kept a channel for each session; a waiting borrower already wakes each 20 ms.

--- a/internal/command/starter/forward.go
+++ b/internal/command/starter/forward.go
@@ -248,21 +248,6 @@
 	}
 }
 
-// cancelDisconnected periodically ends the waits of statements whose clients have
-// disconnected.
-func (s *Starter) cancelDisconnected(ctx context.Context) {
-	ticker := time.NewTicker(sessioner.DisconnectCheckInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.sessions.CancelDisconnected()
-		}
-	}
-}
-
 // activityLogInterval is the number of seconds between two log lines with the
 // activity counters.
 const activityLogInterval = 10
--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -95,7 +95,6 @@
 	s.limiter.StartedAt = time.Now()
 	s.tasks.Go(func() { s.replacer.Run(ctx) })
 	s.tasks.Go(func() { s.runMaintenance(ctx) })
-	s.tasks.Go(func() { s.cancelDisconnected(ctx) })
 	s.tasks.Go(func() { s.reaper.Run(ctx) })
 	s.tasks.Go(func() { s.follower.Run(ctx) })
 	s.Logger.Info().Str("event", "started").Str("address", s.Settings.ClientAddress).Send()
--- a/internal/transport/lender/lender.go
+++ b/internal/transport/lender/lender.go
@@ -68,9 +68,9 @@
 	Settings     Settings  // Preferred, not required.
 	Target       time.Time // When the statement should be answered; zero means at the deadline.
 	Deadline     time.Time
-	// Cancelled is closed when the connection is needed no longer. Nil means
-	// never.
-	Cancelled <-chan struct{}
+	// Cancelled reports that the connection is needed no longer. It is called
+	// from time to time while the borrower waits. Nil means never.
+	Cancelled func() bool
 }
 
 // Borrow lends a connection, waiting for one until the deadline of the request.
--- a/internal/transport/lender/wait.go
+++ b/internal/transport/lender/wait.go
@@ -12,7 +12,8 @@
 )
 
 // recheckInterval is the time after which a waiting borrower checks whether a
-// connection may be lent. The limits may grow without a call of the lender.
+// connection may be lent, because the limits may grow without a call of the lender,
+// and whether it is cancelled.
 const recheckInterval = 20 * time.Millisecond
 
 // waitError is the error of a borrower that was not allowed to wait for a
@@ -83,10 +84,11 @@
 		select {
 		case <-w.decided:
 			return l.accept(w)
-		case <-w.req.Cancelled:
-			return grant{}, l.leave(w, true)
 		case <-timer.C:
 		}
+		if w.req.Cancelled != nil && w.req.Cancelled() {
+			return grant{}, l.leave(w, true)
+		}
 		if !time.Now().Before(w.req.Deadline) {
 			return grant{}, l.leave(w, false)
 		}
--- a/internal/transport/sessioner/read.go
+++ b/internal/transport/sessioner/read.go
@@ -81,8 +81,8 @@
 	if n.server.onlyEvacuated(o.route.Service) {
 		return n.unreachedRefusal(requester.Overloaded, errEvacuated.Error())
 	}
-	if len(o.route.Regions) > 0 && len(o.servers) == 0 {
-		return n.unreachedRefusal(requester.Overloaded, errOutsideRegions.Error())
+	if err := n.checkReaders(o); err != nil {
+		return n.unreachedRefusal(requester.Overloaded, err.Error())
 	}
 	var tried []identifier.BackendServerID
 	refused, skipped := 0, 0 // Attempts that the queues refused; attempts skipped to get the entire time.
@@ -137,6 +137,18 @@
 	return last
 }
 
+// checkReaders returns an error if no server may run the read, however long it
+// waits.
+func (n *session) checkReaders(o operation) error {
+	if len(o.route.Regions) > 0 && len(o.servers) == 0 {
+		return errOutsideRegions
+	}
+	if n.server.onlyEvacuated(o.route.Service) {
+		return errEvacuated
+	}
+	return nil
+}
+
 // countRead counts a read by the role of the server that ran it.
 func (s *Server) countRead(b cataloger.BackendServer) {
 	if s.role(b) == rolePrimary {
--- a/internal/transport/sessioner/run.go
+++ b/internal/transport/sessioner/run.go
@@ -113,7 +113,7 @@
 	return lender.Request{
 		Server: b, Workspace: o.workspace, Settings: n.settings, Pinned: pinned,
 		Priority: o.route.Priority, Target: o.arrived.Add(o.route.TargetLatency), Deadline: wait,
-		Cancelled: n.gone,
+		Cancelled: n.client.Gone,
 	}
 }
 
@@ -128,8 +128,6 @@
 	}
 	started := time.Now()
 	defer o.trace.addConnectionWait(started)
-	n.borrowing.Store(true)
-	defer n.borrowing.Store(false)
 	return n.server.borrow(w)
 }
 
--- a/internal/transport/sessioner/server.go
+++ b/internal/transport/sessioner/server.go
@@ -138,7 +138,7 @@
 func (s *Server) Serve(c Client) {
 	defer c.Close()
 	defer s.recoverSession()
-	n := &session{server: s, client: c, gone: make(chan struct{})}
+	n := &session{server: s, client: c}
 	if !n.start() {
 		return
 	}
@@ -170,34 +170,6 @@
 	delete(s.sessions, n)
 }
 
-// DisconnectCheckInterval is the time between two calls of
-// [Server.CancelDisconnected]: short against the time for which a statement may
-// wait.
-const DisconnectCheckInterval = 50 * time.Millisecond
-
-// CancelDisconnected ends the waits for a connection of the sessions whose clients
-// have disconnected.
-func (s *Server) CancelDisconnected() {
-	for _, n := range s.borrowingSessions() {
-		if n.client.Gone != nil && n.client.Gone() {
-			n.cancelOnce.Do(func() { close(n.gone) })
-		}
-	}
-}
-
-// borrowingSessions returns the sessions that are borrowing a connection.
-func (s *Server) borrowingSessions() []*session {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var all []*session
-	for n := range s.sessions {
-		if n.borrowing.Load() {
-			all = append(all, n)
-		}
-	}
-	return all
-}
-
 // EndIdle marks at most the given number of sessions to close as soon as they
 // have no open transaction and no outstanding request. It returns the number of
 // open sessions.
--- a/internal/transport/sessioner/session.go
+++ b/internal/transport/sessioner/session.go
@@ -2,7 +2,6 @@
 
 import (
 	"os"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -45,10 +44,6 @@
 	// already authorized its statements.
 	forwarded bool
 
-	borrowing  atomic.Bool   // Waits for a connection or is about to get one.
-	gone       chan struct{} // Closed when the client was found to be gone during a wait; nil for a forwarded session.
-	cancelOnce sync.Once     // Closes gone.
-
 	closeWhenIdle atomic.Bool // Close once no transaction and no request is open.
 	closeNow      atomic.Bool // Close even if a transaction is open.
 }
