--- a/internal/transport/sessioner/read.go
+++ b/internal/transport/sessioner/read.go
@@ -78,9 +78,6 @@
 // server, it is retried on one other server. If the queues of all servers refuse
 // it, it is refused once each was asked to let it wait for the entire time.
 func (n *session) runOnReaders(o operation, run func(b cataloger.BackendServer, f floor, attempt int) (requester.Result, error)) requester.Result {
-	if n.server.onlyEvacuated(o.route.Service) {
-		return n.unreachedRefusal(requester.Overloaded, errEvacuated.Error())
-	}
 	if err := n.checkReaders(o); err != nil {
 		return n.unreachedRefusal(requester.Overloaded, err.Error())
 	}
