--- a/internal/transport/sessioner/server.go
+++ b/internal/transport/sessioner/server.go
@@ -39,6 +39,9 @@
 	Interrupt func()
 	// Pending reports whether bytes have arrived that were not read yet.
 	Pending func() bool
+	// Gone reports whether the client has closed the connection, without reading
+	// from it. It is safe to call from other goroutines. Nil means never.
+	Gone func() bool
 	// Close closes the connection once all written bytes were sent.
 	Close func()
 }
