internal/coordination/ratelimiter: choice of an owner by the owners alone

Cause: the choice of an owner visited all members for each request, and since no owner with tokens no longer starts a backoff, for each refused operation. The time to retry was the end of an owner's exclusion although others had named a later token. The simulation read its member list without its lock (found by the race detector).

Change: the choice visits the owners of the workspace. An exclusion counts for the time to retry only if no owner has answered. With no members there are no owners.

--- a/internal/coordination/ratelimiter/peers.go
+++ b/internal/coordination/ratelimiter/peers.go
@@ -26,15 +26,13 @@
 	DataCentre identifier.DataCentre
 }
 
-// peers tracks how many tokens the other instances can give. Those in the own
-// data centre get requests first.
+// peers tracks how many tokens the other instances can give.
 type peers struct {
-	local, remote []*peer
-	byID          map[identifier.InstanceID]*peer
+	byID map[identifier.InstanceID]*peer
 }
 
 type peer struct {
-	id           identifier.InstanceID
+	local        bool // In the own data centre.
 	backoffUntil time.Time
 	balances     map[identifier.WorkspaceName]balance
 }
@@ -76,21 +74,16 @@
 			own = m.DataCentre
 		}
 	}
-	p.local, p.remote = nil, nil
 	for _, m := range members {
 		if m.ID == self {
 			continue
 		}
 		e, ok := known[m.ID]
 		if !ok {
-			e = &peer{id: m.ID, balances: map[identifier.WorkspaceName]balance{}}
+			e = &peer{balances: map[identifier.WorkspaceName]balance{}}
 		}
+		e.local = m.DataCentre == own
 		p.byID[m.ID] = e
-		if m.DataCentre == own {
-			p.local = append(p.local, e)
-		} else {
-			p.remote = append(p.remote, e)
-		}
 	}
 }
 
@@ -98,32 +91,28 @@
 // workspace, at least one token or a full bucket if that holds less. Owners in
 // the own data centre take precedence. It skips those for which skip is true.
 func (p *peers) bestOwner(w identifier.WorkspaceName, s Share, now time.Time, skip func(identifier.InstanceID) bool) (identifier.InstanceID, bool) {
+	if len(s.Owners) == 0 {
+		return "", false
+	}
 	capacity := s.capacity()
-	for _, list := range [][]*peer{p.local, p.remote} {
-		if len(list) == 0 {
+	var best identifier.InstanceID
+	highest, local := 0.0, false
+	start := rand.IntN(len(s.Owners))
+	for i := range s.Owners {
+		id := s.Owners[(start+i)%len(s.Owners)]
+		e := p.find(id)
+		if e == nil || now.Before(e.backoffUntil) || skip(id) || local && !e.local {
 			continue
 		}
-		start := rand.IntN(len(list))
-		var best *peer
-		highest := 0.0
-		for i := range list {
-			e := list[(start+i)%len(list)]
-			if now.Before(e.backoffUntil) || !slices.Contains(s.Owners, e.id) || skip(e.id) {
-				continue
-			}
-			estimate := capacity
-			if b, ok := e.balances[w]; ok {
-				estimate = b.estimate(s, now)
-			}
-			if estimate >= min(1, capacity) && estimate > highest {
-				best, highest = e, estimate
-			}
+		estimate := capacity
+		if b, ok := e.balances[w]; ok {
+			estimate = b.estimate(s, now)
 		}
-		if best != nil {
-			return best.id, true
+		if estimate >= min(1, capacity) && (estimate > highest || e.local && !local) {
+			best, highest, local = id, estimate, e.local
 		}
 	}
-	return "", false
+	return best, highest > 0
 }
 
 // timeUntilToken returns the time until an owner is estimated to have a token.
--- a/internal/coordination/ratelimiter/ratelimiter.go
+++ b/internal/coordination/ratelimiter/ratelimiter.go
@@ -86,7 +86,7 @@
 	if most := int(l.Rate / minMajorityOwnerRate); 2*most > members {
 		count = most
 	}
-	return max(1, min(members, count, int((l.Burst+maxExtraBurst)/minCapacity)))
+	return min(members, max(1, min(count, int((l.Burst+maxExtraBurst)/minCapacity))))
 }
 
 const (
--- a/internal/coordination/ratelimiter/refusal.go
+++ b/internal/coordination/ratelimiter/refusal.go
@@ -123,10 +123,11 @@
 }
 
 // firstRetry returns the time until the first token that this instance can
-// expect from an owner.
+// expect from an owner. If no owner has answered, it is the time until one may be
+// asked again.
 func (l *Limiter) firstRetry(w identifier.WorkspaceName, b *bucket, now time.Time) time.Duration {
 	s := l.shares[w]
-	first := maxRetryAfter
+	first, nextRequest := maxRetryAfter, maxRetryAfter
 	if s.ownedFraction(l.self) > 0 {
 		first = l.timeUntilTokens(w, b, float64(b.queued)+1)
 	}
@@ -137,13 +138,16 @@
 		}
 		switch known, ok := e.balances[w]; {
 		case now.Before(e.backoffUntil):
-			first = min(first, e.backoffUntil.Sub(now))
+			nextRequest = min(nextRequest, e.backoffUntil.Sub(now))
 		case ok && known.retryAt.After(now):
 			first = min(first, known.retryAt.Sub(now))
 		case ok:
 			first = min(first, known.timeUntilToken(s, now))
 		}
 	}
+	if first == maxRetryAfter {
+		first = nextRequest
+	}
 	return max(first, minRetryAfter)
 }
 
--- a/internal/coordination/ratelimiter/simulation_test.go
+++ b/internal/coordination/ratelimiter/simulation_test.go
@@ -118,6 +118,7 @@
 
 // setShares passes the limit and the member list to an instance.
 func (s *simulation) setShares(n *node) {
+	s.mu.Lock()
 	share := Share{Limit: s.limit}
 	peers := make([]Peer, 0, s.size)
 	for _, m := range s.nodes {
@@ -125,12 +126,11 @@
 			peers = append(peers, m.peer)
 		}
 	}
-	for _, p := range peers[:Owners(s.limit, len(peers), s.dataCentres)] {
-		share.Owners = append(share.Owners, p.ID)
-	}
-	s.mu.Lock()
 	limiter := n.limiter
 	s.mu.Unlock()
+	for _, p := range peers[:Owners(share.Limit, len(peers), s.dataCentres)] {
+		share.Owners = append(share.Owners, p.ID)
+	}
 	limiter.Set(map[identifier.WorkspaceName]Share{shop: share}, n.peer.ID, peers)
 }
 
@@ -138,7 +138,7 @@
 // time that a change takes to reach them.
 func (s *simulation) updateShares() {
 	for _, n := range s.nodes {
-		if !n.removed {
+		if !s.isRemoved(n) {
 			delay := time.Duration(s.random.Int64N(int64(propagation)))
 			s.attempts.Go(func() {
 				time.Sleep(delay)
@@ -205,6 +205,19 @@
 	s.attempts.Wait()
 }
 
+// setRemoved removes an instance from all member lists, or adds it again.
+func (s *simulation) setRemoved(n *node, removed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n.removed = removed
+}
+
+func (s *simulation) isRemoved(n *node) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return n.removed
+}
+
 func (s *simulation) isDown(n *node) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -378,9 +391,9 @@
 	messages float64 // Most requests per attempt, over all callers and rates.
 	served   float64 // Lowest part of the owed operations that is admitted, in every simulation.
 }{
-	{0.625, 40 * time.Second, 0.005, 1, 0.98},
-	{0.9, 40 * time.Second, 0.02, 1.2, 0.9},
-	{7.5, 15 * time.Second, 1, 3, 0.85},
+	{0.625, 30 * time.Second, 0.005, 1, 0.98},
+	{0.9, 30 * time.Second, 0.02, 1.2, 0.9},
+	{7.5, 8 * time.Second, 1, 3, 0.85},
 }
 
 // Guards against refusals of a workspace that stays within its rate, a bucket
@@ -454,7 +467,7 @@
 							owner := s.nodes[(s.size-1)%z.dataCentres] // In the data centre of the single caller.
 							s.fail(owner, closed)
 							s.run(removalDelay, rate*0.625, choose)
-							owner.removed = true
+							s.setRemoved(owner, true)
 							s.updateShares()
 							s.run(4*time.Second, rate*0.625, choose)
 						})
@@ -572,11 +585,11 @@
 
 // rejoin starts an instance again, which registers if it was removed.
 func (s *simulation) rejoin(n *node) {
-	if !n.removed {
+	if !s.isRemoved(n) {
 		s.restart(n, 0)
 		return
 	}
-	n.removed = false
+	s.setRemoved(n, false)
 	s.restart(n, 0)
 	n.limiter.MarkRegistered()
 	s.updateShares()
@@ -590,8 +603,8 @@
 		s.fail(n, s.random.IntN(2) == 0)
 	case 1:
 		for _, n := range s.nodes {
-			if s.isDown(n) && !n.removed {
-				n.removed = true
+			if s.isDown(n) {
+				s.setRemoved(n, true)
 			}
 		}
 		s.updateShares()
