internal: findings of the read-through

A reader who had not seen the project found faults; each is mended: - an evacuation bound of 1 s or less switched the limit off; - a server that registers during an evacuation got the whole bound anew: the time is kept for each data centre, with a test that failed before; - a statement that waited for a connection or a cold server was sent without a new check of the evacuation and the permit; - a cold server's budget was taken before the wait for a connection, so that waiting statements reached it together; - a read that may have run was said to be not run if the queues of the other servers refused it; - an error of a fallback's query was dropped; a grant could be empty if a limit changed; grants that were not used entered the service times; a refused waiter advanced the times to come back once more; - the status of an evacuation showed one server's state for all. Names of the search for a proof, one text for the time to come back, and comments follow.

--- a/internal/command/starter/evacuation.go
+++ b/internal/command/starter/evacuation.go
@@ -13,12 +13,12 @@
 type evacuationStatus struct {
 	DataCentre identifier.DataCentre `json:"data_centre"`
 	Servers    int                   `json:"servers"` // Registered in the data centre.
-	// Withdrawn reports that this instance sends no statements to the servers.
+	// Withdrawn reports that this instance sends no statements to any of the servers.
 	Withdrawn bool `json:"withdrawn"`
 	// Primaries has the services whose primary is still in the data centre.
 	Primaries []identifier.ServiceName `json:"primaries"`
 	// SinceMs is the longest time for which the request may have been in force; -1
-	// if no server is registered in the data centre.
+	// if that is not known, because it was in force before this instance had a proof.
 	SinceMs int64 `json:"since_ms"`
 }
 
@@ -47,7 +47,7 @@
 }
 
 func (s *Starter) evacuationStatus(c *cataloger.Catalog, d identifier.DataCentre) evacuationStatus {
-	status := evacuationStatus{DataCentre: d, Primaries: []identifier.ServiceName{}, SinceMs: -1}
+	status := evacuationStatus{DataCentre: d, Withdrawn: true, Primaries: []identifier.ServiceName{}, SinceMs: -1}
 	for service, servers := range c.Servers {
 		leader, _, _ := s.balancer.LastLed(service)
 		for _, b := range servers {
@@ -55,8 +55,10 @@
 				continue
 			}
 			status.Servers++
-			status.Withdrawn = s.balancer.IsWithdrawn(b)
-			status.SinceMs = max(status.SinceMs, time.Since(b.EvacuatedSince).Milliseconds())
+			status.Withdrawn = status.Withdrawn && s.balancer.IsWithdrawn(b)
+			if !b.EvacuatedSince.IsZero() {
+				status.SinceMs = max(status.SinceMs, time.Since(b.EvacuatedSince).Milliseconds())
+			}
 			if b.ID == leader {
 				status.Primaries = append(status.Primaries, service)
 			}
--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -37,9 +37,10 @@
 	// through the store and a relay.
 	drainMargin = 3 * time.Second
 	// evacuationMargin is subtracted from the time within which the servers of an
-	// evacuated data centre may get statements. It covers the longest wait of a
-	// statement for a connection. The propagation of the request is not part of
-	// it, because that time counts from the last proof without the request.
+	// evacuated data centre may get statements. It covers the time in which a
+	// statement is sent and reaches its server. The propagation of the request is
+	// not part of it, because that time counts from the last proof without the
+	// request.
 	evacuationMargin = time.Second
 	// acceptRetryDelay is the time to the next accept after a failed one, for
 	// example when no file descriptor is left.
@@ -113,7 +114,9 @@
 	s.balancer.HasIdle = s.lender.HasIdle
 	s.balancer.ColdRate = s.coldRate
 	s.balancer.DrainLimit = settings.DrainLimit - drainMargin
-	s.balancer.EvacuationLimit = max(0, settings.EvacuationLimit-evacuationMargin)
+	if settings.EvacuationLimit > 0 { // For the balancer 0 means no limit.
+		s.balancer.EvacuationLimit = max(time.Nanosecond, settings.EvacuationLimit-evacuationMargin)
+	}
 	s.fencer.Holder = &s.holder
 	s.fencer.OnChange = s.leadershipChanged
 	s.sessions.Holder = &s.holder
--- a/internal/coordination/follower/evacuation_test.go
+++ b/internal/coordination/follower/evacuation_test.go
@@ -20,7 +20,8 @@
 }
 
 // Guards against a server that stays in use after its data centre was evacuated,
-// and against one that stays out of use after the request was removed.
+// one that registers later and is used until the bound has passed once more, and one
+// that stays out of use after the request was removed.
 func TestEvacuationMarksServers(t *testing.T) {
 	s := &fakeStore{revision: 5, version: 1, configurationRevision: 3, servers: []cataloger.BackendServer{
 		{ID: "a", DataCentre: "north"}, {ID: "b", DataCentre: "south"},
@@ -40,7 +41,10 @@
 	since := servers[0].EvacuatedSince
 	s.version, s.configurationRevision, s.revision = 2, 8, 8
 	qt.Assert(t, round()[0].EvacuatedSince, qt.Equals, since)
-	s.evacuations, s.revision = nil, 9
+	s.servers = append(s.servers, cataloger.BackendServer{ID: "c", DataCentre: "north"})
+	s.revision = 9
+	qt.Assert(t, round()[2].EvacuatedSince, qt.Equals, since)
+	s.evacuations, s.revision = nil, 10
 	servers = round()
 	qt.Assert(t, servers[0].Evacuated, qt.IsFalse)
 	qt.Assert(t, servers[0].EvacuatedSince.IsZero(), qt.IsTrue)
--- a/internal/coordination/follower/fallback.go
+++ b/internal/coordination/follower/fallback.go
@@ -50,10 +50,10 @@
 	b.interval = d
 }
 
-// Ask records a request for a proof of at most this age, which this instance does
+// ObserveRequest records a request for a proof of at most this age, which this instance does
 // not have. It reports whether the store has to be queried for it, and whether a
 // query is or will be under way.
-func (b *Fallback) Ask(now, maxAge time.Duration) (due, querying bool) {
+func (b *Fallback) ObserveRequest(now, maxAge time.Duration) (due, querying bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.asked, b.askedAt = true, now
@@ -71,8 +71,8 @@
 	return b.wantedAge > 0 && age > b.wantedAge && b.isDue(now)
 }
 
-// Touch records a request that was answered with a recent proof.
-func (b *Fallback) Touch(now time.Duration) {
+// ObserveServed records a request that was answered with a recent proof.
+func (b *Fallback) ObserveServed(now time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.serves(now) {
@@ -150,31 +150,31 @@
 		f.fallbackAt = 0
 		return false
 	}
-	f.rotation.adopt(f.Holder.Catalog(), f.Self.ID)
+	f.fallbackRole.adopt(f.Holder.Catalog(), f.Self.ID)
 	if f.fallbackAt == 0 {
 		f.fallbackAt = now
-		if !f.rotation.isRelay {
-			f.fallbackAt += rand.N(f.rotation.interval)
+		if !f.fallbackRole.isRelay {
+			f.fallbackAt += rand.N(f.fallbackRole.interval)
 		}
 	}
 	if now < f.fallbackAt || !f.Fallback.Due(now) {
 		return false
 	}
-	f.fallbackAt = now + f.rotation.interval
+	f.fallbackAt = now + f.fallbackRole.interval
 	return true
 }
 
-// rotation is what an instance derives from a catalog for its queries of the store
+// fallbackRole is what an instance derives from a catalog for its queries of the store
 // while its relays have no recent proof.
-type rotation struct {
+type fallbackRole struct {
 	catalog  *cataloger.Catalog
 	isRelay  bool
 	interval time.Duration
 }
 
-func (r *rotation) adopt(c *cataloger.Catalog, self identifier.InstanceID) {
+func (r *fallbackRole) adopt(c *cataloger.Catalog, self identifier.InstanceID) {
 	if r.catalog != c {
-		*r = rotation{c, isRelay(c.Instances, self), fallbackInterval(c.Instances, self)}
+		*r = fallbackRole{c, isRelay(c.Instances, self), fallbackInterval(c.Instances, self)}
 	}
 }
 
--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -105,22 +105,24 @@
 	startedAt       time.Duration // Holder's clock at the first round.
 	directoryReadAt time.Duration
 	startsFromRelay bool // By the directory.
-	rotation        rotation
+	fallbackRole    fallbackRole
 	fallbackAt      time.Duration // Next query of the store for want of a recent proof; 0 while there is one.
 	lapseGraceEnd   time.Duration // End of the grace for lapsed servers; 0 outside of one.
 	restored        bool          // The grace is one after the store came back from a copy.
 
 	// Fallback decides when an instance that does not get a proof from its parents
 	// queries the store.
-	Fallback     Fallback
-	pending      *storeQuery  // Has not been answered yet.
-	searches     bool         // The last round got no recent proof from others.
-	searchRounds int          // Such rounds in succession.
-	fallsBackNow bool         // The query of this round is one of a fallback.
-	serves       bool         // As a fallback relay, by the log.
-	fallbackHops atomic.Int32 // [CatalogReply.Fallback] of the newest proof.
-	wakeOnce     sync.Once
-	wakes        chan struct{}
+	Fallback        Fallback
+	pending         *storeQuery  // Has not been answered yet.
+	searches        bool         // The last round got no recent proof from others.
+	searchRounds    int          // Such rounds in succession.
+	isFallbackQuery bool         // The query of this round is one of a fallback.
+	loggedServing   bool         // The log shows this instance as a fallback relay.
+	fallbackHops    atomic.Int32 // [CatalogReply.Fallback] of the newest proof.
+	wakeOnce        sync.Once
+	wakes           chan struct{}
+
+	evacuatedSince map[identifier.DataCentre]time.Time // Earliest time at which each evacuation may have begun.
 
 	missingSince map[identifier.InstanceID]time.Duration // When each removed instance was first missing.
 	provenAt     time.Time                               // Time as of which the catalog was proven when the round began.
@@ -142,7 +144,7 @@
 	if age, ok := f.Holder.Age(); ok {
 		f.provenAt = time.Now().Add(-age)
 	}
-	f.searches, f.fallsBackNow, f.relayed = false, false, false
+	f.searches, f.isFallbackQuery, f.relayed = false, false, false
 	if answered, err := f.collectAnswer(ctx); answered {
 		return err
 	}
--- a/internal/coordination/follower/lists.go
+++ b/internal/coordination/follower/lists.go
@@ -46,8 +46,12 @@
 	if err != nil {
 		return err
 	}
-	if cataloger.Era(evacuationsRevision) != cataloger.Era(revision) || cataloger.Era(serversRevision) != cataloger.Era(revision) || cataloger.Era(configurationRevision) != cataloger.Era(revision) {
-		return errors.Wrapf(ErrEraChanged, "era %d in the list of servers, %d before", cataloger.Era(serversRevision), cataloger.Era(revision))
+	for list, listRevision := range map[string]uint64{
+		"configuration": configurationRevision, "servers": serversRevision, "evacuations": evacuationsRevision,
+	} {
+		if cataloger.Era(listRevision) != cataloger.Era(revision) {
+			return errors.Wrapf(ErrEraChanged, "era %d in the list of %s, %d before", cataloger.Era(listRevision), list, cataloger.Era(revision))
+		}
 	}
 	f.adoptPeerConfigurations(ctx, members)
 	retained := f.retainLapsedServers(servers)
--- a/internal/coordination/follower/query.go
+++ b/internal/coordination/follower/query.go
@@ -54,7 +54,7 @@
 
 // sendQuery sends a query of the store's revision.
 func (f *Follower) sendQuery(ctx context.Context) *storeQuery {
-	q := &storeQuery{sent: f.Holder.Clock(), fallback: f.fallsBackNow, answer: make(chan storeAnswer, 1)}
+	q := &storeQuery{sent: f.Holder.Clock(), fallback: f.isFallbackQuery, answer: make(chan storeAnswer, 1)}
 	timeout := callTimeout
 	if f.failures == 0 && !f.Fallback.hasFailed() {
 		timeout = firstAttemptTimeout
@@ -81,7 +81,11 @@
 	case a := <-f.pending.answer:
 		fallback := f.pending.fallback
 		err := f.handleAnswer(ctx, a)
-		return err == nil || !fallback, err
+		if err != nil && fallback {
+			f.Logger.Debug().Str("event", "fallback_query_failed").Err(err).Send()
+			return false, nil
+		}
+		return true, err
 	default:
 		return false, nil
 	}
--- a/internal/coordination/follower/relay.go
+++ b/internal/coordination/follower/relay.go
@@ -177,12 +177,12 @@
 	switch {
 	case age > maxAge:
 	case f.fallbackHops.Load() > maxFallbackHops:
-		maxAge = 1 // The requester may not be able to use the present proof, whatever its age is.
+		maxAge = time.Nanosecond // The requester may not be able to use the present proof, whatever its age is.
 	default:
-		f.Fallback.Touch(f.Holder.Clock())
+		f.Fallback.ObserveServed(f.Holder.Clock())
 		return false
 	}
-	due, querying := f.Fallback.Ask(f.Holder.Clock(), maxAge)
+	due, querying := f.Fallback.ObserveRequest(f.Holder.Clock(), maxAge)
 	if due {
 		f.wake()
 	}
@@ -204,10 +204,10 @@
 	switch {
 	case errors.Is(err, ErrNoRelay):
 		return false, nil
-	case errors.Is(err, ErrOwnTurn):
-		f.fallsBackNow = true
+	case errors.Is(err, ErrQueryStore):
+		f.isFallbackQuery = true
 		return false, nil
-	case errors.Is(err, ErrResting):
+	case errors.Is(err, ErrProofRecent):
 		return true, nil
 	case errors.Is(err, ErrConnecting):
 		return f.searchOn(), err
@@ -235,8 +235,8 @@
 // without a query to the store.
 func (f *Follower) searchOn() (done bool) {
 	f.searches = true
-	f.fallsBackNow = f.fallsBack()
-	return !f.fallsBackNow
+	f.isFallbackQuery = f.fallsBack()
+	return !f.isFallbackQuery
 }
 
 // adoptCatalog replaces the catalog by that of a relay and reports whether it
--- a/internal/coordination/follower/retention.go
+++ b/internal/coordination/follower/retention.go
@@ -100,35 +100,45 @@
 // stampServers sets the times of the servers in the next catalog that depend on
 // when this instance learned of them.
 func (f *Follower) stampServers(old, next *cataloger.Catalog) {
+	f.stampEvacuations(next.Evacuations)
 	stamped := make(map[identifier.ServiceName][]cataloger.BackendServer, len(next.Servers))
 	for service, servers := range next.Servers {
 		copied := slices.Clone(servers) // Readers share the lists of the current catalog.
 		for i := range copied {
 			previous, _ := old.Server(service, copied[i].ID)
-			f.stampServer(&copied[i], previous, next.Evacuations)
+			f.stampServer(&copied[i], previous)
 		}
 		stamped[service] = copied
 	}
 	next.Servers = stamped
 }
 
-// stampServer sets the times of one server. It is draining or evacuated since the
-// last proof of a catalog in which it was not, because an outage of the store may
-// have delayed the change.
-func (f *Follower) stampServer(s *cataloger.BackendServer, previous cataloger.BackendServer, evacuations map[identifier.DataCentre]cataloger.Evacuation) {
-	s.DrainingSince, s.EvacuatedSince, s.ColdUntil = time.Time{}, time.Time{}, time.Time{}
+// stampEvacuations sets the time since which each data centre is evacuated: the last
+// proof of a catalog in which it was not. A server that registers later gets the same
+// time.
+func (f *Follower) stampEvacuations(evacuations map[identifier.DataCentre]cataloger.Evacuation) {
+	since := make(map[identifier.DataCentre]time.Time, len(evacuations))
+	for d := range evacuations {
+		since[d] = f.provenAt
+		if known, ok := f.evacuatedSince[d]; ok {
+			since[d] = known
+		}
+	}
+	f.evacuatedSince = since
+}
+
+// stampServer sets the times of one server. It drains since the last proof of a
+// catalog in which it did not, because an outage of the store may have delayed the
+// change.
+func (f *Follower) stampServer(s *cataloger.BackendServer, previous cataloger.BackendServer) {
+	s.DrainingSince, s.ColdUntil = time.Time{}, time.Time{}
 	if s.Draining {
 		s.DrainingSince = f.provenAt
 		if previous.Draining {
 			s.DrainingSince = previous.DrainingSince
 		}
 	}
-	if _, s.Evacuated = evacuations[s.DataCentre]; s.Evacuated {
-		s.EvacuatedSince = f.provenAt
-		if previous.Evacuated {
-			s.EvacuatedSince = previous.EvacuatedSince
-		}
-	}
+	s.EvacuatedSince, s.Evacuated = f.evacuatedSince[s.DataCentre]
 	switch {
 	case s.ColdRemaining <= 0:
 	case previous.Revision == s.Revision:
--- a/internal/coordination/follower/schedule.go
+++ b/internal/coordination/follower/schedule.go
@@ -92,10 +92,10 @@
 // logFallback logs when this instance begins and ends to serve as a fallback relay.
 func (f *Follower) logFallback() {
 	serves := f.Fallback.Serves(f.Holder.Clock())
-	if serves == f.serves {
+	if serves == f.loggedServing {
 		return
 	}
-	f.serves = serves
+	f.loggedServing = serves
 	event := "fallback_relay_ended"
 	if serves {
 		event = "fallback_relay_began"
--- a/internal/coordination/follower/search.go
+++ b/internal/coordination/follower/search.go
@@ -13,11 +13,11 @@
 
 // Sentinel errors of a search.
 var (
-	// ErrOwnTurn reports that an instance without a recent proof queries the store
+	// ErrQueryStore reports that an instance without a recent proof queries the store
 	// itself, beside the requests to others.
-	ErrOwnTurn = errors.New("no proof from a relay; the store is queried")
-	// ErrResting reports that no request is needed in this round.
-	ErrResting = errors.New("the proof is recent")
+	ErrQueryStore = errors.New("no proof from a relay; the store is queried")
+	// ErrProofRecent reports that no request is needed in this round.
+	ErrProofRecent = errors.New("the proof is recent")
 )
 
 const (
@@ -47,6 +47,9 @@
 	// once it has proofs again.
 	exclusion       = time.Second
 	parentExclusion = 500 * time.Millisecond
+	// requestedHops is the [CatalogReply.Fallback] of a proof that an instance has
+	// requested outside of the tree: the query of the store and the request.
+	requestedHops = 2
 	// maxFallbackHops is the largest [CatalogReply.Fallback] of a proof that is used,
 	// except by the instances of a data centre from their relay.
 	maxFallbackHops = 2
@@ -108,7 +111,7 @@
 }
 
 // Fetch requests the catalog from the next candidate. It returns [ErrNoRelay] or
-// [ErrOwnTurn] if this instance queries the store now, and [ErrConnecting] if a
+// [ErrQueryStore] if this instance queries the store now, and [ErrConnecting] if a
 // link has to be opened first.
 func (s *Search) Fetch(ctx context.Context, request CatalogRequest) (CatalogReply, error) {
 	now := s.Holder.Clock()
@@ -118,9 +121,9 @@
 		return CatalogReply{}, ErrNoRelay
 	case step.store:
 		s.exclude(now, s.Self)
-		return CatalogReply{}, ErrOwnTurn
+		return CatalogReply{}, ErrQueryStore
 	case step.rest:
-		return CatalogReply{}, ErrResting
+		return CatalogReply{}, ErrProofRecent
 	case step.ask == "":
 		if step.waits {
 			s.silent++
@@ -139,7 +142,7 @@
 	case r.Fallback > 0:
 		r.Fallback++
 	case !step.regular:
-		r.Fallback = 2
+		r.Fallback = requestedHops
 	}
 	return r, err
 }
--- a/internal/coordination/replacer/evacuate.go
+++ b/internal/coordination/replacer/evacuate.go
@@ -8,14 +8,15 @@
 	"oleanderpulley/internal/state/identifier"
 )
 
-// maxEvacuations is the number of evacuated primaries that one instance hands
+// maxHandovers is the number of evacuated primaries that one instance hands
 // over at the same time. While a primary is handed over, its service has none, and
 // its clients return at once afterwards.
-const maxEvacuations = 4
+const maxHandovers = 4
 
 // canHandOver reports whether the primary leaves and can hand over its log. A
 // draining primary is expected to answer until it ends. One whose data centre is
-// evacuated may have failed or be cut off.
+// evacuated may have failed or be cut off, so it is queried unless it was seen
+// leading recently.
 func (r *Replacer) canHandOver(primary cataloger.BackendServer, lastLed time.Time) bool {
 	switch {
 	case primary.Draining:
@@ -33,28 +34,29 @@
 	basis cataloger.Leadership, primary cataloger.BackendServer,
 ) {
 	if primary.Evacuated {
-		if !r.beginEvacuation() {
+		if !r.beginHandover() {
+			r.Logger.Debug().Str("event", "handover_deferred").Str("service", string(service)).Send()
 			return
 		}
-		defer r.endEvacuation()
+		defer r.endHandover()
 	}
 	r.replacePrimary(ctx, service, w, basis, &primary)
 }
 
-func (r *Replacer) beginEvacuation() bool {
+func (r *Replacer) beginHandover() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.evacuations >= maxEvacuations {
+	if r.handovers >= maxHandovers {
 		return false
 	}
-	r.evacuations++
+	r.handovers++
 	return true
 }
 
-func (r *Replacer) endEvacuation() {
+func (r *Replacer) endHandover() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.evacuations--
+	r.handovers--
 }
 
 // logBlockedEvacuation logs once that no server can take over from an evacuated
--- a/internal/coordination/replacer/evacuate_test.go
+++ b/internal/coordination/replacer/evacuate_test.go
@@ -60,12 +60,12 @@
 
 // Guards against all services of a data centre being without a primary at the same
 // moment when it is evacuated.
-func TestEvacuationsAtATimeAreLimited(t *testing.T) {
+func TestHandoversAtATimeAreLimited(t *testing.T) {
 	var r Replacer
-	for range maxEvacuations {
-		qt.Assert(t, r.beginEvacuation(), qt.IsTrue)
+	for range maxHandovers {
+		qt.Assert(t, r.beginHandover(), qt.IsTrue)
 	}
-	qt.Assert(t, r.beginEvacuation(), qt.IsFalse)
-	r.endEvacuation()
-	qt.Assert(t, r.beginEvacuation(), qt.IsTrue)
+	qt.Assert(t, r.beginHandover(), qt.IsFalse)
+	r.endHandover()
+	qt.Assert(t, r.beginHandover(), qt.IsTrue)
 }
--- a/internal/coordination/replacer/replacer.go
+++ b/internal/coordination/replacer/replacer.go
@@ -122,10 +122,10 @@
 	// Observe, if set, records the duration of each step of a replacement.
 	Observe func(step string, took time.Duration)
 
-	mu          sync.Mutex
-	watches     map[identifier.ServiceName]*serviceWatch
-	lastUsed    map[identifier.ServiceName]time.Time
-	evacuations int // Hand-overs of evacuated primaries that this instance performs.
+	mu        sync.Mutex
+	watches   map[identifier.ServiceName]*serviceWatch
+	lastUsed  map[identifier.ServiceName]time.Time
+	handovers int // Hand-overs of evacuated primaries that this instance performs.
 }
 
 // PeerSightings summarizes the answers of peers that were asked whether a
--- a/internal/coordination/scheduler/refusal.go
+++ b/internal/coordination/scheduler/refusal.go
@@ -30,7 +30,7 @@
 
 // Error implements error.
 func (r *RefusalError) Error() string {
-	return fmt.Sprintf("%v; retry after %v", r.Cause, r.RetryAfter.Round(time.Millisecond))
+	return fmt.Sprintf("%v; retry after %dms", r.Cause, r.RetryAfter.Milliseconds())
 }
 
 // Unwrap returns the cause.
--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -151,22 +151,34 @@
 // without a slot is charged the expected time only, because its client may pause
 // in between.
 func (q *Queue) Finish(s *Statement, now time.Time) {
-	if s.Exempt || s.Slotless || s.startedAt.IsZero() {
+	if s.Slotless || !s.isStarted() {
 		return
 	}
 	took := now.Sub(s.startedAt)
-	s.startedAt = time.Time{}
-	f := s.flow
-	q.total += took - s.charged
-	f.class.served += took - s.charged
-	f.correct(s, took)
-	f.observe(took)
+	q.settle(s, took)
+	s.flow.observe(took)
 	if q.service == 0 {
 		q.service = took
 	}
 	q.service += (took - q.service) / serviceSamples
 }
 
+// Cancel takes back what a started statement was charged, because it did not run.
+// It says nothing about the service times.
+func (q *Queue) Cancel(s *Statement) {
+	if s.isStarted() {
+		q.settle(s, 0)
+	}
+}
+
+// settle replaces what a started statement was charged by the time that it took.
+func (q *Queue) settle(s *Statement, took time.Duration) {
+	s.startedAt = time.Time{}
+	q.total += took - s.charged
+	s.flow.class.served += took - s.charged
+	s.flow.correct(s, took)
+}
+
 // refusalCause returns why a statement may not wait, or nil.
 func (q *Queue) refusalCause(f *flow, s *Statement, now time.Time) error {
 	// If all were refused while none waits, the rate would not be observed.
--- a/internal/coordination/scheduler/statement.go
+++ b/internal/coordination/scheduler/statement.go
@@ -26,6 +26,11 @@
 	startedAt time.Time
 }
 
+// isStarted reports whether the statement was started and has not ended.
+func (s *Statement) isStarted() bool {
+	return !s.Exempt && !s.startedAt.IsZero()
+}
+
 // target returns when the statement should be answered.
 func (s *Statement) target() time.Time {
 	if s.Target.IsZero() {
--- a/internal/transport/lender/lender.go
+++ b/internal/transport/lender/lender.go
@@ -137,7 +137,7 @@
 		slots = s.slots // Those who wait for a slot do not compete for the connection.
 	}
 	if !s.queue.HasNext(s.inUse() < slots) && s.inUse() < concurrency {
-		if g, ok := l.grant(s, req); ok {
+		if g, ok := s.grant(req, l.maxConnections(s)); ok {
 			return g, nil, nil
 		}
 	}
@@ -145,36 +145,9 @@
 	return grant{}, w, err
 }
 
-// grant lends an idle connection or reserves room for a new one. It returns false
-// if neither is possible.
-func (l *Lender) grant(s *serverPool, req Request) (grant, bool) {
-	if i := s.bestIdle(req); i >= 0 {
-		c := s.idle[i]
-		s.idle = slices.Delete(s.idle, i, i+1)
-		s.markBorrowed(c, req)
-		return grant{pool: s, conn: c}, true
-	}
-	switch {
-	case l.mayDial(s):
-	case len(s.idle) > 0:
-		s.closeOldest()
-	default:
-		return grant{}, false
-	}
-	s.dialing++
-	return grant{pool: s, reserved: true}, true
-}
-
-// mayDial reports whether a new connection may be opened.
-func (l *Lender) mayDial(s *serverPool) bool {
-	limit := max(1, l.Limit(s.server)) // It may have become 0 since Borrow has checked it.
-	return s.total() < limit && !time.Now().Before(s.fullUntil)
-}
-
-// hasRoom reports whether a connection can be lent: one is idle or a new one may
-// be opened.
-func (l *Lender) hasRoom(s *serverPool) bool {
-	return len(s.idle) > 0 || l.mayDial(s)
+// maxConnections returns the number of connections that the pool may have.
+func (l *Lender) maxConnections(s *serverPool) int {
+	return max(1, l.Limit(s.server)) // It may have become 0 since Borrow has checked it.
 }
 
 // replace closes the connection of a grant and reserves its room, so that a borrower
@@ -216,7 +189,7 @@
 	if errors.Is(err, ErrServerFull) {
 		s.fullUntil = time.Now().Add(serverFullPause)
 	}
-	s.finish(g.statement)
+	s.cancel(g.statement)
 	l.unlockAndDispatch(s)
 }
 
@@ -224,9 +197,23 @@
 // broken, stale or over the limit.
 func (l *Lender) Return(c *Conn) {
 	l.mu.Lock()
+	c.pool.finish(c.statement)
+	l.takeBack(c)
+}
+
+// ReturnUnused is [Lender.Return] for a connection on which the borrower has sent
+// nothing, so that the time says nothing about the server.
+func (l *Lender) ReturnUnused(c *Conn) {
+	l.mu.Lock()
+	c.pool.cancel(c.statement)
+	l.takeBack(c)
+}
+
+// takeBack returns the connection to its pool. It must be called with the lock, which
+// it releases.
+func (l *Lender) takeBack(c *Conn) {
 	s := c.pool
 	s.markReturned(c)
-	s.finish(c.statement)
 	c.statement = nil
 	if c.broken || c.stale || s.total() >= l.Limit(c.Server) {
 		c.link.Close()
--- a/internal/transport/lender/pool.go
+++ b/internal/transport/lender/pool.go
@@ -48,6 +48,37 @@
 	statement *scheduler.Statement // Nil if the borrower did not wait.
 }
 
+// grant lends an idle connection or reserves room for a new one within the limit. It
+// returns false if neither is possible.
+func (s *serverPool) grant(req Request, limit int) (grant, bool) {
+	if i := s.bestIdle(req); i >= 0 {
+		c := s.idle[i]
+		s.idle = slices.Delete(s.idle, i, i+1)
+		s.markBorrowed(c, req)
+		return grant{pool: s, conn: c}, true
+	}
+	switch {
+	case s.mayDial(limit):
+	case len(s.idle) > 0:
+		s.closeOldest()
+	default:
+		return grant{}, false
+	}
+	s.dialing++
+	return grant{pool: s, reserved: true}, true
+}
+
+// mayDial reports whether a new connection may be opened within the limit.
+func (s *serverPool) mayDial(limit int) bool {
+	return s.total() < limit && !time.Now().Before(s.fullUntil)
+}
+
+// hasRoom reports whether a connection can be lent: one is idle or a new one may
+// be opened within the limit.
+func (s *serverPool) hasRoom(limit int) bool {
+	return len(s.idle) > 0 || s.mayDial(limit)
+}
+
 // bestIdle returns the index of the most recently used idle connection that fits
 // the request, preferring those with the requested settings. It returns -1 if
 // there is none.
@@ -93,6 +124,14 @@
 	}
 }
 
+// cancel takes back what a statement was charged that did not use its connection.
+// The statement is nil if it did not wait.
+func (s *serverPool) cancel(st *scheduler.Statement) {
+	if st != nil {
+		s.queue.Cancel(st)
+	}
+}
+
 // serverPool returns the pool of the server's current incarnation. It retires the
 // pool of an earlier one.
 func (l *Lender) serverPool(server cataloger.BackendServer) *serverPool {
--- a/internal/transport/lender/wait.go
+++ b/internal/transport/lender/wait.go
@@ -115,20 +115,18 @@
 // returns its error. It gives back what the waiter was granted meanwhile.
 func (l *Lender) leave(w *waiter, cancelled bool) error {
 	l.mu.Lock()
+	isWaiting := w.pool.queue.Remove(&w.statement)
+	if !isWaiting && w.err != nil {
+		l.mu.Unlock()
+		return w.err // Refused meanwhile.
+	}
 	cause := ErrCancelled
-	if cancelled {
-		w.pool.queue.Remove(&w.statement)
-	} else {
+	if !cancelled {
 		cause = w.pool.queue.Expire(&w.statement, time.Now())
 	}
 	l.mu.Unlock()
-	select {
-	case <-w.decided:
-		if w.err != nil {
-			return w.err
-		}
+	if !isWaiting {
 		l.giveBack(w.grant)
-	default:
 	}
 	return l.refuse(w, cause)
 }
@@ -137,7 +135,7 @@
 func (l *Lender) giveBack(g grant) {
 	switch {
 	case g.conn != nil:
-		l.Return(g.conn)
+		l.ReturnUnused(g.conn)
 	case g.reserved:
 		l.release(g, nil)
 	}
@@ -150,14 +148,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s.slots = slots
-	for s.queue.HasNext(s.inUse() < slots) && l.hasRoom(s) {
+	limit := l.maxConnections(s)
+	for s.queue.HasNext(s.inUse() < slots) && s.hasRoom(limit) {
 		st, err := s.queue.Next(s.inUse() < slots, time.Now())
 		w := st.Owner.(*waiter)
 		if err != nil {
 			w.decide(grant{}, l.refuse(w, err))
 			continue
 		}
-		g, _ := l.grant(s, w.req)
+		g, _ := s.grant(w.req, limit) // There is room.
 		g.statement = st
 		if g.conn != nil {
 			g.conn.statement = st
--- a/internal/transport/messenger/messenger.go
+++ b/internal/transport/messenger/messenger.go
@@ -172,7 +172,9 @@
 // an empty reply. It waits until the context ends, or two seconds if the context
 // has no deadline. [ErrRemote] means that the peer's handler failed;
 // [ErrUnknownPeer], [ErrNotConnected], [ErrBusy] and [ErrClosed] mean that the
-// request was not sent; after any other error, the peer may have handled it.
+// request was not sent; after any other error, the peer may have handled it. A peer
+// that answers neither the request nor a ping for about half a second ends all
+// requests on its link with [ErrUnreachable].
 func (m *Messenger) Request(ctx context.Context, to identifier.InstanceID, body any) (any, error) {
 	return m.request(ctx, to, body, false)
 }
--- a/internal/transport/sessioner/admit.go
+++ b/internal/transport/sessioner/admit.go
@@ -48,8 +48,10 @@
 	}
 	owner, known := c.Owner(n.key)
 	o.workspace = owner
-	n.limitRegions(&o, c.Configuration.Workspaces[owner])
+	inRegions := n.limitRegions(&o, c.Configuration.Workspaces[owner])
 	switch {
+	case !inRegions:
+		return o, n.refusal(requester.Overloaded, errOutsideRegions.Error())
 	case route.Public:
 		return o, requester.Result{}
 	case !n.server.Holder.Fresh():
--- a/internal/transport/sessioner/read.go
+++ b/internal/transport/sessioner/read.go
@@ -77,32 +77,45 @@
 // another until one has run the statement. If the statement fails on the first
 // server, it is retried on one other server. If the queues of all servers refuse
 // it, it is refused once each was asked to let it wait for the entire time.
-func (n *session) runOnReaders(o operation, run func(b cataloger.BackendServer, f floor, attempt int) (requester.Result, error)) requester.Result {
+func (n *session) runOnReaders(o operation, run readerFunc) requester.Result {
 	if err := n.checkReaders(o); err != nil {
 		return n.unreachedRefusal(requester.Overloaded, err.Error())
 	}
+	r, unanswered := n.tryReaders(o, run)
+	if unanswered != nil && r.Code.NotRun() {
+		return n.refusal(requester.OutcomeUnknown, unanswered.Error()) // An attempt may have run.
+	}
+	return r
+}
+
+// readerFunc runs a read on one server.
+type readerFunc func(b cataloger.BackendServer, f floor, attempt int) (requester.Result, error)
+
+// tryReaders is runOnReaders without the last step: unanswered is the error of an
+// attempt that may have run, nil if there was none.
+func (n *session) tryReaders(o operation, run readerFunc) (r requester.Result, unanswered error) {
 	var tried []identifier.BackendServerID
 	refused, skipped := 0, 0 // Attempts that the queues refused; attempts skipped to get the entire time.
 	last := n.unreachedRefusal(requester.Lagging, errNoSample.Error())
 	for time.Now().Before(o.deadline) {
 		f, err := n.floor(o)
 		if errors.Is(err, errProofTooOld) {
-			return n.unreachedRefusal(requester.Overloaded, err.Error())
+			return n.unreachedRefusal(requester.Overloaded, err.Error()), unanswered
 		}
 		if err != nil {
-			return last
+			return last, unanswered
 		}
 		b, ok := n.nextReader(o, f.age, tried)
 		if !ok && refused > 0 && refused == len(tried) {
 			if skipped > 0 {
-				return last
+				return last, unanswered
 			}
 			tried, refused, skipped = nil, 0, dividedAttempts
 			continue
 		}
 		if !ok {
 			if !waitWithin(nil, retryPause, o.waitDeadline) {
-				return last
+				return last, unanswered
 			}
 			tried, refused = nil, 0
 			continue
@@ -113,11 +126,11 @@
 		case errors.Is(err, lender.ErrNoConnection):
 			last = n.borrowRefusal(err)
 			if errors.Is(err, lender.ErrCancelled) {
-				return last
+				return last, unanswered
 			}
 			refused++
 		case errors.Is(err, lender.ErrNoAnswer):
-			last = n.refusal(requester.OutcomeUnknown, err.Error())
+			unanswered = err
 		case err != nil:
 			last = n.refusal(requester.Overloaded, err.Error())
 		case r.Code == requester.Lagging:
@@ -128,10 +141,10 @@
 		case r.Code == requester.RunFailed && len(tried) == 1:
 			last = r
 		default:
-			return r
+			return r, nil
 		}
 	}
-	return last
+	return last, unanswered
 }
 
 // checkReaders returns an error if no server may run the read, however long it
--- a/internal/transport/sessioner/region.go
+++ b/internal/transport/sessioner/region.go
@@ -29,22 +29,17 @@
 	return allowed, true
 }
 
-// noRegion is a region that no data centre has. It limits a statement whose route
-// and workspace allow no common one.
-const noRegion identifier.Region = "-"
-
 // limitRegions limits the route of the operation to the regions that the workspace
-// allows as well, and the servers of the operation to those regions.
-func (n *session) limitRegions(o *operation, w cataloger.Workspace) {
+// allows as well, and the servers of the operation to those regions. It reports
+// whether there are any.
+func (n *session) limitRegions(o *operation, w cataloger.Workspace) bool {
 	allowed, limited := allowedRegions(o.route.Regions, w.Regions)
 	if !limited {
-		return
-	}
-	if len(allowed) == 0 {
-		allowed = []identifier.Region{noRegion}
+		return true
 	}
 	o.route.Regions = allowed
 	o.servers = n.server.serversWithin(o.servers, allowed)
+	return len(allowed) > 0
 }
 
 // serversWithin returns the servers in the regions, all if there are no regions.
--- a/internal/transport/sessioner/region_test.go
+++ b/internal/transport/sessioner/region_test.go
@@ -42,7 +42,7 @@
 	servers := []cataloger.BackendServer{{ID: "a", DataCentre: "n1"}, {ID: "b", DataCentre: "s1"}, {ID: "c", DataCentre: "n2"}}
 	o := operation{servers: servers, route: cataloger.Route{Regions: []identifier.Region{"north", "south"}}}
 	n := &session{server: s}
-	n.limitRegions(&o, cataloger.Workspace{Regions: []identifier.Region{"north"}})
+	qt.Assert(t, n.limitRegions(&o, cataloger.Workspace{Regions: []identifier.Region{"north"}}), qt.IsTrue)
 	qt.Assert(t, o.servers, qt.HasLen, 2)
 	s.Holder.Replace(&cataloger.Catalog{Instances: map[identifier.InstanceID]cataloger.Instance{
 		"n": {DataCentre: "n1"}, "s": {DataCentre: "s1"}, "w": {DataCentre: "w1"},
@@ -51,6 +51,5 @@
 	qt.Assert(t, s.mayForward("s", o.route.Regions), qt.IsFalse)
 	qt.Assert(t, s.mayForward("w", o.route.Regions), qt.IsTrue)
 	o = operation{servers: servers, route: cataloger.Route{Regions: []identifier.Region{"south"}}}
-	n.limitRegions(&o, cataloger.Workspace{Regions: []identifier.Region{"north"}})
-	qt.Assert(t, o.servers, qt.HasLen, 0)
+	qt.Assert(t, n.limitRegions(&o, cataloger.Workspace{Regions: []identifier.Region{"north"}}), qt.IsFalse)
 }
--- a/internal/transport/sessioner/run.go
+++ b/internal/transport/sessioner/run.go
@@ -121,14 +121,25 @@
 // statement now.
 var errCold = errors.New("the backend server is still slow after its start and takes few statements")
 
-// borrow borrows a connection for the operation and adds the wait to its trace.
+// borrow borrows a connection for the operation and adds the wait to its trace. The
+// server is checked after the wait, in which it may have been withdrawn.
 func (n *session) borrow(o operation, w lender.Request) (*lender.Conn, error) {
-	if !n.server.Balancer.TakeCold(w.Server) {
-		return nil, errors.Wrapf(errCold, "server %s", w.Server.ID)
-	}
 	started := time.Now()
 	defer o.trace.addConnectionWait(started)
-	return n.server.borrow(w)
+	c, err := n.server.borrow(w)
+	switch {
+	case err != nil:
+		return nil, err
+	case n.server.isWithdrawn(w.Server):
+		err = errEvacuated
+	case !n.server.Balancer.TakeCold(w.Server):
+		err = errCold
+	}
+	if err != nil {
+		n.server.Lender.ReturnUnused(c)
+		return nil, errors.Wrapf(err, "server %s", w.Server.ID)
+	}
+	return c, nil
 }
 
 // borrowPrimary borrows a connection to the primary. If the last answer on it is
@@ -140,7 +151,7 @@
 	c, err := n.borrow(o, n.connRequest(o, b, pinned, o.waitDeadline))
 	if err != nil {
 		o.trace.addAttempt(b.ID, requester.Result{}, err, time.Since(o.arrived))
-		isOwnLimit := errors.Is(err, lender.ErrNoConnection) || errors.Is(err, lender.ErrNoShare) || errors.Is(err, errCold)
+		isOwnLimit := errors.Is(err, lender.ErrNoConnection) || errors.Is(err, lender.ErrNoShare) || errors.Is(err, errCold) || errors.Is(err, errEvacuated)
 		if errors.Is(err, lender.ErrUnreachable) || (pinned && !isOwnLimit) {
 			s.Balancer.RecordNotLeading(b.Service, b.ID)
 		}
--- a/internal/transport/sessioner/transaction.go
+++ b/internal/transport/sessioner/transaction.go
@@ -130,6 +130,10 @@
 	if err := n.awaitCold(o, c.Server); err != nil {
 		return requester.Result{}, err
 	}
+	// The permission to use the server may have ended during a wait.
+	if err := n.checkConn(); err != nil && (n.tx.wrote || st.Kind != requester.Commit || errors.Is(err, errEvacuated)) {
+		return requester.Result{}, errors.Wrap(lender.ErrNotSent, err.Error())
+	}
 	s.Balancer.Start(c.Server.ID)
 	sentAt := time.Now()
 	r, err := c.Run(o.deadline, st)
