--- a/internal/command/starter/era.go
+++ b/internal/command/starter/era.go
@@ -124,11 +124,11 @@
 	defer cancel()
 	s.adoptDirectory(members)
 	asked := s.randomPeers(samplePeers, s.Settings.InstanceID)
-	replies := requestEach[follower.CatalogReply](ctx, s, asked, follower.CatalogRequest{})
+	replies := requestEach[follower.CatalogReply](ctx, s, asked, follower.CatalogRequest{Fetch: true})
 	var catalogs []*cataloger.Catalog
 	for range asked {
-		if r := <-replies; r.body != nil && r.body.Catalog != nil {
-			catalogs = append(catalogs, r.body.Catalog)
+		if r := <-replies; r.body != nil && r.body.Update != nil && r.body.Update.Catalog != nil {
+			catalogs = append(catalogs, r.body.Update.Catalog)
 		}
 	}
 	return catalogs
--- a/internal/command/starter/peers.go
+++ b/internal/command/starter/peers.go
@@ -51,7 +51,8 @@
 	e.Register("sample_ask", sampleAsk{})
 	e.Register("sample_reply", sampleReply{})
 	e.Register("relay_ask", follower.CatalogRequest{})
-	e.Register("relayed", follower.CatalogReply{})
+	// The earlier message "relayed" had catalogs that were not compressed.
+	e.Register("catalog", follower.CatalogReply{})
 	e.Register("reach_ask", reachAsk{})
 	e.Register("reach_reply", reachReply{})
 	e.Register("leadership", leadershipNotice{})
--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -156,6 +156,8 @@
 
 		PeerCatalogs: s.fetchPeerCatalogs,
 		Relay:        s.search.Fetch,
+		Transfer:     s.requestCatalog,
+		LinkRate:     settings.LinkRate,
 		OnDirectory:  s.adoptDirectory,
 		FleetStarts:  settings.FleetStarts,
 	}
--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -28,6 +28,9 @@
 	connectingPeriod   = 100 * time.Millisecond // While a connection to the relay is opened.
 	retryPeriod        = 250 * time.Millisecond // After a failed round.
 	callTimeout        = 1200 * time.Millisecond
+	// listsTimeout bounds the reading of all lists, of which the configuration may
+	// take seconds on a slow link. The store's client ends calls that make no progress.
+	listsTimeout = 8 * time.Second
 	// firstAttemptTimeout bounds the revision query of a round that does not
 	// follow a failed one. An answer usually takes milliseconds, so a connection
 	// that no longer answers is detected early.
@@ -75,8 +78,14 @@
 	// Relay sends the request to the relay. It returns [ErrNoRelay] if this
 	// instance has to query the store itself. If it is nil, every round queries
 	// the store.
-	Relay  func(ctx context.Context, request CatalogRequest) (CatalogReply, error)
-	Period time.Duration // 0 means 0.4 s.
+	Relay func(ctx context.Context, request CatalogRequest) (CatalogReply, error)
+	// Transfer fetches an update that a reply of Relay has announced. Required if
+	// Relay is set.
+	Transfer func(ctx context.Context, from identifier.InstanceID, request CatalogRequest) (CatalogReply, error)
+	// LinkRate is the number of bytes a second that the link of this instance
+	// carries. 0 means that it is not known, and updates are sent without a bound.
+	LinkRate float64
+	Period   time.Duration // 0 means 0.4 s.
 	// OnDirectory is called with the instances that may serve as relays before
 	// the first catalog. Required if the store has a directory.
 	OnDirectory func(map[identifier.InstanceID]cataloger.Instance)
@@ -104,7 +113,10 @@
 	lastSuccess     time.Duration // Holder's clock before the last query that was answered.
 	startedAt       time.Duration // Holder's clock at the first round.
 	directoryReadAt time.Duration
-	startsFromRelay bool // By the directory.
+	startsFromRelay bool          // By the directory.
+	startInterval   time.Duration // Between two reads of the lists by starting instances of the data centre, times their number.
+	startTurn       time.Duration // When this instance reads the lists if no relay answers.
+	relayLacksSelf  bool          // The relay's catalog did not contain this instance at its start.
 	fallbackRole    fallbackRole
 	fallbackAt      time.Duration // Next query of the store for want of a recent proof; 0 while there is one.
 	lapseGraceEnd   time.Duration // End of the grace for lapsed servers; 0 outside of one.
@@ -122,6 +134,10 @@
 	wakeOnce        sync.Once
 	wakes           chan struct{}
 
+	transfers  transferBudget // Of updates for others.
+	transfer   *transfer      // Of an update for this instance, if one is under way.
+	transferAt time.Duration  // Earliest start of the next transfer.
+
 	evacuatedSince map[identifier.DataCentre]time.Time // Earliest time at which each evacuation may have begun.
 
 	missingSince map[identifier.InstanceID]time.Duration // When each removed instance was first missing.
@@ -145,6 +161,7 @@
 		f.provenAt = time.Now().Add(-age)
 	}
 	f.searches, f.isFallbackQuery, f.relayed = false, false, false
+	f.collectTransfer(ctx)
 	if answered, err := f.collectAnswer(ctx); answered {
 		return err
 	}
--- a/internal/coordination/follower/lists.go
+++ b/internal/coordination/follower/lists.go
@@ -14,7 +14,7 @@
 // the query that returned the leadership records and the revision. If that query
 // returned no records, they are read as well.
 func (f *Follower) readLists(ctx context.Context, sent time.Duration, leaderships map[identifier.ServiceName]cataloger.Leadership, revision uint64) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, listsTimeout)
 	defer cancel()
 	if leaderships == nil {
 		var err error
--- /dev/null
+++ b/internal/coordination/follower/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package follower_test
+
+const raceEnabled = true
--- a/internal/coordination/follower/relay.go
+++ b/internal/coordination/follower/relay.go
@@ -49,18 +49,33 @@
 	// MaxAge is the age of a proof above which the requester continues with another
 	// instance. 0 means maxRelayedProofAge.
 	MaxAge time.Duration `cbor:"max_age,omitempty"`
+	// ProvenOnly requests no catalog without a recent proof. It is set by an instance
+	// that starts and repeats the request until its relay has one.
+	ProvenOnly bool `cbor:"proven_only,omitempty"`
+	// Late means that the relays of an instance that starts have not answered in time,
+	// so that others are asked too.
+	Late bool `cbor:"-"`
+	// Fetch requests an update whatever its size is.
+	Fetch bool `cbor:"fetch,omitempty"`
 }
 
 // CatalogReply answers a [CatalogRequest]. Age is the age of the relay's proof.
-// Catalog and Change are nil if the relay has no proof or its catalog is not newer
-// than the known revision. Change is set in place of Catalog if the relay knows
-// the catalog with the digest of the request. The configuration of Catalog is nil
-// if it has not changed since.
+// Update is nil if the relay has no proof or its catalog is not newer than the known
+// revision. It is a change if the relay knows the catalog with the digest of the
+// request, and a whole catalog otherwise, whose configuration is nil if it has not
+// changed since.
 type CatalogReply struct {
-	Proven  bool               `cbor:"proven"`
-	Age     time.Duration      `cbor:"age"`
-	Catalog *cataloger.Catalog `cbor:"catalog,omitempty"`
-	Change  *cataloger.Change  `cbor:"change,omitempty"`
+	Proven bool              `cbor:"proven"`
+	Age    time.Duration     `cbor:"age"`
+	Update *cataloger.Update `cbor:"update,omitempty"`
+	// UpdateBytes is the size of an update that is newer than the known revision and
+	// has to be fetched. The proof is that of the newer catalog.
+	UpdateBytes int `cbor:"update_bytes,omitempty"`
+	// Wait is the time after which to fetch an update again that the sender's link
+	// cannot carry now.
+	Wait time.Duration `cbor:"wait,omitempty"`
+	// From is the sender. It is set by the requester.
+	From identifier.InstanceID `cbor:"-"`
 	// Fallback is 0 if the proof came over the tree, 1 if the sender is a fallback
 	// relay that queried the store, and one more for each further instance.
 	Fallback int `cbor:"fallback,omitempty"`
@@ -86,18 +101,31 @@
 	byDataCentre := rankInstances(members)
 	own := members[self].DataCentre
 	local := chooseRelays(byDataCentre[own])
-	if !containsInstance(local, self) {
-		return rotate(local, self)
-	}
 	var relays []cataloger.Instance
 	for _, ids := range byDataCentre {
 		relays = append(relays, chooseRelays(ids)...)
 	}
 	roots := chooseRelays(relays)
-	if containsInstance(roots, self) {
+	switch {
+	case containsInstance(roots, self):
 		return nil
+	case containsInstance(local, self):
+		return rotate(roots, self)
 	}
-	return rotate(roots, self)
+	return rotate(withoutRoots(local, roots), self)
+}
+
+// minRelaysBesideRoots is the number of relays of a data centre that suffices without
+// the roots among them. A root serves the relays of all data centres already.
+const minRelaysBesideRoots = 2
+
+// withoutRoots returns the relays of a data centre that its other instances ask.
+func withoutRoots(local, roots []cataloger.Instance) []cataloger.Instance {
+	others := slices.DeleteFunc(slices.Clone(local), func(i cataloger.Instance) bool { return containsInstance(roots, i.ID) })
+	if len(others) < minRelaysBesideRoots {
+		return local
+	}
+	return others
 }
 
 // isRelay reports whether the instance is a relay of its data centre.
@@ -148,7 +176,11 @@
 	age, proven := f.Holder.Age()
 	c := f.Holder.Catalog()
 	if c != nil && request.Known == 0 {
-		return CatalogReply{Proven: proven && c.Revision != 0, Age: age, Catalog: c}
+		r := CatalogReply{Proven: proven && c.Revision != 0, Age: age}
+		if request.ProvenOnly && !r.IsRecent() {
+			return r
+		}
+		return f.attach(r, f.history.updateTo(c, 0, 0), request)
 	}
 	if !proven || c == nil || c.Revision == 0 {
 		return CatalogReply{}
@@ -159,12 +191,7 @@
 	if c.Revision < request.Known || (c.Revision == request.Known && c.Retained == request.Retained) {
 		return r
 	}
-	if known := f.history.find(request.Digest); known != nil {
-		r.Change = known.ChangeTo(c, request.Digest)
-	} else {
-		r.Catalog = c.Since(request.Known)
-	}
-	return r
+	return f.attach(r, f.history.updateTo(c, request.Known, request.Digest), request)
 }
 
 // observeRequest records a request for a proof and reports whether the store is
@@ -200,7 +227,8 @@
 	}
 	sent := f.Holder.Clock()
 	known := f.Holder.Catalog()
-	r, err := f.Relay(ctx, CatalogRequest{Known: f.knownRevision, Retained: known.Retained, Digest: f.history.digest(known)})
+	request := CatalogRequest{Known: f.knownRevision, Retained: known.Retained, Digest: f.history.digest(known)}
+	r, err := f.Relay(ctx, request)
 	switch {
 	case errors.Is(err, ErrNoRelay):
 		return false, nil
@@ -216,17 +244,14 @@
 		return f.searchOn(), nil
 	case !r.IsRecent():
 		return f.searchOn(), nil
-	case r.Change != nil && r.Change.Base == f.history.digest(known):
-		r.Catalog = known.Apply(r.Change)
-	case r.Change != nil:
+	case r.UpdateBytes > 0:
+		f.startTransfer(ctx, r, request)
+		return true, nil
+	case r.Update != nil && f.updatedCatalog(r.Update) == nil:
 		return f.searchOn(), nil
-	}
-	if r.Catalog != nil && !f.adoptCatalog(r.Catalog) {
+	case !f.adoptReply(sent, r):
 		return false, nil
 	}
-	f.lastSuccess = sent
-	f.fallbackHops.Store(int32(r.Fallback))
-	f.Holder.SetProof(sent - r.Age)
 	f.searches = r.Late
 	return true, nil
 }
--- a/internal/coordination/follower/relay_test.go
+++ b/internal/coordination/follower/relay_test.go
@@ -57,7 +57,7 @@
 			f, h, _ := newFollower(s)
 			qt.Assert(t, f.Round(context.Background()), qt.IsNil)
 			f.Relay = func(context.Context, follower.CatalogRequest) (follower.CatalogReply, error) {
-				return follower.CatalogReply{Proven: true, Catalog: &test.catalog}, nil
+				return follower.CatalogReply{Proven: true, Update: &cataloger.Update{Catalog: &test.catalog}}, nil
 			}
 			qt.Assert(t, f.Round(context.Background()), qt.IsNil)
 			qt.Assert(t, h.Catalog().Configuration.Version == 8, qt.Equals, test.adopted)
@@ -112,8 +112,8 @@
 	h.SetProof(*now)
 	reply := f.Answer(follower.CatalogRequest{})
 	qt.Assert(t, reply.Proven, qt.IsFalse)
-	qt.Assert(t, reply.Catalog.Configuration.Version, qt.Equals, identifier.ConfigVersion(2))
-	qt.Assert(t, f.Answer(follower.CatalogRequest{Known: 3}).Catalog, qt.IsNil)
+	qt.Assert(t, reply.Update.Catalog.Configuration.Version, qt.Equals, identifier.ConfigVersion(2))
+	qt.Assert(t, f.Answer(follower.CatalogRequest{Known: 3}).Update, qt.IsNil)
 }
 
 // Guards against a relay that sends the whole configuration for each change of
@@ -141,9 +141,9 @@
 			h.SetProof(*now)
 			reply := f.Answer(follower.CatalogRequest{Known: test.known})
 			qt.Assert(t, reply.Proven, qt.IsTrue)
-			qt.Assert(t, reply.Catalog != nil, qt.Equals, test.hasCatalog)
-			if reply.Catalog != nil {
-				qt.Assert(t, reply.Catalog.Configuration != nil, qt.Equals, test.hasConfig)
+			qt.Assert(t, reply.Update != nil, qt.Equals, test.hasCatalog)
+			if reply.Update != nil {
+				qt.Assert(t, reply.Update.Catalog.Configuration != nil, qt.Equals, test.hasConfig)
 			}
 		})
 	}
@@ -225,7 +225,7 @@
 	}
 	f.OnDirectory = func(map[identifier.InstanceID]cataloger.Instance) {}
 	f.Relay = func(context.Context, follower.CatalogRequest) (follower.CatalogReply, error) {
-		return follower.CatalogReply{Proven: true, Age: 100 * time.Millisecond, Catalog: c}, nil
+		return follower.CatalogReply{Proven: true, Age: 100 * time.Millisecond, Update: &cataloger.Update{Catalog: c}}, nil
 	}
 	return f, h, now
 }
@@ -299,8 +299,8 @@
 	*relayNow += 10 * time.Second
 	qt.Assert(t, relay.Round(context.Background()), qt.IsNil)
 	qt.Assert(t, child.Round(context.Background()), qt.IsNil)
-	qt.Assert(t, reply.Catalog, qt.IsNil)
-	qt.Assert(t, reply.Change.Instances, qt.HasLen, 1)
+	qt.Assert(t, reply.Update.Catalog, qt.IsNil)
+	qt.Assert(t, reply.Update.Change.Instances, qt.HasLen, 1)
 	qt.Assert(t, h.Catalog().Instances, qt.HasLen, 3)
 	qt.Assert(t, h.Catalog().Revision, qt.Equals, uint64(6))
 
@@ -319,13 +319,13 @@
 	s.version, s.configurationRevision, s.revision = 2, 10, 10
 	qt.Assert(t, relay.Round(context.Background()), qt.IsNil)
 	qt.Assert(t, child.Round(context.Background()), qt.IsNil)
-	qt.Assert(t, reply.Change.Configuration.Version, qt.Equals, identifier.ConfigVersion(2))
+	qt.Assert(t, reply.Update.Change.ConfigurationChange.Version, qt.Equals, identifier.ConfigVersion(2))
 
 	child.Holder.Replace(&cataloger.Catalog{Configuration: h.Catalog().Configuration, Revision: 10})
 	s.revision = 11
 	qt.Assert(t, relay.Round(context.Background()), qt.IsNil)
 	qt.Assert(t, child.Round(context.Background()), qt.IsNil)
-	qt.Assert(t, reply.Catalog, qt.Not(qt.IsNil))
+	qt.Assert(t, reply.Update.Catalog, qt.Not(qt.IsNil))
 }
 
 // Guards against a fleet in which all instances wait for each other after a loss
--- a/internal/coordination/follower/schedule.go
+++ b/internal/coordination/follower/schedule.go
@@ -24,6 +24,9 @@
 	if f.pending != nil {
 		<-f.pending.answer // The query ends with its context.
 	}
+	if f.transfer != nil {
+		<-f.transfer.answer
+	}
 }
 
 // wake starts the next round at once.
--- a/internal/coordination/follower/search.go
+++ b/internal/coordination/follower/search.go
@@ -115,7 +115,10 @@
 // link has to be opened first.
 func (s *Search) Fetch(ctx context.Context, request CatalogRequest) (CatalogReply, error) {
 	now := s.Holder.Clock()
-	step := s.next(now, request.Known == 0)
+	step := s.next(now)
+	if request.Known == 0 {
+		step = s.nextOfStart(now, request.Late)
+	}
 	switch {
 	case step.store && step.regular:
 		return CatalogReply{}, ErrNoRelay
@@ -135,6 +138,7 @@
 	defer cancel()
 	r, err := s.Request(ctx, step.ask, request)
 	s.observe(step, request, r, err)
+	r.From = step.ask
 	r.Late = r.Age > s.maxAge()
 	switch {
 	case !s.accepts(step, r):
@@ -147,19 +151,35 @@
 	return r, err
 }
 
-// next returns the next step. An instance that starts asks its parents alone.
-func (s *Search) next(now time.Duration, starts bool) searchStep {
+// nextOfStart returns the next step of an instance that starts. It asks its parents
+// alone, unless it is late.
+func (s *Search) nextOfStart(now time.Duration, late bool) searchStep {
+	c := s.candidates
+	if c.parents == 0 && len(c.order) < 2 {
+		return searchStep{store: true, regular: true}
+	}
+	w := walk{search: s, now: now}
+	w.over(c.order[:c.parents])
+	if late {
+		w.over(c.order[c.parents:])
+	}
+	w.step.regular = w.step.ask != "" && c.isParent(w.step.ask)
+	return w.step
+}
+
+// next returns the next step of an instance that has a catalog.
+func (s *Search) next(now time.Duration) searchStep {
 	c := s.candidates
 	age, recent := s.proofAge()
 	switch {
-	case !starts && s.Fallback.isWanted(now, age):
+	case s.Fallback.isWanted(now, age):
 		return searchStep{store: true}
 	case c.parents == 0 && (len(c.order) < 2 || s.Fallback.isRegular(now)):
 		return searchStep{store: true, regular: true}
 	}
 	w := walk{search: s, now: now, ownTurn: !recent && s.Fallback.Due(now)}
 	w.over(c.order[:c.parents])
-	if !starts && (!recent || s.haveParentsFailed()) {
+	if !recent || s.haveParentsFailed() {
 		switch {
 		case w.step.ask != "" || !s.Fallback.Serves(now):
 		case s.Fallback.Due(now):
@@ -169,7 +189,7 @@
 		}
 		w.over(c.order[c.parents:])
 	}
-	if !starts && s.silent >= silentRequests && age >= maxProofAgeWithoutRelay && s.Fallback.Due(now) {
+	if s.silent >= silentRequests && age >= maxProofAgeWithoutRelay && s.Fallback.Due(now) {
 		return searchStep{store: true}
 	}
 	w.step.regular = w.step.ask != "" && c.isParent(w.step.ask)
--- a/internal/coordination/follower/simulation_test.go
+++ b/internal/coordination/follower/simulation_test.go
@@ -45,6 +45,7 @@
 	started time.Time
 	members map[identifier.InstanceID]cataloger.Instance
 	all     map[identifier.InstanceID]*simulatedInstance
+	load    *load // May be nil.
 
 	mu      sync.Mutex
 	failure failure
@@ -197,6 +198,12 @@
 	return slices.Clone(fl.calls)
 }
 
+func (fl *fleet) forgetCalls() {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.calls = nil
+}
+
 // servable returns the instances that reach the store, or a peer that does.
 func (f failure) servable(members map[identifier.InstanceID]cataloger.Instance) []identifier.InstanceID {
 	sides := map[int]bool{}
--- a/internal/coordination/follower/start.go
+++ b/internal/coordination/follower/start.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,9 +12,9 @@
 )
 
 const (
-	// startTimeout is the time after which an instance that starts reads the
-	// lists from the store itself if its relay has not sent them. It covers the
-	// start of a relay that was killed at the same moment.
+	// startTimeout is the time after which an instance that starts asks others
+	// than its relays as well, and reads the lists from the store itself when it is
+	// its turn. It covers the start of a relay that was killed at the same moment.
 	startTimeout = 600 * time.Millisecond
 	// fleetStartTimeout is that time when the whole fleet starts, in which the
 	// relays themselves have no catalog before the first configuration.
@@ -36,7 +37,7 @@
 	if f.startedAt == 0 {
 		f.startedAt = now
 	}
-	if now-f.startedAt > f.startTimeout() {
+	if f.transfer == nil && f.isStartOver(now) {
 		return false, nil
 	}
 	if f.FleetStarts && !f.joined {
@@ -63,29 +64,59 @@
 // need not register.
 func (f *Follower) adoptFirstCatalog(ctx context.Context) (done bool, err error) {
 	sent := f.Holder.Clock()
-	r, err := f.Relay(ctx, CatalogRequest{})
+	request := CatalogRequest{ProvenOnly: true, Late: f.Holder.Clock()-f.startedAt > f.startTimeout()}
+	r, err := f.Relay(ctx, request)
 	switch {
 	case errors.Is(err, ErrNoRelay):
 		return false, nil
 	case err != nil:
 		f.Logger.Debug().Str("event", "relay_silent").Err(err).Send()
 		return true, ErrConnecting
-	case !r.IsRecent() || r.Catalog == nil || r.Catalog.Configuration == nil || r.Catalog.Revision == 0:
+	case r.UpdateBytes > 0 && r.IsRecent():
+		f.startTransfer(ctx, r, request)
 		return true, ErrConnecting
-	case r.Catalog.Instances[f.Self.ID].Address != f.Self.Address && !f.joined:
+	}
+	return f.adoptFirst(ctx, sent, r)
+}
+
+// adoptFirst adopts the first catalog from a reply that was requested at the given
+// time.
+func (f *Follower) adoptFirst(ctx context.Context, sent time.Duration, r CatalogReply) (done bool, err error) {
+	if !r.IsRecent() || r.Update == nil || r.Update.Catalog == nil {
+		return true, ErrConnecting
+	}
+	c := r.Update.Catalog
+	switch {
+	case c.Configuration == nil || c.Revision == 0:
+		return true, ErrConnecting
+	case c.Instances[f.Self.ID].Address != f.Self.Address && !f.joined:
+		f.relayLacksSelf = true
 		if err := f.join(ctx); err != nil {
 			return true, err
 		}
 		return true, ErrConnecting
-	case !f.adoptCatalog(r.Catalog):
+	case !f.adoptReply(sent, r):
 		return true, ErrConnecting
 	}
 	f.joined = true
-	f.lastSuccess = sent
-	f.Holder.SetProof(sent - r.Age)
 	return true, nil
 }
 
+// isStartOver reports whether the instance reads the lists from the store itself: in
+// its turn if no relay has answered, so that a fleet whose relays do not start in
+// time does not read all lists at the same moment, and at once if its relay has a
+// catalog without this instance.
+func (f *Follower) isStartOver(now time.Duration) bool {
+	waited := now - f.startedAt - f.startTimeout()
+	if waited <= 0 {
+		return false
+	}
+	if f.startTurn == 0 {
+		f.startTurn = f.startedAt + f.startTimeout() + rand.N(max(1, f.startInterval))
+	}
+	return f.relayLacksSelf || now >= f.startTurn
+}
+
 func (f *Follower) startTimeout() time.Duration {
 	if f.FleetStarts {
 		return fleetStartTimeout
@@ -115,6 +146,7 @@
 	}
 	members[f.Self.ID] = f.Self
 	f.startsFromRelay = needsRelayToStart(members, f.Self.ID)
+	f.startInterval = fallbackInterval(members, f.Self.ID)
 	if f.startsFromRelay {
 		f.OnDirectory(members)
 	}
--- a/internal/state/cataloger/change.go
+++ b/internal/state/cataloger/change.go
@@ -15,8 +15,10 @@
 type Change struct {
 	// Base is the digest of the catalog to which the change applies.
 	Base uint64 `cbor:"base"`
-	// Configuration is nil if it has not changed.
-	Configuration *Configuration `cbor:"configuration,omitempty"`
+	// Configuration is set if the first catalog has none. ConfigurationChange is set
+	// if the configuration has changed. Neither is set if it has not.
+	Configuration       *Configuration       `cbor:"configuration,omitempty"`
+	ConfigurationChange *ConfigurationChange `cbor:"configuration_change,omitempty"`
 	// Servers holds the complete lists of the services whose lists have changed.
 	Servers            map[identifier.ServiceName][]BackendServer `cbor:"servers,omitempty"`
 	Instances          map[identifier.InstanceID]Instance         `cbor:"members,omitempty"` // New and changed ones.
@@ -62,8 +64,12 @@
 // digest is given.
 func (c *Catalog) ChangeTo(next *Catalog, digest uint64) *Change {
 	d := &Change{Base: digest, Revision: next.Revision, Retained: next.Retained}
-	if c.Configuration != next.Configuration {
+	switch {
+	case c.Configuration == next.Configuration:
+	case c.Configuration == nil || next.Configuration == nil:
 		d.Configuration = next.Configuration
+	default:
+		d.ConfigurationChange = c.Configuration.changeTo(next.Configuration)
 	}
 	d.Servers = map[identifier.ServiceName][]BackendServer{}
 	for service, servers := range next.Servers {
@@ -76,18 +82,18 @@
 			d.Servers[service] = nil
 		}
 	}
-	d.Instances, d.RemovedInstances = changedEntries(c.Instances, next.Instances)
-	d.Leaderships, d.RemovedLeaderships = changedEntries(c.Leaderships, next.Leaderships)
-	d.Evacuations, d.RemovedEvacuations = changedEntries(c.Evacuations, next.Evacuations)
+	d.Instances, d.RemovedInstances = changedEntries(c.Instances, next.Instances, equal)
+	d.Leaderships, d.RemovedLeaderships = changedEntries(c.Leaderships, next.Leaderships, equal)
+	d.Evacuations, d.RemovedEvacuations = changedEntries(c.Evacuations, next.Evacuations, equal)
 	return d
 }
 
 // changedEntries returns the new and changed entries and the keys of those that
 // are gone.
-func changedEntries[K comparable, V comparable](old, next map[K]V) (changed map[K]V, removed []K) {
+func changedEntries[K comparable, V any](old, next map[K]V, same func(a, b V) bool) (changed map[K]V, removed []K) {
 	changed = map[K]V{}
 	for key, value := range next {
-		if before, ok := old[key]; !ok || before != value {
+		if before, ok := old[key]; !ok || !same(before, value) {
 			changed[key] = value
 		}
 	}
@@ -99,12 +105,19 @@
 	return changed, removed
 }
 
+func equal[V comparable](a, b V) bool {
+	return a == b
+}
+
 // Apply returns the catalog after the change. The digest of this one must be the
 // base of the change.
 func (c *Catalog) Apply(d *Change) *Catalog {
 	next := &Catalog{Configuration: c.Configuration, Revision: d.Revision, Retained: d.Retained}
-	if d.Configuration != nil {
+	switch {
+	case d.Configuration != nil:
 		next.Configuration = d.Configuration
+	case d.ConfigurationChange != nil && c.Configuration != nil:
+		next.Configuration = c.Configuration.apply(d.ConfigurationChange)
 	}
 	next.Servers = appliedEntries(c.Servers, d.Servers, nil)
 	for service, servers := range d.Servers {
--- a/internal/state/cataloger/change_test.go
+++ b/internal/state/cataloger/change_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"reflect"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/fxamacker/cbor/v2"
@@ -15,7 +17,7 @@
 // drawCatalog returns a catalog of few entries, so that two of them share some.
 func drawCatalog(t *rapid.T, label string) *cataloger.Catalog {
 	c := &cataloger.Catalog{
-		Configuration: &cataloger.Configuration{Version: 1, Revision: rapid.Uint64Range(1, 3).Draw(t, label+" configuration")},
+		Configuration: configuration(rapid.Uint64Range(1, 3).Draw(t, label+" configuration")),
 		Servers:       map[identifier.ServiceName][]cataloger.BackendServer{},
 		Instances:     map[identifier.InstanceID]cataloger.Instance{},
 		Leaderships:   map[identifier.ServiceName]cataloger.Leadership{},
@@ -41,6 +43,23 @@
 	return c
 }
 
+// configuration returns a configuration whose entries follow from its revision.
+func configuration(revision uint64) *cataloger.Configuration {
+	c := &cataloger.Configuration{
+		Version: 1, Revision: revision, IdleTxLimit: time.Duration(revision),
+		Routes:     map[string]cataloger.Route{"both": {Service: "s", Priority: int(revision), Regions: []identifier.Region{"north"}}},
+		Services:   map[identifier.ServiceName]cataloger.Service{"s": {MaxConnections: int(revision)}},
+		Workspaces: map[identifier.WorkspaceName]cataloger.Workspace{"w": {Name: "w", Rate: float64(revision)}},
+		Keys:       map[string]identifier.WorkspaceName{"both": "w"},
+	}
+	own := fmt.Sprint("of ", revision)
+	c.Routes[own] = cataloger.Route{Service: "s"}
+	c.Services[identifier.ServiceName(own)] = cataloger.Service{}
+	c.Workspaces[identifier.WorkspaceName(own)] = cataloger.Workspace{}
+	c.Keys[own] = "w"
+	return c
+}
+
 // Guards against an instance whose catalog differs from that of its relay after a
 // change, for instance one that keeps a withdrawn key or a server that left.
 func TestChangeLeadsToTheNextCatalog(t *testing.T) {
@@ -61,6 +80,9 @@
 		if got.Digest() != next.Digest() || got.Revision != next.Revision {
 			t.Fatalf("got %+v, want %+v", got, next)
 		}
+		if !reflect.DeepEqual(got.Configuration, next.Configuration) {
+			t.Fatalf("got configuration %+v, want %+v", got.Configuration, next.Configuration)
+		}
 	})
 }
 
