--- a/internal/coordination/follower/relay.go
+++ b/internal/coordination/follower/relay.go
@@ -110,9 +110,32 @@
 	case containsInstance(roots, self):
 		return nil
 	case containsInstance(local, self):
-		return rotate(roots, self)
+		return startingAt(roots, parentOf(relays[len(roots):], len(roots), self))
 	}
-	return rotate(withoutRoots(local, roots), self)
+	parents := withoutRoots(local, roots)
+	return startingAt(parents, parentOf(byDataCentre[own][len(local):], len(parents), self))
+}
+
+// parentOf returns the position of the parent of a child among the given number of
+// parents. Each child prefers one by its hash, and takes the next one if that has its
+// share of the children already, so that no parent serves more than the others.
+func parentOf(children []cataloger.Instance, parents int, child identifier.InstanceID) int {
+	if parents == 0 {
+		return 0
+	}
+	share := (len(children) + parents - 1) / parents
+	served := make([]int, parents)
+	for _, c := range children {
+		i := int(xxhash.Sum64String(string(c.ID)) % uint64(parents))
+		for served[i] >= share {
+			i = (i + 1) % parents
+		}
+		if c.ID == child {
+			return i
+		}
+		served[i]++
+	}
+	return 0
 }
 
 // minRelaysBesideRoots is the number of relays of a data centre that suffices without
@@ -158,13 +181,17 @@
 // rotate returns the relays, starting with one that depends on the instance, so
 // that the instances are spread over them.
 func rotate(relays []cataloger.Instance, self identifier.InstanceID) []identifier.InstanceID {
-	ids := make([]identifier.InstanceID, 0, len(relays))
 	if len(relays) == 0 {
-		return ids
+		return nil
 	}
-	start := int(xxhash.Sum64String(string(self)) % uint64(len(relays)))
+	return startingAt(relays, int(xxhash.Sum64String(string(self))%uint64(len(relays))))
+}
+
+// startingAt returns all relays, that at the position first.
+func startingAt(relays []cataloger.Instance, position int) []identifier.InstanceID {
+	ids := make([]identifier.InstanceID, 0, len(relays))
 	for i := range relays {
-		ids = append(ids, relays[(start+i)%len(relays)].ID)
+		ids = append(ids, relays[(position+i)%len(relays)].ID)
 	}
 	return ids
 }
