--- a/internal/coordination/follower/relay.go
+++ b/internal/coordination/follower/relay.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -101,16 +102,12 @@
 	byDataCentre := rankInstances(members)
 	own := members[self].DataCentre
 	local := chooseRelays(byDataCentre[own])
-	var relays []cataloger.Instance
-	for _, ids := range byDataCentre {
-		relays = append(relays, chooseRelays(ids)...)
-	}
-	roots := chooseRelays(relays)
+	roots, others := chooseRoots(byDataCentre)
 	switch {
 	case containsInstance(roots, self):
 		return nil
 	case containsInstance(local, self):
-		return startingAt(roots, parentOf(relays[len(roots):], len(roots), self))
+		return startingAt(roots, parentOf(others, len(roots), self))
 	}
 	parents := withoutRoots(local, roots)
 	return startingAt(parents, parentOf(byDataCentre[own][len(local):], len(parents), self))
@@ -138,6 +135,25 @@
 	return 0
 }
 
+// chooseRoots returns the roots, and the relays that ask them. The first relays of all
+// data centres come before the second ones, so that roots are in different data
+// centres.
+func chooseRoots(byDataCentre map[identifier.DataCentre][]cataloger.Instance) (roots, others []cataloger.Instance) {
+	var relays []cataloger.Instance
+	position := map[identifier.InstanceID]int{}
+	for _, instances := range byDataCentre {
+		for i, relay := range chooseRelays(instances) {
+			position[relay.ID] = i
+			relays = append(relays, relay)
+		}
+	}
+	slices.SortFunc(relays, func(a, b cataloger.Instance) int {
+		return cmp.Or(position[a.ID]-position[b.ID], cataloger.CompareRank(a, b))
+	})
+	count := relaysFor(len(relays))
+	return relays[:count], relays[count:]
+}
+
 // minRelaysBesideRoots is the number of relays of a data centre that suffices without
 // the roots among them. A root serves the relays of all data centres already.
 const minRelaysBesideRoots = 2
@@ -170,8 +186,12 @@
 // for all of them.
 func chooseRelays(instances []cataloger.Instance) []cataloger.Instance {
 	slices.SortFunc(instances, cataloger.CompareRank)
-	count := (len(instances) + instancesPerRelay - 1) / instancesPerRelay
-	return instances[:count]
+	return instances[:relaysFor(len(instances))]
+}
+
+// relaysFor returns the number of relays that serve that many instances.
+func relaysFor(instances int) int {
+	return (instances + instancesPerRelay - 1) / instancesPerRelay
 }
 
 func containsInstance(instances []cataloger.Instance, id identifier.InstanceID) bool {
