--- a/internal/coordination/follower/query.go
+++ b/internal/coordination/follower/query.go
@@ -115,11 +115,6 @@
 		return nil
 	case c != nil && a.revision < c.Revision:
 		return nil // The lists are read after the next query.
-	case f.isCatalogComplete() && areOnlyChanges(a.leaderships, f.knownRevision, a.revision):
-		f.updateCatalog(func(c *cataloger.Catalog) { c.Leaderships, c.Revision = a.leaderships, a.revision })
-		f.knownRevision = a.revision
-		f.Holder.SetProof(q.sent)
-		return nil
 	}
 	return f.readLists(ctx, q.sent, a.leaderships, a.revision)
 }
@@ -140,16 +135,3 @@
 		return nil, revision, err
 	}
 }
-
-// areOnlyChanges reports whether the store has changed nothing but these records
-// since the known revision. Each change has a revision of its own, so that none is
-// left for another change if the records have as many newer ones.
-func areOnlyChanges(records map[identifier.ServiceName]cataloger.Leadership, known, revision uint64) bool {
-	changed := uint64(0)
-	for _, r := range records {
-		if r.Revision > known && r.Revision <= revision {
-			changed++
-		}
-	}
-	return cataloger.Era(known) == cataloger.Era(revision) && changed == revision-known
-}
