--- a/internal/coordination/replacer/replacer.go
+++ b/internal/coordination/replacer/replacer.go
@@ -161,6 +161,7 @@
 	blocked        bool      // The primary is evacuated and no server may take over; logged.
 	lackingSince   time.Time // When the catalog was first seen to lack the known record; zero while it has it.
 	pausedUntil    time.Time
+	budget         replacementBudget
 }
 
 // RecordUse records that this instance uses the service. Only services in use
@@ -268,6 +269,8 @@
 		// The silence was that of another primary.
 		w.term, w.silentSince = known.Term, time.Time{}
 	}
+	leader, _ := r.Catalog().Server(service, known.Server)
+	w.budget.observe(known.Term, leader.IsLeaving(), time.Now())
 	if r.restoreRecord(ctx, service, w) {
 		return
 	}
@@ -311,6 +314,12 @@
 		return
 	}
 	sight := <-sightings
+	if w.budget.isSpent() {
+		r.Logger.Warn().Str("event", "replacement_withheld").Str("service", string(service)).Str("reason", "replaced too often").
+			Int("replacements", len(w.budget.changes)).Dur("within_ms", replacementWindow).Send()
+		w.pausedUntil = now.Add(retryDelay)
+		return
+	}
 	if !sight.allowsReplacement(hasSelfDeclaredPrimary(c.Servers[service]), reached) {
 		r.Logger.Info().Str("event", "replacement_withheld").Str("service", string(service)).
 			Int("peers_asked", sight.Asked).Int("peers_answered", sight.Answered).Bool("led", sight.Led).Int("servers_reached", reached).Send()
--- a/internal/coordination/replacer/replacer_test.go
+++ b/internal/coordination/replacer/replacer_test.go
@@ -209,6 +209,36 @@
 	return time.Now().Add(-suspicionTimeout - maxRankDelay)
 }
 
+// Guards against primaries that are replaced again and again while the fleet does not
+// settle, so that the service is never used: 41 promotions for 7,000 statements.
+func TestReplacementsAreBounded(t *testing.T) {
+	s := newFakeService()
+	s.down["a"], s.leader = true, ""
+	w := &serviceWatch{}
+	r := s.replacer()
+	for term := range identifier.Term(maxReplacements + 1) {
+		w.budget.observe(term+1, false, time.Now())
+	}
+	w.silentSince = silentLongEnough()
+	qt.Assert(t, s.check(r, w), qt.HasLen, 0)
+
+	w.budget.observe(maxReplacements+1, false, time.Now().Add(replacementWindow+time.Second))
+	w.pausedUntil, w.silentSince = time.Time{}, silentLongEnough()
+	qt.Assert(t, len(s.check(r, w)) > 0, qt.IsTrue)
+}
+
+// Guards against a failed primary that is kept because the servers of its service were
+// replaced one after the other before.
+func TestPlannedReplacementsAreNotCounted(t *testing.T) {
+	var b replacementBudget
+	now := time.Now()
+	for term := range identifier.Term(2 * maxReplacements) {
+		b.observe(term+1, false, now)
+		b.observe(term+1, true, now)
+	}
+	qt.Assert(t, b.isSpent(), qt.IsFalse)
+}
+
 // Guards against a failed primary that is not replaced, and against the
 // promotion of a replica that is behind another.
 func TestDeadPrimaryIsReplacedByTheMostAdvanced(t *testing.T) {
