--- a/internal/command/starter/control_test.go
+++ b/internal/command/starter/control_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
@@ -56,6 +58,33 @@
 	return c
 }
 
+// BenchmarkFrequentChange measures what an instance does when a backend server
+// registers or a route changes, which happens several times a second while servers are
+// replaced.
+func BenchmarkFrequentChange(b *testing.B) {
+	for _, size := range []fleetSize{{15, 3, 3, 8}, {139, 3, 8, 86}, {295, 5, 20, 190}} {
+		base := size.catalog()
+		base.Configuration.Routes = map[string]cataloger.Route{}
+		for i := range 1400 {
+			base.Configuration.Routes[fmt.Sprint("database-", i)] = cataloger.Route{Service: "service-0", Priority: i % 3}
+		}
+		withServer := *base
+		withServer.Servers = maps.Clone(base.Servers)
+		withServer.Servers["service-0"] = append(slices.Clone(base.Servers["service-0"]), cataloger.BackendServer{ID: "new", Service: "service-0", DataCentre: "dc-0", Revision: 999})
+		withRoute := *base
+		configuration := *base.Configuration
+		configuration.Version = 2
+		configuration.Routes = maps.Clone(base.Configuration.Routes)
+		configuration.Routes["database-0"] = cataloger.Route{Service: "service-1"}
+		withRoute.Configuration = &configuration
+		for kind, next := range map[string]*cataloger.Catalog{"server": &withServer, "route": &withRoute} {
+			b.Run(fmt.Sprintf("%s/%d", kind, size.instances), func(b *testing.B) {
+				benchmarkCatalogChange(b, base, next, false)
+			})
+		}
+	}
+}
+
 // BenchmarkCatalogChange measures what an instance does when another one joins:
 // decode the message of its relay, apply it, and compute the peers, the shares of
 // the rates and the homes of the services in use. "whole" is the message that a
@@ -89,6 +118,8 @@
 	}
 	s := &Starter{Settings: platform.Settings{InstanceID: "instance-0", DataCentre: "dc-0"}}
 	s.lender.Limit = s.connectionLimit
+	s.search.Fallback = &s.follower.Fallback
+	s.search.Self = s.Settings.InstanceID
 	b.ReportAllocs()
 	b.ReportMetric(float64(len(data)), "bytes")
 	for b.Loop() {
--- a/internal/command/starter/forward.go
+++ b/internal/command/starter/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -45,14 +46,23 @@
 	unprovenUntil map[identifier.InstanceID]time.Time
 }
 
-// adopt drops what was computed for another catalog. The caller holds mu.
+// adopt drops what was computed for another catalog and has changed since. The caller
+// holds mu.
 func (p *homePlans) adopt(c *cataloger.Catalog) {
-	if p.catalog == c {
+	old := p.catalog
+	if old == c {
 		return
 	}
 	p.catalog = c
-	p.members = assigner.NewFleet(c.Instances)
-	p.byService = map[identifier.ServiceName]*assigner.Plan{}
+	if old == nil || !maps.Equal(old.Instances, c.Instances) {
+		p.members = assigner.NewFleet(c.Instances)
+		p.byService = map[identifier.ServiceName]*assigner.Plan{}
+		return
+	}
+	maps.DeleteFunc(p.byService, func(service identifier.ServiceName, _ *assigner.Plan) bool {
+		return !slices.Equal(old.Servers[service], c.Servers[service]) ||
+			old.Configuration.Services[service].MaxConnections != c.Configuration.Services[service].MaxConnections
+	})
 }
 
 // fleet returns the instances of the catalog.
--- a/internal/command/starter/peers.go
+++ b/internal/command/starter/peers.go
@@ -173,23 +173,29 @@
 	return r, nil
 }
 
-// updatePeers passes the instances of the catalog to the messenger, and the
-// shares of the rates to the limiter, and chooses the relays. It does nothing for
-// a change of other parts of the catalog.
+// updatePeers passes the instances of the catalog to the messenger and to the search
+// for a proof, and the shares of the rates to the limiter. It does nothing for a
+// change of other parts of the catalog, which are frequent.
 func (s *Starter) updatePeers(c *cataloger.Catalog) {
 	old := s.peersOf
-	if old != nil && old.Configuration == c.Configuration && maps.Equal(old.Instances, c.Instances) {
+	sameInstances := old != nil && maps.Equal(old.Instances, c.Instances)
+	if sameInstances && sameRates(old.Configuration, c.Configuration) {
 		return
 	}
 	s.peersOf = c
-	peers := make([]messenger.Peer, 0, len(c.Instances))
-	ratePeers := make([]ratelimiter.Peer, 0, len(c.Instances))
+	if !sameInstances {
+		s.peers.SetPeers(peersOf(c.Instances))
+		s.search.Adopt(c.Instances)
+	}
+	s.updateRates(c)
+}
+
+// updateRates passes the shares of the rates to the limiter.
+func (s *Starter) updateRates(c *cataloger.Catalog) {
+	peers := make([]ratelimiter.Peer, 0, len(c.Instances))
 	for _, m := range c.Instances {
-		peers = append(peers, messenger.Peer{ID: m.ID, DataCentre: m.DataCentre, Address: m.Address})
-		ratePeers = append(ratePeers, ratelimiter.Peer{ID: m.ID, DataCentre: m.DataCentre})
+		peers = append(peers, ratelimiter.Peer{ID: m.ID, DataCentre: m.DataCentre})
 	}
-	s.peers.SetPeers(peers)
-	s.search.Adopt(c.Instances)
 	fleet := s.plans.fleet(c)
 	shares := make(map[identifier.WorkspaceName]ratelimiter.Share, len(c.Configuration.Workspaces))
 	for name, w := range c.Configuration.Workspaces {
@@ -197,15 +203,27 @@
 		owners := fleet.Owners(name, ratelimiter.Owners(l, fleet.Size(), fleet.DataCentres()))
 		shares[name] = ratelimiter.Share{Limit: l, Owners: owners}
 	}
-	s.limiter.Set(shares, s.Settings.InstanceID, ratePeers)
+	s.limiter.Set(shares, s.Settings.InstanceID, peers)
 }
 
-// adoptDirectory prepares the requests to relays before the first catalog.
-func (s *Starter) adoptDirectory(instances map[identifier.InstanceID]cataloger.Instance) {
+// sameRates reports whether two configurations limit the same workspaces to the same
+// rates.
+func sameRates(a, b *cataloger.Configuration) bool {
+	return a == b || maps.EqualFunc(a.Workspaces, b.Workspaces, func(v, w cataloger.Workspace) bool {
+		return v.Rate == w.Rate && v.Burst == w.Burst
+	})
+}
+
+func peersOf(instances map[identifier.InstanceID]cataloger.Instance) []messenger.Peer {
 	peers := make([]messenger.Peer, 0, len(instances))
 	for _, m := range instances {
 		peers = append(peers, messenger.Peer{ID: m.ID, DataCentre: m.DataCentre, Address: m.Address})
 	}
-	s.peers.SetPeers(peers)
+	return peers
+}
+
+// adoptDirectory prepares the requests to relays before the first catalog.
+func (s *Starter) adoptDirectory(instances map[identifier.InstanceID]cataloger.Instance) {
+	s.peers.SetPeers(peersOf(instances))
 	s.search.Adopt(instances)
 }
--- a/internal/coordination/assigner/fleet.go
+++ b/internal/coordination/assigner/fleet.go
@@ -51,7 +51,7 @@
 		return members
 	}
 	sorted := slices.Clone(members)
-	slices.SortFunc(sorted, func(a, b *member) int { return cataloger.CompareRank(a.instance, b.instance) })
+	cataloger.SortByRank(sorted, func(m *member) cataloger.Instance { return m.instance })
 	return sorted[:count]
 }
 
--- a/internal/coordination/follower/candidates.go
+++ b/internal/coordination/follower/candidates.go
@@ -34,10 +34,13 @@
 // others among them; a relay asks the next relays in rank, with some instances of
 // its data centre among them.
 func NewCandidates(members map[identifier.InstanceID]cataloger.Instance, self identifier.InstanceID) Candidates {
-	byDataCentre := rankInstances(members)
-	own := byDataCentre[members[self].DataCentre]
-	local := chooseRelays(own)
-	parents := Parents(members, self)
+	return newTree(members).candidates(self)
+}
+
+func (t *tree) candidates(self identifier.InstanceID) Candidates {
+	dataCentre := t.members[self].DataCentre
+	own, local := t.byDataCentre[dataCentre], t.relaysOf(dataCentre)
+	parents := t.parents(self)
 	c := Candidates{order: parents[:min(maxParents, len(parents))], isRelay: containsInstance(local, self), isNear: map[identifier.InstanceID]bool{}, isTreeParent: map[identifier.InstanceID]bool{}}
 	for _, id := range parents {
 		c.isTreeParent[id] = true
@@ -47,12 +50,12 @@
 	}
 	c.parents = len(c.order)
 	var relays []cataloger.Instance
-	for d, instances := range byDataCentre {
-		if c.isRelay || d != members[self].DataCentre {
-			relays = append(relays, chooseRelays(instances)...)
+	for d := range t.byDataCentre {
+		if c.isRelay || d != dataCentre {
+			relays = append(relays, t.relaysOf(d)...)
 		}
 	}
-	slices.SortFunc(relays, cataloger.CompareRank)
+	sortByRank(relays)
 	if c.isRelay {
 		c.order = interleave(c.order, idsOf(relays), idsOf(own[len(local):]), relaysPerOwn)
 	} else {
--- a/internal/coordination/follower/fallback.go
+++ b/internal/coordination/follower/fallback.go
@@ -174,28 +174,11 @@
 
 func (r *fallbackRole) adopt(c *cataloger.Catalog, self identifier.InstanceID) {
 	if r.catalog != c {
-		*r = fallbackRole{c, isRelay(c.Instances, self), fallbackInterval(c.Instances, self)}
+		t := newTree(c.Instances)
+		*r = fallbackRole{c, t.isRelay(self), t.fallbackInterval(self)}
 	}
 }
 
-// fallbackInterval returns the time between two queries of an instance while the
-// store does not answer. A root queries it as often as otherwise.
-func fallbackInterval(members map[identifier.InstanceID]cataloger.Instance, self identifier.InstanceID) time.Duration {
-	if len(Parents(members, self)) == 0 {
-		return defaultPeriod
-	}
-	if isRelay(members, self) {
-		return relayFallbackInterval
-	}
-	local := 0
-	for _, m := range members {
-		if m.DataCentre == members[self].DataCentre {
-			local++
-		}
-	}
-	return max(relayFallbackInterval, time.Duration(local)*time.Second/maxFallbackRate)
-}
-
 // hasFailed reports whether the last query was not answered.
 func (b *Fallback) hasFailed() bool {
 	b.mu.Lock()
--- a/internal/coordination/follower/relay.go
+++ b/internal/coordination/follower/relay.go
@@ -1,12 +1,9 @@
 package follower
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"oleanderpulley/internal/state/cataloger"
@@ -22,8 +19,6 @@
 )
 
 const (
-	// instancesPerRelay is the number of instances that share one relay.
-	instancesPerRelay = 24
 	// maxRelayedProofAge is the age of a relay's proof above which the store is
 	// queried directly, because the relay may have lost the store while this
 	// instance still reaches it.
@@ -92,130 +87,6 @@
 	return r.Proven && r.Age >= 0 && r.Age <= maxRelayedProofAge
 }
 
-// Parents returns the instances that the given one asks for the catalog, the
-// first one as long as it answers. There are none if that instance queries the
-// store itself. The instances of a data centre ask its relays, and the relays ask
-// the roots among them, so that neither the calls of the store nor the traffic
-// between data centres grow with the instances. Every instance derives the same
-// tree from the same members.
-func Parents(members map[identifier.InstanceID]cataloger.Instance, self identifier.InstanceID) []identifier.InstanceID {
-	byDataCentre := rankInstances(members)
-	own := members[self].DataCentre
-	local := chooseRelays(byDataCentre[own])
-	roots, others := chooseRoots(byDataCentre)
-	switch {
-	case containsInstance(roots, self):
-		return nil
-	case containsInstance(local, self):
-		return startingAt(roots, parentOf(others, len(roots), self))
-	}
-	parents := withoutRoots(local, roots)
-	return startingAt(parents, parentOf(byDataCentre[own][len(local):], len(parents), self))
-}
-
-// parentOf returns the position of the parent of a child among the given number of
-// parents. Each child prefers one by its hash, and takes the next one if that has its
-// share of the children already, so that no parent serves more than the others.
-func parentOf(children []cataloger.Instance, parents int, child identifier.InstanceID) int {
-	if parents == 0 {
-		return 0
-	}
-	share := (len(children) + parents - 1) / parents
-	served := make([]int, parents)
-	for _, c := range children {
-		i := int(xxhash.Sum64String(string(c.ID)) % uint64(parents))
-		for served[i] >= share {
-			i = (i + 1) % parents
-		}
-		if c.ID == child {
-			return i
-		}
-		served[i]++
-	}
-	return 0
-}
-
-// chooseRoots returns the roots, and the relays that ask them. The first relays of all
-// data centres come before the second ones, so that roots are in different data
-// centres.
-func chooseRoots(byDataCentre map[identifier.DataCentre][]cataloger.Instance) (roots, others []cataloger.Instance) {
-	var relays []cataloger.Instance
-	position := map[identifier.InstanceID]int{}
-	for _, instances := range byDataCentre {
-		for i, relay := range chooseRelays(instances) {
-			position[relay.ID] = i
-			relays = append(relays, relay)
-		}
-	}
-	slices.SortFunc(relays, func(a, b cataloger.Instance) int {
-		return cmp.Or(position[a.ID]-position[b.ID], cataloger.CompareRank(a, b))
-	})
-	count := relaysFor(len(relays))
-	return relays[:count], relays[count:]
-}
-
-// minRelaysBesideRoots is the number of relays of a data centre that suffices without
-// the roots among them. A root serves the relays of all data centres already.
-const minRelaysBesideRoots = 2
-
-// withoutRoots returns the relays of a data centre that its other instances ask.
-func withoutRoots(local, roots []cataloger.Instance) []cataloger.Instance {
-	others := slices.DeleteFunc(slices.Clone(local), func(i cataloger.Instance) bool { return containsInstance(roots, i.ID) })
-	if len(others) < minRelaysBesideRoots {
-		return local
-	}
-	return others
-}
-
-// isRelay reports whether the instance is a relay of its data centre.
-func isRelay(members map[identifier.InstanceID]cataloger.Instance, self identifier.InstanceID) bool {
-	return containsInstance(chooseRelays(rankInstances(members)[members[self].DataCentre]), self)
-}
-
-// rankInstances returns the instances by data centre.
-func rankInstances(members map[identifier.InstanceID]cataloger.Instance) map[identifier.DataCentre][]cataloger.Instance {
-	byDataCentre := map[identifier.DataCentre][]cataloger.Instance{}
-	for id, m := range members {
-		m.ID = id
-		byDataCentre[m.DataCentre] = append(byDataCentre[m.DataCentre], m)
-	}
-	return byDataCentre
-}
-
-// chooseRelays sorts the instances by rank and returns those that serve as relays
-// for all of them.
-func chooseRelays(instances []cataloger.Instance) []cataloger.Instance {
-	slices.SortFunc(instances, cataloger.CompareRank)
-	return instances[:relaysFor(len(instances))]
-}
-
-// relaysFor returns the number of relays that serve that many instances.
-func relaysFor(instances int) int {
-	return (instances + instancesPerRelay - 1) / instancesPerRelay
-}
-
-func containsInstance(instances []cataloger.Instance, id identifier.InstanceID) bool {
-	return slices.ContainsFunc(instances, func(i cataloger.Instance) bool { return i.ID == id })
-}
-
-// rotate returns the relays, starting with one that depends on the instance, so
-// that the instances are spread over them.
-func rotate(relays []cataloger.Instance, self identifier.InstanceID) []identifier.InstanceID {
-	if len(relays) == 0 {
-		return nil
-	}
-	return startingAt(relays, int(xxhash.Sum64String(string(self))%uint64(len(relays))))
-}
-
-// startingAt returns all relays, that at the position first.
-func startingAt(relays []cataloger.Instance, position int) []identifier.InstanceID {
-	ids := make([]identifier.InstanceID, 0, len(relays))
-	for i := range relays {
-		ids = append(ids, relays[(position+i)%len(relays)].ID)
-	}
-	return ids
-}
-
 // Answer answers a peer's request from this instance's own catalog and proof. If
 // the proof is too old for the requester, this instance queries the store in a
 // round that begins at once, and serves as a fallback relay while it is asked.
--- a/internal/coordination/follower/search.go
+++ b/internal/coordination/follower/search.go
@@ -100,8 +100,9 @@
 
 // Adopt takes over the instances of a catalog.
 func (s *Search) Adopt(members map[identifier.InstanceID]cataloger.Instance) {
-	s.candidates = NewCandidates(members, s.Self)
-	s.Fallback.setInterval(fallbackInterval(members, s.Self))
+	t := newTree(members)
+	s.candidates = t.candidates(s.Self)
+	s.Fallback.setInterval(t.fallbackInterval(s.Self))
 	for id := range s.excluded {
 		if _, ok := members[id]; !ok {
 			delete(s.excluded, id)
--- a/internal/coordination/follower/start.go
+++ b/internal/coordination/follower/start.go
@@ -55,8 +55,8 @@
 // needsRelayToStart reports whether the instance waits for its relay. A relay
 // does not, because others wait for it; and in a fleet that one relay could serve,
 // the lists are short.
-func needsRelayToStart(members map[identifier.InstanceID]cataloger.Instance, self identifier.InstanceID) bool {
-	return len(members) > instancesPerRelay && !isRelay(members, self)
+func (t *tree) needsRelayToStart(self identifier.InstanceID) bool {
+	return len(t.members) > instancesPerRelay && !t.isRelay(self)
 }
 
 // adoptFirstCatalog requests the catalog from the relay and adopts it if it
@@ -145,8 +145,9 @@
 		f.joined = true // Verified by the first catalog, which must contain this instance.
 	}
 	members[f.Self.ID] = f.Self
-	f.startsFromRelay = needsRelayToStart(members, f.Self.ID)
-	f.startInterval = fallbackInterval(members, f.Self.ID)
+	t := newTree(members)
+	f.startsFromRelay = t.needsRelayToStart(f.Self.ID)
+	f.startInterval = t.fallbackInterval(f.Self.ID)
 	if f.startsFromRelay {
 		f.OnDirectory(members)
 	}
--- a/internal/state/cataloger/catalog.go
+++ b/internal/state/cataloger/catalog.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -126,18 +127,27 @@
 	Revision  uint64 `json:"-" cbor:"revision"`
 }
 
-// CompareRank orders the instances that work for the others of their data centre:
-// first those with the larger share of a processor, then by a hash of the id.
-func CompareRank(a, b Instance) int {
-	return cmp.Or(
-		cmp.Compare(b.Processor, a.Processor),
-		cmp.Compare(rankHash(b.ID), rankHash(a.ID)),
-		cmp.Compare(a.ID, b.ID),
-	)
-}
-
-func rankHash(id identifier.InstanceID) uint64 {
-	return xxhash.Sum64String("relay/" + string(id))
+// SortByRank sorts items by the rank of their instances for work that a few do for all
+// others of their data centre: first those with the larger share of a processor, then
+// by a hash of the id.
+func SortByRank[T any](items []T, instance func(T) Instance) {
+	type ranked struct {
+		item      T
+		id        identifier.InstanceID
+		processor int
+		hash      uint64
+	}
+	all := make([]ranked, len(items))
+	for i, item := range items {
+		m := instance(item)
+		all[i] = ranked{item, m.ID, m.Processor, xxhash.Sum64String("relay/" + string(m.ID))}
+	}
+	slices.SortFunc(all, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.processor, a.processor), cmp.Compare(b.hash, a.hash), cmp.Compare(a.id, b.id))
+	})
+	for i, r := range all {
+		items[i] = r.item
+	}
 }
 
 // Catalog is a consistent snapshot of the configuration, the registered backend
