--- a/internal/command/starter/forward.go
+++ b/internal/command/starter/forward.go
@@ -39,13 +39,27 @@
 	mu           sync.Mutex
 	catalog      *cataloger.Catalog
 	members      *assigner.Fleet
-	byService    map[identifier.ServiceName]*assigner.Plan
+	byService    map[identifier.ServiceName]*servicePlan
 	avoidedUntil map[identifier.InstanceID]time.Time
 	// unprovenUntil holds the homes that are avoided for statements that need the
 	// primary.
 	unprovenUntil map[identifier.InstanceID]time.Time
 }
 
+// servicePlan holds the plan of a service and the orders of its homes that were
+// needed, because each statement needs one.
+type servicePlan struct {
+	plan   *assigner.Plan
+	orders map[homeOrder][]cataloger.Instance
+}
+
+// homeOrder is what the order of the homes depends on besides the plan.
+type homeOrder struct {
+	workspace identifier.WorkspaceName
+	primary   bool
+	leader    identifier.BackendServerID
+}
+
 // adopt drops what was computed for another catalog and has changed since. The caller
 // holds mu.
 func (p *homePlans) adopt(c *cataloger.Catalog) {
@@ -56,10 +70,10 @@
 	p.catalog = c
 	if old == nil || !maps.Equal(old.Instances, c.Instances) {
 		p.members = assigner.NewFleet(c.Instances)
-		p.byService = map[identifier.ServiceName]*assigner.Plan{}
+		p.byService = map[identifier.ServiceName]*servicePlan{}
 		return
 	}
-	maps.DeleteFunc(p.byService, func(service identifier.ServiceName, _ *assigner.Plan) bool {
+	maps.DeleteFunc(p.byService, func(service identifier.ServiceName, _ *servicePlan) bool {
 		return !slices.Equal(old.Servers[service], c.Servers[service]) ||
 			old.Configuration.Services[service].MaxConnections != c.Configuration.Services[service].MaxConnections
 	})
@@ -77,13 +91,33 @@
 func (p *homePlans) plan(c *cataloger.Catalog, service identifier.ServiceName) *assigner.Plan {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.servicePlan(c, service).plan
+}
+
+// servicePlan returns the plan of a service with its orders. The caller holds mu.
+func (p *homePlans) servicePlan(c *cataloger.Catalog, service identifier.ServiceName) *servicePlan {
 	p.adopt(c)
-	plan, ok := p.byService[service]
+	s, ok := p.byService[service]
 	if !ok {
-		plan = assigner.NewPlan(service, p.members, usableServers(c.Servers[service]), c.Configuration.Services[service].MaxConnections)
-		p.byService[service] = plan
+		plan := assigner.NewPlan(service, p.members, usableServers(c.Servers[service]), c.Configuration.Services[service].MaxConnections)
+		s = &servicePlan{plan, map[homeOrder][]cataloger.Instance{}}
+		p.byService[service] = s
 	}
-	return plan
+	return s
+}
+
+// order returns all homes of the service in an order, with the data centres of groups
+// first. The result must not be modified.
+func (p *homePlans) order(c *cataloger.Catalog, service identifier.ServiceName, o homeOrder, groups func() [][]identifier.DataCentre) []cataloger.Instance {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servicePlan(c, service)
+	homes, ok := s.orders[o]
+	if !ok {
+		homes = s.plan.Homes(o.workspace, groups()...)
+		s.orders[o] = homes
+	}
+	return homes
 }
 
 // usableServers returns the servers that are not evacuated, or all if all are. The
@@ -121,19 +155,28 @@
 	}
 }
 
-// moveAvoidedToEnd moves the instances that are avoided at present behind the
-// others.
-func (p *homePlans) moveAvoidedToEnd(instances []cataloger.Instance, primary bool) {
+// avoidedLast returns the instances with those that are avoided at present behind the
+// others. It does not modify the given ones.
+func (p *homePlans) avoidedLast(instances []cataloger.Instance, primary bool) []cataloger.Instance {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	isAvoided := func(i cataloger.Instance) int {
-		if now.Before(p.avoidedUntil[i.ID]) || primary && now.Before(p.unprovenUntil[i.ID]) {
-			return 1
+	isAvoided := func(i cataloger.Instance) bool {
+		return now.Before(p.avoidedUntil[i.ID]) || primary && now.Before(p.unprovenUntil[i.ID])
+	}
+	if !slices.ContainsFunc(instances, isAvoided) {
+		return instances
+	}
+	ordered := make([]cataloger.Instance, 0, len(instances))
+	var avoided []cataloger.Instance
+	for _, i := range instances {
+		if isAvoided(i) {
+			avoided = append(avoided, i)
+		} else {
+			ordered = append(ordered, i)
 		}
-		return 0
 	}
-	slices.SortStableFunc(instances, func(a, b cataloger.Instance) int { return isAvoided(a) - isAvoided(b) })
+	return append(ordered, avoided...)
 }
 
 // homes returns the peers to which statements of the workspace can be forwarded,
@@ -145,10 +188,10 @@
 		return nil
 	}
 	if primary && !s.fencer.IsProven() {
-		candidates = slices.DeleteFunc(candidates, func(i cataloger.Instance) bool { return i.ID == s.Settings.InstanceID })
+		candidates = slices.DeleteFunc(slices.Clone(candidates), func(i cataloger.Instance) bool { return i.ID == s.Settings.InstanceID })
 	}
 	for range maxConnectAttempts {
-		s.plans.moveAvoidedToEnd(candidates, primary)
+		candidates = s.plans.avoidedLast(candidates, primary)
 		connected, unconnected := s.linkedHomes(candidates)
 		if len(connected) > 0 || unconnected == "" {
 			return connected
@@ -161,10 +204,14 @@
 	return nil
 }
 
-// homeCandidates returns all homes of the service in order of preference.
+// homeCandidates returns all homes of the service in order of preference. The result
+// must not be modified.
 func (s *Starter) homeCandidates(service identifier.ServiceName, w identifier.WorkspaceName, primary bool) []cataloger.Instance {
 	c := s.holder.Catalog()
-	return s.plans.plan(c, service).Homes(w, s.preferredDataCentres(c, service, primary)...)
+	leader, _ := s.balancer.Primary(service, c.Servers[service])
+	return s.plans.order(c, service, homeOrder{w, primary, leader.ID}, func() [][]identifier.DataCentre {
+		return s.preferredDataCentres(c, service, leader, primary)
+	})
 }
 
 // linkedHomes returns the homes to which links are open, up to this instance,
@@ -229,9 +276,8 @@
 // preferredDataCentres returns the data centres whose homes come first, in
 // groups: that of the primary and then the own one for a statement that needs the
 // primary, and the own one and then those of the replicas for another.
-func (s *Starter) preferredDataCentres(c *cataloger.Catalog, service identifier.ServiceName, primary bool) [][]identifier.DataCentre {
+func (s *Starter) preferredDataCentres(c *cataloger.Catalog, service identifier.ServiceName, leader cataloger.BackendServer, primary bool) [][]identifier.DataCentre {
 	own := []identifier.DataCentre{s.Settings.DataCentre}
-	leader, _ := s.balancer.Primary(service, c.Servers[service])
 	if primary {
 		return [][]identifier.DataCentre{{leader.DataCentre}, own}
 	}
--- a/internal/command/starter/forward_test.go
+++ b/internal/command/starter/forward_test.go
@@ -20,7 +20,7 @@
 	var p homePlans
 	first := func(primary bool) identifier.InstanceID {
 		homes := []cataloger.Instance{{ID: "one"}, {ID: "two"}}
-		p.moveAvoidedToEnd(homes, primary)
+		homes = p.avoidedLast(homes, primary)
 		return homes[0].ID
 	}
 	write := sessioner.ForwardRequest{Writes: true}
