--- a/internal/coordination/follower/start.go
+++ b/internal/coordination/follower/start.go
@@ -27,8 +27,9 @@
 )
 
 // startFromRelay gets the first catalog of this process from a relay, so that the
-// store does not send its lists to each instance of a fleet that starts. It reports whether the round is done without the store's lists; with
-// [ErrConnecting] while the relay has no catalog yet that contains this instance.
+// store does not send its lists to each instance of a fleet that starts. It reports
+// whether the round is done without the store's lists; with [ErrConnecting] while the
+// relay has no catalog yet that contains this instance.
 func (f *Follower) startFromRelay(ctx context.Context) (done bool, err error) {
 	if f.Relay == nil || f.Store.Directory == nil || f.isCatalogComplete() || f.Holder.Catalog() != nil {
 		return false, nil
