--- a/internal/coordination/replacer/replacer_test.go
+++ b/internal/coordination/replacer/replacer_test.go
@@ -194,6 +194,15 @@
 	return s.calls
 }
 
+// fail makes a server that led fail, with no record of a replacement. Queries of an
+// earlier check may still be running.
+func (s *fakeService) fail(id identifier.BackendServerID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = map[identifier.BackendServerID]bool{id: true}
+	s.leader, s.known, s.stored = "", cataloger.Leadership{}, cataloger.Leadership{}
+}
+
 // replacementOfA returns the calls of a replacement that begins with the given
 // revision and makes c the primary.
 func replacementOfA(revision uint64) []string {
@@ -216,8 +225,7 @@
 	w := &serviceWatch{}
 	r := s.replacer()
 	replaced := func() bool {
-		s.leader, s.known, s.stored, s.calls = "", cataloger.Leadership{}, cataloger.Leadership{}, nil
-		s.down = map[identifier.BackendServerID]bool{"a": true}
+		s.fail("a")
 		w.pausedUntil, w.silentSince = time.Time{}, silentLongEnough()
 		return len(s.check(r, w)) > 0
 	}
@@ -243,8 +251,7 @@
 		s.stored = s.known
 		s.check(r, w)
 	}
-	s.known, s.stored, s.calls = cataloger.Leadership{}, cataloger.Leadership{}, nil
-	s.down["a"], s.leader = true, ""
+	s.fail("a")
 	w.pausedUntil, w.silentSince, w.term = time.Time{}, silentLongEnough(), 0
 	qt.Assert(t, len(s.check(r, w)) > 0, qt.IsTrue)
 }
