--- a/review/standin/group.go
+++ b/review/standin/group.go
@@ -12,6 +12,7 @@
 	receiveDelay  = time.Millisecond        // Network time of a commit to a replica.
 	applyDelay    = 60 * time.Millisecond   // "replicas 60 ms behind".
 	promoteDelay  = time.Second             // "1,000 ms a promote".
+	rejoinDelay   = time.Second             // "a second after it can reach the new one".
 	statementTime = 6 * time.Millisecond    // Work of a read, a write or a commit.
 	connectTime   = 12 * time.Millisecond   // "12 ms a new connection".
 	syncPoll      = time.Millisecond        // Between two looks whether a replica has received a commit.
@@ -33,7 +34,8 @@
 // group is one service with its servers, which share one mutex.
 type group struct {
 	service  string
-	sync     int // syncReplicas
+	sync     int  // syncReplicas
+	unfenced bool // A replaced primary goes on until it steps down, or until rejoinDelay has passed.
 	record   *recorder
 	register func(m *member) // Writes the entry of a server to the store.
 	remove   func(id string) // Removes the entry of a server from the store.
@@ -103,7 +105,7 @@
 // is down. The group must be locked.
 func (m *member) receive() {
 	p := m.group.primary
-	if m == p || !m.up || m.deaf || !p.up || !p.leads {
+	if m == p || m.leads || !m.up || m.deaf || !p.up || !p.leads {
 		return
 	}
 	kept := 0
@@ -112,7 +114,7 @@
 	}
 	m.log = append(m.log[:kept:kept], p.log[kept:]...)
 	m.applied = min(m.applied, kept)
-	m.leads, m.term = false, m.group.term
+	m.term = m.group.term
 	received := len(m.log)
 	time.AfterFunc(applyDelay, func() {
 		m.group.mu.Lock()
@@ -142,15 +144,18 @@
 		g.mu.Unlock()
 		return "READONLY", true
 	}
-	term := g.term
+	term := m.term
 	m.log = append(m.log, entry{term: term, writes: writes})
 	m.applied = len(m.log)
 	number := len(m.log)
+	if g.primary != m {
+		g.record.committedAtReplaced(m, writes)
+	}
 	g.mu.Unlock()
 	g.replicate()
 	for {
 		g.mu.Lock()
-		up, leads, received := m.up, m.leads && g.term == term, 0
+		up, leads, received := m.up, m.leads && m.term == term, 0
 		for _, o := range g.members {
 			if o != m && o.up && len(o.log) >= number && o.log[number-1].term == term {
 				received++
@@ -194,7 +199,11 @@
 	}
 	g.term++
 	for _, o := range g.members {
-		o.leads = false
+		if g.unfenced && o.leads {
+			g.rejoinLater(o)
+		} else {
+			o.leads = false
+		}
 	}
 	g.primary, m.leads, m.term, m.deaf = m, true, g.term, false
 	m.applied = len(m.log)
@@ -206,6 +215,23 @@
 	}
 }
 
+// rejoinLater makes a replaced primary a replica after rejoinDelay.
+func (g *group) rejoinLater(m *member) {
+	time.AfterFunc(rejoinDelay, func() {
+		g.mu.Lock()
+		replaced := m.leads && g.primary != m
+		if replaced {
+			m.leads = false
+		}
+		g.mu.Unlock()
+		if replaced {
+			g.record.event("server %s (%s), which was replaced, becomes a replica", m.id, m.zone)
+			g.register(m)
+			g.replicate()
+		}
+	})
+}
+
 // setDeaf begins or ends the time in which the server receives nothing.
 func (m *member) setDeaf(deaf bool) {
 	m.group.mu.Lock()
--- a/review/standin/instance.go
+++ b/review/standin/instance.go
@@ -34,7 +34,7 @@
 
 // settings returns the settings file of an instance, with the bounds of
 // obiseda-pool.
-func settings(name, zone, ip string, ports []int, store string) string {
+func settings(name, zone, ip string, ports []int, store string, fencing bool) string {
 	lines := []string{
 		"nodeName=" + name, "role=entry", "machineClass=front", "serves=front", "ip=" + ip,
 		"zone=" + zone, "region=mx-centro", "zones.centro-a=mx-centro", "zones.centro-b=mx-centro", "zones.centro-c=mx-centro",
@@ -44,7 +44,7 @@
 		"discovery=platform", "entry=vip", "heartbeatMs=1200",
 		"contracts=base,drain,config,cost,recover,sql,tenants,quota,platform",
 		"bounds.stableWindowMs=4000", "bounds.drainTimeoutMs=7000", "bounds.graceS=6", "bounds.configApplyMs=3000",
-		"bounds.revokeWhenPartitioned=true", "bounds.revokeMs=5000", "bounds.requireFencing=true", "bounds.thawMs=300",
+		"bounds.revokeWhenPartitioned=true", "bounds.revokeMs=5000", fmt.Sprintf("bounds.requireFencing=%v", fencing), "bounds.thawMs=300",
 		"platform.address=" + store, "platform.form=objects", "platform.writesPerS=400", "platform.readsPerS=2000",
 		"cloud.address=" + store, "cloud.duties=failover", "cloud.dutyPerS=50.0",
 	}
@@ -52,7 +52,7 @@
 }
 
 // startInstance writes the settings of an instance and starts its process.
-func startInstance(directory, name, zone, ip, store string) (*instance, error) {
+func startInstance(directory, name, zone, ip, store string, fencing bool) (*instance, error) {
 	var ports []int
 	for range 3 {
 		port, err := freePort(ip)
@@ -62,7 +62,7 @@
 		ports = append(ports, port)
 	}
 	file := filepath.Join(directory, name+".conf")
-	if err := os.WriteFile(file, []byte(settings(name, zone, ip, ports, store)), 0o600); err != nil {
+	if err := os.WriteFile(file, []byte(settings(name, zone, ip, ports, store, fencing)), 0o600); err != nil {
 		return nil, err
 	}
 	log, err := os.Create(filepath.Join(directory, name+".log")) //nolint:gosec // In the temporary folder of the run.
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -55,7 +55,7 @@
 }
 
 func main() {
-	name := flag.String("case", "", "lost or prepared")
+	name := flag.String("case", "", "lost, late or prepared")
 	record := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	flag.Parse()
 	trouble := os.Getenv("TROUBLE") != "0"
@@ -73,10 +73,12 @@
 func play(name, record string, trouble bool) (broken bool, err error) {
 	cases := map[string]struct {
 		syncReplicas int
+		unfenced     bool // requireFencing is false.
 		run          func(*world) (bool, error)
 	}{
-		"lost":     {1, playLost},
-		"prepared": {0, playPrepared},
+		"lost":     {1, false, playLost},
+		"late":     {0, true, playLate},
+		"prepared": {0, false, playPrepared},
 	}
 	c, ok := cases[name]
 	if !ok {
@@ -100,7 +102,7 @@
 	w := &world{record: r, trouble: trouble, directory: directory}
 	defer w.stop()
 	go w.stopOnSignal()
-	if err := w.start(c.syncReplicas); err != nil {
+	if err := w.start(c.syncReplicas, c.unfenced); err != nil {
 		return false, err
 	}
 	return c.run(w)
@@ -108,13 +110,13 @@
 
 // start starts the platform, three servers and an instance in each data centre, and
 // waits until the instances are ready.
-func (w *world) start(syncReplicas int) error {
-	w.record.event("trouble=%v syncReplicas=%d", w.trouble, syncReplicas)
-	w.store = &imitator.Store{}
-	w.group = &group{service: serviceName, sync: syncReplicas, record: w.record, register: w.register, remove: w.remove}
+func (w *world) start(syncReplicas int, unfenced bool) error {
+	w.record.event("trouble=%v syncReplicas=%d requireFencing=%v", w.trouble, syncReplicas, !unfenced)
+	w.store = &imitator.Store{Unfenced: unfenced}
+	w.group = &group{service: serviceName, sync: syncReplicas, unfenced: unfenced, record: w.record, register: w.register, remove: w.remove}
 	w.store.Promote = func(_, id string) bool {
 		accepted := w.group.promote(id)
-		w.record.event("platform: POST /promote %s accepted=%v", id, accepted)
+		w.record.event("platform: promotion of %s executed, accepted=%v", id, accepted)
 		return accepted
 	}
 	address, err := w.store.Start()
@@ -131,7 +133,7 @@
 	}
 	w.store.Put("config", "main", configuration(syncReplicas))
 	for i, zone := range zones {
-		n, err := startInstance(w.directory, "front-"+zone+"-1", zone, fmt.Sprint(network, 1+i), address)
+		n, err := startInstance(w.directory, "front-"+zone+"-1", zone, fmt.Sprint(network, 1+i), address, !unfenced)
 		if err != nil {
 			return err
 		}
--- a/review/standin/recorder.go
+++ b/review/standin/recorder.go
@@ -15,6 +15,8 @@
 	acked   []ack
 	runs    map[string]string // Shape that ran, by the id of the statement.
 	lost    []string          // Violations of LOST.
+	stale   map[string]string // Server that committed a write after another one led, by the id of the write.
+	twoLed  int               // Acknowledged writes among them: violations of ONE.
 }
 
 // ack is a write whose success the client was told.
@@ -28,7 +30,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &recorder{file: f, started: time.Now(), runs: map[string]string{}}, nil
+	return &recorder{file: f, started: time.Now(), runs: map[string]string{}, stale: map[string]string{}}, nil
 }
 
 // event writes one line with the time since the start.
@@ -49,6 +51,19 @@
 	defer r.mu.Unlock()
 	r.acked = append(r.acked, ack{id, item, data, time.Now()})
 	r.line("client: write %s %s=%s acknowledged, signature %s", id, item, data, signature)
+	if server, ok := r.stale[id]; ok {
+		r.twoLed++
+		r.line("ONE: write %s was committed at %s after the promotion of another server had taken effect", id, server)
+	}
+}
+
+// committedAtReplaced records writes that a replaced primary has committed.
+func (r *recorder) committedAtReplaced(m *member, writes []write) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, w := range writes {
+		r.stale[w.id] = m.id
+	}
 }
 
 // executed records which shape a server ran for an EXECUTE.
@@ -71,13 +86,21 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.line("server %s leads term %d; its log ends at %d.%d", m.id, term, log[len(log)-1].term, len(log))
+	discarded := 0
 	for _, a := range r.acked {
 		if held[a.id] {
 			continue
 		}
+		if m.group.sync == 0 {
+			discarded++ // The rule LOST doesn't hold for this service.
+			continue
+		}
 		text := fmt.Sprintf("LOST: write %s %s=%s was acknowledged %.0f ms before and is not in the log of %s",
 			a.id, a.item, a.data, float64(time.Since(a.at).Milliseconds()), m.id)
 		r.lost = append(r.lost, text)
 		r.line("%s", text)
 	}
+	if discarded > 0 {
+		r.line("%d acknowledged writes are not in the log of %s", discarded, m.id)
+	}
 }
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -18,7 +18,7 @@
 	prepared map[string]string // "READ shape" or "WRITE shape" by name.
 	state    byte
 	plain    bool // The transaction began with BEGIN, not with BEGIN READ.
-	term     int  // Of the group when the transaction began.
+	term     int  // Of the server when the transaction began.
 	writes   []write
 }
 
@@ -167,13 +167,15 @@
 func (m *member) stepDown(text string) {
 	term, err := strconv.Atoi(text)
 	m.group.mu.Lock()
-	changed := err == nil && m.leads && m.group.term < term
+	changed := err == nil && m.leads && m.term < term
 	if changed {
 		m.leads = false
 	}
 	m.group.mu.Unlock()
 	if changed {
+		m.group.record.event("server %s (%s) steps down", m.id, m.zone)
 		m.group.register(m)
+		m.group.replicate()
 	}
 }
 
@@ -184,7 +186,7 @@
 	if plain && !m.leads {
 		return "READONLY"
 	}
-	c.state, c.plain, c.term, c.writes = 'T', plain, m.group.term, nil
+	c.state, c.plain, c.term, c.writes = 'T', plain, m.term, nil
 	return ""
 }
 
@@ -193,7 +195,7 @@
 	m := c.member
 	m.group.mu.Lock()
 	defer m.group.mu.Unlock()
-	return c.state != 'I' && c.plain && (!m.leads || m.group.term != c.term)
+	return c.state != 'I' && c.plain && (!m.leads || m.term != c.term)
 }
 
 func (c *connection) end(commit bool) (rows []string, code string, alive bool) {
