--- a/review/standin/group.go
+++ b/review/standin/group.go
@@ -40,11 +40,10 @@
 	register func(m *member) // Writes the entry of a server to the store.
 	remove   func(id string) // Removes the entry of a server from the store.
 
-	mu          sync.Mutex
-	term        int
-	primary     *member // The server that was promoted last.
-	members     []*member
-	connections int
+	mu      sync.Mutex
+	term    int
+	primary *member // The server that was promoted last.
+	members []*member
 }
 
 // member is one backend server.
