--- a/review/standin/case_lost.go
+++ b/review/standin/case_lost.go
@@ -66,6 +66,7 @@
 			}
 		}
 		id, item, data := newID(), fmt.Sprintf("w%d-%d", writer, n), fmt.Sprintf("d%d", n)
+		w.record.event("client %d: sends QUERY %s WRITE %s %s", writer+1, id, item, data)
 		a, err := c.query(id, "WRITE "+item+" "+data)
 		switch {
 		case err != nil:
--- a/review/standin/group.go
+++ b/review/standin/group.go
@@ -147,9 +147,7 @@
 	m.log = append(m.log, entry{term: term, writes: writes})
 	m.applied = len(m.log)
 	number := len(m.log)
-	if g.primary != m {
-		g.record.committedAtReplaced(m, writes)
-	}
+	g.record.committed(m, m.position(number), writes, g.primary != m)
 	g.mu.Unlock()
 	g.replicate()
 	for {
--- a/review/standin/recorder.go
+++ b/review/standin/recorder.go
@@ -57,12 +57,16 @@
 	}
 }
 
-// committedAtReplaced records writes that a replaced primary has committed.
-func (r *recorder) committedAtReplaced(m *member, writes []write) {
+// committed records the writes of a commit, and whether another server had been
+// promoted before.
+func (r *recorder) committed(m *member, position string, writes []write, replaced bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, w := range writes {
-		r.stale[w.id] = m.id
+		r.line("server %s: commits write %s at %s", m.id, w.id, position)
+		if replaced {
+			r.stale[w.id] = m.id
+		}
 	}
 }
 
