internal/transport/lender: names of prepared statements are unique on a connection

Cause: the name on the server's connection was made from the shape with blanks replaced by underscores, so that shapes that differ only there shared it; Conn.prepared, which is keyed by the whole shape, took both as prepared. Change: names are numbered on each connection and never given twice on it. They are not stored or sent to other instances, so builds before and after can run side by side.

--- a/internal/command/starter/fixture_test.go
+++ b/internal/command/starter/fixture_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -152,8 +153,11 @@
 	return address
 }
 
+var executedName = regexp.MustCompile(`EXECUTE \S+`)
+
 // executedStatements returns the statements of clients that the servers ran or
-// refused, one per line with the result.
+// refused, one per line with the result. The name of a prepared statement, which
+// is that on the server's connection, is replaced by the shape that it has there.
 func (p *testPlatform) executedStatements() string {
 	var b strings.Builder
 	for _, r := range p.group.Executions() {
@@ -161,7 +165,11 @@
 		if code == "" {
 			code = "OK"
 		}
-		fmt.Fprintf(&b, "%s %s %s %s\n", r.Workspace, r.ID, r.Text, code)
+		text := r.Text
+		if r.Shape != "" {
+			text = executedName.ReplaceAllString(text, "EXECUTE ["+r.Shape+"]")
+		}
+		fmt.Fprintf(&b, "%s %s %s %s\n", r.Workspace, r.ID, text, code)
 	}
 	return b.String()
 }
--- a/internal/transport/lender/conn.go
+++ b/internal/transport/lender/conn.go
@@ -1,7 +1,7 @@
 package lender
 
 import (
-	"strings"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -45,8 +45,9 @@
 	link     Link
 	pool     *serverPool
 	settings Settings
-	prepared map[requester.PreparedStatement]string
-	pinned   bool // Lent to a transaction.
+	prepared map[requester.PreparedStatement]string // Names on this connection.
+	lastName uint64                                 // Number in the last name that was given to a prepared statement.
+	pinned   bool                                   // Lent to a transaction.
 	broken   bool
 	stale    bool // To a retired pool; close on return.
 	returned time.Time
@@ -173,14 +174,11 @@
 
 // ApplySession applies the session's settings to the connection and, if shape is
 // not nil, prepares a statement of that shape unless there is one already. It
-// returns the name of the prepared statement on this connection. The name is
-// derived from the shape, so that names chosen by clients cannot collide.
+// returns the name of the prepared statement, which is valid on this connection
+// only.
 func (c *Conn) ApplySession(deadline time.Time, settings Settings, shape *requester.PreparedStatement) (name string, err error) {
-	if shape != nil {
-		name = preparedName(*shape)
-	}
 	if c.settings.Equal(settings) && (shape == nil || c.prepared[*shape] != "") {
-		return name, nil
+		return c.preparedName(shape), nil
 	}
 	var todo []requester.Statement
 	if !c.settings.namesWithin(settings) {
@@ -192,14 +190,17 @@
 			todo = append(todo, requester.Statement{Kind: requester.Set, Name: e.Name, Value: e.Value})
 		}
 	}
-	if shape != nil && c.prepared[*shape] == "" {
+	name = c.preparedName(shape)
+	isNew := shape != nil && name == ""
+	if isNew {
+		name = c.newName()
 		todo = append(todo, requester.Statement{Kind: requester.Prepare, Name: name, Shape: *shape})
 	}
 	if err := c.runAll(deadline, todo); err != nil {
 		return "", err
 	}
 	c.settings = settings
-	if shape != nil {
+	if isNew {
 		if c.prepared == nil {
 			c.prepared = map[requester.PreparedStatement]string{}
 		}
@@ -208,6 +209,23 @@
 	return name, nil
 }
 
+// preparedName returns the name of the prepared statement of a shape, or "" if the
+// shape is nil or no statement of it is prepared.
+func (c *Conn) preparedName(shape *requester.PreparedStatement) string {
+	if shape == nil {
+		return ""
+	}
+	return c.prepared[*shape]
+}
+
+// newName returns a name that no prepared statement has had on this connection. A
+// name derived from the shape would have to keep shapes apart that differ only in
+// blanks, which a name cannot have.
+func (c *Conn) newName() string {
+	c.lastName++
+	return "p" + strconv.FormatUint(c.lastName, 10)
+}
+
 // runAll runs statements that change only the state of the connection. No
 // statement of the client has been sent yet, so every error is [ErrNotSent].
 func (c *Conn) runAll(deadline time.Time, todo []requester.Statement) error {
@@ -226,12 +244,3 @@
 	}
 	return nil
 }
-
-// preparedName returns the name of the prepared statement of a shape.
-func preparedName(s requester.PreparedStatement) string {
-	kind := "r_"
-	if s.Writes {
-		kind = "w_"
-	}
-	return kind + strings.ReplaceAll(s.Text, " ", "_")
-}
--- a/internal/transport/lender/lender_test.go
+++ b/internal/transport/lender/lender_test.go
@@ -1,10 +1,12 @@
 package lender_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
 	"oleanderpulley/internal/protocol/requester"
 	"oleanderpulley/internal/state/cataloger"
@@ -122,6 +124,50 @@
 	qt.Assert(t, b.sent[2].Kind, qt.Equals, requester.Discard)
 }
 
+// Guards against the execution of another client's prepared statement: shapes that
+// differed in blanks and underscores had the same name on a server's connection. A
+// name with a blank would be read as two fields.
+func TestNamesOfPreparedStatementsAreUnique(t *testing.T) {
+	shape := rapid.Custom(func(t *rapid.T) requester.PreparedStatement {
+		return requester.PreparedStatement{
+			Writes: rapid.Bool().Draw(t, "writes"), Text: rapid.StringOfN(rapid.RuneFrom([]rune(" _rw1")), 1, 4, -1).Draw(t, "text"),
+		}
+	})
+	rapid.Check(t, func(rt *rapid.T) {
+		b := newFakeServer(1)
+		c := b.borrow(t, "shops")
+		for range rapid.IntRange(1, 30).Draw(rt, "executions") {
+			s := shape.Draw(rt, "shape")
+			var settings lender.Settings // Without them, those of the last execution are discarded.
+			if rapid.Bool().Draw(rt, "has settings") {
+				settings = lender.Settings{{Name: "zone", Value: "1"}}
+			}
+			name, err := c.ApplySession(time.Now().Add(time.Second), settings, &s)
+			qt.Assert(t, err, qt.IsNil)
+			if strings.Contains(name, " ") {
+				rt.Fatalf("name %q has a blank", name)
+			}
+			if got := b.preparedShape(name); got != s {
+				rt.Fatalf("name %q of %+v has the shape %+v on the server", name, s, got)
+			}
+		}
+	})
+}
+
+// preparedShape returns the shape that was prepared last under the name and not
+// discarded.
+func (b *fakeServer) preparedShape(name string) (shape requester.PreparedStatement) {
+	for _, s := range b.sent {
+		switch {
+		case s.Kind == requester.Discard:
+			shape = requester.PreparedStatement{}
+		case s.Kind == requester.Prepare && s.Name == name:
+			shape = s.Shape
+		}
+	}
+	return shape
+}
+
 // Guards against running statements of low priority before others while the
 // number of concurrent statements on a server is limited.
 func TestWidthAndPriority(t *testing.T) {
