internal/coordination/replacer: log what the choice of a successor is based on

The logs said which server was promoted, but not what the servers had answered, so that they could not tell a wrong answer from a wrong choice. Change: event successor_chosen, once for each choice, with the candidates, the ends of their logs and whether they leave.

--- a/internal/coordination/replacer/decide.go
+++ b/internal/coordination/replacer/decide.go
@@ -41,6 +41,18 @@
 	Member requester.ServerStatus
 }
 
+// String returns the id of the server, the end of its log and whether it leaves.
+func (c Candidate) String() string {
+	text := string(c.Server.ID) + " " + c.Member.Received.String()
+	switch {
+	case c.Server.Draining:
+		text += " draining"
+	case c.Server.Evacuated:
+		text += " evacuated"
+	}
+	return text
+}
+
 // ChooseSuccessor returns the candidate that has received most of the log,
 // leaving out servers that drain or are evacuated. Ties go to the lowest id, so that two instances
 // with the same view choose the same server.
--- a/internal/coordination/replacer/replace.go
+++ b/internal/coordination/replacer/replace.go
@@ -190,6 +190,7 @@
 		}
 	}
 	next, ok := ChooseSuccessor(candidates)
+	r.logCandidates(p, candidates, next)
 	if !ok {
 		return Candidate{}, errNoCandidate
 	}
@@ -199,6 +200,16 @@
 	return next, nil
 }
 
+// logCandidates logs what the choice of a successor was based on.
+func (r *Replacer) logCandidates(p *replacement, candidates []Candidate, chosen Candidate) {
+	described := make([]string, len(candidates))
+	for i, c := range candidates {
+		described[i] = c.String()
+	}
+	r.Logger.Info().Str("event", "successor_chosen").Str("service", string(p.service)).Uint64("token", p.record.Revision).
+		Str("successor", string(chosen.Server.ID)).Strs("candidates", described).Send()
+}
+
 // stillLeads reports whether the candidate is the primary that is being replaced
 // and answers that it leads.
 func (r *Replacer) stillLeads(p *replacement, c Candidate) bool {
