internal/coordination/replacer: the successor has all commits of the servers that answered

Cause: includesAcknowledgedCommits counts the draining replica among those of which one has each acknowledged commit; ChooseSuccessor left it out and took the best of the others. successor_chosen shows that the answers were right. Change: the successor of a failed primary of a service with synchronous replication must have the longest log of all servers that answered. One that leaves is chosen only if it alone has it, and hands over afterwards. Why this works: the count guarantees that the longest log among those that answered has every acknowledged commit, and now that log is the one promoted. Fewer are acknowledged, as nothing can be until a replica receives again.

--- a/internal/coordination/replacer/decide.go
+++ b/internal/coordination/replacer/decide.go
@@ -56,8 +56,18 @@
 // ChooseSuccessor returns the candidate that has received most of the log,
 // leaving out servers that drain or are evacuated. Ties go to the lowest id, so that two instances
 // with the same view choose the same server.
-func ChooseSuccessor(candidates []Candidate) (Candidate, bool) {
-	eligible := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Server.IsLeaving() })
+//
+// If keepsAll is set, the successor must not lack anything that another candidate
+// has. A server that leaves is chosen then if it alone has the longest log; it
+// hands its log over afterwards.
+func ChooseSuccessor(candidates []Candidate, keepsAll bool) (Candidate, bool) {
+	eligible := withoutLeaving(candidates)
+	if keepsAll {
+		longest := longestLogs(candidates)
+		if eligible = withoutLeaving(longest); len(eligible) == 0 {
+			eligible = longest
+		}
+	}
 	if len(eligible) == 0 {
 		return Candidate{}, false
 	}
@@ -66,8 +76,23 @@
 	}), true
 }
 
-// includesAcknowledgedCommits reports whether the most advanced candidate has
-// every acknowledged commit. That is so if the lost primary is a candidate, or
+func withoutLeaving(candidates []Candidate) []Candidate {
+	return slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Server.IsLeaving() })
+}
+
+// longestLogs returns the candidates that have received as much as any other.
+func longestLogs(candidates []Candidate) []Candidate {
+	var end identifier.Position
+	for _, c := range candidates {
+		if comparePositions(c.Member.Received, end) > 0 {
+			end = c.Member.Received
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return comparePositions(c.Member.Received, end) < 0 })
+}
+
+// includesAcknowledgedCommits reports whether the candidate with the longest log
+// has every acknowledged commit, also if it leaves. That is so if the lost primary is a candidate, or
 // if enough replicas are that at least one of them received each commit before
 // it was acknowledged.
 func includesAcknowledgedCommits(candidates []Candidate, servers []cataloger.BackendServer, syncReplicas int) bool {
--- a/internal/coordination/replacer/decide_test.go
+++ b/internal/coordination/replacer/decide_test.go
@@ -21,25 +21,34 @@
 }
 
 // Guards against the loss of commits through the promotion of a replica that is
-// behind another, and against the promotion of a draining server.
+// behind another, and against the promotion of a draining server unless
+// acknowledged commits would be lost otherwise.
 func TestChooseSuccessorPrefersTheMostAdvanced(t *testing.T) {
 	for _, test := range []struct {
 		name       string
 		candidates []Candidate
 		want       identifier.BackendServerID
+		wantAll    identifier.BackendServerID // If nothing that a candidate has may be lost.
 	}{
-		{"offset", []Candidate{candidate("a", false, 3, 7), candidate("b", false, 3, 9)}, "b"},
-		{"term before offset", []Candidate{candidate("a", false, 4, 2), candidate("b", false, 3, 9)}, "a"},
-		{"draining", []Candidate{candidate("a", false, 3, 7), candidate("b", true, 3, 9)}, "a"},
-		{"equal", []Candidate{candidate("b", false, 3, 7), candidate("a", false, 3, 7)}, "a"},
+		{"offset", []Candidate{candidate("a", false, 3, 7), candidate("b", false, 3, 9)}, "b", "b"},
+		{"term before offset", []Candidate{candidate("a", false, 4, 2), candidate("b", false, 3, 9)}, "a", "a"},
+		{"draining", []Candidate{candidate("a", false, 3, 7), candidate("b", true, 3, 9)}, "a", "b"},
+		{"draining and equal", []Candidate{candidate("a", true, 3, 9), candidate("b", false, 3, 9), candidate("c", false, 3, 7)}, "b", "b"},
+		{"draining and behind", []Candidate{candidate("a", false, 3, 9), candidate("b", true, 3, 7)}, "a", "a"},
+		{"equal", []Candidate{candidate("b", false, 3, 7), candidate("a", false, 3, 7)}, "a", "a"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			c, ok := ChooseSuccessor(test.candidates)
+			c, ok := ChooseSuccessor(test.candidates, false)
 			qt.Assert(t, ok, qt.IsTrue)
 			qt.Assert(t, c.Server.ID, qt.Equals, test.want)
+			c, ok = ChooseSuccessor(test.candidates, true)
+			qt.Assert(t, ok, qt.IsTrue)
+			qt.Assert(t, c.Server.ID, qt.Equals, test.wantAll)
 		})
 	}
-	_, ok := ChooseSuccessor([]Candidate{candidate("a", true, 1, 1)})
+	_, ok := ChooseSuccessor([]Candidate{candidate("a", true, 1, 1)}, false)
+	qt.Assert(t, ok, qt.IsFalse)
+	_, ok = ChooseSuccessor(nil, true)
 	qt.Assert(t, ok, qt.IsFalse)
 }
 
--- a/internal/coordination/replacer/doc.go
+++ b/internal/coordination/replacer/doc.go
@@ -15,7 +15,10 @@
 // A failed primary is replaced when this instance could not reach it for a
 // while, another instance and a server of the service answer, and no instance
 // that answers has seen it lead. No other instance has to answer once the
-// registration of the primary has lapsed. A draining primary first steps down,
+// registration of the primary has lapsed. If the service replicates synchronously,
+// the successor must have every acknowledged commit, so that a server that drains or
+// is evacuated is promoted if it alone has them; it hands over like any primary that
+// leaves. A draining primary first steps down,
 // and its successor must have received all of its log, so that no acknowledged
 // commit is lost. So does the primary in an evacuated data centre while it
 // answers; one that does not is replaced like a failed one.
--- /dev/null
+++ b/internal/coordination/replacer/durability_test.go
@@ -0,0 +1,160 @@
+package replacer
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"oleanderpulley/internal/state/cataloger"
+	"oleanderpulley/internal/state/identifier"
+)
+
+// newSyncService returns a fake service with synchronous replication to one
+// replica.
+func newSyncService() (*fakeService, *Replacer) {
+	s := newFakeService()
+	s.catalog.Configuration.Services = map[identifier.ServiceName]cataloger.Service{"rentals": {SyncReplicas: 1}}
+	s.lastLed = time.Now()
+	r := s.replacer()
+	r.LastLed = func(identifier.ServiceName) (identifier.BackendServerID, identifier.Term, time.Time) {
+		return s.leader, s.term, s.lastLed // The id of a primary that does not lead any more is not known.
+	}
+	return s, r
+}
+
+// failPrimary makes the primary a fail and returns the calls of the check that
+// follows.
+func (s *fakeService) failPrimary(r *Replacer, w *serviceWatch) []string {
+	s.down["a"], s.leader = true, ""
+	w.silentSince, w.pausedUntil = silentLongEnough(), time.Time{}
+	return s.check(r, w)
+}
+
+// Guards against the loss of acknowledged commits (review/1): a draining replica,
+// which alone had all of them, was counted as one of those that have them, but a
+// replica that was behind was promoted.
+func TestDrainingReplicaWithAllCommitsIsPromoted(t *testing.T) {
+	for name, mark := range map[string]func(*cataloger.BackendServer){
+		"draining":  func(b *cataloger.BackendServer) { b.Draining = true },
+		"evacuated": func(b *cataloger.BackendServer) { b.Evacuated, b.EvacuatedSince = true, time.Now() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, r := newSyncService()
+			mark(&s.catalog.Servers["rentals"][2])
+			w := &serviceWatch{}
+			qt.Assert(t, s.failPrimary(r, w), qt.DeepEquals, replacementOfA(11))
+			s.lastLed = time.Now()
+			s.check(r, w) // It hands its log over to the other replica.
+			qt.Assert(t, s.leader, qt.Equals, identifier.BackendServerID("b"))
+			qt.Assert(t, s.received["b"], qt.Equals, uint64(8))
+		})
+	}
+}
+
+// drawnGroup is a group of servers with synchronous replication at the moment
+// when its primary has failed.
+type drawnGroup struct {
+	servers  []drawnServer // The first one is the primary.
+	required int           // Replicas that receive a commit before it is acknowledged.
+	acked    uint64        // Number of the last acknowledged commit.
+}
+
+type drawnServer struct {
+	ID                  identifier.BackendServerID
+	Received            uint64
+	State               string // "answers" or "silent".
+	Draining, Evacuated bool
+}
+
+func drawGroup(rt *rapid.T) drawnGroup {
+	var g drawnGroup
+	var received []uint64
+	for i := range rapid.IntRange(3, 5).Draw(rt, "servers") {
+		s := drawnServer{
+			ID:       identifier.BackendServerID(rune('a' + i)),
+			State:    rapid.SampledFrom([]string{"answers", "answers", "silent"}).Draw(rt, "state"),
+			Draining: rapid.IntRange(0, 3).Draw(rt, "draining") == 3, Evacuated: rapid.IntRange(0, 3).Draw(rt, "evacuated") == 3,
+		}
+		if i > 0 {
+			s.Received = rapid.Uint64Range(1, 9).Draw(rt, "received")
+			received = append(received, s.Received)
+		}
+		g.servers = append(g.servers, s)
+	}
+	slices.Sort(received)
+	slices.Reverse(received)
+	g.required = rapid.IntRange(1, 2).Draw(rt, "required")
+	g.acked = received[g.required-1]
+	g.servers[0].Received = received[0]
+	return g
+}
+
+// coversAcknowledged reports whether the servers that answer have every
+// acknowledged commit, whichever replicas received it.
+func (g drawnGroup) coversAcknowledged() bool {
+	answered := 0
+	for _, s := range g.servers[1:] {
+		if s.State == "answers" {
+			answered++
+		}
+	}
+	return g.servers[0].State == "answers" || answered > len(g.servers)-1-g.required
+}
+
+// play lets an instance see the group while its primary leads, then makes it fail,
+// and returns the server that the instance promotes, or "".
+func (g drawnGroup) play() identifier.BackendServerID {
+	s, r := newSyncService()
+	s.catalog.Configuration.Services["rentals"] = cataloger.Service{SyncReplicas: g.required}
+	var all []cataloger.BackendServer
+	for _, d := range g.servers {
+		all = append(all, cataloger.BackendServer{ID: d.ID, Service: "rentals", Address: "at-" + string(d.ID), ClaimsPrimary: d.ID == "a"})
+		s.received[d.ID] = d.Received
+	}
+	s.catalog.Servers["rentals"] = all
+	s.lagging = true // What the replicas have received is as drawn.
+	w := &serviceWatch{}
+	s.check(r, w)
+	for i, d := range g.servers {
+		all[i].Draining, all[i].Evacuated = d.Draining, d.Evacuated
+		s.down[d.ID] = d.State != "answers"
+	}
+	s.leader, s.lastLed = "", time.Time{}
+	w.silentSince = silentLongEnough()
+	for _, call := range s.check(r, w) {
+		if id, found := strings.CutPrefix(call, "promote "); found {
+			return identifier.BackendServerID(strings.Fields(id)[0])
+		}
+	}
+	return ""
+}
+
+// Guards against the loss of acknowledged commits of a service with synchronous
+// replication when its primary fails, whichever replicas drain, are evacuated or
+// are silent, and against a service that is not served
+// although the servers that answer have all commits.
+func TestPromotedServerHasAcknowledgedCommits(t *testing.T) {
+	promoted := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		g := drawGroup(rt)
+		var id identifier.BackendServerID
+		synctest.Test(t, func(*testing.T) { id = g.play() })
+		switch {
+		case id == "" && g.coversAcknowledged():
+			rt.Fatalf("%+v: no server was promoted", g)
+		case id == "":
+			return
+		}
+		promoted++
+		i := slices.IndexFunc(g.servers, func(s drawnServer) bool { return s.ID == id })
+		if got := g.servers[i].Received; got < g.acked {
+			rt.Fatalf("%+v: %s was promoted, which has %d of %d acknowledged commits", g, id, got, g.acked)
+		}
+	})
+	qt.Assert(t, promoted > 0, qt.IsTrue, qt.Commentf("%d", promoted))
+}
--- a/internal/coordination/replacer/replace.go
+++ b/internal/coordination/replacer/replace.go
@@ -176,12 +176,15 @@
 	return true, err
 }
 
-// chooseSuccessor returns the server to promote.
+// chooseSuccessor returns the server to promote. The log of a draining primary is
+// handed over to it afterwards; the successor of a failed one must have every
+// acknowledged commit of a service with synchronous replication.
 func (r *Replacer) chooseSuccessor(p *replacement) (Candidate, error) {
 	c := r.Catalog()
 	servers := c.Servers[p.service]
+	syncReplicas := c.Configuration.Services[p.service].SyncReplicas
 	hasAllCommits := func(candidates []Candidate) bool {
-		return includesAcknowledgedCommits(candidates, servers, c.Configuration.Services[p.service].SyncReplicas)
+		return includesAcknowledgedCommits(candidates, servers, syncReplicas)
 	}
 	candidates := r.collectCandidates(servers, p.draining, hasAllCommits)
 	for _, candidate := range candidates {
@@ -189,12 +192,13 @@
 			return Candidate{}, errors.Wrapf(errPrimaryLeads, "server %s", candidate.Server.ID)
 		}
 	}
-	next, ok := ChooseSuccessor(candidates)
+	keepsAll := p.draining == nil && syncReplicas > 0
+	next, ok := ChooseSuccessor(candidates, keepsAll)
 	r.logCandidates(p, candidates, next)
 	if !ok {
 		return Candidate{}, errNoCandidate
 	}
-	if p.draining == nil && !hasAllCommits(candidates) {
+	if keepsAll && !hasAllCommits(candidates) {
 		return Candidate{}, errors.Wrapf(errCommitsUnknown, "%d of %d servers answered", len(candidates), len(servers))
 	}
 	return next, nil
