internal/coordination/replacer: replicas that failed with the primary still count

What callers would see: acknowledged writes of a service with syncReplicas are gone after the primary and the replica that alone had them fail within seconds of each other. Cause: the replicas of which enough must answer were those that are registered at the moment of the choice; a server that fails loses its registration after three heartbeats. Change: an instance remembers the servers of a service with synchronous replication that were registered while it saw the primary lead, and for 5 s before. One whose address another server has taken no longer counts, as its log went there. Evidence, before: TestReplicaThatFailedWithThePrimaryIsWaitedFor promoted b, which lacks a commit; TestPromotedServerHasAcknowledgedCommits, with expired registrations drawn, failed after 27 draws. After: they pass, the last one with 30,000 draws, and TestReplicaThatLeftBeforeIsNotWaitedFor shows when a server no longer counts.

--- a/internal/coordination/replacer/durability.go
+++ b/internal/coordination/replacer/durability.go
@@ -1,7 +1,9 @@
 package replacer
 
 import (
+	"maps"
 	"slices"
+	"time"
 
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
@@ -50,11 +52,12 @@
 	if g.primary == "" {
 		g.primary = onlyClaimant(servers)
 	}
+	members := slices.Clone(p.remembered)
 	for _, s := range servers {
-		if s.ID != g.primary {
-			g.replicas = append(g.replicas, s.ID)
-		}
+		members = append(members, s.ID)
 	}
+	slices.Sort(members)
+	g.replicas = slices.DeleteFunc(slices.Compact(members), func(id identifier.BackendServerID) bool { return id == g.primary })
 	return g
 }
 
@@ -73,3 +76,53 @@
 	}
 	return only
 }
+
+const (
+	// departureGrace is the time for which a server that is no longer registered
+	// counts as a replica while the primary leads. By then a replica that follows
+	// the primary has what the departed one had received.
+	departureGrace = 5 * time.Second
+	// memberMemory is the time without a check of the service after which its
+	// remembered servers are too old to count. It is longer than a replacement.
+	memberMemory = 30 * time.Second
+)
+
+// memberHistory remembers the servers of a service that may have received commits
+// of its primary. A replica that fails together with the primary loses its
+// registration within seconds, but may alone have the last acknowledged commits. The
+// zero value remembers none.
+type memberHistory struct {
+	sightings map[identifier.BackendServerID]memberSighting
+	observed  time.Time
+}
+
+// memberSighting is where a server was registered, and when it last was.
+type memberSighting struct {
+	address string
+	at      time.Time
+}
+
+// observe records the registered servers. It forgets a server whose address another
+// one has, which got its log, and while the primary leads, one that has not been
+// registered for [departureGrace].
+func (h *memberHistory) observe(servers []cataloger.BackendServer, leads bool, now time.Time) {
+	if h.sightings == nil || now.Sub(h.observed) > memberMemory {
+		h.sightings = map[identifier.BackendServerID]memberSighting{}
+	}
+	h.observed = now
+	for _, s := range servers {
+		h.sightings[s.ID] = memberSighting{s.Address, now}
+	}
+	for id, sighting := range h.sightings {
+		hasDeparted := sighting.at != now
+		isReplaced := slices.ContainsFunc(servers, func(s cataloger.BackendServer) bool { return s.Address == sighting.address })
+		if hasDeparted && (isReplaced || (leads && now.Sub(sighting.at) > departureGrace)) {
+			delete(h.sightings, id)
+		}
+	}
+}
+
+// members returns the servers that are remembered, in no particular order.
+func (h *memberHistory) members() []identifier.BackendServerID {
+	return slices.Collect(maps.Keys(h.sightings))
+}
--- a/internal/coordination/replacer/durability_test.go
+++ b/internal/coordination/replacer/durability_test.go
@@ -19,6 +19,9 @@
 func newSyncService() (*fakeService, *Replacer) {
 	s := newFakeService()
 	s.catalog.Configuration.Services = map[identifier.ServiceName]cataloger.Service{"rentals": {SyncReplicas: 1}}
+	for i, b := range s.catalog.Servers["rentals"] {
+		s.catalog.Servers["rentals"][i].Address = "at-" + string(b.ID)
+	}
 	s.lastLed = time.Now()
 	r := s.replacer()
 	r.LastLed = func(identifier.ServiceName) (identifier.BackendServerID, identifier.Term, time.Time) {
@@ -27,6 +30,13 @@
 	return s, r
 }
 
+// removeEntry makes a server fail and removes its registration.
+func (s *fakeService) removeEntry(id identifier.BackendServerID) {
+	s.down[id] = true
+	s.catalog.Servers["rentals"] = slices.DeleteFunc(slices.Clone(s.catalog.Servers["rentals"]),
+		func(b cataloger.BackendServer) bool { return b.ID == id })
+}
+
 // failPrimary makes the primary a fail and returns the calls of the check that
 // follows.
 func (s *fakeService) failPrimary(r *Replacer, w *serviceWatch) []string {
@@ -82,6 +92,52 @@
 	}
 }
 
+// Guards against the loss of acknowledged commits when the replica that alone has them
+// fails together with the primary, and its registration expires first: the servers
+// that were left were taken for all of the group.
+func TestReplicaThatFailedWithThePrimaryIsWaitedFor(t *testing.T) {
+	s, r := newSyncService()
+	w := &serviceWatch{}
+	s.check(r, w)
+	entries := s.catalog.Servers["rentals"]
+	s.removeEntry("c")
+	qt.Assert(t, s.failPrimary(r, w), qt.DeepEquals, []string{"announce 11 ", "two confirms 11", "grant  in term 0"})
+	s.removeEntry("a")
+	w.pausedUntil = time.Time{}
+	qt.Assert(t, s.check(r, w), qt.DeepEquals, []string{"announce 13 ", "two confirms 13", "grant  in term 0"})
+	s.catalog.Servers["rentals"], s.down["c"] = entries, false
+	w.pausedUntil = time.Time{}
+	s.check(r, w)
+	qt.Assert(t, s.leader, qt.Equals, identifier.BackendServerID("c"))
+}
+
+// Guards against a service without a primary because a replica is waited for that
+// has left for good while the primary led: a new server has its address and log, or
+// the others have received what it had.
+func TestReplicaThatLeftBeforeIsNotWaitedFor(t *testing.T) {
+	for name, leave := range map[string]func(*fakeService, *serviceWatch){
+		"replaced at its address": func(s *fakeService, _ *serviceWatch) {
+			s.catalog.Servers["rentals"] = append(s.catalog.Servers["rentals"], cataloger.BackendServer{ID: "d", Service: "rentals", Address: "at-c"})
+			s.received["d"] = s.received["c"]
+		},
+		"gone for long": func(s *fakeService, w *serviceWatch) {
+			w.members.sightings["c"] = memberSighting{address: "at-c", at: time.Now().Add(-departureGrace - time.Second)}
+			s.lastLed = time.Now()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, r := newSyncService()
+			w := &serviceWatch{}
+			s.check(r, w)
+			s.removeEntry("c")
+			leave(s, w)
+			s.check(r, w)
+			s.failPrimary(r, w)
+			qt.Assert(t, s.leader, qt.Not(qt.Equals), identifier.BackendServerID(""))
+		})
+	}
+}
+
 // Guards against a service that is not served although its failed primary is back
 // and has every commit, like a primary that has stepped down for a hand-over that
 // nobody has completed.
@@ -106,7 +162,7 @@
 type drawnServer struct {
 	ID                  identifier.BackendServerID
 	Received            uint64
-	State               string // "answers" or "silent".
+	State               string // "answers", "silent" or "lapsed": silent, and its registration has expired.
 	Draining, Evacuated bool
 	Claims              bool // Its registration says that it is the primary, maybe an older one.
 }
@@ -117,7 +173,7 @@
 	for i := range rapid.IntRange(3, 5).Draw(rt, "servers") {
 		s := drawnServer{
 			ID:       identifier.BackendServerID(rune('a' + i)),
-			State:    rapid.SampledFrom([]string{"answers", "answers", "silent"}).Draw(rt, "state"),
+			State:    rapid.SampledFrom([]string{"answers", "answers", "silent", "lapsed"}).Draw(rt, "state"),
 			Draining: rapid.IntRange(0, 3).Draw(rt, "draining") == 3, Evacuated: rapid.IntRange(0, 3).Draw(rt, "evacuated") == 3,
 			Claims: i == 0 || rapid.IntRange(0, 3).Draw(rt, "claims") == 3,
 		}
@@ -164,6 +220,9 @@
 	for i, d := range g.servers {
 		all[i].Draining, all[i].Evacuated, all[i].ClaimsPrimary = d.Draining, d.Evacuated, d.Claims
 		s.down[d.ID] = d.State != "answers"
+		if d.State == "lapsed" {
+			s.removeEntry(d.ID)
+		}
 	}
 	s.leader, s.lastLed = "", time.Time{}
 	w.silentSince = silentLongEnough()
@@ -177,7 +236,7 @@
 
 // Guards against the loss of acknowledged commits of a service with synchronous
 // replication when its primary fails, whichever replicas drain, are evacuated, are
-// silent or still claim to be the primary, and against a service that is not served
+// silent, still claim to be the primary or have lost their registration, and against a service that is not served
 // although the servers that answer have all commits.
 func TestPromotedServerHasAcknowledgedCommits(t *testing.T) {
 	promoted := 0
--- a/internal/coordination/replacer/replace.go
+++ b/internal/coordination/replacer/replace.go
@@ -18,10 +18,11 @@
 	// lastLeader is the server that this instance last saw leading the service. It
 	// is empty if it has seen none.
 	lastLeader identifier.BackendServerID
-	record     cataloger.Leadership // As last written by this instance.
-	written    time.Duration        // Clock before record was written.
-	acked      time.Duration        // Clock after the announcement was acknowledged.
-	resumed    bool                 // An earlier holder may have requested the promotion of record.Successor.
+	remembered []identifier.BackendServerID // Servers that count as members of the service, also if no longer registered.
+	record     cataloger.Leadership         // As last written by this instance.
+	written    time.Duration                // Clock before record was written.
+	acked      time.Duration                // Clock after the announcement was acknowledged.
+	resumed    bool                         // An earlier holder may have requested the promotion of record.Successor.
 	// requested is set once a promotion of another server may have been or may
 	// be executed. The old primary must not be used again after that.
 	requested  bool
@@ -37,7 +38,7 @@
 	basis cataloger.Leadership, draining *cataloger.BackendServer,
 ) {
 	started := time.Now()
-	p := &replacement{service: service, draining: draining, lastLeader: w.lastLeader}
+	p := &replacement{service: service, draining: draining, lastLeader: w.lastLeader, remembered: w.members.members()}
 	p.steps.begin("announce")
 	err := r.announce(ctx, p, w, basis)
 	if err == nil {
--- a/internal/coordination/replacer/replacer.go
+++ b/internal/coordination/replacer/replacer.go
@@ -155,6 +155,7 @@
 	silentSince    time.Time                  // When contact to the primary was lost; zero while it is reachable.
 	term           identifier.Term            // Of the record under which silentSince was set.
 	lastLeader     identifier.BackendServerID // The server that this instance last saw leading; kept when it does not any more.
+	members        memberHistory              // Of a service with synchronous replication.
 	announcement   uint64                     // Revision of the newest known announcement of another instance.
 	announcedSince time.Time                  // When this instance first knew that announcement.
 	leaving        identifier.BackendServerID // The primary that was last seen to drain or to be evacuated.
@@ -282,6 +283,10 @@
 		w.lastLeader = id
 	}
 	primary, registered := c.Server(service, id)
+	leads := registered && time.Since(lastLed) < recentLeadWindow
+	if c.Configuration.Services[service].SyncReplicas > 0 {
+		w.members.observe(c.Servers[service], leads, time.Now())
+	}
 	if registered && primary.Evacuated && !hasSuccessor(c.Servers[service], id) {
 		r.logBlockedEvacuation(service, w, primary)
 		return
@@ -293,14 +298,14 @@
 		}
 		return
 	}
-	if registered && time.Since(lastLed) < recentLeadWindow {
+	if leads {
 		w.silentSince = time.Time{}
 		return
 	}
 	notNeeded := make(chan struct{})
 	sightings := r.queryPeersUnless(ctx, service, notNeeded)
-	leads, reached := r.queryServers(c, service)
-	if leads {
+	answersAsPrimary, reached := r.queryServers(c, service)
+	if answersAsPrimary {
 		close(notNeeded)
 		w.silentSince = time.Time{}
 		return
