--- /dev/null
+++ b/internal/coordination/replacer/candidate.go
@@ -0,0 +1,151 @@
+package replacer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"oleanderpulley/internal/protocol/requester"
+	"oleanderpulley/internal/state/cataloger"
+	"oleanderpulley/internal/state/identifier"
+)
+
+// Candidate is a server that may become the primary, with the status that it
+// reported.
+type Candidate struct {
+	Server cataloger.BackendServer
+	Member requester.ServerStatus
+}
+
+// String returns the id of the server, the end of its log and whether it leaves.
+func (c Candidate) String() string {
+	text := string(c.Server.ID) + " " + c.Member.Received.String()
+	switch {
+	case c.Server.Draining:
+		text += " draining"
+	case c.Server.Evacuated:
+		text += " evacuated"
+	}
+	return text
+}
+
+// ChooseSuccessor returns the candidate that has received most of the log, leaving
+// out servers that drain or are evacuated. Ties go to the lowest id, so that two
+// instances with the same view choose the same server.
+//
+// If keepsAll is set, the successor must not lack anything that another candidate
+// has. A server that leaves is chosen then if it alone has the longest log; it
+// hands its log over afterwards.
+func ChooseSuccessor(candidates []Candidate, keepsAll bool) (Candidate, bool) {
+	eligible := withoutLeaving(candidates)
+	if keepsAll {
+		longest := longestLogs(candidates)
+		if eligible = withoutLeaving(longest); len(eligible) == 0 {
+			eligible = longest
+		}
+	}
+	if len(eligible) == 0 {
+		return Candidate{}, false
+	}
+	return slices.MinFunc(eligible, func(a, b Candidate) int {
+		return cmp.Or(-comparePositions(a.Member.Received, b.Member.Received), cmp.Compare(a.Server.ID, b.Server.ID))
+	}), true
+}
+
+func withoutLeaving(candidates []Candidate) []Candidate {
+	return slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Server.IsLeaving() })
+}
+
+// longestLogs returns the candidates that have received as much as any other.
+func longestLogs(candidates []Candidate) []Candidate {
+	var end identifier.Position
+	for _, c := range candidates {
+		if comparePositions(c.Member.Received, end) > 0 {
+			end = c.Member.Received
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return comparePositions(c.Member.Received, end) < 0 })
+}
+
+// chooseSuccessor returns the server to promote. The log of a draining primary is
+// handed over to it afterwards; the successor of a failed one must have every
+// acknowledged commit of a service with synchronous replication.
+func (r *Replacer) chooseSuccessor(p *replacement) (Candidate, error) {
+	group := r.replicaGroup(p)
+	candidates := r.collectCandidates(r.Catalog().Servers[p.service], p.draining, group.includesAcknowledgedCommits)
+	for _, candidate := range candidates {
+		if p.draining == nil && !p.requested && r.stillLeads(p, candidate) {
+			return Candidate{}, errors.Wrapf(errPrimaryLeads, "server %s", candidate.Server.ID)
+		}
+	}
+	keepsAll := p.draining == nil && group.syncReplicas > 0
+	next, ok := ChooseSuccessor(candidates, keepsAll)
+	r.logCandidates(p, candidates, next)
+	if !ok {
+		return Candidate{}, errNoCandidate
+	}
+	if keepsAll && !group.includesAcknowledgedCommits(candidates) {
+		return Candidate{}, errors.Wrapf(errCommitsUnknown, "%d servers answered, primary %q and replicas %q may have them",
+			len(candidates), group.primary, group.replicas)
+	}
+	return next, nil
+}
+
+// logCandidates logs what the choice of a successor was based on.
+func (r *Replacer) logCandidates(p *replacement, candidates []Candidate, chosen Candidate) {
+	described := make([]string, len(candidates))
+	for i, c := range candidates {
+		described[i] = c.String()
+	}
+	r.Logger.Info().Str("event", "successor_chosen").Str("service", string(p.service)).Uint64("token", p.record.Revision).
+		Str("successor", string(chosen.Server.ID)).Strs("candidates", described).Send()
+}
+
+// stillLeads reports whether the candidate is the primary that is being replaced
+// and answers that it leads.
+func (r *Replacer) stillLeads(p *replacement, c Candidate) bool {
+	isPrimary := p.record.Server == "" || p.record.Server == c.Server.ID
+	return isPrimary && c.Member.Leads && r.Confirm(c.Server) == nil
+}
+
+// collectCandidates queries all servers but the draining one for their log
+// positions. If all but one have answered and hold every acknowledged commit, it
+// waits at most [lastAnswerTimeout] for the last one, which may be the failed
+// primary.
+func (r *Replacer) collectCandidates(servers []cataloger.BackendServer, draining *cataloger.BackendServer, hasAllCommits func([]Candidate) bool) []Candidate {
+	answers := make(chan *Candidate, len(servers))
+	pending := 0
+	for _, b := range servers {
+		if draining != nil && b.ID == draining.ID {
+			continue
+		}
+		pending++
+		go func() {
+			m, err := r.Status(b)
+			if err != nil {
+				r.Logger.Info().Str("event", "candidate_silent").Str("server", string(b.ID)).Err(err).Send()
+				answers <- nil
+				return
+			}
+			answers <- &Candidate{b, m}
+		}()
+	}
+	var candidates []Candidate
+	var timeout <-chan time.Time
+	for ; pending > 0; pending-- {
+		if pending == 1 && len(candidates) > 0 && draining == nil && hasAllCommits(candidates) {
+			timeout = time.After(lastAnswerTimeout)
+		}
+		select {
+		case c := <-answers:
+			if c != nil {
+				candidates = append(candidates, *c)
+			}
+		case <-timeout:
+			return candidates
+		}
+	}
+	return candidates
+}
--- a/internal/coordination/replacer/decide.go
+++ b/internal/coordination/replacer/decide.go
@@ -7,7 +7,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"oleanderpulley/internal/protocol/requester"
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
 )
@@ -34,63 +33,6 @@
 	promotionWindow = TakeoverTimeout - promoteCallTimeout - 500*time.Millisecond
 )
 
-// Candidate is a server that may become the primary, with the status that it
-// reported.
-type Candidate struct {
-	Server cataloger.BackendServer
-	Member requester.ServerStatus
-}
-
-// String returns the id of the server, the end of its log and whether it leaves.
-func (c Candidate) String() string {
-	text := string(c.Server.ID) + " " + c.Member.Received.String()
-	switch {
-	case c.Server.Draining:
-		text += " draining"
-	case c.Server.Evacuated:
-		text += " evacuated"
-	}
-	return text
-}
-
-// ChooseSuccessor returns the candidate that has received most of the log,
-// leaving out servers that drain or are evacuated. Ties go to the lowest id, so that two instances
-// with the same view choose the same server.
-//
-// If keepsAll is set, the successor must not lack anything that another candidate
-// has. A server that leaves is chosen then if it alone has the longest log; it
-// hands its log over afterwards.
-func ChooseSuccessor(candidates []Candidate, keepsAll bool) (Candidate, bool) {
-	eligible := withoutLeaving(candidates)
-	if keepsAll {
-		longest := longestLogs(candidates)
-		if eligible = withoutLeaving(longest); len(eligible) == 0 {
-			eligible = longest
-		}
-	}
-	if len(eligible) == 0 {
-		return Candidate{}, false
-	}
-	return slices.MinFunc(eligible, func(a, b Candidate) int {
-		return cmp.Or(-comparePositions(a.Member.Received, b.Member.Received), cmp.Compare(a.Server.ID, b.Server.ID))
-	}), true
-}
-
-func withoutLeaving(candidates []Candidate) []Candidate {
-	return slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Server.IsLeaving() })
-}
-
-// longestLogs returns the candidates that have received as much as any other.
-func longestLogs(candidates []Candidate) []Candidate {
-	var end identifier.Position
-	for _, c := range candidates {
-		if comparePositions(c.Member.Received, end) > 0 {
-			end = c.Member.Received
-		}
-	}
-	return slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return comparePositions(c.Member.Received, end) < 0 })
-}
-
 // hasSuccessor reports whether a registered server other than the primary may take
 // over.
 func hasSuccessor(servers []cataloger.BackendServer, primary identifier.BackendServerID) bool {
--- /dev/null
+++ b/internal/coordination/replacer/promote.go
@@ -0,0 +1,106 @@
+package replacer
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"oleanderpulley/internal/state/cataloger"
+	"oleanderpulley/internal/state/identifier"
+)
+
+// promoteAndGrant promotes the server, whose log ends at the position, waits
+// until it leads, and grants its use to all instances. The server is written into
+// the record first, so that an instance that takes over continues with the same
+// one. From then on the instances serve reads up to the position, so that the old
+// primary, whose log may have more, must not be used again.
+func (r *Replacer) promoteAndGrant(ctx context.Context, p *replacement, b cataloger.BackendServer, end identifier.Position) error {
+	p.steps.begin("promotion")
+	next := p.record
+	next.Successor, next.Position = b.ID, end
+	if err := r.write(ctx, p, next); err != nil {
+		return err
+	}
+	p.requested = true
+	r.Announce(p.service, p.record)
+	if err := r.promote(ctx, p, b.ID); err != nil {
+		return err
+	}
+	p.steps.begin("lead")
+	if err := r.awaitLeadership(ctx, b); err != nil {
+		return err
+	}
+	m, err := r.Status(b)
+	if err != nil {
+		return err
+	}
+	p.steps.begin("grant")
+	r.grant(ctx, p, cataloger.Leadership{Term: m.Term, Server: b.ID, Revision: p.record.Revision})
+	return nil
+}
+
+// grant ends the replacement. The peers are told at once; the store gets the
+// record as soon as it answers, also from a later check.
+func (r *Replacer) grant(ctx context.Context, p *replacement, l cataloger.Leadership) {
+	r.Adopt(p.service, l)
+	r.Announce(p.service, l)
+	p.record = l
+	if err := r.write(ctx, p, l); err != nil {
+		r.Logger.Warn().Str("event", "grant_not_written").Str("service", string(p.service)).Err(err).Send()
+	}
+}
+
+// endReplacement restores the record from before a replacement that failed, so
+// that the old primary may be used again. If a promotion may have been executed,
+// the record stays, and a later check resumes the replacement.
+func (r *Replacer) endReplacement(ctx context.Context, p *replacement, err error) {
+	if err == nil || p.requested || p.reinstated || errors.Is(err, ErrRecordChanged) {
+		return
+	}
+	r.grant(ctx, p, cataloger.Leadership{Term: p.record.Term, Server: p.record.Server, Revision: p.record.Revision})
+}
+
+// promote repeats the promotion until it is answered, at most
+// [maxPromoteAttempts] times. Repeating it with the same token is safe. It
+// requests nothing after [promotionWindow], when another instance may take over,
+// or once another instance has changed the record.
+func (r *Replacer) promote(ctx context.Context, p *replacement, id identifier.BackendServerID) error {
+	err := errWindowPassed
+	for range maxPromoteAttempts {
+		if !r.mayPromote(p) {
+			return err
+		}
+		callCtx, cancel := context.WithTimeout(ctx, promoteCallTimeout)
+		err = r.Promote(callCtx, p.service, id, p.record)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		if errors.Is(err, ErrPromotionRefused) {
+			return err
+		}
+		sleep(ctx, promoteRetryDelay)
+	}
+	return err
+}
+
+// mayPromote reports whether this instance is still the only one that may request
+// a promotion under its record.
+func (r *Replacer) mayPromote(p *replacement) bool {
+	unchanged := r.Record(p.service).Revision == p.record.Revision
+	sameEra := r.Era() == cataloger.Era(p.record.Revision)
+	return unchanged && sameEra && r.Clock()-p.written <= promotionWindow
+}
+
+// awaitLeadership waits until the promoted server answers that it leads.
+func (r *Replacer) awaitLeadership(ctx context.Context, b cataloger.BackendServer) error {
+	deadline := time.Now().Add(leadershipTimeout)
+	for ctx.Err() == nil && time.Now().Before(deadline) {
+		if r.Confirm(b) == nil {
+			return nil
+		}
+		sleep(ctx, leadershipPollInterval)
+	}
+	return errors.Wrapf(errNoCandidate, "server %s does not lead after its promotion", b.ID)
+}
