internal/bench/soaker: clients execute prepared statements

Change: each client prepares a read and a write under the same names as all others, with shapes that differ in blanks and underscores, and executes them in a third of its single statements. Each run must have the shape of its client, and prepared reads are checked for staleness like others.

--- a/internal/bench/soaker/check.go
+++ b/internal/bench/soaker/check.go
@@ -37,6 +37,7 @@
 	r.Broken = append(r.Broken, h.checkPrimaries(commits)...)
 	r.Broken = append(r.Broken, checkTokens(e.store.Promotions())...)
 	r.Broken = append(r.Broken, h.checkKeys(runs, e.withdrawn)...)
+	r.Broken = append(r.Broken, h.checkShapes(runs)...)
 	r.Broken = append(r.Broken, h.checkReads(runs, commits)...)
 	r.Broken = append(r.Broken, h.checkRates(runs)...)
 	r.Broken = append(r.Broken, h.checkRecovery()...)
@@ -127,6 +128,20 @@
 	return broken
 }
 
+// checkShapes checks that each execution of a prepared statement ran the shape that
+// its client prepared.
+func (h *history) checkShapes(runs []imitator.Execution) []string {
+	byID := h.byID()
+	var broken []string
+	for _, run := range runs {
+		if o, ok := byID[run.ID]; ok && run.Shape != o.shape {
+			broken = append(broken, fmt.Sprintf("pinned: statement %s ran the shape %q on server %s, its client prepared %q",
+				run.ID, run.Shape, run.Server, o.shape))
+		}
+	}
+	return broken
+}
+
 func (h *history) byID() map[string]operation {
 	byID := make(map[string]operation, len(h.operations))
 	for _, o := range h.operations {
@@ -152,7 +167,8 @@
 	var broken []string
 	for _, run := range runs {
 		o, ok := byID[run.ID]
-		if !ok || run.Code != "" || !strings.HasSuffix(run.Text, "READ item") || len(o.writeIDs) > 0 || o.outcome != acknowledged {
+		isRead := strings.HasSuffix(run.Text, "READ item") || strings.HasPrefix(run.Shape, "READ ")
+		if !ok || run.Code != "" || !isRead || len(o.writeIDs) > 0 || o.outcome != acknowledged {
 			continue
 		}
 		required := acks.highestBefore(o.mustReflect())
--- a/internal/bench/soaker/check_test.go
+++ b/internal/bench/soaker/check_test.go
@@ -46,6 +46,15 @@
 			history: []operation{read("primary")}, withdrawn: map[string]time.Time{"key-shops": at(-1)},
 			runs: []imitator.Execution{{ID: "r", Workspace: "shops", Text: "READ item"}}, want: "key",
 		},
+		"other shape": {
+			history: []operation{{id: "r", workspace: "shops", database: "primary", shape: "READ q 2c", outcome: acknowledged}},
+			runs:    []imitator.Execution{{ID: "r", Workspace: "shops", Text: "EXECUTE p1 item", Shape: "READ q_2c"}}, want: "pinned",
+		},
+		"stale execution": {
+			history: []operation{write("w", acknowledged), {id: "r", workspace: "shops", database: "bounded_staleness", shape: "READ q", sent: at(5), outcome: acknowledged}},
+			commits: []imitator.Commit{{IDs: []string{"w"}, Number: 4}},
+			runs:    []imitator.Execution{{ID: "r", Workspace: "shops", Text: "AFTER 1.3 EXECUTE p1 item", Shape: "READ q", Received: 3}}, want: "stale",
+		},
 		"stale": {
 			history: []operation{write("w", acknowledged), read("bounded_staleness")},
 			commits: []imitator.Commit{{IDs: []string{"w"}, Number: 4}},
@@ -72,6 +81,7 @@
 			broken := h.checkWrites(test.commits)
 			broken = append(broken, h.checkPrimaries(test.commits)...)
 			broken = append(broken, h.checkKeys(test.runs, test.withdrawn)...)
+			broken = append(broken, h.checkShapes(test.runs)...)
 			broken = append(broken, h.checkReads(test.runs, test.commits)...)
 			broken = append(broken, h.checkRates(test.runs)...)
 			qt.Assert(t, broken, qt.HasLen, 1)
--- a/internal/bench/soaker/client.go
+++ b/internal/bench/soaker/client.go
@@ -43,6 +43,7 @@
 	instance                     string // Name of the instance that it was sent to.
 	writeIDs                     []string
 	statementIDs                 []string // Statements that were sent.
+	shape                        string   // "READ shape" or "WRITE shape" if a prepared statement was executed.
 	lastWrite                    string   // Statement id of the last acknowledged write of the session.
 	sent, answered               time.Time
 	outcome                      outcome
@@ -99,6 +100,9 @@
 	if code, _, err := c.exchange("STARTUP " + database + " " + credential.key); err != nil || code != "" {
 		return
 	}
+	if err := c.prepareStatements(); err != nil {
+		return
+	}
 	lastWrite := ""
 	for range maxSessionOperations {
 		select {
@@ -116,6 +120,51 @@
 	}
 }
 
+// shapeTexts are the shapes of the clients' prepared statements. They differ only in
+// characters that a name on the wire cannot have or that may stand for them.
+var shapeTexts = []string{"q 2c", "q_2c", "q  2c", "q2c"}
+
+// preparedEvery is the number of statement ids of which one is executed as a
+// prepared statement where the operation is a single read or write.
+const preparedEvery = 3
+
+// prepareStatements prepares a read as s1 and a write as s2. The names are the same for
+// all clients, the shapes are not.
+func (c *client) prepareStatements() error {
+	for name, access := range map[string]string{"s1": "READ ", "s2": "WRITE "} {
+		code, _, err := c.exchange("QUERY " + c.newID() + " PREPARE " + name + " " + access + c.shapeText())
+		if err == nil && code != "" {
+			err = errors.Wrapf(errUnexpectedAnswer, "PREPARE: %s", code)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *client) shapeText() string {
+	return shapeTexts[c.number%len(shapeTexts)]
+}
+
+// readOrWriteText returns the text of a single read or write, and sets the shape of the
+// operation if it is the execution of a prepared statement.
+func (c *client) readOrWriteText(o *operation) string {
+	isPrepared := c.count%preparedEvery == 0
+	switch {
+	case isPrepared && len(o.writeIDs) > 0:
+		o.shape = "WRITE " + c.shapeText()
+		return "EXECUTE s2 item " + o.id
+	case isPrepared:
+		o.shape = "READ " + c.shapeText()
+		return "EXECUTE s1 item"
+	case len(o.writeIDs) > 0:
+		return "WRITE item " + o.id
+	default:
+		return "READ item"
+	}
+}
+
 // sendOperation sends one random operation and records it. An error ends the
 // session.
 func (c *client) sendOperation(o *operation) error {
@@ -124,11 +173,11 @@
 	switch kind := c.random.IntN(10); {
 	case kind < 5:
 		o.id = c.newID()
-		err = c.sendStatement(o, "READ item")
+		err = c.sendStatement(o, c.readOrWriteText(o))
 	case kind < 8:
 		o.id = c.newID()
 		o.writeIDs = []string{o.id}
-		err = c.sendStatement(o, "WRITE item "+o.id)
+		err = c.sendStatement(o, c.readOrWriteText(o))
 	default:
 		err = c.sendTransaction(o)
 	}
