internal/coordination/replacer: a group without answers covers no commits

What callers would see: the commits of a service with syncReplicas are gone after its primary has restarted with nothing, while no replica is registered. Cause: the number of replicas that must answer was negative if fewer replicas are known than receive a commit before it is acknowledged, so that no answer at all was enough. Change: at least one replica must answer. Evidence: TestGroupWithoutAnswersCoversNothing failed in both cases before; it and the package's tests pass, the property test with 30,000 draws.

--- a/internal/coordination/replacer/durability.go
+++ b/internal/coordination/replacer/durability.go
@@ -35,7 +35,7 @@
 			return true
 		}
 	}
-	return answered > len(g.replicas)-g.syncReplicas
+	return answered > max(0, len(g.replicas)-g.syncReplicas)
 }
 
 // replicaGroup returns the group whose primary is to be replaced.
--- a/internal/coordination/replacer/durability_test.go
+++ b/internal/coordination/replacer/durability_test.go
@@ -151,6 +151,21 @@
 	qt.Assert(t, s.leader, qt.Equals, identifier.BackendServerID("a"))
 }
 
+// Guards against the promotion of a server that holds nothing: a former primary that
+// has lost its log counts for no commits, and a group of which no replica is known
+// needed no answer.
+func TestGroupWithoutAnswersCoversNothing(t *testing.T) {
+	restarted := candidate("a", false, 0, 0)
+	for name, g := range map[string]replicaGroup{
+		"no replica is known":          {primary: "a", term: 2, syncReplicas: 1},
+		"fewer are known than must be": {primary: "a", term: 2, syncReplicas: 2, replicas: []identifier.BackendServerID{"b"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			qt.Assert(t, g.includesAcknowledgedCommits([]Candidate{restarted}), qt.IsFalse)
+		})
+	}
+}
+
 // drawnGroup is a group of servers with synchronous replication at the moment
 // when its primary has failed.
 type drawnGroup struct {
