internal/coordination/replacer: wait for instances that were removed just now

What callers could see: for up to 1.4 s, stale reads or writes that are lost through an instance that peers have removed by mistake, as they cannot reach it, while a primary is replaced. Cause: only registered instances had to confirm an announcement, but a permit depends on the proof of a catalog, which outlives the registration. Change: an instance remembers registrations that disappear from its catalog and counts them for the validity of a permit. Evidence: TestInstanceThatWasRemovedJustNowIsWaitedFor failed before (promoted without a wait), and passes; the tests of the package pass, also with -race.

--- a/internal/coordination/replacer/doc.go
+++ b/internal/coordination/replacer/doc.go
@@ -10,7 +10,8 @@
 //
 // No instance uses the old primary any more when the promotion is requested:
 // each has confirmed the announcement, or the old primary has stepped down, or
-// the permits of package fencer have expired.
+// the permits of package fencer have expired. An instance whose registration was
+// removed just now may still hold a permit and counts as well.
 //
 // A failed primary is replaced when this instance could not reach it for a
 // while, another instance and a server of the service answer, and no instance
--- a/internal/coordination/replacer/fence.go
+++ b/internal/coordination/replacer/fence.go
@@ -59,8 +59,9 @@
 }
 
 // instancesToRevoke returns the instances that may hold a permit: those that are
-// registered after the announcement and those that this instance knew before.
-// It reports false if the registrations could not be read.
+// registered after the announcement, those that this instance knew before, and those
+// whose registration was removed so recently that their permits are still valid. It
+// reports false if the registrations could not be read.
 func (r *Replacer) instancesToRevoke(ctx context.Context) ([]identifier.InstanceID, bool) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -68,8 +69,12 @@
 	if err != nil {
 		r.Logger.Warn().Str("event", "members_not_read").Err(err).Send()
 	}
+	r.observeInstances()
 	all := maps.Clone(r.Catalog().Instances)
 	maps.Copy(all, registered)
+	for _, id := range r.recentlyRemoved() {
+		all[id] = cataloger.Instance{ID: id}
+	}
 	delete(all, r.Self)
 	return slices.Collect(maps.Keys(all)), err == nil
 }
--- a/internal/coordination/replacer/replacer.go
+++ b/internal/coordination/replacer/replacer.go
@@ -125,6 +125,7 @@
 	watches   map[identifier.ServiceName]*serviceWatch
 	lastUsed  map[identifier.ServiceName]time.Time
 	handovers int // Hand-overs of evacuated primaries that this instance performs.
+	removals  removalHistory
 }
 
 // RecordUse records that this instance uses the service. Only services in use
@@ -150,6 +151,7 @@
 			return
 		case <-ticker.C:
 		}
+		r.observeInstances()
 		for _, service := range r.servicesToCheck() {
 			w := r.beginCheck(service)
 			if w == nil {
--- a/internal/coordination/replacer/replacer_test.go
+++ b/internal/coordination/replacer/replacer_test.go
@@ -496,3 +496,26 @@
 	w.leavingSince = w.leavingSince.Add(-delayPerRank)
 	qt.Assert(t, len(s.check(r, w)) > 0, qt.IsTrue)
 }
+
+// Guards against the use of the old primary after a promotion by an instance whose
+// registration was removed by mistake just before the announcement: it is not among
+// those that must confirm, but its permit is valid for a while longer.
+func TestInstanceThatWasRemovedJustNowIsWaitedFor(t *testing.T) {
+	s := newFakeService()
+	r := s.replacer()
+	r.observeInstances()
+	next := *s.catalog
+	next.Instances = map[identifier.InstanceID]cataloger.Instance{"one": {}}
+	s.catalog = &next
+	s.silent["two"] = true
+	replacementTime := func() time.Duration {
+		s.fail("a")
+		started := time.Now()
+		calls := s.check(r, &serviceWatch{silentSince: silentLongEnough()})
+		qt.Assert(t, len(calls) > 0, qt.IsTrue)
+		qt.Assert(t, s.leader, qt.Equals, identifier.BackendServerID("c"))
+		return time.Since(started)
+	}
+	qt.Assert(t, replacementTime() >= testValidity, qt.IsTrue)
+	qt.Assert(t, replacementTime() < testValidity, qt.IsTrue) // Its permit has ended.
+}
