--- a/internal/command/starter/forward.go
+++ b/internal/command/starter/forward.go
@@ -319,7 +319,7 @@
 
 // runMaintenance periodically ends the transactions forwarded by peers that are
 // gone, closes unused connections to servers, records the age of the
-// configuration proof and logs the activity.
+// configuration proof, and logs the activity and suspensions of the machine.
 func (s *Starter) runMaintenance(ctx context.Context) {
 	ticker := time.NewTicker(time.Second)
 	defer ticker.Stop()
@@ -331,6 +331,7 @@
 		}
 		s.sessions.ExpireForwarded(sessioner.ForwardedTransactionTimeout)
 		s.recordProofAge()
+		s.logSuspension()
 		s.lender.CloseIdle()
 		if i%activityLogInterval == 0 {
 			s.logActivity()
@@ -348,6 +349,7 @@
 		Uint64("served", a.Served.Load()).Uint64("late", a.Late.Load()).
 		Uint64("failed", a.Failed.Load()).Uint64("refused", a.Refused.Load()).
 		Uint64("replica_reads", a.ReplicaReads.Load()).Uint64("primary_reads", a.PrimaryReads.Load()).
+		Uint64("leadership_floors", a.LeadershipFloors.Load()).
 		Int64("peer_bytes_sent", s.peers.Counters.BytesSent.Load()).
 		Int64("peer_messages_sent", s.peers.Counters.MessagesSent.Load()).
 		Int("peer_links", s.peers.Links()).Stringer("store_calls", &s.storeCalls).Send()
--- a/internal/command/starter/leadership.go
+++ b/internal/command/starter/leadership.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
 )
@@ -40,7 +42,12 @@
 		s.balancer.RecordLeader(service, l.Server, l.Term, time.Now())
 	}
 	s.Logger.Info().Str("event", "leadership_changed").Str("service", string(service)).Str("server", string(l.Server)).
-		Uint64("term", uint64(l.Term)).Str("holder", string(l.Holder)).Uint64("revision", l.Revision).Send()
+		Uint64("term", uint64(l.Term)).Str("holder", string(l.Holder)).Uint64("revision", l.Revision).
+		Func(func(e *zerolog.Event) {
+			if l.IsReplacing() {
+				e.Str("successor", string(l.Successor)).Stringer("position", l.Position)
+			}
+		}).Send()
 	if l.Term > 0 && !l.IsReplacing() {
 		go s.stepDownReplaced(service, l)
 	}
--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -74,6 +74,7 @@
 	peersOf            *cataloger.Catalog                               // To which messenger and limiter were updated last.
 	evacuations        map[identifier.DataCentre]cataloger.Evacuation   // Of the current catalog.
 	search             follower.Search                                  // For a proof from other instances.
+	suspensions        suspensionDetector
 	draining           atomic.Bool
 	clientListenerDone chan struct{}
 	cancel             context.CancelFunc
--- a/internal/transport/sessioner/floor.go
+++ b/internal/transport/sessioner/floor.go
@@ -6,6 +6,7 @@
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
 	"oleanderpulley/internal/state/sampler"
+	"oleanderpulley/internal/transport/reporter"
 )
 
 // floorPause is the pause between two attempts to get a position sample.
@@ -16,8 +17,20 @@
 type floor struct {
 	position identifier.Position
 	age      time.Duration // Time since the primary reported the position.
+	source   floorSource
 }
 
+// floorSource tells where a floor came from, in logs and metrics.
+type floorSource string
+
+// Sources of floors.
+const (
+	fromSample     floorSource = "sample"     // Of the primary, reported to this instance.
+	fromPeer       floorSource = "peer"       // Of the primary, fetched from a peer for this read.
+	fromOwnCommit  floorSource = "own_commit" // The session's newest commit.
+	fromLeadership floorSource = "leadership" // The leadership record of a replacement that is under way.
+)
+
 // floor returns the floor for a read on a replica. If no sample is within the
 // route's maximum staleness, it requests one from the primary and then from the
 // peers, until the search deadline of the operation. It returns errProofTooOld at
@@ -26,24 +39,22 @@
 	s := n.server
 	samples := s.Sampler(o.route.Service)
 	since := o.arrived.Add(-o.route.MaxStaleness)
+	source := fromSample
 	defer o.trace.addPositionWait(time.Now())
 	for {
 		if end, ok := s.successorSample(o.route.Service); ok && !end.RequestedAt.Before(since) {
-			f := n.withOwnWrites(o, end)
-			o.trace.floor = f
-			return f, nil
+			return n.chooseFloor(o, end, fromLeadership), nil
 		}
 		if shared, ok := samples.Floor(since); ok {
 			n.refreshEarly(o)
-			f := n.withOwnWrites(o, shared)
-			o.trace.floor = f
-			return f, nil
+			return n.chooseFloor(o, shared, source), nil
 		}
 		s.refresh(o)
 		if _, ok := samples.Floor(since); ok {
 			continue
 		}
 		if s.FetchPeerSample != nil && s.FetchPeerSample(o.route.Service, since) {
+			source = fromPeer
 			continue
 		}
 		if !s.Fencer.IsProven() {
@@ -77,17 +88,31 @@
 	}
 }
 
+// chooseFloor returns the floor of the shared sample with the session's own writes,
+// and records it in the trace and the metrics.
+func (n *session) chooseFloor(o operation, shared sampler.Sample, source floorSource) floor {
+	f := n.withOwnWrites(o, shared, source)
+	o.trace.floor = f
+	if f.source == fromLeadership {
+		n.server.Activity.LeadershipFloors.Add(1)
+	}
+	if n.server.Registry != nil {
+		n.server.Registry.Count(reporter.Series{Name: "read_floors", Reason: string(f.source)}, 1)
+	}
+	return f
+}
+
 // withOwnWrites returns the floor of the shared sample, raised to the session's
 // newest commit on routes that read their own writes. A commit of an older term
 // than the shared sample is either included in the sample's position or was
 // discarded by the promotion.
-func (n *session) withOwnWrites(o operation, shared sampler.Sample) floor {
-	f := floor{shared.Position, o.arrived.Sub(shared.RequestedAt)}
+func (n *session) withOwnWrites(o operation, shared sampler.Sample, source floorSource) floor {
+	f := floor{shared.Position, o.arrived.Sub(shared.RequestedAt), source}
 	if o.route.Consistency != cataloger.ReadOwnWrites || n.lastCommit.Term < f.position.Term {
 		return f
 	}
 	if n.lastCommit.Term > f.position.Term || n.lastCommit.Offset > f.position.Offset {
-		return floor{n.lastCommit, o.arrived.Sub(n.lastCommitAt)}
+		return floor{n.lastCommit, o.arrived.Sub(n.lastCommitAt), fromOwnCommit}
 	}
 	return f
 }
--- a/internal/transport/sessioner/log.go
+++ b/internal/transport/sessioner/log.go
@@ -20,6 +20,7 @@
 type Activity struct {
 	Served, Late, Failed, Refused atomic.Uint64
 	ReplicaReads, PrimaryReads    atomic.Uint64 // Reads outside transactions, by the role of the server that ran them.
+	LeadershipFloors              atomic.Uint64 // Floors of reads that came from the leadership record of a replacement.
 	Panics                        atomic.Uint64 // Sessions that ended by a panic.
 }
 
@@ -95,7 +96,7 @@
 		e.Str("forwarded_to", string(t.peer))
 	}
 	if !t.floor.position.IsZero() {
-		e.Str("floor", t.floor.position.String()).Int64("floor_age_ms", t.floor.age.Milliseconds())
+		e.Str("floor", t.floor.position.String()).Int64("floor_age_ms", t.floor.age.Milliseconds()).Str("floor_from", string(t.floor.source))
 	}
 	if t.count > 0 {
 		e.Str("tries", t.String())
