--- a/internal/coordination/replacer/model_test.go
+++ b/internal/coordination/replacer/model_test.go
@@ -19,12 +19,15 @@
 	"oleanderpulley/internal/protocol/requester"
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
+	"oleanderpulley/internal/state/sampler"
 )
 
 // The model runs replacers and fencers of several instances against a simulated
 // store, platform and database group, in simulated time. Instances sleep at any
-// point, links are cut, servers crash, calls of the platform are executed late,
-// and the store comes back from older copies.
+// point and start again, links are cut, servers crash, drain or receive nothing, calls
+// of the platform are executed late, and the store comes back from older copies. The
+// instances write at the primary and read at all servers; each read has a floor, like
+// those of package sessioner.
 
 const (
 	modelService   = identifier.ServiceName("rentals")
@@ -52,6 +55,9 @@
 	At       time.Duration
 	Duration time.Duration
 	Target   int // Number of an instance or a server.
+	// AfterSuccessor makes At count from the moment at which a record with a successor
+	// is in the store.
+	AfterSuccessor bool
 }
 
 // faultKinds has the faults of the primary twice, because only they make the
@@ -61,10 +67,14 @@
 	"store away", "late promotions", "old copy",
 }
 
-func drawFaults(t *rapid.T) []modelFault {
+// groupFaultKinds are the faults of a replacement that takes effect late, or of which
+// an instance does not know.
+var groupFaultKinds = []string{"deaf replica", "deaf replica", "crash replica", "drain", "restart"}
+
+func drawFaults(t *rapid.T, kinds []string) []modelFault {
 	one := rapid.Custom(func(t *rapid.T) modelFault {
 		return modelFault{
-			Kind:     rapid.SampledFrom(faultKinds).Draw(t, "kind"),
+			Kind:     rapid.SampledFrom(kinds).Draw(t, "kind"),
 			At:       time.Duration(rapid.IntRange(2000, 25000).Draw(t, "at")) * time.Millisecond,
 			Duration: time.Duration(rapid.IntRange(300, 9000).Draw(t, "duration")) * time.Millisecond,
 			Target:   rapid.IntRange(0, modelInstances-1).Draw(t, "target"),
@@ -80,7 +90,8 @@
 	fenced   bool // A promotion ends the old primary.
 	defect   defect
 	start    time.Time
-	broken   []string
+	broken   []string // What breaks the rule of one primary.
+	stale    []string // Reads on old logs.
 	acked    int
 	promoted int
 
@@ -96,6 +107,9 @@
 	instances []*modelInstance
 	primary   *modelServer
 	term      identifier.Term
+	delayed   time.Duration // From the execution of a promotion until the server leads, with what it has received by then.
+	reads     []modelRead
+	running   sync.WaitGroup
 	cutServer *modelServer   // Is reached only by cutWith, which reaches no other server.
 	cutWith   *modelInstance // Reaches neither the store nor the others.
 }
@@ -106,14 +120,6 @@
 	number uint64
 }
 
-type modelServer struct {
-	id       identifier.BackendServerID
-	leads    bool
-	crashed  bool
-	term     identifier.Term
-	received identifier.LogOffset
-}
-
 type modelInstance struct {
 	m        *model
 	id       identifier.InstanceID
@@ -127,6 +133,9 @@
 	lastLed  time.Time
 	ledBy    identifier.BackendServerID
 	ledTerm  identifier.Term
+	samples  sampler.Sampler
+	stop     func() // Ends the process of the instance.
+	dead     bool
 }
 
 func newModel(seed uint64, fenced bool, d defect) *model {
@@ -137,6 +146,7 @@
 	for i := range 3 {
 		m.servers = append(m.servers, &modelServer{id: identifier.BackendServerID(rune('a' + i)), term: 1})
 	}
+	m.delayed = minPromotionDelay + time.Duration(m.random.IntN(int(maxPromotionDelay-minPromotionDelay)))
 	m.primary = m.servers[0]
 	m.primary.leads = true
 	for i := range modelInstances {
@@ -151,6 +161,7 @@
 	i.holder.Now = func() time.Duration { return time.Since(m.start) }
 	i.holder.Replace(m.catalog(nil))
 	i.fencer.Holder = &i.holder
+	i.fencer.OnChange = i.leadershipChanged
 	r := &i.replacer
 	r.Self = i.id
 	r.Catalog = i.holder.Catalog
@@ -189,8 +200,15 @@
 	return i
 }
 
+// all returns the running instances.
+func (m *model) all() []*modelInstance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.instances)
+}
+
 func (m *model) instance(id identifier.InstanceID) *modelInstance {
-	for _, i := range m.instances {
+	for _, i := range m.all() {
 		if i.id == id {
 			return i
 		}
@@ -215,7 +233,7 @@
 		Leaderships:   records,
 	}
 	for _, s := range m.servers {
-		c.Servers[modelService] = append(c.Servers[modelService], cataloger.BackendServer{ID: s.id, Service: modelService})
+		c.Servers[modelService] = append(c.Servers[modelService], cataloger.BackendServer{ID: s.id, Service: modelService, Draining: s.draining})
 	}
 	for n := range modelInstances {
 		id := identifier.InstanceID(fmt.Sprint("i", n))
@@ -254,7 +272,7 @@
 func (i *modelInstance) reachesPeer(o *modelInstance) bool {
 	i.m.mu.Lock()
 	defer i.m.mu.Unlock()
-	return !i.cutPeers && !o.cutPeers
+	return !i.cutPeers && !o.cutPeers && !i.dead && !o.dead
 }
 
 // reaches reports whether the instance reaches the server. The caller holds mu.
@@ -272,7 +290,7 @@
 	i.m.mu.Lock()
 	s := i.m.server(id)
 	reached, leads := i.reaches(s), s.leads
-	term := s.term
+	term, end := s.term, s.log.position()
 	i.m.mu.Unlock()
 	i.pause()
 	if !reached {
@@ -282,12 +300,14 @@
 		return fencer.ErrNotLeading
 	}
 	if permitted && permit.Allows(id) && i.fencer.IsHeld(permit) {
-		i.recordLed(id, term, sent)
+		i.recordLed(id, term, end, sent)
 	}
 	return nil
 }
 
-func (i *modelInstance) recordLed(id identifier.BackendServerID, term identifier.Term, sent time.Time) {
+// recordLed records that the server led when it reported the end of its log.
+func (i *modelInstance) recordLed(id identifier.BackendServerID, term identifier.Term, end identifier.Position, sent time.Time) {
+	i.samples.Add(sampler.Sample{Position: end, RequestedAt: sent})
 	i.m.mu.Lock()
 	defer i.m.mu.Unlock()
 	if term >= i.ledTerm {
@@ -307,7 +327,7 @@
 	if stepDown > s.term {
 		s.leads = false
 	}
-	answer := requester.ServerStatus{Leads: s.leads, Term: s.term, Received: identifier.Position{Term: s.term, Offset: s.received}}
+	answer := requester.ServerStatus{Leads: s.leads, Term: s.term, Received: s.log.position()}
 	i.m.mu.Unlock()
 	i.pause()
 	return answer, nil
@@ -316,8 +336,8 @@
 func (i *modelInstance) queryPeers(_ context.Context, _ identifier.ServiceName, since time.Time) replacer.PeerSightings {
 	i.pause()
 	result := replacer.PeerSightings{Asked: modelInstances - 1}
-	for _, o := range i.m.instances {
-		if o == i || !i.reachesPeer(o) {
+	for _, o := range i.m.all() {
+		if o.id == i.id || !i.reachesPeer(o) {
 			continue
 		}
 		i.m.mu.Lock()
@@ -419,9 +439,9 @@
 }
 
 func (i *modelInstance) announce(_ identifier.ServiceName, l cataloger.Leadership) {
-	for _, o := range i.m.instances {
+	for _, o := range i.m.all() {
 		go func() {
-			if o != i && i.reachesPeer(o) {
+			if o.id != i.id && i.reachesPeer(o) {
 				o.pause()
 				o.fencer.Observe(modelService, l)
 			}
@@ -438,8 +458,11 @@
 		i.m.broken = append(i.m.broken, fmt.Sprintf("token %d of %s is lower than %d", l.Revision, i.id, i.m.highest))
 	}
 	i.m.tokens[l.Revision], i.m.highest = i.id, max(i.m.highest, l.Revision)
-	late := i.m.late
+	late, dead := i.m.late, i.dead
 	i.m.mu.Unlock()
+	if dead {
+		return replacer.ErrPromotionUnknown
+	}
 	if late {
 		time.AfterFunc(2*time.Second, func() { i.m.executePromotion(id) })
 		time.Sleep(1500 * time.Millisecond)
@@ -453,26 +476,6 @@
 	return nil
 }
 
-func (m *model) executePromotion(id identifier.BackendServerID) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	s := m.server(id)
-	if s.crashed {
-		return false
-	}
-	if s == m.primary {
-		return true
-	}
-	m.promoted++
-	m.term++
-	if m.fenced || (m.primary.crashed) {
-		m.primary.leads = false
-	}
-	m.primary = s
-	s.leads, s.term = true, m.term
-	return true
-}
-
 // follow polls the store, as package follower does.
 func (i *modelInstance) follow(done <-chan struct{}) {
 	for {
@@ -519,8 +522,8 @@
 // collectRecords does what an instance does when the store came back from a
 // copy.
 func (i *modelInstance) collectRecords(era uint64) {
-	for _, o := range i.m.instances {
-		if o == i {
+	for _, o := range i.m.all() {
+		if o.id == i.id {
 			continue
 		}
 		if !i.reachesPeer(o) {
@@ -573,7 +576,7 @@
 		i.m.mu.Unlock()
 		return
 	}
-	s.received++
+	commit := i.m.commit(s)
 	replaced := s != i.m.primary
 	term := s.term
 	i.m.mu.Unlock()
@@ -581,19 +584,50 @@
 	if !i.fencer.IsHeld(permit) && i.m.defect != noRecheck {
 		return
 	}
-	i.recordLed(id, term, sent)
+	i.m.mu.Lock()
+	dead := i.dead
+	i.m.mu.Unlock()
+	if dead {
+		return
+	}
+	i.recordLed(id, term, commit.position(), sent)
 	i.m.mu.Lock()
 	defer i.m.mu.Unlock()
 	i.m.acked++
+	commit.acked = time.Now()
 	if replaced {
 		i.m.broken = append(i.m.broken, fmt.Sprintf("%s acknowledged at %v a write that replaced primary %s ran, primary %s",
 			i.id, time.Since(i.m.start), id, i.m.primary.id))
 	}
 }
 
+// awaitSuccessor waits until the record in the store has a successor, or the run ends.
+func (m *model) awaitSuccessor() {
+	for time.Since(m.start) < modelLength {
+		m.mu.Lock()
+		chosen := m.objects["record"].Successor != ""
+		m.mu.Unlock()
+		if chosen {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// holder returns the number of the instance that replaces the primary, by the record in
+// the store.
+func (m *model) holder() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.IndexFunc(m.instances, func(i *modelInstance) bool { return i.id == m.objects["record"].Holder })
+}
+
 func (m *model) inject(f modelFault) {
+	if f.AfterSuccessor {
+		m.awaitSuccessor()
+	}
 	time.Sleep(f.At)
-	i := m.instances[f.Target]
+	i := m.all()[f.Target]
 	set := func(change func(on bool)) {
 		m.mu.Lock()
 		change(true)
@@ -615,6 +649,11 @@
 		set(func(on bool) { i.cutPeers = on })
 	case "cut from store":
 		set(func(on bool) { i.cutStore = on })
+	case "cut of the holder from store":
+		if n := m.holder(); n >= 0 {
+			i = m.all()[n]
+			set(func(on bool) { i.cutStore = on })
+		}
 	case "cut from primary":
 		set(func(on bool) {
 			i.cutFrom = nil
@@ -631,6 +670,28 @@
 			s.crashed = on
 			s.leads = s.leads && s == m.primary
 		})
+	case "crash replica":
+		s := m.replica(f.Target)
+		set(func(on bool) { s.crashed = on })
+	case "deaf replica":
+		s := m.replica(f.Target)
+		set(func(on bool) { s.deaf = on })
+	case "drain":
+		var s *modelServer
+		set(func(on bool) {
+			if on {
+				s = m.primary
+			}
+			s.draining = on
+		})
+	case "restart":
+		m.restart(f.Target, f.Duration)
+	case "restart of others":
+		for n := range modelInstances {
+			if n != m.holder() {
+				m.running.Go(func() { m.restart(n, f.Duration) })
+			}
+		}
 	case "store away":
 		set(func(on bool) { m.storeAway = on })
 	case "late promotions":
@@ -651,23 +712,26 @@
 
 // run plays the faults and returns what was broken.
 func (m *model) run(faults []modelFault) {
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	var tasks sync.WaitGroup
-	for _, i := range m.instances {
-		i.poll()
-		tasks.Go(func() { i.follow(done) })
-		tasks.Go(func() { i.write(done) })
-		tasks.Go(func() { i.replacer.Run(ctx) })
+	for _, i := range m.all() {
+		m.begin(i)
 	}
+	done := make(chan struct{})
+	m.running.Go(func() { m.replicate(done) })
+	var injected sync.WaitGroup
 	for _, f := range faults {
-		tasks.Go(func() { m.inject(f) })
+		injected.Go(func() { m.inject(f) })
 	}
 	time.Sleep(modelLength)
-	close(done)
-	cancel()
-	tasks.Wait()
+	injected.Wait()
+	for _, i := range m.all() {
+		if !i.dead {
+			i.stop()
+		}
+	}
 	time.Sleep(5 * time.Second) // Ends late promotions and messages.
+	close(done)
+	m.running.Wait()
+	m.checkReads()
 }
 
 // playModel runs the model in simulated time.
@@ -685,7 +749,7 @@
 func TestModelKeepsOnePrimary(t *testing.T) {
 	acked, promoted := 0, 0
 	rapid.Check(t, func(rt *rapid.T) {
-		faults := drawFaults(rt)
+		faults := drawFaults(rt, faultKinds)
 		fenced := rapid.Bool().Draw(rt, "fenced")
 		m := playModel(t, rapid.Uint64().Draw(rt, "seed"), fenced, noDefect, faults)
 		acked, promoted = acked+m.acked, promoted+m.promoted
--- a/internal/transport/sessioner/floor.go
+++ b/internal/transport/sessioner/floor.go
@@ -42,7 +42,7 @@
 	source := fromSample
 	defer o.trace.addPositionWait(time.Now())
 	for {
-		if end, ok := s.successorSample(o.route.Service); ok && !end.RequestedAt.Before(since) {
+		if end, ok := s.Fencer.SuccessorSample(o.route.Service); ok && !end.RequestedAt.Before(since) {
 			return n.chooseFloor(o, end, fromLeadership), nil
 		}
 		if shared, ok := samples.Floor(since); ok {
@@ -66,18 +66,6 @@
 	}
 }
 
-// successorSample returns the end of the log of the server that is being made the
-// primary as a sample, if a replacement has come that far. It is as recent as the
-// proof that the replacement goes on.
-func (s *Server) successorSample(service identifier.ServiceName) (sampler.Sample, bool) {
-	age, proven := s.Holder.Age()
-	l := s.Fencer.Record(service)
-	if !proven || !l.IsReplacing() || l.Position.IsZero() {
-		return sampler.Sample{}, false
-	}
-	return sampler.Sample{Position: l.Position, RequestedAt: time.Now().Add(-age)}, true
-}
-
 // refreshEarly requests a new sample in the background when the newest one is
 // older than half of the route's maximum staleness, so that reads rarely wait
 // for a sample.
