internal/coordination/replacer: reads rely on the log of a primary only if it was handed over

Cause: the record of a replacement had the end of the successor's log as it was when it was chosen, and all instances read up to it. That is a lower bound only if the commits beyond it are rolled back. They are kept if the successor receives more before it leads, or if another server is promoted in the end. Class: a value that was observed once is used as a promise about the future.

Change: the record has a position only if the primary has stepped down, when its log is final (handed_over). After a failure reads use the samples of the old primary as long as these are recent enough. An instance that takes over clears the position. The earlier field "position" is neither read nor written, so that an instance of the build before uses none, and this one does not trust its.

Shown: before, TestReadsInAReplacementHaveAcknowledgedCommits failed with 736, 48 and 408 stale reads (promotion without an answer, cut that ends before the successor leads, old primary that leads again); now with none. TestReadsGoOnWhileTheSuccessorIsPromoted claimed that reads may go on by the successor's position; TestReadsGoOnDuringAHandOver claims it of a log that was handed over, and that they stop otherwise. In the model a replaced primary that leads on joins the new one after 1 s, as the platform's do.

--- a/internal/coordination/fencer/fencer.go
+++ b/internal/coordination/fencer/fencer.go
@@ -182,7 +182,7 @@
 		merged = earlier
 		merged.Carried = true
 	case later.Term == earlier.Term && restored && later.Successor == "" && earlier.Successor != "":
-		merged.Successor, merged.Position = earlier.Successor, earlier.Position
+		merged.Successor = earlier.Successor
 		merged.Carried = true
 	}
 	merged.Revision = later.Revision
--- a/internal/coordination/replacer/handover.go
+++ b/internal/coordination/replacer/handover.go
@@ -38,12 +38,12 @@
 	if final.Leads {
 		return errors.Wrapf(errPrimaryLeads, "server %s after its step-down", draining.ID)
 	}
+	p.handedOver = final.Received
 	if r.awaitPosition(ctx, next, final.Received) {
-		p.handedOver = final.Received
 		return nil
 	}
 	err = errors.Wrapf(errSuccessorBehind, "server %s", next.ID)
-	if restoreErr := r.promoteAndGrant(ctx, p, draining, final.Received); restoreErr != nil {
+	if restoreErr := r.promoteAndGrant(ctx, p, draining); restoreErr != nil {
 		return errors.Wrap(restoreErr, err.Error())
 	}
 	p.reinstated = true
--- a/internal/coordination/replacer/model_server_test.go
+++ b/internal/coordination/replacer/model_server_test.go
@@ -11,6 +11,9 @@
 	replicationInterval = 40 * time.Millisecond
 	minPromotionDelay   = 50 * time.Millisecond
 	maxPromotionDelay   = time.Second
+	// rejoinDelay is the time after which a replaced primary that reaches the new one
+	// becomes its replica. It leads on until then where promotions do not end it.
+	rejoinDelay = time.Second
 )
 
 // modelServer is one backend server of the group.
@@ -20,6 +23,7 @@
 	crashed  bool
 	deaf     bool // Receives nothing.
 	draining bool
+	reached  time.Duration // For which a replaced primary that leads has reached the new one.
 	term     identifier.Term
 	log      *modelCommit // The newest commit; nil if there is none.
 }
@@ -92,15 +96,31 @@
 		}
 		m.mu.Lock()
 		for _, s := range m.servers {
-			reached := !m.primary.crashed && m.cutServer != m.primary && m.cutServer != s
-			if s != m.primary && !s.crashed && !s.deaf && !s.leads && m.primary.leads && reached {
-				s.log, s.term = m.primary.log, m.primary.term
+			if m.reachesPrimary(s) {
+				m.receive(s)
 			}
 		}
 		m.mu.Unlock()
 	}
 }
 
+// reachesPrimary reports whether the server is a replica, or should be one, and reaches
+// the primary. The caller holds mu.
+func (m *model) reachesPrimary(s *modelServer) bool {
+	isCut := m.cutServer != nil && (m.cutServer == s || m.cutServer == m.primary)
+	return s != m.primary && m.primary.leads && !m.primary.crashed && !s.crashed && !s.deaf && !isCut
+}
+
+// receive makes a server the replica of the primary that it reaches. The caller holds mu.
+func (m *model) receive(s *modelServer) {
+	if s.leads {
+		s.reached += replicationInterval
+		s.leads = s.reached < rejoinDelay
+		return
+	}
+	s.log, s.term, s.reached = m.primary.log, m.primary.term, 0
+}
+
 // executePromotion accepts the promotion of a server that runs. The server leads
 // some time later.
 func (m *model) executePromotion(id identifier.BackendServerID) bool {
--- a/internal/coordination/replacer/model_test.go
+++ b/internal/coordination/replacer/model_test.go
@@ -780,8 +780,10 @@
 				modelFault{Kind: "cut from store", At: from + 900*time.Millisecond, Duration: length},
 			)
 		},
-		noRecheck: func(uint64) []modelFault {
-			return append(slices.Clone(othersCut), modelFault{Kind: "sleep", At: from, Duration: length})
+		// The first instance wakes while the replaced primary still leads on.
+		noRecheck: func(seed uint64) []modelFault {
+			slept := 2400*time.Millisecond + time.Duration(seed)*60*time.Millisecond
+			return append(slices.Clone(othersCut), modelFault{Kind: "sleep", At: from, Duration: slept})
 		},
 		// The first instance learns of the replacement neither from its peers nor
 		// from the store, which loses the announcement while the promotion is
--- a/internal/coordination/replacer/promote.go
+++ b/internal/coordination/replacer/promote.go
@@ -10,15 +10,14 @@
 	"oleanderpulley/internal/state/identifier"
 )
 
-// promoteAndGrant promotes the server, whose log ends at the position, waits
-// until it leads, and grants its use to all instances. The server is written into
-// the record first, so that an instance that takes over continues with the same
-// one. From then on the instances serve reads up to the position, so that the old
-// primary, whose log may have more, must not be used again.
-func (r *Replacer) promoteAndGrant(ctx context.Context, p *replacement, b cataloger.BackendServer, end identifier.Position) error {
+// promoteAndGrant promotes the server, waits until it leads, and grants its use to
+// all instances. The server is written into the record first, so that an instance
+// that takes over continues with the same one. If the old primary has handed over its
+// log, the instances serve reads up to its end from then on.
+func (r *Replacer) promoteAndGrant(ctx context.Context, p *replacement, b cataloger.BackendServer) error {
 	p.steps.begin("promotion")
 	next := p.record
-	next.Successor, next.Position = b.ID, end
+	next.Successor, next.HandedOver = b.ID, p.handedOver
 	if err := r.write(ctx, p, next); err != nil {
 		return err
 	}
--- a/internal/coordination/replacer/replace.go
+++ b/internal/coordination/replacer/replace.go
@@ -27,7 +27,7 @@
 	// be executed. The old primary must not be used again after that.
 	requested  bool
 	reinstated bool                // The draining primary was promoted again.
-	handedOver identifier.Position // End of the log of a draining primary that has stepped down.
+	handedOver identifier.Position // End of the log of a draining primary that has stepped down; zero before.
 	steps      stepTimer
 }
 
@@ -103,8 +103,9 @@
 		next = known
 	}
 	if l.Successor != "" {
-		next.Successor, next.Position = l.Successor, l.Position
+		next.Successor = l.Successor
 	}
+	next.HandedOver = identifier.Position{}
 	// The holder of a lost announcement may have requested a promotion.
 	p.requested = known.IsReplacing() && !l.IsReplacing()
 	next.Holder, next.Revision = r.Self, l.Revision
@@ -157,11 +158,7 @@
 			return err
 		}
 	}
-	end := next.Member.Received
-	if p.draining != nil {
-		end = p.handedOver
-	}
-	return r.promoteAndGrant(ctx, p, next.Server, end)
+	return r.promoteAndGrant(ctx, p, next.Server)
 }
 
 // resume continues a replacement whose holder may have requested the promotion
@@ -173,7 +170,7 @@
 	if !registered {
 		return false, nil
 	}
-	err = r.promoteAndGrant(ctx, p, server, p.record.Position)
+	err = r.promoteAndGrant(ctx, p, server)
 	if errors.Is(err, ErrPromotionRefused) {
 		return false, nil
 	}
--- a/internal/state/cataloger/leadership.go
+++ b/internal/state/cataloger/leadership.go
@@ -15,10 +15,15 @@
 	// Successor is the server whose promotion may have been requested. It is
 	// set only during a replacement.
 	Successor identifier.BackendServerID `json:"successor,omitempty" cbor:"successor,omitempty"`
-	// Position is the end of the successor's log. Once it is set, no commit can
-	// be acknowledged before the successor leads, and commits beyond it are
-	// discarded, so that a read on a log that contains it misses nothing.
-	Position identifier.Position `json:"position" cbor:"position"`
+	// HandedOver is the end of the log of a primary that has stepped down. A log that
+	// contains it has every commit that was acknowledged before the record was
+	// written. It is zero if the primary has failed: commits that no replica has
+	// received yet may be kept, as the successor receives until it leads and another
+	// server may be chosen. It is also zero once another instance has taken over.
+	//
+	// Earlier releases have the field "position", the end of the successor's log when
+	// it was chosen. It is neither read nor written.
+	HandedOver identifier.Position `json:"handed_over" cbor:"handed_over"`
 	// Holder is the instance that replaces the primary. It is empty while no
 	// replacement is under way.
 	Holder identifier.InstanceID `json:"holder,omitempty" cbor:"holder,omitempty"`
--- a/internal/transport/sessioner/fenced_test.go
+++ b/internal/transport/sessioner/fenced_test.go
@@ -125,9 +125,9 @@
 }
 
 // Guards against reads that wait for a new primary, although every commit that
-// they must see is in the log of the server that is being promoted, and against
+// they must see is in the log that the old one has handed over, and against
 // reads under a proof that does not exclude that the new primary has committed more.
-func TestReadsGoOnWhileTheSuccessorIsPromoted(t *testing.T) {
+func TestReadsGoOnDuringAHandOver(t *testing.T) {
 	s, _ := newTestServer()
 	replaceDuring(s, requester.Unknown)
 	now := s.Holder.Clock()
@@ -140,7 +140,10 @@
 	qt.Assert(t, s.Execute("peer", request).Result.Code, qt.Equals, requester.Lagging)
 
 	announced.Successor, announced.Revision = "b", 8
-	announced.Position = identifier.Position{Term: 1, Offset: 4}
+	s.Fencer.Observe("rentals", announced)
+	qt.Assert(t, s.Execute("peer", request).Result.Code, qt.Equals, requester.Lagging) // The primary has failed.
+
+	announced.HandedOver, announced.Revision = identifier.Position{Term: 1, Offset: 4}, 9
 	s.Fencer.Observe("rentals", announced)
 	qt.Assert(t, s.Execute("peer", request).Result.Code, qt.Equals, requester.OK)
 	now += (request.Route.MaxStaleness + fencer.Validity) / 2 // The proof is still valid, but too old for the route.
--- a/internal/transport/sessioner/floor.go
+++ b/internal/transport/sessioner/floor.go
@@ -42,7 +42,7 @@
 	source := fromSample
 	defer o.trace.addPositionWait(time.Now())
 	for {
-		if end, ok := s.Fencer.SuccessorSample(o.route.Service); ok && !end.RequestedAt.Before(since) {
+		if end, ok := s.Fencer.HandedOverSample(o.route.Service); ok && !end.RequestedAt.Before(since) {
 			return n.chooseFloor(o, end, fromLeadership), nil
 		}
 		if shared, ok := samples.Floor(since); ok {
