internal/coordination/fencer: a log that was handed over is as recent as the proof before it

Nothing changes at these instances, so that no line shows it.

Cause: the end of the log in the record was taken to be as recent as the proof of the record. The holder tells the end of a replacement to the instances before the store has it, so that the record in the store does not prove that no new primary is used. Class: a proof of one thing (the content of the store) is used for another one (what instances do).

Change: the end of the log is one position sample, added when the record is first observed. It is dated by the proof of the catalog without the record, or by the last answer of the old primary. An instance that starts, and a record from before the store came back from an older copy, give none. Reads find it like any other sample; it is not passed on as the sight of a primary. Weighed: to use no new primary before the store has the record. The end of a replacement would wait for another instance for 6 s if its holder loses the store just then.

--- a/internal/coordination/replacer/model_read_test.go
+++ b/internal/coordination/replacer/model_read_test.go
@@ -37,9 +37,6 @@
 // floor returns the position that a server must have reached to run a read, as
 // package sessioner does.
 func (i *modelInstance) floor(since time.Time) (identifier.Position, bool) {
-	if end, ok := i.fencer.HandedOverSample(modelService); ok && !end.RequestedAt.Before(since) {
-		return end.Position, true
-	}
 	sample, ok := i.samples.Floor(since)
 	return sample.Position, ok
 }
--- a/internal/state/sampler/sampler.go
+++ b/internal/state/sampler/sampler.go
@@ -1,6 +1,7 @@
 package sampler
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -16,10 +17,13 @@
 const minSampleSpacing = 20 * time.Millisecond
 
 // Sample is a position that a primary reported in answer to a request that was
-// sent at RequestedAt.
+// sent at RequestedAt. It covers every commit that was acknowledged before then.
 type Sample struct {
 	Position    identifier.Position
 	RequestedAt time.Time
+	// HandedOver reports that the position is the end of the log of a primary that
+	// stepped down at RequestedAt or later.
+	HandedOver bool
 }
 
 // Sampler keeps the samples of one service. The zero value is ready to use. It
@@ -46,6 +50,8 @@
 			return
 		case sample.Position.Term > last.Position.Term:
 			s.samples = s.samples[:0]
+		case sample.HandedOver && sample.RequestedAt.Before(last.RequestedAt):
+			sample.RequestedAt = last.RequestedAt // The primary still led then.
 		case sample.RequestedAt.Before(last.RequestedAt):
 			return
 		case sample.RequestedAt.Sub(last.RequestedAt) < minSampleSpacing && sample.Position == last.Position:
@@ -102,12 +108,15 @@
 	return time.Time{}, false
 }
 
-// Latest returns the newest sample, or false if there is none.
+// Latest returns the newest sample that a primary reported, or false if there is
+// none. The end of a log that was handed over shows no primary that leads.
 func (s *Sampler) Latest() (Sample, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.samples) == 0 {
-		return Sample{}, false
+	for _, sample := range slices.Backward(s.samples) {
+		if !sample.HandedOver {
+			return sample, true
+		}
 	}
-	return s.samples[len(s.samples)-1], true
+	return Sample{}, false
 }
--- a/internal/transport/sessioner/floor.go
+++ b/internal/transport/sessioner/floor.go
@@ -25,10 +25,10 @@
 
 // Sources of floors.
 const (
-	fromSample     floorSource = "sample"     // Of the primary, reported to this instance.
-	fromPeer       floorSource = "peer"       // Of the primary, fetched from a peer for this read.
-	fromOwnCommit  floorSource = "own_commit" // The session's newest commit.
-	fromLeadership floorSource = "leadership" // The leadership record of a replacement that is under way.
+	fromSample    floorSource = "sample"     // Of the primary, reported to this instance.
+	fromPeer      floorSource = "peer"       // Of the primary, fetched from a peer for this read.
+	fromOwnCommit floorSource = "own_commit" // The session's newest commit.
+	fromHandOver  floorSource = "hand_over"  // The end of the log of a primary that has stepped down.
 )
 
 // floor returns the floor for a read on a replica. If no sample is within the
@@ -42,9 +42,6 @@
 	source := fromSample
 	defer o.trace.addPositionWait(time.Now())
 	for {
-		if end, ok := s.Fencer.HandedOverSample(o.route.Service); ok && !end.RequestedAt.Before(since) {
-			return n.chooseFloor(o, end, fromLeadership), nil
-		}
 		if shared, ok := samples.Floor(since); ok {
 			n.refreshEarly(o)
 			return n.chooseFloor(o, shared, source), nil
@@ -79,10 +76,13 @@
 // chooseFloor returns the floor of the shared sample with the session's own writes,
 // and records it in the trace and the metrics.
 func (n *session) chooseFloor(o operation, shared sampler.Sample, source floorSource) floor {
+	if shared.HandedOver {
+		source = fromHandOver
+	}
 	f := n.withOwnWrites(o, shared, source)
 	o.trace.floor = f
-	if f.source == fromLeadership {
-		n.server.Activity.LeadershipFloors.Add(1)
+	if f.source == fromHandOver {
+		n.server.Activity.HandOverReads.Add(1)
 	}
 	if n.server.Registry != nil {
 		n.server.Registry.Count(reporter.Series{Name: "read_floors", Reason: string(f.source)}, 1)
