internal/state/sampler: samples are dated by a clock that runs while the machine is suspended

Cause: proofs are dated by a clock that keeps running while the machine is suspended, position samples by the one of package time, which stops. After a suspension, a sample from before it counted as recent.

Change: samples, their ages between instances and the time since which a read needs one are readings of the clock of the proofs. A read whose instance was suspended after its arrival counts as arrived later, which asks for more.

The ages in messages between instances keep their meaning.

--- a/internal/command/starter/peer_requests.go
+++ b/internal/command/starter/peer_requests.go
@@ -11,9 +11,9 @@
 
 // peerReply is the outcome of a request to a peer.
 type peerReply[T any] struct {
-	peer   identifier.InstanceID
-	sentAt time.Time
-	body   *T // Nil if the peer did not answer.
+	peer identifier.InstanceID
+	sent time.Duration // Clock reading before the request was sent.
+	body *T            // Nil if the peer did not answer.
 }
 
 // requestEach sends a request to every given peer. The channel receives one
@@ -22,7 +22,7 @@
 	replies := make(chan peerReply[T], len(peers))
 	for _, id := range peers {
 		go func() {
-			r := peerReply[T]{peer: id, sentAt: time.Now()}
+			r := peerReply[T]{peer: id, sent: s.holder.Clock()}
 			reply, err := s.peers.Request(ctx, id, request)
 			if body, ok := reply.(T); err == nil && ok {
 				r.body = &body
--- a/internal/command/starter/peers.go
+++ b/internal/command/starter/peers.go
@@ -107,7 +107,7 @@
 	if term != sample.Position.Term {
 		leader = ""
 	}
-	return sampleReply{Position: sample.Position, Age: time.Since(sample.RequestedAt), Leader: leader}
+	return sampleReply{Position: sample.Position, Age: s.holder.Clock() - sample.RequestedAt, Leader: leader}
 }
 
 // requestTokens requests tokens of a workspace from a peer.
@@ -127,8 +127,9 @@
 }
 
 // fetchSampleFromPeers requests a sample from some homes of the service and
-// reports whether one of them returned a sample that was taken at since or later.
-func (s *Starter) fetchSampleFromPeers(service identifier.ServiceName, since time.Time) bool {
+// reports whether one of them returned a sample that was taken at the clock reading
+// since or later.
+func (s *Starter) fetchSampleFromPeers(service identifier.ServiceName, since time.Duration) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), sampleTimeout)
 	defer cancel()
 	peers := s.usersOf(service, samplePeers)
@@ -143,17 +144,17 @@
 
 // recordPeerSample records a peer's sample and reports whether it was taken at
 // since or later. An older sample is ignored.
-func (s *Starter) recordPeerSample(service identifier.ServiceName, r peerReply[sampleReply], since time.Time) bool {
+func (s *Starter) recordPeerSample(service identifier.ServiceName, r peerReply[sampleReply], since time.Duration) bool {
 	if r.body == nil || r.body.Position.IsZero() || r.body.Age < 0 {
 		return false
 	}
-	sample := sampler.Sample{Position: r.body.Position, RequestedAt: r.sentAt.Add(-r.body.Age)}
-	if sample.RequestedAt.Before(since) {
+	sample := sampler.Sample{Position: r.body.Position, RequestedAt: r.sent - r.body.Age}
+	if sample.RequestedAt < since {
 		return false
 	}
 	s.sessions.Sampler(service).Add(sample)
 	if r.body.Leader != "" {
-		s.balancer.RecordLeader(service, r.body.Leader, sample.Position.Term, sample.RequestedAt)
+		s.balancer.RecordLeader(service, r.body.Leader, sample.Position.Term, s.holder.Time(sample.RequestedAt))
 	}
 	return true
 }
--- a/internal/command/starter/replacer.go
+++ b/internal/command/starter/replacer.go
@@ -68,7 +68,7 @@
 			continue
 		}
 		result.Answered++
-		if !r.body.Position.IsZero() && r.sentAt.Add(-r.body.Age).After(since) {
+		if !r.body.Position.IsZero() && s.holder.Time(r.sent-r.body.Age).After(since) {
 			result.Led = true
 		}
 	}
--- a/internal/command/starter/status.go
+++ b/internal/command/starter/status.go
@@ -71,7 +71,7 @@
 			service.LastLedMs = time.Since(at).Milliseconds()
 		}
 		if sample, ok := s.sessions.Sampler(name).Latest(); ok {
-			service.SampleAgeMs = time.Since(sample.RequestedAt).Milliseconds()
+			service.SampleAgeMs = (s.holder.Clock() - sample.RequestedAt).Milliseconds()
 		}
 		result.Services = append(result.Services, service)
 	}
--- a/internal/coordination/fencer/fencer_test.go
+++ b/internal/coordination/fencer/fencer_test.go
@@ -144,8 +144,7 @@
 			qt.Assert(t, len(samples) == 1, qt.Equals, test.sampled)
 			if test.sampled {
 				qt.Assert(t, samples[0].Position, qt.Equals, end)
-				age := time.Since(samples[0].RequestedAt)
-				qt.Assert(t, age >= 300*time.Millisecond, qt.IsTrue, qt.Commentf("%v", age))
+				qt.Assert(t, now-samples[0].RequestedAt, qt.Equals, 300*time.Millisecond)
 			}
 		})
 	}
--- a/internal/coordination/fencer/sample.go
+++ b/internal/coordination/fencer/sample.go
@@ -1,8 +1,6 @@
 package fencer
 
 import (
-	"time"
-
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/sampler"
 )
@@ -21,5 +19,5 @@
 	if !proven || !isCurrent || !l.IsReplacing() || l.HandedOver.IsZero() {
 		return sampler.Sample{}, false
 	}
-	return sampler.Sample{Position: l.HandedOver, RequestedAt: time.Now().Add(-age), HandedOver: true}, true
+	return sampler.Sample{Position: l.HandedOver, RequestedAt: f.Holder.Clock() - age, HandedOver: true}, true
 }
--- a/internal/coordination/replacer/model_read_test.go
+++ b/internal/coordination/replacer/model_read_test.go
@@ -36,7 +36,7 @@
 
 // floor returns the position that a server must have reached to run a read, as
 // package sessioner does.
-func (i *modelInstance) floor(since time.Time) (identifier.Position, bool) {
+func (i *modelInstance) floor(since time.Duration) (identifier.Position, bool) {
 	sample, ok := i.samples.Floor(since)
 	return sample.Position, ok
 }
@@ -50,7 +50,7 @@
 		case <-time.After(readInterval):
 		}
 		arrived := time.Now()
-		floor, ok := i.floor(arrived.Add(-modelMaxStaleness))
+		floor, ok := i.floor(arrived.Sub(i.m.start) - modelMaxStaleness)
 		i.pause()
 		i.m.mu.Lock()
 		s := i.m.servers[n%len(i.m.servers)]
--- a/internal/coordination/replacer/model_test.go
+++ b/internal/coordination/replacer/model_test.go
@@ -308,7 +308,7 @@
 
 // recordLed records that the server led when it reported the end of its log.
 func (i *modelInstance) recordLed(id identifier.BackendServerID, term identifier.Term, end identifier.Position, sent time.Time) {
-	i.samples.Add(sampler.Sample{Position: end, RequestedAt: sent})
+	i.samples.Add(sampler.Sample{Position: end, RequestedAt: sent.Sub(i.m.start)})
 	i.m.mu.Lock()
 	defer i.m.mu.Unlock()
 	if term >= i.ledTerm {
--- a/internal/state/cataloger/holder.go
+++ b/internal/state/cataloger/holder.go
@@ -77,6 +77,12 @@
 	return ok && age <= h.MaxAge
 }
 
+// Time returns the time that corresponds to a clock reading. If the machine was
+// suspended since then, it is earlier than the one that package time had.
+func (h *Holder) Time(reading time.Duration) time.Time {
+	return time.Now().Add(reading - h.Clock())
+}
+
 // Clock returns the current reading of the clock that proofs use.
 func (h *Holder) Clock() time.Duration {
 	if h.Now != nil {
--- a/internal/state/sampler/sampler.go
+++ b/internal/state/sampler/sampler.go
@@ -19,8 +19,11 @@
 // Sample is a position that a primary reported in answer to a request that was
 // sent at RequestedAt. It covers every commit that was acknowledged before then.
 type Sample struct {
-	Position    identifier.Position
-	RequestedAt time.Time
+	Position identifier.Position
+	// RequestedAt is the reading of a clock that keeps running while the machine is
+	// suspended. By a clock that stops, a sample from before a suspension would count
+	// as recent after it.
+	RequestedAt time.Duration
 	// HandedOver reports that the position is the end of the log of a primary that
 	// stepped down at RequestedAt or later.
 	HandedOver bool
@@ -50,15 +53,15 @@
 			return
 		case sample.Position.Term > last.Position.Term:
 			s.samples = s.samples[:0]
-		case sample.HandedOver && sample.RequestedAt.Before(last.RequestedAt):
+		case sample.HandedOver && sample.RequestedAt < last.RequestedAt:
 			sample.RequestedAt = last.RequestedAt // The primary still led then.
-		case sample.RequestedAt.Before(last.RequestedAt):
+		case sample.RequestedAt < last.RequestedAt:
 			return
-		case sample.RequestedAt.Sub(last.RequestedAt) < minSampleSpacing && sample.Position == last.Position:
+		case sample.RequestedAt-last.RequestedAt < minSampleSpacing && sample.Position == last.Position:
 			return
 		}
 	}
-	s.dropBefore(sample.RequestedAt.Add(-maxSampleAge))
+	s.dropBefore(sample.RequestedAt - maxSampleAge)
 	s.samples = append(s.samples, sample)
 }
 
@@ -71,9 +74,9 @@
 }
 
 // dropBefore removes the samples whose requests were sent before the time.
-func (s *Sampler) dropBefore(before time.Time) {
+func (s *Sampler) dropBefore(before time.Duration) {
 	i := 0
-	for i < len(s.samples) && s.samples[i].RequestedAt.Before(before) {
+	for i < len(s.samples) && s.samples[i].RequestedAt < before {
 		i++
 	}
 	if i > 0 {
@@ -83,11 +86,11 @@
 
 // Floor returns the oldest sample that covers every commit acknowledged before
 // the time, or false if no sample is recent enough.
-func (s *Sampler) Floor(before time.Time) (Sample, bool) {
+func (s *Sampler) Floor(before time.Duration) (Sample, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, sample := range s.samples {
-		if !sample.RequestedAt.Before(before) {
+		if sample.RequestedAt >= before {
 			return sample, true
 		}
 	}
@@ -97,7 +100,7 @@
 // Missing returns the time of the oldest sample whose position a log that ends
 // at p does not contain, or false if it contains all of them. The time since
 // then is a lower bound of the lag of that log.
-func (s *Sampler) Missing(p identifier.Position) (time.Time, bool) {
+func (s *Sampler) Missing(p identifier.Position) (time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, sample := range s.samples {
@@ -105,7 +108,7 @@
 			return sample.RequestedAt, true
 		}
 	}
-	return time.Time{}, false
+	return 0, false
 }
 
 // Latest returns the newest sample that a primary reported, or false if there is
--- a/internal/state/sampler/sampler_test.go
+++ b/internal/state/sampler/sampler_test.go
@@ -11,8 +11,8 @@
 	"oleanderpulley/internal/state/sampler"
 )
 
-func at(seconds float64) time.Time {
-	return time.Unix(0, 0).Add(time.Duration(seconds * float64(time.Second)))
+func at(seconds float64) time.Duration {
+	return time.Duration(seconds * float64(time.Second))
 }
 
 func position(term, offset uint64) identifier.Position {
@@ -87,5 +87,5 @@
 	qt.Assert(t, ok, qt.IsTrue)
 	since, ok := s.Missing(position(1, 0))
 	qt.Assert(t, ok, qt.IsTrue)
-	qt.Assert(t, since.After(at(200_000*0.02-11)), qt.IsTrue)
+	qt.Assert(t, since > at(200_000*0.02-11), qt.IsTrue)
 }
--- a/internal/transport/sessioner/fenced_test.go
+++ b/internal/transport/sessioner/fenced_test.go
@@ -159,7 +159,7 @@
 // answered that it has not run.
 func TestUnansweredReadMayHaveRun(t *testing.T) {
 	s, _ := newTestServer()
-	s.Sampler("rentals").Add(sampler.Sample{Position: identifier.Position{Term: 1, Offset: 1}, RequestedAt: time.Now()})
+	s.Sampler("rentals").Add(sampler.Sample{Position: identifier.Position{Term: 1, Offset: 1}, RequestedAt: s.Holder.Clock()})
 	s.Lender.Dial = func(time.Time, cataloger.BackendServer, identifier.WorkspaceName) (lender.Link, error) {
 		return lender.Link{
 			Send:    func(time.Time, ...requester.Statement) error { return nil },
--- a/internal/transport/sessioner/floor.go
+++ b/internal/transport/sessioner/floor.go
@@ -38,13 +38,14 @@
 func (n *session) floor(o operation) (floor, error) {
 	s := n.server
 	samples := s.Sampler(o.route.Service)
-	since := o.arrived.Add(-o.route.MaxStaleness)
+	arrived := s.Holder.Clock() - time.Since(o.arrived) // At the latest: it may have been suspended since.
+	since := arrived - o.route.MaxStaleness
 	source := fromSample
 	defer o.trace.addPositionWait(time.Now())
 	for {
 		if shared, ok := samples.Floor(since); ok {
-			n.refreshEarly(o)
-			return n.chooseFloor(o, shared, source), nil
+			n.refreshEarly(o, arrived)
+			return n.chooseFloor(o, shared, arrived, source), nil
 		}
 		s.refresh(o)
 		if _, ok := samples.Floor(since); ok {
@@ -65,21 +66,21 @@
 
 // refreshEarly requests a new sample in the background when the newest one is
 // older than half of the route's maximum staleness, so that reads rarely wait
-// for a sample.
-func (n *session) refreshEarly(o operation) {
+// for a sample. arrived is the clock reading at which the operation arrived.
+func (n *session) refreshEarly(o operation, arrived time.Duration) {
 	latest, ok := n.server.Sampler(o.route.Service).Latest()
-	if ok && o.arrived.Sub(latest.RequestedAt) > o.route.MaxStaleness/2 {
+	if ok && arrived-latest.RequestedAt > o.route.MaxStaleness/2 {
 		go n.server.refresh(o)
 	}
 }
 
 // chooseFloor returns the floor of the shared sample with the session's own writes,
 // and records it in the trace and the metrics.
-func (n *session) chooseFloor(o operation, shared sampler.Sample, source floorSource) floor {
+func (n *session) chooseFloor(o operation, shared sampler.Sample, arrived time.Duration, source floorSource) floor {
 	if shared.HandedOver {
 		source = fromHandOver
 	}
-	f := n.withOwnWrites(o, shared, source)
+	f := n.withOwnWrites(o, floor{shared.Position, arrived - shared.RequestedAt, source})
 	o.trace.floor = f
 	if f.source == fromHandOver {
 		n.server.Activity.HandOverReads.Add(1)
@@ -90,19 +91,18 @@
 	return f
 }
 
-// withOwnWrites returns the floor of the shared sample, raised to the session's
+// withOwnWrites returns the floor from the shared sample, raised to the session's
 // newest commit on routes that read their own writes. A commit of an older term
 // than the shared sample is either included in the sample's position or was
 // discarded by the promotion.
-func (n *session) withOwnWrites(o operation, shared sampler.Sample, source floorSource) floor {
-	f := floor{shared.Position, o.arrived.Sub(shared.RequestedAt), source}
-	if o.route.Consistency != cataloger.ReadOwnWrites || n.lastCommit.Term < f.position.Term {
-		return f
+func (n *session) withOwnWrites(o operation, shared floor) floor {
+	if o.route.Consistency != cataloger.ReadOwnWrites || n.lastCommit.Term < shared.position.Term {
+		return shared
 	}
-	if n.lastCommit.Term > f.position.Term || n.lastCommit.Offset > f.position.Offset {
+	if n.lastCommit.Term > shared.position.Term || n.lastCommit.Offset > shared.position.Offset {
 		return floor{n.lastCommit, o.arrived.Sub(n.lastCommitAt), fromOwnCommit}
 	}
-	return f
+	return shared
 }
 
 // forgetDiscarded clears the session's newest commit if a newer term has been
--- a/internal/transport/sessioner/open.go
+++ b/internal/transport/sessioner/open.go
@@ -35,8 +35,8 @@
 func (n *session) beginOn(c *lender.Conn, p fencer.Permit, st requester.Statement) (requester.Result, error) {
 	s := n.server
 	s.Balancer.Start(c.Server.ID)
-	sentAt := time.Now()
-	r, err := c.Run(sentAt.Add(queryTimeout), st)
+	sent := s.Holder.Clock()
+	r, err := c.Run(time.Now().Add(queryTimeout), st)
 	if err != nil {
 		s.Balancer.Fail(c.Server.ID)
 		s.Lender.Return(c)
@@ -54,7 +54,7 @@
 		return r, errors.Wrapf(lender.ErrNotSent, "server %s did not begin the transaction: %s", c.Server.ID, r.Code)
 	}
 	if n.tx.onPrimary {
-		if err := s.recordLeader(c, p, r, sentAt); err != nil {
+		if err := s.recordLeader(c, p, r, sent); err != nil {
 			s.Balancer.RecordNotLeading(c.Server.Service, c.Server.ID)
 			c.MarkBroken()
 			s.Lender.Return(c)
--- a/internal/transport/sessioner/primary.go
+++ b/internal/transport/sessioner/primary.go
@@ -45,9 +45,10 @@
 
 // recordLeader records that the server was the leader when it answered, and its
 // position as a sample. The answer must be one to a write, or one from a
-// transaction that only a leader opens. It returns errFenced if the permit is no
-// longer held: the answer then proves nothing.
-func (s *Server) recordLeader(c *lender.Conn, p fencer.Permit, r requester.Result, sentAt time.Time) error {
+// transaction that only a leader opens, to a request that was sent after the clock
+// reading sent. It returns errFenced if the permit is no longer held: the answer then
+// proves nothing.
+func (s *Server) recordLeader(c *lender.Conn, p fencer.Permit, r requester.Result, sent time.Duration) error {
 	if !p.Allows(c.Server.ID) || !s.Fencer.IsHeld(p) {
 		return errors.Wrapf(errFenced, "server %s", c.Server.ID)
 	}
@@ -55,8 +56,8 @@
 		return nil
 	}
 	// Until its first commit, a primary reports the position of an earlier term.
-	s.Balancer.RecordLeader(c.Server.Service, c.Server.ID, max(p.Term(), r.Position.Term), sentAt)
-	s.Sampler(c.Server.Service).Add(sampler.Sample{Position: r.Position, RequestedAt: sentAt})
+	s.Balancer.RecordLeader(c.Server.Service, c.Server.ID, max(p.Term(), r.Position.Term), s.Holder.Time(sent))
+	s.Sampler(c.Server.Service).Add(sampler.Sample{Position: r.Position, RequestedAt: sent})
 	return nil
 }
 
@@ -81,7 +82,7 @@
 	}
 	lag := time.Duration(0)
 	if since, ok := s.Sampler(c.Server.Service).Missing(r.Position); ok {
-		lag = time.Since(since)
+		lag = s.Holder.Clock() - since
 	}
 	s.Balancer.RecordLag(c.Server.ID, lag)
 }
@@ -92,8 +93,8 @@
 // server was replaced. It returns [fencer.ErrNotLeading], or the error of the connection.
 func (s *Server) confirmLeader(c *lender.Conn) error {
 	permit, permitted := s.Fencer.Permit(c.Server.Service)
-	sentAt := time.Now()
-	deadline := sentAt.Add(queryTimeout)
+	sent := s.Holder.Clock()
+	deadline := time.Now().Add(queryTimeout)
 	begin := requester.Statement{Kind: requester.Begin}
 	rollback := requester.Statement{Kind: requester.Rollback}
 	if err := c.Send(deadline, begin, rollback); err != nil {
@@ -111,7 +112,7 @@
 		return fencer.ErrNotLeading
 	}
 	if permitted {
-		if err := s.recordLeader(c, permit, r, sentAt); err != nil {
+		if err := s.recordLeader(c, permit, r, sent); err != nil {
 			s.Logger.Debug().Str("event", "leader_not_recorded").Err(err).Send()
 		}
 	}
--- a/internal/transport/sessioner/read.go
+++ b/internal/transport/sessioner/read.go
@@ -32,7 +32,7 @@
 // when the read is answered. Its error is a [lender.ErrNotSent] before the read
 // was sent and an errReadUnanswered after that; in both cases it may be repeated.
 func (n *session) readFromLeader(c *lender.Conn, p fencer.Permit, deadline time.Time, read requester.Statement) (requester.Result, error) {
-	sentAt := time.Now()
+	sent := n.server.Holder.Clock()
 	r, err := c.Run(deadline, requester.Statement{Kind: requester.Begin})
 	if err != nil {
 		return r, errors.Wrap(lender.ErrNotSent, err.Error())
@@ -40,7 +40,7 @@
 	if r.Code != requester.OK {
 		return r, nil
 	}
-	if err := n.server.recordLeader(c, p, r, sentAt); err != nil {
+	if err := n.server.recordLeader(c, p, r, sent); err != nil {
 		return r, errors.Wrap(lender.ErrNotSent, err.Error())
 	}
 	if err := c.Send(deadline, read, requester.Statement{Kind: requester.Rollback}); err != nil {
--- a/internal/transport/sessioner/refused_test.go
+++ b/internal/transport/sessioner/refused_test.go
@@ -37,7 +37,7 @@
 	f := primaryRequest(requester.Read, "READ x")
 	f.Route.Consistency, f.Route.MaxStaleness = cataloger.BoundedStaleness, time.Hour
 	f.Route.StatementTimeout, f.Route.TargetLatency = time.Minute, time.Minute
-	s.Sampler("rentals").Add(sampler.Sample{Position: identifier.Position{Term: 1, Offset: 1}, RequestedAt: time.Now()})
+	s.Sampler("rentals").Add(sampler.Sample{Position: identifier.Position{Term: 1, Offset: 1}, RequestedAt: s.Holder.Clock()})
 	started := time.Now()
 	r := s.Execute("peer", f)
 	qt.Assert(t, time.Since(started) < 10*time.Second, qt.IsTrue)
--- a/internal/transport/sessioner/run.go
+++ b/internal/transport/sessioner/run.go
@@ -19,12 +19,12 @@
 func (n *session) write(o operation, rs resolvedStatement) requester.Result {
 	return n.runOnPrimary(o, false, func(c *lender.Conn, p fencer.Permit) (requester.Result, error) {
 		return n.runOnConn(c, o, rs, func(c *lender.Conn, rs resolvedStatement) (requester.Result, error) {
-			sentAt := time.Now()
+			sent, sentAt := n.server.Holder.Clock(), time.Now()
 			r, err := c.Run(o.deadline, rs.statement)
 			if err != nil || r.Code != requester.OK {
 				return r, err
 			}
-			if err := n.server.recordLeader(c, p, r, sentAt); err != nil {
+			if err := n.server.recordLeader(c, p, r, sent); err != nil {
 				return r, err
 			}
 			n.lastCommit, n.lastCommitAt = r.Position, sentAt
--- a/internal/transport/sessioner/server.go
+++ b/internal/transport/sessioner/server.go
@@ -67,9 +67,9 @@
 	// [*ratelimiter.RefusalError].
 	Admit func(w identifier.WorkspaceName, limit time.Duration) error
 	// FetchPeerSample fetches a position sample of the service, taken at or
-	// after since, from the peers. It reports whether it got one. If
-	// FetchPeerSample is nil, peers are not queried.
-	FetchPeerSample func(service identifier.ServiceName, since time.Time) bool
+	// after the clock reading since, from the peers. It reports whether it got one.
+	// If FetchPeerSample is nil, peers are not queried.
+	FetchPeerSample func(service identifier.ServiceName, since time.Duration) bool
 
 	// ParseServerStatus parses the row that a backend server returns for a
 	// status query.
--- a/internal/transport/sessioner/transaction.go
+++ b/internal/transport/sessioner/transaction.go
@@ -135,7 +135,7 @@
 		return requester.Result{}, errors.Wrap(lender.ErrNotSent, err.Error())
 	}
 	s.Balancer.Start(c.Server.ID)
-	sentAt := time.Now()
+	sent, sentAt := s.Holder.Clock(), time.Now()
 	r, err := c.Run(o.deadline, st)
 	o.trace.addAttempt(c.Server.ID, r, err, time.Since(sentAt))
 	if err != nil {
@@ -147,7 +147,7 @@
 	case r.Code == requester.OK && n.tx.onPrimary && (n.tx.wrote || st.Kind != requester.Commit):
 		// The commit of a transaction without writes does not prove
 		// leadership: a server that has lost it still accepts the commit.
-		return r, s.recordLeader(c, n.tx.permit, r, sentAt)
+		return r, s.recordLeader(c, n.tx.permit, r, sent)
 	case r.Code == requester.ReadOnly:
 		s.Balancer.RecordNotLeading(c.Server.Service, c.Server.ID)
 	}
