internal/coordination/replacer: a promoted server counts once it leads in a new term

Cause: after a promotion, the holder waits until the server answers that it leads. If a promotion of another server was requested before and took effect, and that server is down, the old primary is chosen again. It still leads on in its old term, so that the wait ended before its own promotion took effect. Same class as the stale reads: an answer that was true of an earlier state counts for a later one.

Change: the server must lead in a term above the old primary's.

--- a/internal/coordination/replacer/model_test.go
+++ b/internal/coordination/replacer/model_test.go
@@ -674,6 +674,8 @@
 	case "crash replica":
 		s := m.replica(f.Target)
 		set(func(on bool) { s.crashed = on })
+	case "crash of a server":
+		set(func(on bool) { m.servers[f.Target].crashed = on })
 	case "deaf replica":
 		s := m.replica(f.Target)
 		set(func(on bool) { s.deaf = on })
@@ -762,6 +764,20 @@
 	qt.Assert(t, promoted > 0, qt.IsTrue)
 }
 
+// Guards against writes at an earlier primary that is promoted again, before that takes
+// effect (ONE). Where promotions do not end the old primary, it answers that it leads.
+func TestEarlierPrimaryIsNotUsedBeforeItLeadsAgain(t *testing.T) {
+	for seed := range uint64(30) {
+		m := playModel(t, seed, false, noDefect, []modelFault{
+			{Kind: "crash", At: seconds(5), Duration: seconds(2)},
+			{Kind: "late promotions", At: seconds(5), Duration: seconds(6.2)},
+			{Kind: "crash of a server", AfterSuccessor: true, At: seconds(3.05), Duration: seconds(6), Target: 1},
+		})
+		qt.Assert(t, m.broken[:min(len(m.broken), 1)], qt.HasLen, 0, qt.Commentf("seed %d, %d broken", seed, len(m.broken)))
+		qt.Assert(t, m.promoted >= 2, qt.IsTrue)
+	}
+}
+
 // Guards against a model that cannot fail: without the wait for the permits, the
 // check after the answer or the suspension in a new era, a replaced primary's
 // write is acknowledged.
--- a/internal/coordination/replacer/promote.go
+++ b/internal/coordination/replacer/promote.go
@@ -16,6 +16,7 @@
 // log, the instances serve reads up to its end from then on.
 func (r *Replacer) promoteAndGrant(ctx context.Context, p *replacement, b cataloger.BackendServer) error {
 	p.steps.begin("promotion")
+	otherRequested := p.requested && p.record.Successor != b.ID
 	next := p.record
 	next.Successor, next.HandedOver = b.ID, p.handedOver
 	if err := r.write(ctx, p, next); err != nil {
@@ -27,15 +28,12 @@
 		return err
 	}
 	p.steps.begin("lead")
-	if err := r.awaitLeadership(ctx, b); err != nil {
-		return err
-	}
-	m, err := r.Status(b)
+	term, err := r.awaitLeadership(ctx, b, r.leastTerm(p, b, otherRequested))
 	if err != nil {
 		return err
 	}
 	p.steps.begin("grant")
-	r.grant(ctx, p, cataloger.Leadership{Term: m.Term, Server: b.ID, Revision: p.record.Revision})
+	r.grant(ctx, p, cataloger.Leadership{Term: term, Server: b.ID, Revision: p.record.Revision})
 	return nil
 }
 
@@ -92,14 +90,42 @@
 	return unchanged && sameEra && r.Clock()-p.written <= promotionWindow
 }
 
-// awaitLeadership waits until the promoted server answers that it leads.
-func (r *Replacer) awaitLeadership(ctx context.Context, b cataloger.BackendServer) error {
+// leastTerm returns the lowest term in which the server leads once its promotion has
+// taken effect. The present primary stays in its term, and may be promoted again. If
+// a promotion of another server was requested as well, that one may be the primary
+// now, and the old one may still lead on in its earlier term.
+func (r *Replacer) leastTerm(p *replacement, b cataloger.BackendServer, otherRequested bool) identifier.Term {
+	old, next, known := r.oldPrimary(p)
+	if known && old.ID == b.ID && !otherRequested {
+		return 0
+	}
+	return next
+}
+
+// awaitLeadership waits until the promoted server answers that it leads in the term or
+// a later one, and returns its term. An earlier term counts once the promotion must have
+// taken effect: the server was the primary already.
+func (r *Replacer) awaitLeadership(ctx context.Context, b cataloger.BackendServer, least identifier.Term) (identifier.Term, error) {
 	deadline := time.Now().Add(leadershipTimeout)
-	for ctx.Err() == nil && time.Now().Before(deadline) {
-		if r.Confirm(b) == nil {
-			return nil
+	for ctx.Err() == nil {
+		term, leads := r.leadTerm(b)
+		isOver := !time.Now().Before(deadline)
+		if leads && (term >= least || isOver) {
+			return term, nil
+		}
+		if isOver {
+			break
 		}
 		sleep(ctx, leadershipPollInterval)
 	}
-	return errors.Wrapf(errNoCandidate, "server %s does not lead after its promotion", b.ID)
+	return 0, errors.Wrapf(errNoCandidate, "server %s does not lead after its promotion", b.ID)
+}
+
+// leadTerm returns the term that the server leads, and false if it does not lead.
+func (r *Replacer) leadTerm(b cataloger.BackendServer) (identifier.Term, bool) {
+	if r.Confirm(b) != nil {
+		return 0, false
+	}
+	m, err := r.Status(b)
+	return m.Term, err == nil && m.Leads
 }
