internal/transport/sessioner: a session keeps its newest commit whatever a peer replies

Cause: the reply to a statement of a transaction that is not open at the peer (it has started again, or the transaction has expired) has no session state, and the sender took the missing commit over as none. A reply LAGGING also cleared the commit if a newer term was known, on the ground that the promotion had discarded it; another home may not know that term and its samples then don't cover the commit.

Change: the newest commit is only replaced by a later one, and a reply for an unknown transaction returns the sender's. Discarded commits need no clearing: a sample of a newer term goes before an older commit. Positions are compared by one method.

Shown: TestReplyOfAnotherSessionKeepsTheOwnCommit and TestReplyForAnUnknownTransactionHasTheOwnCommit failed before and pass. Builds side by side: a sender of the build before gets the commit back from this one; this one ignores what the build before leaves out.

--- a/internal/coordination/replacer/candidate.go
+++ b/internal/coordination/replacer/candidate.go
@@ -50,7 +50,7 @@
 		return Candidate{}, false
 	}
 	return slices.MinFunc(eligible, func(a, b Candidate) int {
-		return cmp.Or(-comparePositions(a.Member.Received, b.Member.Received), cmp.Compare(a.Server.ID, b.Server.ID))
+		return cmp.Or(b.Member.Received.Compare(a.Member.Received), cmp.Compare(a.Server.ID, b.Server.ID))
 	}), true
 }
 
@@ -62,11 +62,11 @@
 func longestLogs(candidates []Candidate) []Candidate {
 	var end identifier.Position
 	for _, c := range candidates {
-		if comparePositions(c.Member.Received, end) > 0 {
+		if c.Member.Received.Compare(end) > 0 {
 			end = c.Member.Received
 		}
 	}
-	return slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return comparePositions(c.Member.Received, end) < 0 })
+	return slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Member.Received.Compare(end) < 0 })
 }
 
 // chooseSuccessor returns the server to promote. The log of a draining primary is
--- a/internal/coordination/replacer/decide.go
+++ b/internal/coordination/replacer/decide.go
@@ -1,7 +1,6 @@
 package replacer
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -45,10 +44,6 @@
 	return slices.ContainsFunc(servers, func(s cataloger.BackendServer) bool { return s.ClaimsPrimary })
 }
 
-func comparePositions(p, q identifier.Position) int {
-	return cmp.Or(cmp.Compare(p.Term, q.Term), cmp.Compare(p.Offset, q.Offset))
-}
-
 // RankDelay returns how long an instance waits after [suspicionTimeout], so that
 // the watchers of a service act one after the other. The rank of an instance
 // differs between services. An instance that is no watcher ranks last.
--- a/internal/coordination/replacer/handover.go
+++ b/internal/coordination/replacer/handover.go
@@ -73,7 +73,7 @@
 	deadline := time.Now().Add(catchUpTimeout)
 	for ctx.Err() == nil && time.Now().Before(deadline) {
 		m, err := r.Status(b)
-		if err == nil && comparePositions(m.Received, position) >= 0 {
+		if err == nil && m.Received.Compare(position) >= 0 {
 			return true
 		}
 		sleep(ctx, catchUpPollInterval)
--- a/internal/state/identifier/position.go
+++ b/internal/state/identifier/position.go
@@ -1,6 +1,7 @@
 package identifier
 
 import (
+	"cmp"
 	"strconv"
 	"strings"
 
@@ -39,6 +40,12 @@
 	return strconv.FormatUint(uint64(p.Term), 10) + "/" + strconv.FormatUint(uint64(p.Offset), 10)
 }
 
+// Compare returns -1 if p is before q, 1 if it is after q, and 0 if they are equal.
+// Every position of a later term is after those of earlier terms.
+func (p Position) Compare(q Position) int {
+	return cmp.Or(cmp.Compare(p.Term, q.Term), cmp.Compare(p.Offset, q.Offset))
+}
+
 // IsZero reports whether p is the zero value, which means that no position is
 // given.
 func (p Position) IsZero() bool {
--- a/internal/state/sampler/sampler.go
+++ b/internal/state/sampler/sampler.go
@@ -104,7 +104,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, sample := range s.samples {
-		if sample.Position.Term > p.Term || (sample.Position.Term == p.Term && sample.Position.Offset > p.Offset) {
+		if sample.Position.Compare(p) > 0 {
 			return sample.RequestedAt, true
 		}
 	}
--- a/internal/transport/sessioner/commit.go
+++ b/internal/transport/sessioner/commit.go
@@ -68,7 +68,7 @@
 		c.MarkBroken()
 	}
 	if r.Code == requester.OK && t.wrote {
-		n.lastCommit, n.lastCommitAt = r.Position, sentAt
+		n.recordCommit(r.Position, sentAt)
 	}
 	return r
 }
--- a/internal/transport/sessioner/floor.go
+++ b/internal/transport/sessioner/floor.go
@@ -99,18 +99,18 @@
 	if o.route.Consistency != cataloger.ReadOwnWrites || n.lastCommit.Term < shared.position.Term {
 		return shared
 	}
-	if n.lastCommit.Term > shared.position.Term || n.lastCommit.Offset > shared.position.Offset {
+	if n.lastCommit.Compare(shared.position) > 0 {
 		return floor{n.lastCommit, o.arrived.Sub(n.lastCommitAt), fromOwnCommit}
 	}
 	return shared
 }
 
-// forgetDiscarded clears the session's newest commit if a newer term has been
-// observed: the primary of that term lacks the commit, so the promotion has
-// discarded it.
-func (n *session) forgetDiscarded(service identifier.ServiceName) {
-	latest, ok := n.server.Sampler(service).Latest()
-	if ok && latest.Position.Term > n.lastCommit.Term {
-		n.lastCommit = identifier.Position{}
+// recordCommit records a commit of the session, of which a primary reported the
+// position in answer to a request that was sent at the time. The newest commit is
+// never replaced by an earlier one, or by none: what a peer knows of the session, or
+// whether a promotion has discarded the commit, does not show here.
+func (n *session) recordCommit(p identifier.Position, sentAt time.Time) {
+	if p.Compare(n.lastCommit) > 0 {
+		n.lastCommit, n.lastCommitAt = p, sentAt
 	}
 }
--- a/internal/transport/sessioner/floor_test.go
+++ b/internal/transport/sessioner/floor_test.go
@@ -8,6 +8,7 @@
 
 	"oleanderpulley/internal/protocol/requester"
 	"oleanderpulley/internal/state/cataloger"
+	"oleanderpulley/internal/state/identifier"
 )
 
 // Guards against a sample from before a suspension of the machine that counts as recent (STALE).
@@ -26,3 +27,32 @@
 	s.Holder.SetProof(now)
 	qt.Assert(t, s.Execute("peer", read).Result.Code, qt.Equals, requester.Lagging)
 }
+
+// Guards against a read that lacks its session's own commit, because a peer's reply has none (STALE).
+func TestReplyOfAnotherSessionKeepsTheOwnCommit(t *testing.T) {
+	own := identifier.Position{Term: 2, Offset: 9}
+	for name, reply := range map[string]ForwardReply{
+		"transaction that is not open there": {Result: requester.Result{Code: requester.Aborted, State: requester.Failed}},
+		"earlier commit":                     {LastCommit: identifier.Position{Term: 2, Offset: 3}},
+		"later commit":                       {LastCommit: identifier.Position{Term: 2, Offset: 12}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n, _ := newForwardingSession(func(identifier.InstanceID) (ForwardReply, error) { return reply, nil })
+			n.lastCommit = own
+			_, err := n.sendForward("peer", time.Now().Add(time.Second), ForwardRequest{LastCommit: own})
+			qt.Assert(t, err, qt.IsNil)
+			f := n.withOwnWrites(operation{route: cataloger.Route{Consistency: cataloger.ReadOwnWrites}}, floor{position: identifier.Position{Term: 2, Offset: 1}})
+			qt.Assert(t, f.position.Offset >= own.Offset, qt.IsTrue, qt.Commentf("%v", f.position))
+		})
+	}
+}
+
+// Guards against the loss of a session's own commit at an instance where its transaction is not open.
+func TestReplyForAnUnknownTransactionHasTheOwnCommit(t *testing.T) {
+	s, _ := newTestServer()
+	f := openingForward("shops", 7)
+	f.Begin, f.LastCommit, f.LastCommitAge = requester.Unknown, identifier.Position{Term: 2, Offset: 9}, time.Second
+	r := s.Execute("peer", f)
+	qt.Assert(t, r.LastCommit, qt.Equals, f.LastCommit)
+	qt.Assert(t, r.LastCommitAge, qt.Equals, f.LastCommitAge)
+}
--- a/internal/transport/sessioner/forward.go
+++ b/internal/transport/sessioner/forward.go
@@ -165,13 +165,8 @@
 	defer cancel()
 	sentAt := time.Now()
 	reply, err := n.server.Forward(ctx, peer, f)
-	if err == nil && !reply.Refused {
-		if reply.LastCommit.IsZero() && !n.lastCommit.IsZero() {
-			n.server.Logger.Info().Str("event", "session_commit_dropped").Str("database", n.database).
-				Str("peer", string(peer)).Stringer("commit", n.lastCommit).Send()
-		}
-		n.lastCommit = reply.LastCommit
-		n.lastCommitAt = sentAt.Add(-reply.LastCommitAge)
+	if err == nil {
+		n.recordCommit(reply.LastCommit, sentAt.Add(-reply.LastCommitAge))
 	}
 	return reply, err
 }
--- a/internal/transport/sessioner/forwarded.go
+++ b/internal/transport/sessioner/forwarded.go
@@ -117,7 +117,8 @@
 func (s *Server) executeInForwarded(key forwardedKey, f ForwardRequest) ForwardReply {
 	t, refused := s.forwardedTransaction(key, f)
 	if t == nil {
-		return ForwardReply{Refused: refused, Result: requester.Result{
+		// Senders of earlier releases take the session's commit from each reply.
+		return ForwardReply{Refused: refused, LastCommit: f.LastCommit, LastCommitAge: f.LastCommitAge, Result: requester.Result{
 			Code: requester.Aborted, State: requester.Failed, Text: "the transaction is not open at this instance",
 		}}
 	}
--- a/internal/transport/sessioner/read.go
+++ b/internal/transport/sessioner/read.go
@@ -133,9 +133,6 @@
 			unanswered = err
 		case err != nil:
 			last = n.refusal(requester.Overloaded, err.Error())
-		case r.Code == requester.Lagging:
-			last = r
-			n.forgetDiscarded(o.route.Service)
 		case r.Code.NotRun():
 			last = r
 		case r.Code == requester.RunFailed && len(tried) == 1:
--- a/internal/transport/sessioner/run.go
+++ b/internal/transport/sessioner/run.go
@@ -27,7 +27,7 @@
 			if err := n.server.recordLeader(c, p, r, sent); err != nil {
 				return r, err
 			}
-			n.lastCommit, n.lastCommitAt = r.Position, sentAt
+			n.recordCommit(r.Position, sentAt)
 			return r, nil
 		})
 	})
