internal/transport/sessioner: reads without a position sample share the request to peers

Cause: since reads no longer rely on the position of a successor, those that find no recent sample during a long replacement each ask three peers, at every attempt, although these have none either.

The times of searches and of these requests use one type.

Test: TestReadsWithoutASampleShareTheRequestToPeers.

--- a/internal/command/starter/peers.go
+++ b/internal/command/starter/peers.go
@@ -126,37 +126,32 @@
 	return g, nil
 }
 
-// fetchSampleFromPeers requests a sample from some homes of the service and
-// reports whether one of them returned a sample that was taken at the clock reading
-// since or later.
-func (s *Starter) fetchSampleFromPeers(service identifier.ServiceName, since time.Duration) bool {
+// fetchSampleFromPeers requests a sample from some homes of the service, until one
+// has returned a sample that was taken at the clock reading since or later.
+func (s *Starter) fetchSampleFromPeers(service identifier.ServiceName, since time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), sampleTimeout)
 	defer cancel()
 	peers := s.usersOf(service, samplePeers)
 	replies := requestEach[sampleReply](ctx, s, peers, sampleAsk{Service: service})
 	for range peers {
 		if s.recordPeerSample(service, <-replies, since) {
-			return true
+			return
 		}
 	}
-	return false
 }
 
 // recordPeerSample records a peer's sample and reports whether it was taken at
-// since or later. An older sample is ignored.
+// since or later. An older one may do for another read.
 func (s *Starter) recordPeerSample(service identifier.ServiceName, r peerReply[sampleReply], since time.Duration) bool {
 	if r.body == nil || r.body.Position.IsZero() || r.body.Age < 0 {
 		return false
 	}
 	sample := sampler.Sample{Position: r.body.Position, RequestedAt: r.sent - r.body.Age}
-	if sample.RequestedAt < since {
-		return false
-	}
 	s.sessions.Sampler(service).Add(sample)
 	if r.body.Leader != "" {
 		s.balancer.RecordLeader(service, r.body.Leader, sample.Position.Term, s.holder.Time(sample.RequestedAt))
 	}
-	return true
+	return sample.RequestedAt >= since
 }
 
 // requestCatalog requests the catalog from a candidate of the search for a proof.
--- a/internal/transport/sessioner/floor.go
+++ b/internal/transport/sessioner/floor.go
@@ -51,7 +51,8 @@
 		if _, ok := samples.Floor(since); ok {
 			continue
 		}
-		if s.FetchPeerSample != nil && s.FetchPeerSample(o.route.Service, since) {
+		s.fetchPeerSample(o.route.Service, since)
+		if _, ok := samples.Floor(since); ok {
 			source = fromPeer
 			continue
 		}
@@ -64,6 +65,22 @@
 	}
 }
 
+// fetchPeerSample fetches a sample from the peers. While a primary is replaced they may
+// have none either, so that requests of one service do not overlap and are floorPause
+// apart.
+func (s *Server) fetchPeerSample(service identifier.ServiceName, since time.Duration) {
+	if s.FetchPeerSample == nil {
+		return
+	}
+	<-s.peerFetches.DoChan(string(service), func() (any, error) {
+		if s.peerFetchEnds.isDue(service, floorPause) {
+			s.FetchPeerSample(service, since)
+			s.peerFetchEnds.record(service)
+		}
+		return nil, nil
+	})
+}
+
 // refreshEarly requests a new sample in the background when the newest one is
 // older than half of the route's maximum staleness, so that reads rarely wait
 // for a sample. arrived is the clock reading at which the operation arrived.
--- a/internal/transport/sessioner/floor_test.go
+++ b/internal/transport/sessioner/floor_test.go
@@ -1,6 +1,8 @@
 package sessioner
 
 import (
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -56,3 +58,26 @@
 	qt.Assert(t, r.LastCommit, qt.Equals, f.LastCommit)
 	qt.Assert(t, r.LastCommitAge, qt.Equals, f.LastCommitAge)
 }
+
+// Guards against as many requests to peers as there are reads, while a primary is replaced and no
+// instance has a recent sample.
+func TestReadsWithoutASampleShareTheRequestToPeers(t *testing.T) {
+	s, _ := newTestServer()
+	replaceDuring(s, requester.Unknown)
+	s.Fencer.Observe("rentals", cataloger.Leadership{Holder: "other", Revision: 7})
+	var fetches atomic.Int32
+	s.FetchPeerSample = func(identifier.ServiceName, time.Duration) {
+		fetches.Add(1)
+		time.Sleep(5 * time.Millisecond) // The peers' answers.
+	}
+	read := primaryRequest(requester.Read, "READ x")
+	read.Route.Consistency, read.Route.MaxStaleness = cataloger.BoundedStaleness, time.Second
+	started := time.Now()
+	var reads sync.WaitGroup
+	for range 50 {
+		reads.Go(func() { s.Execute("peer", read) })
+	}
+	reads.Wait()
+	limit := 1 + int32(time.Since(started)/floorPause)
+	qt.Assert(t, fetches.Load() <= limit, qt.IsTrue, qt.Commentf("%d requests, at most %d", fetches.Load(), limit))
+}
--- a/internal/transport/sessioner/primary.go
+++ b/internal/transport/sessioner/primary.go
@@ -234,31 +234,14 @@
 // running search.
 func (s *Server) searchPrimary(service identifier.ServiceName, w identifier.WorkspaceName) {
 	<-s.searches.DoChan(string(service), func() (any, error) {
-		if time.Since(s.lastSearch(service)) >= searchPause {
+		if s.searchEnds.isDue(service, searchPause) {
 			s.confirmAll(service, w)
-			s.recordSearch(service)
+			s.searchEnds.record(service)
 		}
 		return nil, nil
 	})
 }
 
-// lastSearch returns when the last search for the primary of the service ended.
-func (s *Server) lastSearch(service identifier.ServiceName) time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.searchEnds[service]
-}
-
-// recordSearch records that a search for the primary of the service has ended.
-func (s *Server) recordSearch(service identifier.ServiceName) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.searchEnds == nil {
-		s.searchEnds = map[identifier.ServiceName]time.Time{}
-	}
-	s.searchEnds[service] = time.Now()
-}
-
 // confirmAll queries all servers of the service that may be used in parallel.
 func (s *Server) confirmAll(service identifier.ServiceName, w identifier.WorkspaceName) {
 	var tasks sync.WaitGroup
--- a/internal/transport/sessioner/server.go
+++ b/internal/transport/sessioner/server.go
@@ -66,10 +66,10 @@
 	// for at most limit. It refuses the operation with a
 	// [*ratelimiter.RefusalError].
 	Admit func(w identifier.WorkspaceName, limit time.Duration) error
-	// FetchPeerSample fetches a position sample of the service, taken at or
-	// after the clock reading since, from the peers. It reports whether it got one.
-	// If FetchPeerSample is nil, peers are not queried.
-	FetchPeerSample func(service identifier.ServiceName, since time.Duration) bool
+	// FetchPeerSample fetches position samples of the service from the peers, until one
+	// was taken at the clock reading since or later. If it is nil, peers are not
+	// queried.
+	FetchPeerSample func(service identifier.ServiceName, since time.Duration)
 
 	// ParseServerStatus parses the row that a backend server returns for a
 	// status query.
@@ -102,12 +102,36 @@
 
 	forwarded forwardedTransactions
 
-	mu         sync.Mutex
-	sessions   map[*session]struct{}
-	samplers   map[identifier.ServiceName]*sampler.Sampler
-	searchEnds map[identifier.ServiceName]time.Time // When the last search for the primary ended.
+	mu       sync.Mutex
+	sessions map[*session]struct{}
+	samplers map[identifier.ServiceName]*sampler.Sampler
 
-	searches, refreshes singleflight.Group // Keyed by service.
+	searchEnds, peerFetchEnds        serviceTimes       // When the last search for the primary, or request to peers, ended.
+	searches, refreshes, peerFetches singleflight.Group // Keyed by service.
+}
+
+// serviceTimes holds a time for each service. The zero value is ready to use. It is
+// safe for concurrent use.
+type serviceTimes struct {
+	mu    sync.Mutex
+	times map[identifier.ServiceName]time.Time
+}
+
+// record sets the time of the service to the present.
+func (t *serviceTimes) record(service identifier.ServiceName) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.times == nil {
+		t.times = map[identifier.ServiceName]time.Time{}
+	}
+	t.times[service] = time.Now()
+}
+
+// isDue reports whether the time of the service is at least the pause ago.
+func (t *serviceTimes) isDue(service identifier.ServiceName, pause time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return time.Since(t.times[service]) >= pause
 }
 
 // Sampler returns the position samples of a service, creating the sampler on
