--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -18,7 +18,7 @@
 func main() {
 	root := &cobra.Command{Use: "measure", Short: "Run benchmarks of the proxy on loopback", SilenceUsage: true, SilenceErrors: true}
 	root.AddCommand(newCapacityCommand())
-	root.AddCommand(newRestCommand(), newPoliciesCommand(), newDayCommand())
+	root.AddCommand(newRestCommand(), newPoliciesCommand(), newDayCommand(), newFailoverDaysCommand())
 	if err := root.ExecuteContext(context.Background()); err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
