internal/coordination/replacer: no reads by the record of a replacement

Change: the record names the successor alone. Reads go on by samples of the old primary as long as these are recent.

--- a/internal/command/starter/forward.go
+++ b/internal/command/starter/forward.go
@@ -349,7 +349,6 @@
 		Uint64("served", a.Served.Load()).Uint64("late", a.Late.Load()).
 		Uint64("failed", a.Failed.Load()).Uint64("refused", a.Refused.Load()).
 		Uint64("replica_reads", a.ReplicaReads.Load()).Uint64("primary_reads", a.PrimaryReads.Load()).
-		Uint64("hand_over_reads", a.HandOverReads.Load()).
 		Int64("peer_bytes_sent", s.peers.Counters.BytesSent.Load()).
 		Int64("peer_messages_sent", s.peers.Counters.MessagesSent.Load()).
 		Int("peer_links", s.peers.Links()).Stringer("store_calls", &s.storeCalls).Send()
--- a/internal/command/starter/leadership.go
+++ b/internal/command/starter/leadership.go
@@ -45,7 +45,7 @@
 		Uint64("term", uint64(l.Term)).Str("holder", string(l.Holder)).Uint64("revision", l.Revision).
 		Func(func(e *zerolog.Event) {
 			if l.IsReplacing() {
-				e.Str("successor", string(l.Successor)).Stringer("handed_over", l.HandedOver)
+				e.Str("successor", string(l.Successor))
 			}
 		}).Send()
 	if l.Term > 0 && !l.IsReplacing() {
--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -20,7 +20,6 @@
 	"oleanderpulley/internal/coordination/replacer"
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
-	"oleanderpulley/internal/state/sampler"
 	"oleanderpulley/internal/transport/lender"
 	"oleanderpulley/internal/transport/messenger"
 	"oleanderpulley/internal/transport/reporter"
@@ -121,7 +120,6 @@
 	}
 	s.fencer.Holder = &s.holder
 	s.fencer.OnChange = s.leadershipChanged
-	s.fencer.OnHandedOver = func(service identifier.ServiceName, end sampler.Sample) { s.sessions.Sampler(service).Add(end) }
 	s.sessions.Holder = &s.holder
 	s.sessions.Fencer = &s.fencer
 	s.sessions.Lender = &s.lender
--- a/internal/coordination/fencer/fencer.go
+++ b/internal/coordination/fencer/fencer.go
@@ -10,7 +10,6 @@
 
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
-	"oleanderpulley/internal/state/sampler"
 )
 
 // ErrNotLeading reports that a backend server answered that it does not lead, or
@@ -32,9 +31,6 @@
 	// OnChange is called with each record that replaces an earlier one of its
 	// service. It may be nil.
 	OnChange func(identifier.ServiceName, cataloger.Leadership)
-	// OnHandedOver is called with the end of a log that a primary has handed over, as a
-	// position sample. It may be nil.
-	OnHandedOver func(identifier.ServiceName, sampler.Sample)
 
 	mu             sync.Mutex
 	records        atomic.Pointer[map[identifier.ServiceName]cataloger.Leadership]
@@ -157,18 +153,12 @@
 	if r == known {
 		return known
 	}
-	// The sample is dated before the record is published: a newer proof may be set
-	// afterwards.
-	sample, handedOver := f.handedOverSample(r)
 	records := map[identifier.ServiceName]cataloger.Leadership{}
 	if old := f.records.Load(); old != nil {
 		records = maps.Clone(*old)
 	}
 	records[service] = r
 	f.records.Store(&records)
-	if handedOver && f.OnHandedOver != nil {
-		f.OnHandedOver(service, sample)
-	}
 	if f.OnChange != nil {
 		f.OnChange(service, r)
 	}
--- a/internal/coordination/fencer/fencer_test.go
+++ b/internal/coordination/fencer/fencer_test.go
@@ -9,8 +9,6 @@
 
 	"oleanderpulley/internal/coordination/fencer"
 	"oleanderpulley/internal/state/cataloger"
-	"oleanderpulley/internal/state/identifier"
-	"oleanderpulley/internal/state/sampler"
 )
 
 func newFencer(now *time.Duration) *fencer.Fencer {
@@ -111,41 +109,3 @@
 		}
 	}
 }
-
-// Guards against reads that rely on a log that was handed over, although a new primary
-// may have been used since (STALE): an instance that starts reads the record while its
-// end may not be stored yet, and the end may be lost with a store that came back from an
-// older copy.
-func TestHandedOverLogIsDatedByTheProofBefore(t *testing.T) {
-	end := identifier.Position{Term: 1, Offset: 4}
-	record := cataloger.Leadership{Holder: "two", Successor: "b", HandedOver: end, Revision: 5}
-	for _, test := range []struct {
-		name    string
-		prepare func(f *fencer.Fencer)
-		record  cataloger.Leadership
-		sampled bool
-	}{
-		{"first observed", func(*fencer.Fencer) {}, record, true},
-		{"known", func(f *fencer.Fencer) { f.Observe("rentals", record) }, record, false},
-		{"instance starts", func(f *fencer.Fencer) { f.Holder = &cataloger.Holder{} }, record, false},
-		{"store came back", func(f *fencer.Fencer) { f.BeginEra(1, time.Second) }, record, false},
-		{"primary failed", func(*fencer.Fencer) {}, cataloger.Leadership{Holder: "two", Successor: "b", Revision: 5}, false},
-	} {
-		t.Run(test.name, func(t *testing.T) {
-			now := time.Hour
-			f := newFencer(&now)
-			now += 300 * time.Millisecond
-			test.prepare(f)
-			var samples []sampler.Sample
-			f.OnHandedOver = func(_ identifier.ServiceName, s sampler.Sample) { samples = append(samples, s) }
-			f.Observe("rentals", test.record)
-			f.Holder.SetProof(now)
-			f.Observe("rentals", test.record)
-			qt.Assert(t, len(samples) == 1, qt.Equals, test.sampled)
-			if test.sampled {
-				qt.Assert(t, samples[0].Position, qt.Equals, end)
-				qt.Assert(t, now-samples[0].RequestedAt, qt.Equals, 300*time.Millisecond)
-			}
-		})
-	}
-}
--- a/internal/coordination/replacer/handover.go
+++ b/internal/coordination/replacer/handover.go
@@ -38,7 +38,6 @@
 	if final.Leads {
 		return errors.Wrapf(errPrimaryLeads, "server %s after its step-down", draining.ID)
 	}
-	p.handedOver = final.Received
 	if r.awaitPosition(ctx, next, final.Received) {
 		return nil
 	}
--- a/internal/coordination/replacer/model_test.go
+++ b/internal/coordination/replacer/model_test.go
@@ -162,7 +162,6 @@
 	i.holder.Replace(m.catalog(nil))
 	i.fencer.Holder = &i.holder
 	i.fencer.OnChange = i.leadershipChanged
-	i.fencer.OnHandedOver = func(_ identifier.ServiceName, end sampler.Sample) { i.samples.Add(end) }
 	r := &i.replacer
 	r.Self = i.id
 	r.Catalog = i.holder.Catalog
--- a/internal/coordination/replacer/promote.go
+++ b/internal/coordination/replacer/promote.go
@@ -12,13 +12,12 @@
 
 // promoteAndGrant promotes the server, waits until it leads, and grants its use to
 // all instances. The server is written into the record first, so that an instance
-// that takes over continues with the same one. If the old primary has handed over its
-// log, the instances serve reads up to its end from then on.
+// that takes over continues with the same one.
 func (r *Replacer) promoteAndGrant(ctx context.Context, p *replacement, b cataloger.BackendServer) error {
 	p.steps.begin("promotion")
 	otherRequested := p.requested && p.record.Successor != b.ID
 	next := p.record
-	next.Successor, next.HandedOver = b.ID, p.handedOver
+	next.Successor = b.ID
 	if err := r.write(ctx, p, next); err != nil {
 		return err
 	}
--- a/internal/coordination/replacer/replace.go
+++ b/internal/coordination/replacer/replace.go
@@ -26,8 +26,7 @@
 	// requested is set once a promotion of another server may have been or may
 	// be executed. The old primary must not be used again after that.
 	requested  bool
-	reinstated bool                // The draining primary was promoted again.
-	handedOver identifier.Position // End of the log of a draining primary that has stepped down; zero before.
+	reinstated bool // The draining primary was promoted again.
 	steps      stepTimer
 }
 
@@ -105,7 +104,6 @@
 	if l.Successor != "" {
 		next.Successor = l.Successor
 	}
-	next.HandedOver = identifier.Position{}
 	// The holder of a lost announcement may have requested a promotion.
 	p.requested = known.IsReplacing() && !l.IsReplacing()
 	next.Holder, next.Revision = r.Self, l.Revision
--- a/internal/state/cataloger/leadership.go
+++ b/internal/state/cataloger/leadership.go
@@ -5,6 +5,10 @@
 // Leadership is the record in the store that says which server is the primary of
 // a service and whether it is being replaced. A service whose primary was never
 // replaced has none.
+//
+// Earlier releases have the field "position", the end of the successor's log when it
+// was chosen, and read up to it. It is neither read nor written: the successor receives
+// more until it leads, and another server may be promoted in its place.
 type Leadership struct {
 	// Term is the term that Server leads, or 0 if the primary was never
 	// replaced.
@@ -15,15 +19,6 @@
 	// Successor is the server whose promotion may have been requested. It is
 	// set only during a replacement.
 	Successor identifier.BackendServerID `json:"successor,omitempty" cbor:"successor,omitempty"`
-	// HandedOver is the end of the log of a primary that has stepped down. A log that
-	// contains it has every commit that was acknowledged before the record was
-	// written. It is zero if the primary has failed: commits that no replica has
-	// received yet may be kept, as the successor receives until it leads and another
-	// server may be chosen. It is also zero once another instance has taken over.
-	//
-	// Earlier releases have the field "position", the end of the successor's log when
-	// it was chosen. It is neither read nor written.
-	HandedOver identifier.Position `json:"handed_over" cbor:"handed_over"`
 	// Holder is the instance that replaces the primary. It is empty while no
 	// replacement is under way.
 	Holder identifier.InstanceID `json:"holder,omitempty" cbor:"holder,omitempty"`
--- a/internal/state/sampler/sampler.go
+++ b/internal/state/sampler/sampler.go
@@ -1,7 +1,6 @@
 package sampler
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -24,9 +23,6 @@
 	// suspended. By a clock that stops, a sample from before a suspension would count
 	// as recent after it.
 	RequestedAt time.Duration
-	// HandedOver reports that the position is the end of the log of a primary that
-	// stepped down at RequestedAt or later.
-	HandedOver bool
 }
 
 // Sampler keeps the samples of one service. The zero value is ready to use. It
@@ -53,8 +49,6 @@
 			return
 		case sample.Position.Term > last.Position.Term:
 			s.samples = s.samples[:0]
-		case sample.HandedOver && sample.RequestedAt < last.RequestedAt:
-			sample.RequestedAt = last.RequestedAt // The primary still led then.
 		case sample.RequestedAt < last.RequestedAt:
 			return
 		case sample.RequestedAt-last.RequestedAt < minSampleSpacing && sample.Position == last.Position:
@@ -111,15 +105,12 @@
 	return 0, false
 }
 
-// Latest returns the newest sample that a primary reported, or false if there is
-// none. The end of a log that was handed over shows no primary that leads.
+// Latest returns the newest sample, or false if there is none.
 func (s *Sampler) Latest() (Sample, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, sample := range slices.Backward(s.samples) {
-		if !sample.HandedOver {
-			return sample, true
-		}
+	if len(s.samples) == 0 {
+		return Sample{}, false
 	}
-	return Sample{}, false
+	return s.samples[len(s.samples)-1], true
 }
--- a/internal/state/sampler/sampler_test.go
+++ b/internal/state/sampler/sampler_test.go
@@ -56,27 +56,6 @@
 	qt.Assert(t, n.Position, qt.Equals, position(1, 20))
 }
 
-// Guards against reads that stop during a hand-over because its end is dated before the
-// last answer of the primary, and against an end that is taken for a primary that leads.
-func TestHandedOverLogIsAsRecentAsTheLastAnswer(t *testing.T) {
-	var s sampler.Sampler
-	s.Add(sampler.Sample{Position: position(1, 10), RequestedAt: at(2)})
-	s.Add(sampler.Sample{Position: position(1, 12), RequestedAt: at(1.8), HandedOver: true})
-	n, ok := s.Floor(at(1.9))
-	qt.Assert(t, ok, qt.IsTrue)
-	qt.Assert(t, n.Position, qt.Equals, position(1, 10))
-	s.Add(sampler.Sample{Position: position(2, 13), RequestedAt: at(3)})
-	s.Add(sampler.Sample{Position: position(1, 12), RequestedAt: at(3.5), HandedOver: true})
-	n, ok = s.Latest()
-	qt.Assert(t, ok, qt.IsTrue)
-	qt.Assert(t, n.Position, qt.Equals, position(2, 13))
-
-	var handedOver sampler.Sampler
-	handedOver.Add(sampler.Sample{Position: position(1, 12), RequestedAt: at(2), HandedOver: true})
-	_, ok = handedOver.Latest()
-	qt.Assert(t, ok, qt.IsFalse)
-}
-
 // Guards against memory use that grows for as long as a service is in use.
 func TestSamplesAreBounded(t *testing.T) {
 	var s sampler.Sampler
--- a/internal/transport/sessioner/fenced_test.go
+++ b/internal/transport/sessioner/fenced_test.go
@@ -123,36 +123,25 @@
 	qt.Assert(t, r.Result.Code, qt.Equals, requester.Overloaded)
 }
 
-// Guards against reads that wait for a new primary, although every commit that
-// they must see is in the log that the old one has handed over; against reads on any
-// other log, and against reads that rely on a log that was handed over before the last
-// commit that they must see (STALE).
-func TestReadsGoOnDuringAHandOver(t *testing.T) {
-	end := identifier.Position{Term: 1, Offset: 4}
-	for _, test := range []struct {
-		name     string
-		record   cataloger.Leadership
-		proofAge time.Duration
-		code     requester.Code
-	}{
-		{"announced", cataloger.Leadership{Holder: "other", Revision: 8}, 0, requester.Lagging},
-		{"primary failed", cataloger.Leadership{Holder: "other", Successor: "b", Revision: 8}, 0, requester.Lagging},
-		{"handed over", cataloger.Leadership{Holder: "other", Successor: "b", HandedOver: end, Revision: 8}, 0, requester.OK},
-		{"handed over long ago", cataloger.Leadership{Holder: "other", Successor: "b", HandedOver: end, Revision: 8}, 1200 * time.Millisecond, requester.Lagging},
-	} {
-		t.Run(test.name, func(t *testing.T) {
-			s, _ := newTestServer()
-			replaceDuring(s, requester.Unknown)
-			s.Fencer.OnHandedOver = func(service identifier.ServiceName, end sampler.Sample) { s.Sampler(service).Add(end) }
-			now := s.Holder.Clock() + test.proofAge
-			s.Holder.Now = func() time.Duration { return now }
-			s.Fencer.Observe("rentals", test.record)
-			request := primaryRequest(requester.Read, "READ x")
-			request.Route.Consistency = cataloger.BoundedStaleness
-			request.Route.MaxStaleness = time.Second
-			qt.Assert(t, s.Execute("peer", request).Result.Code, qt.Equals, test.code)
-		})
-	}
+// Guards against reads that rely on what the record of a replacement says (STALE), and
+// against reads that wait for a new primary although a sample of the old one is recent.
+func TestReadsInAReplacementRelyOnSamplesAlone(t *testing.T) {
+	s, _ := newTestServer()
+	replaceDuring(s, requester.Unknown)
+	now := s.Holder.Clock()
+	s.Holder.Now = func() time.Duration { return now }
+	request := primaryRequest(requester.Read, "READ x")
+	request.Route.Consistency = cataloger.BoundedStaleness
+	request.Route.MaxStaleness = time.Second
+	s.Fencer.Observe("rentals", cataloger.Leadership{Holder: "other", Successor: "b", Revision: 8})
+	qt.Assert(t, s.Execute("peer", request).Result.Code, qt.Equals, requester.Lagging)
+
+	s.Sampler("rentals").Add(sampler.Sample{Position: identifier.Position{Term: 1, Offset: 4}, RequestedAt: now})
+	now += request.Route.MaxStaleness - time.Millisecond
+	qt.Assert(t, s.Execute("peer", request).Result.Code, qt.Equals, requester.OK)
+	now += time.Second
+	s.Holder.SetProof(now)
+	qt.Assert(t, s.Execute("peer", request).Result.Code, qt.Equals, requester.Lagging)
 }
 
 // Guards against a refusal that says of a read that was sent to a replica and not
--- a/internal/transport/sessioner/floor.go
+++ b/internal/transport/sessioner/floor.go
@@ -28,7 +28,6 @@
 	fromSample    floorSource = "sample"     // Of the primary, reported to this instance.
 	fromPeer      floorSource = "peer"       // Of the primary, fetched from a peer for this read.
 	fromOwnCommit floorSource = "own_commit" // The session's newest commit.
-	fromHandOver  floorSource = "hand_over"  // The end of the log of a primary that has stepped down.
 )
 
 // floor returns the floor for a read on a replica. If no sample is within the
@@ -94,14 +93,8 @@
 // chooseFloor returns the floor of the shared sample with the session's own writes,
 // and records it in the trace and the metrics.
 func (n *session) chooseFloor(o operation, shared sampler.Sample, arrived time.Duration, source floorSource) floor {
-	if shared.HandedOver {
-		source = fromHandOver
-	}
 	f := n.withOwnWrites(o, floor{shared.Position, arrived - shared.RequestedAt, source})
 	o.trace.floor = f
-	if f.source == fromHandOver {
-		n.server.Activity.HandOverReads.Add(1)
-	}
 	if n.server.Registry != nil {
 		n.server.Registry.Count(reporter.Series{Name: "read_floors", Reason: string(f.source)}, 1)
 	}
--- a/internal/transport/sessioner/log.go
+++ b/internal/transport/sessioner/log.go
@@ -20,7 +20,6 @@
 type Activity struct {
 	Served, Late, Failed, Refused atomic.Uint64
 	ReplicaReads, PrimaryReads    atomic.Uint64 // Reads outside transactions, by the role of the server that ran them.
-	HandOverReads                 atomic.Uint64 // Reads with the end of a log that was handed over as their floor.
 	Panics                        atomic.Uint64 // Sessions that ended by a panic.
 }
 
