internal/coordination/replacer: no promotion of a draining primary where tokens are not checked

Cause: before a planned hand-over, the holder promotes the draining primary again, to see that promotions are answered. A call without an answer may be executed late, after another instance has handed over, and then makes the draining primary lead again. Only its caller waited for that.

Change: the call is left out where the platform does not check tokens (bounds.requireFencing). Where it does, a late one is refused, and the pause of 5 s after an unanswered one goes. Price: if the platform is away just then, the service has no primary until it answers.

TestDrainingPrimaryIsNotPromotedWhereTokensAreNotChecked. The soak's settings say whether tokens are checked.

--- a/internal/bench/soaker/environment.go
+++ b/internal/bench/soaker/environment.go
@@ -150,7 +150,7 @@
 		name := instanceName(i)
 		p, err := stager.NewProcess(stager.ProcessConfig{
 			Program: e.soak.Program, Directory: e.directory, Name: name,
-			DataCentre: fmt.Sprint("dc-", i%dataCentres), StoreAddress: e.proxies[name].Address,
+			DataCentre: fmt.Sprint("dc-", i%dataCentres), StoreAddress: e.proxies[name].Address, Unfenced: e.soak.Unfenced,
 		})
 		if err != nil {
 			return err
--- a/internal/bench/stager/process.go
+++ b/internal/bench/stager/process.go
@@ -35,6 +35,7 @@
 	Name         string
 	DataCentre   string
 	StoreAddress string // Address of the metadata store and the promotion endpoint.
+	Unfenced     bool   // The promotion endpoint checks no fencing tokens.
 }
 
 // Process is an instance that runs as a separate process.
@@ -65,8 +66,8 @@
 	p := &Process{Name: config.Name, Address: addresses[0], readinessAddress: addresses[1]}
 	_, peerPort, _ := net.SplitHostPort(addresses[2])
 	settings := fmt.Sprintf("nodeName=%s\nzone=%s\nip=127.0.0.1\nlisten.front=%s\nlisten.readiness=%s\n"+
-		"internalPorts=%s,%s\nplatform.address=%s\ncloud.address=%s\nbounds.graceS=%d\nbounds.revokeMs=5000\nlimits.memoryMb=256\n",
-		config.Name, config.DataCentre, addresses[0], addresses[1], peerPort, peerPort, config.StoreAddress, config.StoreAddress, int(gracePeriod.Seconds()))
+		"internalPorts=%s,%s\nplatform.address=%s\ncloud.address=%s\nbounds.graceS=%d\nbounds.revokeMs=5000\nbounds.requireFencing=%t\nlimits.memoryMb=256\n",
+		config.Name, config.DataCentre, addresses[0], addresses[1], peerPort, peerPort, config.StoreAddress, config.StoreAddress, int(gracePeriod.Seconds()), !config.Unfenced)
 	settingsFile := filepath.Join(config.Directory, config.Name+".conf")
 	configFile := filepath.Join(config.Directory, config.Name+".jsonc")
 	if err := os.WriteFile(settingsFile, []byte(settings), 0o600); err != nil {
--- a/internal/command/starter/fixture_test.go
+++ b/internal/command/starter/fixture_test.go
@@ -120,6 +120,7 @@
 		ClientAddress: freeAddress(p.t), ProbeAddress: freeAddress(p.t), PeerAddress: freeAddress(p.t),
 		StoreAddress: p.address, CloudAddress: p.address,
 		Grace: 2 * time.Second, KeyWithdrawal: 5 * time.Second, EvacuationLimit: evacuationLimit,
+		TokensChecked: !p.store.Unfenced,
 	}
 	i := &testInstance{
 		Starter: &starter.Starter{Settings: s, Logger: zerolog.New(logs)},
--- a/internal/coordination/replacer/handover.go
+++ b/internal/coordination/replacer/handover.go
@@ -12,13 +12,13 @@
 
 // handOver makes the draining primary step down and waits until the successor
 // has received its whole log. Because the service has no primary in between, it
-// first verifies that promotions are answered and that the successor follows. If
+// first verifies that the successor follows and, where an unanswered call can do no
+// harm, that promotions are answered. If
 // the successor falls behind after all, the draining primary is promoted again,
 // so that no acknowledged commit is lost; the error is then [errSuccessorBehind].
 func (r *Replacer) handOver(ctx context.Context, p *replacement, next cataloger.BackendServer) error {
 	draining := *p.draining
-	members, complete := r.instancesToRevoke(ctx)
-	if complete && len(r.revoke(ctx, p, members)) == 0 {
+	if r.TokensChecked && r.allConfirm(ctx, p) {
 		if err := r.probePromotions(ctx, p, draining); err != nil {
 			return err
 		}
@@ -49,12 +49,19 @@
 	return err
 }
 
+// allConfirm reports whether every instance that may hold a permit has confirmed the
+// announcement.
+func (r *Replacer) allConfirm(ctx context.Context, p *replacement) bool {
+	members, complete := r.instancesToRevoke(ctx)
+	return complete && len(r.revoke(ctx, p, members)) == 0
+}
+
 // probePromotions promotes the draining primary, which changes nothing while it
 // leads. The promotion takes effect some time after its answer, though, so that
 // the draining primary may lead again after its step-down: every instance must
 // have confirmed that it does not use it any more. An unanswered request may be
-// executed late, so the next attempt is then put off until it cannot replace a
-// successor any more.
+// executed late and would replace the successor that any instance has promoted
+// meanwhile, unless the platform refuses it for its token.
 func (r *Replacer) probePromotions(ctx context.Context, p *replacement, draining cataloger.BackendServer) error {
 	ctx, cancel := context.WithTimeout(ctx, promoteCallTimeout)
 	defer cancel()
--- a/internal/coordination/replacer/model_test.go
+++ b/internal/coordination/replacer/model_test.go
@@ -196,6 +196,7 @@
 	r.WriteRecord = i.writeRecord
 	r.Revoke = i.revoke
 	r.Announce = i.announce
+	r.TokensChecked = m.fenced
 	r.Promote = i.promote
 	return i
 }
--- a/internal/coordination/replacer/replace.go
+++ b/internal/coordination/replacer/replace.go
@@ -48,7 +48,7 @@
 	level := zerolog.InfoLevel
 	if err != nil {
 		level = zerolog.WarnLevel
-		w.pausedUntil = time.Now().Add(pauseAfter(err))
+		w.pausedUntil = time.Now().Add(retryDelay)
 	} else {
 		w.silentSince = time.Time{}
 		if draining == nil {
@@ -67,15 +67,6 @@
 	}
 }
 
-// pauseAfter returns the time to the next check of a service after a failed
-// replacement.
-func pauseAfter(err error) time.Duration {
-	if errors.Is(err, errProbeUnanswered) {
-		return lateCallWindow
-	}
-	return retryDelay
-}
-
 // announce writes the record that announces the replacement. It returns
 // [ErrRecordChanged] while another instance replaces the primary or if another
 // has replaced it since the replacement was decided.
--- a/internal/coordination/replacer/replacer.go
+++ b/internal/coordination/replacer/replacer.go
@@ -57,10 +57,6 @@
 	// restoreDelay is the time for which a catalog may lack a record that a peer
 	// has announced, several periods of the catalog.
 	restoreDelay = 2500 * time.Millisecond
-	// lateCallWindow is the pause after an unanswered promotion of the draining
-	// primary, which may be executed late and then replaces a successor. The
-	// platform states no bound; where it checks tokens, it refuses a late one.
-	lateCallWindow = 5 * time.Second
 )
 
 // Replacer monitors the primaries of the services that this instance uses and
@@ -115,6 +111,9 @@
 	Era func() uint64
 	// IsProven reports whether the catalog is recent enough to use a primary.
 	IsProven func() bool
+	// TokensChecked reports that the platform refuses a promotion whose token is lower
+	// than one that it has seen for the service, also if it is executed late.
+	TokensChecked bool
 	// Promote requests the promotion of a server from the platform. It returns
 	// [ErrPromotionRefused] or [ErrPromotionUnknown].
 	Promote func(ctx context.Context, service identifier.ServiceName, id identifier.BackendServerID, l cataloger.Leadership) error
--- a/internal/coordination/replacer/replacer_test.go
+++ b/internal/coordination/replacer/replacer_test.go
@@ -93,8 +93,9 @@
 		return f()
 	}
 	return &Replacer{
-		Self:    "one",
-		Catalog: func() *cataloger.Catalog { return s.catalog },
+		Self:          "one",
+		TokensChecked: true,
+		Catalog:       func() *cataloger.Catalog { return s.catalog },
 		LastLed: func(identifier.ServiceName) (identifier.BackendServerID, identifier.Term, time.Time) {
 			return "a", 1, s.lastLed
 		},
@@ -309,6 +310,17 @@
 	qt.Assert(t, s.received["c"], qt.Equals, uint64(9))
 }
 
+// Guards against an unanswered promotion of a draining primary that is executed late and replaces a successor (ONE).
+func TestDrainingPrimaryIsNotPromotedWhereTokensAreNotChecked(t *testing.T) {
+	s := newFakeService()
+	s.catalog.Servers["rentals"][0].Draining = true
+	s.lastLed = time.Now()
+	r := s.replacer()
+	r.TokensChecked = false
+	qt.Assert(t, s.check(r, &serviceWatch{}), qt.DeepEquals,
+		[]string{"announce 11 ", "step down a below 2", "announce 12 c", "promote c under 12", "grant c in term 2"})
+}
+
 // Guards against a draining primary that is promoted to verify that promotions
 // are answered, steps down, leads again once the promotion takes effect, and is
 // used by an instance that does not know of the replacement.
