--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -32,6 +32,7 @@
 	flag.DurationVar(&s.Length, "length", 20*time.Second, "duration of a run, without startup and shutdown")
 	flag.StringVar(&s.Logs, "logs", "", "directory for the logs of failed runs")
 	flag.BoolVar(&s.Unfenced, "unfenced", false, "play a platform that checks no fencing tokens and replaced primaries that lead on")
+	flag.StringVar(&s.Fault, "fault", "", "name of the only fault to inject, as -v prints it")
 	verbose := flag.Bool("v", false, "print the faults of each run, with their times in seconds")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/internal/bench/soaker/environment.go
+++ b/internal/bench/soaker/environment.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -25,6 +26,9 @@
 	members   map[string]*imitator.Member
 	proxies   map[string]*stager.Proxy // To a backend server by its id; to the store by the name of the instance.
 	instances []*stager.Process
+	// promotionDelay is the time from the execution of a promotion until the server
+	// leads, with what it has received by then.
+	promotionDelay time.Duration
 
 	mu            sync.Mutex
 	configVersion int
@@ -42,6 +46,12 @@
 
 const dataCentres = 2
 
+// Bounds of the time until a promotion takes effect.
+const (
+	minPromotionDelay = 200 * time.Millisecond
+	maxPromotionDelay = 900 * time.Millisecond
+)
+
 func newEnvironment(s Soak, directory string) (*environment, error) {
 	e := &environment{
 		soak: s, directory: directory, members: map[string]*imitator.Member{}, proxies: map[string]*stager.Proxy{},
@@ -49,11 +59,8 @@
 	}
 	e.group.Service = "rentals"
 	e.group.Unfenced, e.store.Unfenced = s.Unfenced, s.Unfenced
-	e.store.Promote = func(_, id string) bool {
-		promoted := e.group.Promote(id)
-		e.registerServers()
-		return promoted
-	}
+	e.promotionDelay = minPromotionDelay + time.Duration(rand.New(rand.NewPCG(s.Seed, 2)).Int64N(int64(maxPromotionDelay-minPromotionDelay)))
+	e.store.Promote = e.promote
 	address, err := e.store.Start()
 	if err != nil {
 		return nil, errors.Wrap(err, "starting the store")
@@ -76,6 +83,16 @@
 	return e, nil
 }
 
+// promote accepts the promotion of a server. It takes effect some time later.
+func (e *environment) promote(_, id string) bool {
+	time.AfterFunc(e.promotionDelay, func() {
+		if e.group.Promote(id) {
+			e.registerServers()
+		}
+	})
+	return e.members[id] != nil
+}
+
 func (e *environment) registerServers() {
 	primary := e.group.Primary()
 	for id := range e.members {
--- a/internal/bench/soaker/fault.go
+++ b/internal/bench/soaker/fault.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"oleanderpulley/internal/bench/stager"
 	"oleanderpulley/platform/imitator"
 )
@@ -24,6 +26,10 @@
 	restartDelay  = 500 * time.Millisecond          // Time from a kill to the restart.
 	gracePeriod   = 3 * time.Second
 	minPartition  = 2500 * time.Millisecond // Long enough for a replacement of the primary to begin.
+	// maxReplacement is the time after which a partitioned primary is replaced or will
+	// not be.
+	maxReplacement        = 4 * time.Second
+	promotionPollInterval = 5 * time.Millisecond
 )
 
 // fault is one kind of fault. The function inject returns when the fault is over.
@@ -113,6 +119,7 @@
 	{"primary unresponsive", func(e *environment, _ *rand.Rand, duration time.Duration) {
 		e.partitionPrimary(duration)
 	}},
+	{"primary ahead of its replicas unresponsive", func(e *environment, _ *rand.Rand, _ time.Duration) { e.partitionAheadPrimary() }},
 	{"primary unresponsive during a pause", func(e *environment, r *rand.Rand, duration time.Duration) {
 		p := e.randomInstance(r)
 		p.Signal(syscall.SIGSTOP)
@@ -147,16 +154,27 @@
 	}},
 }
 
-// faults returns the faults that a run draws from.
-func (s Soak) faults() []fault {
-	if s.Unfenced {
-		return commonFaults
+// faults returns the faults that a run draws from. It returns errUnknownFault if none
+// has the name of s.Fault.
+func (s Soak) faults() ([]fault, error) {
+	all := commonFaults
+	if !s.Unfenced {
+		all = slices.Concat(commonFaults, promotionFaults)
+	}
+	if s.Fault == "" {
+		return all, nil
 	}
-	return slices.Concat(commonFaults, promotionFaults)
+	i := slices.IndexFunc(all, func(f fault) bool { return f.name == s.Fault })
+	if i < 0 {
+		return nil, errors.Wrapf(errUnknownFault, "%q", s.Fault)
+	}
+	return all[i : i+1], nil
 }
 
+var errUnknownFault = errors.New("fault is not known")
+
 // injectFaults injects random faults for the given time and returns the start time
-// and name of each. Faults may overlap.
+// and name of each. Faults overlap if there are several to draw from.
 func (e *environment) injectFaults(ctx context.Context, faults []fault, random *rand.Rand, length time.Duration) []string {
 	var names []string
 	var running sync.WaitGroup
@@ -168,6 +186,10 @@
 		duration := minDuration + time.Duration(random.Int64N(int64(maxDuration-minDuration)))
 		names = append(names, fmt.Sprintf("%.1f %s", time.Since(start).Seconds(), f.name))
 		running.Go(func() { f.inject(e, faultRandom, duration) })
+		if len(faults) == 1 {
+			running.Wait()
+			sleep(ctx, recoveryTime)
+		}
 	}
 	running.Wait()
 	return names
@@ -200,6 +222,33 @@
 	e.members[id].PauseReplication(false)
 }
 
+// partitionAheadPrimary cuts the primary off from the instances while the replicas lack
+// commits that are older than the staleness bound. The replicas receive them after the
+// promotion of a successor was requested and before it takes effect.
+func (e *environment) partitionAheadPrimary() {
+	id := e.group.Primary()
+	if id == "" {
+		return
+	}
+	e.pauseReplicas(id, true)
+	defer e.pauseReplicas(id, false)
+	time.Sleep(maxStaleness)
+	before := len(e.store.Promotions())
+	go e.proxies[id].BlackholeFor(minPartition)
+	for started := time.Now(); len(e.store.Promotions()) == before && time.Since(started) < maxReplacement; {
+		time.Sleep(promotionPollInterval)
+	}
+	time.Sleep(e.promotionDelay / 2)
+}
+
+func (e *environment) pauseReplicas(primary string, paused bool) {
+	for id, m := range e.members {
+		if id != primary {
+			m.PauseReplication(paused)
+		}
+	}
+}
+
 // restoreStore makes the store come back from a copy that is as old as the
 // duration. The operator and the backend servers then write again.
 func (e *environment) restoreStore(duration time.Duration) {
--- a/internal/bench/soaker/soaker.go
+++ b/internal/bench/soaker/soaker.go
@@ -35,6 +35,9 @@
 	// Unfenced plays a platform that checks no fencing tokens and a primary that
 	// leads on after it was replaced.
 	Unfenced bool
+	// Fault is the name of the only fault to inject, again and again without overlap. ""
+	// draws from all faults, which may overlap.
+	Fault string
 }
 
 // Report is the result of a run.
@@ -71,6 +74,10 @@
 // Run runs the soak test with its seed. If the context is cancelled, Run ends early
 // and returns the error of the context without a report.
 func (s Soak) Run(ctx context.Context) (Report, error) {
+	drawn, err := s.faults()
+	if err != nil {
+		return Report{}, err
+	}
 	directory, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		return Report{}, errors.Wrap(err, "creating a temporary directory")
@@ -91,7 +98,7 @@
 		c := &client{environment: e, history: h, number: i, random: rand.New(rand.NewPCG(s.Seed, uint64(i)+100))}
 		clients.Go(func() { c.run(stop) })
 	}
-	faults := e.injectFaults(ctx, s.faults(), rand.New(rand.NewPCG(s.Seed, 1)), s.Length)
+	faults := e.injectFaults(ctx, drawn, rand.New(rand.NewPCG(s.Seed, 1)), s.Length)
 	sleep(ctx, recoveryTime)
 	close(stop)
 	clients.Wait()
