internal/transport/sessioner: a key is checked against a catalog that its proof covers

Cause: authorize loaded the catalog and asked for the age of the proof afterwards.

Change: the proof is asked for first; the catalog is then at least as new.

--- a/internal/transport/sessioner/admit.go
+++ b/internal/transport/sessioner/admit.go
@@ -29,6 +29,7 @@
 // code of the returned result is OK if the session may run statements.
 func (n *session) authorize() (operation, requester.Result) {
 	now := time.Now()
+	isFresh := n.server.Holder.Fresh() // Before the catalog is loaded, which a later proof need not be of.
 	c := n.server.Holder.Catalog()
 	if c == nil || c.Configuration == nil {
 		return operation{}, n.refusal(requester.Overloaded, "no configuration was read yet")
@@ -54,7 +55,7 @@
 		return o, n.refusal(requester.Overloaded, errOutsideRegions.Error())
 	case route.Public:
 		return o, requester.Result{}
-	case !n.server.Holder.Fresh():
+	case !isFresh:
 		return o, n.refusal(requester.Overloaded, "the proof of the configuration is too old; use another instance")
 	case !known:
 		return o, n.refusal(requester.NoAccess, "the key is not known")
