internal/transport/sessioner: the first statement of a transaction knows the servers of its own time

Cause: a read-only transaction kept the servers that its BEGIN saw. After a pause of the client its first statement could run at a server that had left for longer than the drain limit (rule DRAIN).

Change: each statement takes the servers from its own authorization. Shown: TestFirstStatementGoesToAServerThatHasNotLeft failed before (it went to the server that had left) and passes.

--- a/internal/transport/sessioner/transaction.go
+++ b/internal/transport/sessioner/transaction.go
@@ -60,6 +60,7 @@
 	if refusal.Code == requester.OK && now.workspace != o.workspace {
 		refusal = n.refusal(requester.NoAccess, "the key has changed its owner")
 	}
+	o.servers = now.servers // A server may have left since the transaction began.
 	o.arrived = time.Now()
 	o.deadline = o.arrived.Add(o.route.StatementTimeout)
 	o.waitDeadline = o.arrived.Add(maxWait(o.route))
