internal/transport/sessioner: session values are set before a COMMIT

Cause: a SET inside a transaction takes effect on the server's connection with the next statement, but not with a COMMIT, so that the commit ran under other values than those acknowledged to the client (rule PINNED).

Change: the values are set before the COMMIT; if that fails the transaction is rolled back and the COMMIT aborted. Shown: TestValueIsSetBeforeTheCommit failed before (no SET at the server) and passes.

--- a/internal/transport/sessioner/commit.go
+++ b/internal/transport/sessioner/commit.go
@@ -52,6 +52,10 @@
 		t.rollBack(n)
 		return n.refusal(requester.Aborted, err.Error())
 	}
+	if _, err := n.prepareConn(t.conn, o.deadline, resolvedStatement{}); err != nil { // A SET may precede the COMMIT.
+		t.rollBack(n)
+		return n.refusal(requester.Aborted, err.Error())
+	}
 	sentAt := time.Now()
 	r, err := n.runInTransaction(o, st)
 	c := t.conn
