--- a/internal/coordination/replacer/model_instance_test.go
+++ b/internal/coordination/replacer/model_instance_test.go
@@ -279,10 +279,7 @@
 	if !i.fencer.IsHeld(permit) && i.m.defect != noRecheck {
 		return
 	}
-	i.m.mu.Lock()
-	dead := i.dead
-	i.m.mu.Unlock()
-	if dead {
+	if i.m.isDead(i) {
 		return
 	}
 	i.recordLed(id, term, commit.position(), sent)
--- a/internal/coordination/replacer/model_test.go
+++ b/internal/coordination/replacer/model_test.go
@@ -99,6 +99,12 @@
 	return slices.Clone(m.instances)
 }
 
+func (m *model) isDead(i *modelInstance) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return i.dead
+}
+
 func (m *model) instance(id identifier.InstanceID) *modelInstance {
 	for _, i := range m.all() {
 		if i.id == id {
@@ -117,7 +123,10 @@
 	return nil
 }
 
+// catalog returns the catalog with the records. The caller does not hold mu.
 func (m *model) catalog(records map[identifier.ServiceName]cataloger.Leadership) *cataloger.Catalog {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	c := &cataloger.Catalog{
 		Configuration: &cataloger.Configuration{Services: map[identifier.ServiceName]cataloger.Service{modelService: {}}},
 		Servers:       map[identifier.ServiceName][]cataloger.BackendServer{},
@@ -156,7 +165,7 @@
 	time.Sleep(modelLength)
 	injected.Wait()
 	for _, i := range m.all() {
-		if !i.dead {
+		if !m.isDead(i) {
 			i.stop()
 		}
 	}
