internal/transport/sessioner: tests advance a clock that goroutines may read

TestReadAfterASuspensionIgnoresEarlierSamples and TestReplyTellsThatTheProofIsTooOld set their clocks in the same way.

--- a/internal/transport/sessioner/fenced_test.go
+++ b/internal/transport/sessioner/fenced_test.go
@@ -128,19 +128,18 @@
 func TestReadsInAReplacementRelyOnSamplesAlone(t *testing.T) {
 	s, _ := newTestServer()
 	replaceDuring(s, requester.Unknown)
-	now := s.Holder.Clock()
-	s.Holder.Now = func() time.Duration { return now }
+	clock := setClock(s)
 	request := primaryRequest(requester.Read, "READ x")
 	request.Route.Consistency = cataloger.BoundedStaleness
 	request.Route.MaxStaleness = time.Second
 	s.Fencer.Observe("rentals", cataloger.Leadership{Holder: "other", Successor: "b", Revision: 8})
 	qt.Assert(t, s.Execute("peer", request).Result.Code, qt.Equals, requester.Lagging)
 
-	s.Sampler("rentals").Add(sampler.Sample{Position: identifier.Position{Term: 1, Offset: 4}, RequestedAt: now})
-	now += request.Route.MaxStaleness - time.Millisecond
+	s.Sampler("rentals").Add(sampler.Sample{Position: identifier.Position{Term: 1, Offset: 4}, RequestedAt: clock.now()})
+	clock.advance(request.Route.MaxStaleness - time.Millisecond)
 	qt.Assert(t, s.Execute("peer", request).Result.Code, qt.Equals, requester.OK)
-	now += time.Second
-	s.Holder.SetProof(now)
+	clock.advance(time.Second)
+	s.Holder.SetProof(clock.now())
 	qt.Assert(t, s.Execute("peer", request).Result.Code, qt.Equals, requester.Lagging)
 }
 
--- a/internal/transport/sessioner/floor_test.go
+++ b/internal/transport/sessioner/floor_test.go
@@ -17,16 +17,15 @@
 func TestReadAfterASuspensionIgnoresEarlierSamples(t *testing.T) {
 	s, _ := newTestServer()
 	replaceDuring(s, requester.Unknown)
-	now := s.Holder.Clock()
-	s.Holder.Now = func() time.Duration { return now }
+	clock := setClock(s)
 	qt.Assert(t, s.Execute("peer", primaryRequest(requester.Write, "WRITE x 1")).Result.Code, qt.Equals, requester.OK)
 	s.Fencer.Observe("rentals", cataloger.Leadership{Holder: "other", Revision: 7})
 	read := primaryRequest(requester.Read, "READ x")
 	read.Route.Consistency, read.Route.MaxStaleness = cataloger.BoundedStaleness, time.Second
 	qt.Assert(t, s.Execute("peer", read).Result.Code, qt.Equals, requester.OK)
 
-	now += 5 * time.Second // The clock of package time has stopped meanwhile.
-	s.Holder.SetProof(now)
+	clock.advance(5 * time.Second) // The clock of package time has stopped meanwhile.
+	s.Holder.SetProof(clock.now())
 	qt.Assert(t, s.Execute("peer", read).Result.Code, qt.Equals, requester.Lagging)
 }
 
--- a/internal/transport/sessioner/forwarded_test.go
+++ b/internal/transport/sessioner/forwarded_test.go
@@ -103,19 +103,18 @@
 // primary, because it does not tell that its proof is too old.
 func TestReplyTellsThatTheProofIsTooOld(t *testing.T) {
 	s, seen := newTestServer()
-	now := s.Holder.Clock()
-	s.Holder.Now = func() time.Duration { return now }
+	clock := setClock(s)
 	for _, id := range []uint64{0, 1} {
 		f := openingForward("shops", id)
 		if id == 0 {
 			f.Begin = requester.Unknown
 		}
 		qt.Assert(t, s.Execute("peer", f).Unproven, qt.IsFalse)
-		now += fencer.Validity + time.Second
+		clock.advance(fencer.Validity + time.Second)
 		r := s.Execute("peer", f)
 		qt.Assert(t, r.Unproven, qt.IsTrue)
 		qt.Assert(t, r.NotRun(), qt.IsTrue)
-		s.Holder.SetProof(now)
+		s.Holder.SetProof(clock.now())
 	}
 	qt.Assert(t, seen["shops"], qt.DeepEquals, []requester.Kind{requester.Write, requester.Begin, requester.Write, requester.Rollback})
 }
