--- a/internal/coordination/ratelimiter/retry_test.go
+++ b/internal/coordination/ratelimiter/retry_test.go
@@ -25,7 +25,7 @@
 			instances := []int{choose(), choose(), choose(), choose(), choose(), choose(), choose(), choose()}
 			s.attempts.Go(func() {
 				for _, i := range instances {
-					refusal := s.attempt(s.nodes[i])
+					refusal := s.attempt(s.instances[i])
 					if refusal == nil {
 						return
 					}
