internal/bench/soaker, cmd/soak: run instances of two builds side by side

No test ran two builds together. The flags -old and -old-commit name an older build, and -schedule how the instances change between the builds: forward, back, forward-and-back or half. Instances change one after the other by SIGTERM and a start, evenly over the run, while the usual faults are injected; a fault that restarts an instance keeps its build. All checks apply, and a run whose instances did not end with the planned builds fails.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -9,10 +9,14 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"oleanderpulley/internal/bench/builder"
 	"oleanderpulley/internal/bench/soaker"
 )
 
@@ -33,10 +37,22 @@
 	flag.StringVar(&s.Logs, "logs", "", "directory for the logs of failed runs")
 	flag.BoolVar(&s.Unfenced, "unfenced", false, "play a platform that checks no fencing tokens and replaced primaries that lead on")
 	flag.StringVar(&s.Fault, "fault", "", "name of the only fault to inject, as -v prints it")
+	flag.StringVar(&s.OldProgram, "old", "", "path of the binary of an older build that runs beside -program")
+	oldCommit := flag.String("old-commit", "", "commit of an older build, built from the history of the repository, that runs beside -program")
+	schedule := flag.String("schedule", string(soaker.ForwardAndBack), fmt.Sprintf("changes between the two builds, one of %v", soaker.Schedules))
 	verbose := flag.Bool("v", false, "print the faults of each run, with their times in seconds")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	s.Schedule = soaker.Schedule(*schedule)
+	if *oldCommit != "" {
+		remove, err := buildOld(ctx, &s, *oldCommit)
+		defer remove()
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "error: older build: %v\n", err)
+			return 2
+		}
+	}
 	failed := 0
 	for i := range *seedCount {
 		s.Seed = *firstSeed + uint64(i)
@@ -47,7 +63,7 @@
 		}
 		fmt.Println(report)
 		if *verbose {
-			fmt.Println("  " + strings.Join(report.Faults, "\n  "))
+			fmt.Println("  " + strings.Join(append(report.Faults, report.Upgrades...), "\n  "))
 		}
 		if !report.OK() {
 			failed++
@@ -58,3 +74,19 @@
 	}
 	return 0
 }
+
+// buildOld builds the commit and sets its executable as the older build. The returned
+// function removes it.
+func buildOld(ctx context.Context, s *soaker.Soak, commit string) (remove func(), err error) {
+	if s.OldProgram != "" {
+		return func() {}, errTwoOldBuilds
+	}
+	directory, err := os.MkdirTemp("", "soak-old")
+	if err != nil {
+		return func() {}, errors.Wrap(err, "creating a temporary directory")
+	}
+	s.OldProgram = filepath.Join(directory, "oleanderpulley")
+	return func() { _ = os.RemoveAll(directory) }, builder.Builder{}.Build(ctx, commit, s.OldProgram)
+}
+
+var errTwoOldBuilds = errors.New("-old and -old-commit exclude each other")
--- a/internal/bench/soaker/environment.go
+++ b/internal/bench/soaker/environment.go
@@ -162,11 +162,11 @@
 	e.mu.Unlock()
 }
 
-func (e *environment) startInstances() error {
+func (e *environment) startInstances(plan upgradePlan) error {
 	for i := range e.soak.Instances {
 		name := instanceName(i)
 		p, err := stager.NewProcess(stager.ProcessConfig{
-			Program: e.soak.Program, Directory: e.directory, Name: name,
+			Program: e.soak.program(plan.start[i]), Directory: e.directory, Name: name,
 			DataCentre: fmt.Sprint("dc-", i%dataCentres), StoreAddress: e.proxies[name].Address, Unfenced: e.soak.Unfenced,
 		})
 		if err != nil {
--- a/internal/bench/soaker/fault.go
+++ b/internal/bench/soaker/fault.go
@@ -173,13 +173,14 @@
 
 var errUnknownFault = errors.New("fault is not known")
 
-// injectFaults injects random faults for the given time and returns the start time
-// and name of each. Faults overlap if there are several to draw from.
-func (e *environment) injectFaults(ctx context.Context, faults []fault, random *rand.Rand, length time.Duration) []string {
+// injectFaults injects random faults for the given time, and longer until upgraded is
+// closed. It returns the start time and name of each. Faults overlap if there are
+// several to draw from.
+func (e *environment) injectFaults(ctx context.Context, faults []fault, random *rand.Rand, length time.Duration, upgraded <-chan struct{}) []string {
 	var names []string
 	var running sync.WaitGroup
 	start := time.Now()
-	for time.Since(start) < length && ctx.Err() == nil {
+	for (time.Since(start) < length || !isClosed(upgraded)) && ctx.Err() == nil {
 		sleep(ctx, minGap+time.Duration(random.Int64N(int64(maxGap-minGap))))
 		f := faults[random.IntN(len(faults))]
 		faultRandom := rand.New(rand.NewPCG(random.Uint64(), 0))
@@ -195,6 +196,15 @@
 	return names
 }
 
+func isClosed(done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	default:
+		return false
+	}
+}
+
 // replacePrimary promotes another server and pauses replication to the previous
 // primary, which it returns.
 func (e *environment) replacePrimary(r *rand.Rand) *imitator.Member {
--- a/internal/bench/soaker/soaker.go
+++ b/internal/bench/soaker/soaker.go
@@ -38,6 +38,11 @@
 	// Fault is the name of the only fault to inject, again and again without overlap. ""
 	// draws from all faults, which may overlap.
 	Fault string
+	// OldProgram is the path of the executable of an older build. "" runs Program alone.
+	OldProgram string
+	// Schedule determines which instances run OldProgram, and when they change between
+	// the builds.
+	Schedule Schedule
 }
 
 // Report is the result of a run.
@@ -47,6 +52,7 @@
 	Served     int      // Acknowledged operations.
 	Unknown    int      // Operations with an unknown outcome.
 	Faults     []string // Start time in seconds and name of each fault.
+	Upgrades   []string // Time in seconds, instance and build of each change of a build.
 	Broken     []string // Broken promises, one line each, that begin with the rule.
 }
 
@@ -61,6 +67,9 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "seed %d: %d operations, %d served, %d unknown, %d faults, %d broken",
 		r.Seed, r.Operations, r.Served, r.Unknown, len(r.Faults), len(r.Broken))
+	if len(r.Upgrades) > 0 {
+		fmt.Fprintf(&b, ", %d changes of a build", len(r.Upgrades))
+	}
 	for i, line := range r.Broken {
 		if i == maxListedBroken {
 			b.WriteString("\n  ...")
@@ -78,6 +87,10 @@
 	if err != nil {
 		return Report{}, err
 	}
+	plan, err := s.upgradePlan()
+	if err != nil {
+		return Report{}, err
+	}
 	directory, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		return Report{}, errors.Wrap(err, "creating a temporary directory")
@@ -88,7 +101,7 @@
 		return Report{}, err
 	}
 	defer e.close()
-	if err := e.startInstances(); err != nil {
+	if err := e.startInstances(plan); err != nil {
 		return Report{}, stderrors.Join(err, s.keepLogs(directory))
 	}
 	h := &history{}
@@ -98,7 +111,14 @@
 		c := &client{environment: e, history: h, number: i, random: rand.New(rand.NewPCG(s.Seed, uint64(i)+100))}
 		clients.Go(func() { c.run(stop) })
 	}
-	faults := e.injectFaults(ctx, drawn, rand.New(rand.NewPCG(s.Seed, 1)), s.Length)
+	var upgrades []string
+	upgraded := make(chan struct{})
+	go func() {
+		defer close(upgraded)
+		upgrades = e.upgrade(ctx, plan.changes, s.Length)
+	}()
+	faults := e.injectFaults(ctx, drawn, rand.New(rand.NewPCG(s.Seed, 1)), s.Length, upgraded)
+	<-upgraded
 	sleep(ctx, recoveryTime)
 	close(stop)
 	clients.Wait()
@@ -106,7 +126,8 @@
 		return Report{}, ctx.Err()
 	}
 	r := h.check(e)
-	r.Seed, r.Faults = s.Seed, faults
+	r.Broken = append(r.Broken, e.checkBuilds(plan)...)
+	r.Seed, r.Faults, r.Upgrades = s.Seed, faults, upgrades
 	if !r.OK() {
 		err = s.keepLogs(directory)
 	}
--- a/internal/bench/stager/process.go
+++ b/internal/bench/stager/process.go
@@ -44,13 +44,15 @@
 	Address string // Listen address for clients.
 
 	readinessAddress string // Listen address of the readiness probe.
-	command          func() *exec.Cmd
+	command          func(program string) *exec.Cmd
 
 	restarting sync.Mutex // Held from the signal that ends the process to its restart.
 
-	mu     sync.Mutex
-	cmd    *exec.Cmd
-	exited chan struct{}
+	mu      sync.Mutex
+	program string // Path of the executable of the next start.
+	started string // Path of the executable of the last start.
+	cmd     *exec.Cmd
+	exited  chan struct{}
 }
 
 // NewProcess writes the settings files of an instance and opens its log. It does
@@ -63,7 +65,7 @@
 			return nil, err
 		}
 	}
-	p := &Process{Name: config.Name, Address: addresses[0], readinessAddress: addresses[1]}
+	p := &Process{Name: config.Name, Address: addresses[0], readinessAddress: addresses[1], program: config.Program}
 	_, peerPort, _ := net.SplitHostPort(addresses[2])
 	settings := fmt.Sprintf("nodeName=%s\nzone=%s\nip=127.0.0.1\nlisten.front=%s\nlisten.readiness=%s\n"+
 		"internalPorts=%s,%s\nplatform.address=%s\ncloud.address=%s\nbounds.graceS=%d\nbounds.revokeMs=5000\nbounds.requireFencing=%t\nlimits.memoryMb=256\n",
@@ -80,8 +82,8 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "opening the log of instance %s", config.Name)
 	}
-	p.command = func() *exec.Cmd {
-		c := exec.Command(config.Program, "entry", "--settings", settingsFile, "--config", configFile) //nolint:gosec // The caller chooses the program.
+	p.command = func(program string) *exec.Cmd {
+		c := exec.Command(program, "entry", "--settings", settingsFile, "--config", configFile) //nolint:gosec // The caller chooses the program.
 		c.Stdout, c.Stderr = logFile, logFile
 		return c
 	}
@@ -116,12 +118,12 @@
 func (p *Process) Start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c := p.command()
+	c := p.command(p.program)
 	if err := c.Start(); err != nil {
 		return errors.Wrapf(err, "starting instance %s", p.Name)
 	}
 	exited := make(chan struct{})
-	p.cmd, p.exited = c, exited
+	p.cmd, p.exited, p.started = c, exited, p.program
 	go func() {
 		defer close(exited)
 		_ = c.Wait() // The error is expected: the process is ended by a signal.
@@ -129,6 +131,21 @@
 	return nil
 }
 
+// SetProgram sets the path of the executable that later starts use. The running
+// process is not changed.
+func (p *Process) SetProgram(program string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.program = program
+}
+
+// Program returns the path of the executable of the last start, or "" before the first.
+func (p *Process) Program() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.started
+}
+
 // Signal sends a signal to the process if it was started.
 func (p *Process) Signal(s syscall.Signal) {
 	p.mu.Lock()
