internal/transport/sessioner: a primary that lost its log is not used

What callers see: a backend server that starts again under its id holds nothing of before. If it still leads its term, reads of primary routes run on its empty log, and its low position becomes the floor of all other reads, so that they lack acknowledged commits (STALE).

Cause: the position in a primary's answer was taken as a sample whatever it was. A primary's log never gets shorter within its term, so that a position before one that it has reported earlier shows that the log was lost.

Change: an answer with such a position, to a request that was sent after the earlier one was known, is no answer of a primary: a write has an unknown outcome, a read is run again, a transaction is aborted, and the server counts as not leading, so that the monitoring replaces it. Positions are compared under one permit, since a replacement may discard a part of the log, and in the proxy's own queries no more once a successor is chosen. It is logged as primary_log_lost, at most once a second and service, and counted as primary_logs_lost.

Evidence: TestPrimaryThatLostItsLogIsNotUsed fails before, in 8 of 8 cases:

--- FAIL: TestPrimaryThatLostItsLogIsNotUsed/empty/READ_x (0.00s) lost_log_test.go:56: error: unexpected success got: s"ok"

Whether a primary may lose its log is not said clearly: PROTOCOL.md says both that a crashed primary comes back with its log and that a server which starts again under its id holds nothing of before.

--- /dev/null
+++ b/internal/transport/sessioner/lost_log.go
@@ -0,0 +1,83 @@
+package sessioner
+
+import (
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"oleanderpulley/internal/coordination/fencer"
+	"oleanderpulley/internal/state/identifier"
+	"oleanderpulley/internal/transport/lender"
+	"oleanderpulley/internal/transport/reporter"
+)
+
+// lostLogLogPause is the minimum time between two log lines about the lost log of a
+// service's primary.
+const lostLogLogPause = time.Second
+
+// errLogLost reports that a server leads with a shorter log than it has had in its
+// term. A backend server that starts again under its id may have nothing of before.
+var errLogLost = errors.New("the primary has lost a part of its log")
+
+// leaderLogs holds how far the log of the primary of each service has reached. The
+// zero value is ready to use. It is safe for concurrent use.
+type leaderLogs struct {
+	mu   sync.Mutex
+	ends map[identifier.ServiceName]leaderLog
+}
+
+// leaderLog is the furthest position that a server has reported as the primary, under
+// one permit: a replacement may discard a part of the log.
+type leaderLog struct {
+	server   identifier.BackendServerID
+	permit   fencer.Permit
+	position identifier.Position
+	knownAt  time.Duration // Clock reading after the answer with the position.
+}
+
+// isLost reports whether the position, in the answer to a request that was sent at the
+// clock reading, shows that the server's log is shorter than it was before.
+func (l *leaderLogs) isLost(service identifier.ServiceName, reported leaderLog, sent time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.ends[service]
+	isSame := known.server == reported.server && known.permit == reported.permit
+	return isSame && sent > known.knownAt && reported.position.Compare(known.position) < 0
+}
+
+// record records a position that was reported by the primary.
+func (l *leaderLogs) record(service identifier.ServiceName, reported leaderLog) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.ends[service]
+	isSame := known.server == reported.server && known.permit == reported.permit
+	if isSame && reported.position.Compare(known.position) <= 0 {
+		return
+	}
+	if l.ends == nil {
+		l.ends = map[identifier.ServiceName]leaderLog{}
+	}
+	l.ends[service] = reported
+}
+
+// checkLog returns errLogLost if the position, which the server reported as the primary
+// in answer to a request that was sent at the clock reading, is before one that it has
+// reported earlier. Such a server does not count as the primary.
+func (s *Server) checkLog(c *lender.Conn, p fencer.Permit, position identifier.Position, sent time.Duration) error {
+	service, id := c.Server.Service, c.Server.ID
+	reported := leaderLog{server: id, permit: p, position: position, knownAt: s.Holder.Clock()}
+	if !s.leaderLogs.isLost(service, reported, sent) {
+		return nil
+	}
+	s.Balancer.RecordNotLeading(service, id)
+	if s.Registry != nil {
+		s.Registry.Count(reporter.Series{Name: "primary_logs_lost", Service: service}, 1)
+	}
+	if s.lostLogLines.isDue(service, lostLogLogPause) {
+		s.lostLogLines.record(service)
+		s.Logger.Error().Str("event", "primary_log_lost").Str("service", string(service)).Str("server", string(id)).
+			Str("position", position.String()).Uint64("term", uint64(p.Term())).Int64("born", c.Server.Born).Send()
+	}
+	return errors.Wrapf(errLogLost, "server %s is at %s", id, position)
+}
--- /dev/null
+++ b/internal/transport/sessioner/lost_log_test.go
@@ -0,0 +1,95 @@
+package sessioner
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oleanderpulley/internal/coordination/fencer"
+	"oleanderpulley/internal/protocol/requester"
+	"oleanderpulley/internal/state/cataloger"
+	"oleanderpulley/internal/state/identifier"
+	"oleanderpulley/internal/transport/lender"
+)
+
+// reportPositions connects the server to a backend server that leads and reports the
+// position that end points to.
+func reportPositions(s *Server, end *identifier.Position) {
+	s.Lender.Dial = func(time.Time, cataloger.BackendServer, identifier.WorkspaceName) (lender.Link, error) {
+		var pending []requester.Kind
+		return lender.Link{
+			Send: func(_ time.Time, statements ...requester.Statement) error {
+				for _, st := range statements {
+					pending = append(pending, st.Kind)
+				}
+				return nil
+			},
+			Receive: func(time.Time) (requester.Result, error) {
+				state := requester.Idle
+				if pending[0] == requester.Begin {
+					state = requester.InTransaction
+				}
+				pending = pending[1:]
+				return requester.Result{State: state, Position: *end}, nil
+			},
+			Open:  func() bool { return true },
+			Close: func() {},
+		}, nil
+	}
+}
+
+// Guards against reads of a primary that has started again without its log and still leads its
+// term (STALE), and against its position as the floor of other reads.
+func TestPrimaryThatLostItsLogIsNotUsed(t *testing.T) {
+	for name, lost := range map[string]identifier.Position{"empty": {Term: 2}, "no position": {}, "new commits": {Term: 2, Offset: 3}, "earlier term": {Term: 1, Offset: 40}} {
+		for statement, k := range map[string]requester.Kind{"READ x": requester.Read, "WRITE x 1": requester.Write} {
+			t.Run(name+"/"+statement, func(t *testing.T) {
+				s, _ := newTestServer()
+				s.Fencer.Observe("rentals", cataloger.Leadership{Server: "a", Term: 2, Revision: 7})
+				end := identifier.Position{Term: 2, Offset: 50}
+				reportPositions(s, &end)
+				qt.Assert(t, s.Execute("peer", primaryRequest(requester.Write, "WRITE x 1")).Result.Code, qt.Equals, requester.OK)
+
+				end = lost
+				r := s.Execute("peer", primaryRequest(k, statement))
+				qt.Assert(t, r.Result.Code, qt.Not(qt.Equals), requester.OK)
+				sample, _ := s.Sampler("rentals").Latest()
+				qt.Assert(t, sample.Position, qt.Equals, identifier.Position{Term: 2, Offset: 50})
+				err := s.ConfirmLeader(s.Holder.Catalog().Servers["rentals"][0])
+				qt.Assert(t, err, qt.ErrorIs, fencer.ErrNotLeading) // Else it would not be replaced.
+			})
+		}
+	}
+}
+
+// Guards against a new primary that is taken for one that lost its log, since it lacks commits that
+// its promotion discarded.
+func TestNewPrimaryWithAShorterLogIsUsed(t *testing.T) {
+	s, _ := newTestServer()
+	end := identifier.Position{Term: 1, Offset: 50}
+	reportPositions(s, &end)
+	write := primaryRequest(requester.Write, "WRITE x 1")
+	qt.Assert(t, s.Execute("peer", write).Result.Code, qt.Equals, requester.OK)
+	end.Offset = 40
+	s.Fencer.Observe("rentals", cataloger.Leadership{Server: "a", Term: 2, Revision: 7})
+	qt.Assert(t, s.Execute("peer", write).Result.Code, qt.Equals, requester.OK)
+}
+
+// Guards against a primary that is taken for one that lost its log, since an answer overtook an earlier
+// one on another connection.
+func TestAnswerThatWasOvertakenDoesNotShowALostLog(t *testing.T) {
+	s, _ := newTestServer()
+	now := s.Holder.Clock()
+	s.Holder.Now = func() time.Duration { return now }
+	end := identifier.Position{Term: 1, Offset: 50}
+	reportPositions(s, &end)
+	c, err := s.Lender.Borrow(lender.Request{Server: s.Holder.Catalog().Servers["rentals"][0], Workspace: "shops", Deadline: time.Now().Add(time.Second)})
+	qt.Assert(t, err, qt.IsNil)
+	permit, _ := s.Fencer.Permit("rentals")
+	sent := now
+	now += time.Millisecond
+	qt.Assert(t, s.recordLeader(c, permit, requester.Result{Position: end}, now), qt.IsNil)
+	end.Offset = 49
+	qt.Assert(t, s.recordLeader(c, permit, requester.Result{Position: end}, sent), qt.IsNil)
+}
--- a/internal/transport/sessioner/primary.go
+++ b/internal/transport/sessioner/primary.go
@@ -46,15 +46,19 @@
 // recordLeader records that the server was the leader when it answered, and its
 // position as a sample. The answer must be one to a write, or one from a
 // transaction that only a leader opens, to a request that was sent after the clock
-// reading sent. It returns errFenced if the permit is no longer held: the answer then
-// proves nothing.
+// reading sent. It returns errFenced if the permit is no longer held, or errLogLost:
+// the answer then proves nothing.
 func (s *Server) recordLeader(c *lender.Conn, p fencer.Permit, r requester.Result, sent time.Duration) error {
 	if !p.Allows(c.Server.ID) || !s.Fencer.IsHeld(p) {
 		return errors.Wrapf(errFenced, "server %s", c.Server.ID)
 	}
+	if err := s.checkLog(c, p, r.Position, sent); err != nil {
+		return err
+	}
 	if r.Position.IsZero() {
 		return nil
 	}
+	s.leaderLogs.record(c.Server.Service, leaderLog{c.Server.ID, p, r.Position, s.Holder.Clock()})
 	// Until its first commit, a primary reports the position of an earlier term.
 	s.Balancer.RecordLeader(c.Server.Service, c.Server.ID, max(p.Term(), r.Position.Term), s.Holder.Time(sent))
 	s.Sampler(c.Server.Service).Add(sampler.Sample{Position: r.Position, RequestedAt: sent})
@@ -111,6 +115,12 @@
 		s.Balancer.RecordNotLeading(c.Server.Service, c.Server.ID)
 		return fencer.ErrNotLeading
 	}
+	// Once a successor is chosen, a promotion may have discarded a part of the log.
+	if permitted || s.Fencer.Record(c.Server.Service).Successor == "" {
+		if err := s.checkLog(c, permit, r.Position, sent); err != nil {
+			return errors.Wrap(fencer.ErrNotLeading, err.Error())
+		}
+	}
 	if permitted {
 		if err := s.recordLeader(c, permit, r, sent); err != nil {
 			s.Logger.Debug().Str("event", "leader_not_recorded").Err(err).Send()
--- a/internal/transport/sessioner/server.go
+++ b/internal/transport/sessioner/server.go
@@ -106,7 +106,10 @@
 	sessions map[*session]struct{}
 	samplers map[identifier.ServiceName]*sampler.Sampler
 
+	leaderLogs leaderLogs
+
 	searchEnds, peerFetchEnds        serviceTimes       // When the last search for the primary, or request to peers, ended.
+	lostLogLines                     serviceTimes       // When the last line about a lost log was written.
 	searches, refreshes, peerFetches singleflight.Group // Keyed by service.
 }
 
