internal/transport/sessioner: an acknowledged commit counts for its session also if its outcome is told as unknown

What callers see: a write whose primary has answered, but after the permit had ended, is told as of unknown outcome. If the replacement then fails and the primary stays, the commit is in its log, and the next read of the same session on a route read_own_writes may run on a log without it.

Cause: the position of the commit was recorded only after the permit was checked.

Change: it is recorded as soon as the primary has answered. The floor of the session can only rise by that. A commit that a promotion discards holds the session's reads back until the new primary has a commit, as it does for an acknowledged one.

Evidence: TestCommitOfUnknownOutcomeIsTheNewestOfItsSession, before:

commit_test.go:32: error: values are not equal got: s"0/0" want: s"1/5"

What remains: a commit whose answer, or whose peer's reply, is lost is not known.

--- a/internal/transport/sessioner/commit.go
+++ b/internal/transport/sessioner/commit.go
@@ -61,6 +61,9 @@
 	c := t.conn
 	t.conn = nil
 	defer n.server.Lender.Return(c)
+	if r.Code == requester.OK && t.wrote {
+		n.recordCommit(r.Position, sentAt) // Also if the permit has ended since.
+	}
 	if err != nil {
 		c.MarkBroken()
 		if t.wrote && !errors.Is(err, lender.ErrNotSent) {
@@ -71,8 +74,5 @@
 	if r.State != requester.Idle {
 		c.MarkBroken()
 	}
-	if r.Code == requester.OK && t.wrote {
-		n.recordCommit(r.Position, sentAt)
-	}
 	return r
 }
--- a/internal/transport/sessioner/run.go
+++ b/internal/transport/sessioner/run.go
@@ -24,11 +24,8 @@
 			if err != nil || r.Code != requester.OK {
 				return r, err
 			}
-			if err := n.server.recordLeader(c, p, r, sent); err != nil {
-				return r, err
-			}
 			n.recordCommit(r.Position, sentAt)
-			return r, nil
+			return r, n.server.recordLeader(c, p, r, sent)
 		})
 	})
 }
