internal/coordination/replacer: a former primary without its log does not count as having every commit

What callers see: a primary of a service with synchronous replication that starts again under its id, knows its term and lacks its log made the group count as complete. It, or a replica that was behind, was promoted, and the commits that only a silent replica had were lost (LOST).

Cause: "has kept its log" was concluded from the term that the server reports.

Change: it counts only if it has received something, and as much as any other candidate, as every primary has that kept its log. Otherwise enough replicas must answer, as for a primary that is silent.

Evidence: TestFormerPrimaryWithoutItsLogCoversNothing, before:

--- FAIL: TestFormerPrimaryWithoutItsLogCoversNothing/alone (0.10s) - "announce 12 a", + "grant a in term 1", - "promote a under 12", --- FAIL: TestFormerPrimaryWithoutItsLogCoversNothing/with_a_replica_that_is_behind (3.13s) - "announce 12 b", + "grant a in term 1", - "promote b under 12",

What remains: a replica that starts again under its id, right before its primary fails, still counts as one that has what it had received before.

--- a/internal/coordination/replacer/durability.go
+++ b/internal/coordination/replacer/durability.go
@@ -31,13 +31,21 @@
 		switch {
 		case c.Server.ID != g.primary && slices.Contains(g.replicas, c.Server.ID):
 			answered++
-		case c.Server.ID == g.primary && c.Member.Term >= g.term: // It has kept its log.
+		case c.Server.ID == g.primary && c.Member.Term >= g.term && hasLongestLog(c, candidates): // It has kept its log.
 			return true
 		}
 	}
 	return answered > max(0, len(g.replicas)-g.syncReplicas)
 }
 
+// hasLongestLog reports whether the candidate has received something, and as much as any
+// other. A primary that starts again under its id may know its term and lack its log.
+func hasLongestLog(c Candidate, candidates []Candidate) bool {
+	return c.Member.Received.Offset > 0 && !slices.ContainsFunc(candidates, func(o Candidate) bool {
+		return o.Member.Received.Compare(c.Member.Received) > 0
+	})
+}
+
 // replicaGroup returns the group whose primary is to be replaced.
 func (r *Replacer) replicaGroup(p *replacement) replicaGroup {
 	c := r.Catalog()
--- a/internal/coordination/replacer/durability_test.go
+++ b/internal/coordination/replacer/durability_test.go
@@ -166,6 +166,26 @@
 	}
 }
 
+// Guards against the loss of acknowledged commits: a former primary that has started again without its log,
+// but knows its term, was taken for one that has all of them, and a replica that was behind was promoted.
+func TestFormerPrimaryWithoutItsLogCoversNothing(t *testing.T) {
+	for name, answers := range map[string]bool{"alone": false, "with a replica that is behind": true} {
+		t.Run(name, func(t *testing.T) {
+			s, r := newSyncService()
+			s.stored = cataloger.Leadership{Term: 1, Server: "a", Revision: 10}
+			s.known = s.stored
+			s.leader, s.lagging, s.received["a"] = "", true, 0
+			s.down["b"], s.down["c"] = !answers, true
+			w := &serviceWatch{term: 1, silentSince: silentLongEnough()}
+			qt.Assert(t, s.check(r, w), qt.DeepEquals, []string{"announce 11 ", "two confirms 11", "grant a in term 1"})
+			s.down = map[identifier.BackendServerID]bool{}
+			w.silentSince, w.pausedUntil = silentLongEnough(), time.Time{}
+			s.check(r, w)
+			qt.Assert(t, s.leader, qt.Equals, identifier.BackendServerID("c"))
+		})
+	}
+}
+
 // drawnGroup is a group of servers with synchronous replication at the moment
 // when its primary has failed.
 type drawnGroup struct {
