internal/coordination/replacer: no promotion of a server with commits that an earlier promotion discarded

What callers see: reads that lack acknowledged commits (STALE).

Cause: the successor was the server with the longest log, whatever branch of the history it is on. A primary that is cut off from its replicas is replaced by one with a shorter log, which discards its last commits. If it is back before it was rolled back, and the new primary fails before a replica has received anything from it, the old one had the longest log and was promoted: what the promotion had discarded was back, and every read of the term between lacked it.

A candidate whose log ends in an earlier term beyond the start of the next one is left out. If only such servers answer, the service waits for another one for a minute at most. The build before neither reads nor keeps the field.

Why this fixes it: offsets go on from term to term, so that a log that ends in term t at offset n is a part of the history if and only if n is not beyond the start of the next term.

Evidence: the model took commits that are back for discarded ones. It now counts them, which is stricter, and has the scenario "discarded commits that are back"; on the logic before:

--- FAIL: TestReadsInAReplacementHaveAcknowledgedCommits/discarded_commits_that_are_back (1.30s) first: a read of i1 at 7.423156s ran on server b with floor 2/121, whose log ended at 2/124 and lacked commit 1/184 got: int(2171) want: int(0)

and passes now, also with -race. TestSuccessorThatFallsBehindIsNotPromoted also expects the start of the new term in the record.

--- a/internal/coordination/fencer/fencer.go
+++ b/internal/coordination/fencer/fencer.go
@@ -177,7 +177,7 @@
 		merged = earlier
 		merged.Carried = true
 	case later.Term < earlier.Term:
-		merged.Term, merged.Server = earlier.Term, earlier.Server
+		merged.Term, merged.Server, merged.TermStarts = earlier.Term, earlier.Server, earlier.TermStarts
 	case later.Term == earlier.Term && restored && earlier.IsReplacing() && !later.IsReplacing():
 		merged = earlier
 		merged.Carried = true
--- a/internal/coordination/replacer/candidate.go
+++ b/internal/coordination/replacer/candidate.go
@@ -54,6 +54,18 @@
 	}), true
 }
 
+// discardedCommitsLimit is the time without a primary after which a server may be promoted
+// whose log has discarded commits. A server that has crashed is back within seconds; one
+// that is away for longer has lost its log, and the service would have no primary for good.
+const discardedCommitsLimit = time.Minute
+
+// withoutDiscarded leaves out the candidates that have commits which an earlier promotion
+// discarded. The promotion of such a server would bring them back, so that all that was
+// read since lacked acknowledged commits, and would discard the commits of later terms.
+func withoutDiscarded(candidates []Candidate, starts cataloger.TermStarts) []Candidate {
+	return slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return starts.HasDiscarded(c.Member.Received) })
+}
+
 func withoutLeaving(candidates []Candidate) []Candidate {
 	return slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Server.IsLeaving() })
 }
@@ -81,9 +93,16 @@
 		}
 	}
 	keepsAll := p.draining == nil && group.syncReplicas > 0
-	next, ok := ChooseSuccessor(candidates, keepsAll)
+	eligible := candidates
+	if p.silentFor < discardedCommitsLimit {
+		eligible = withoutDiscarded(candidates, p.record.TermStarts)
+	}
+	next, ok := ChooseSuccessor(eligible, keepsAll)
 	r.logCandidates(p, candidates, next)
-	if !ok {
+	switch {
+	case !ok && len(eligible) < len(candidates):
+		return Candidate{}, errors.Wrapf(errCommitsDiscarded, "%d of %d servers, terms %q", len(candidates)-len(eligible), len(candidates), p.record.TermStarts)
+	case !ok:
 		return Candidate{}, errNoCandidate
 	}
 	if keepsAll && !group.includesAcknowledgedCommits(candidates) {
--- a/internal/coordination/replacer/model_read_test.go
+++ b/internal/coordination/replacer/model_read_test.go
@@ -63,7 +63,7 @@
 
 // checkReads checks that each read ran on a log with every commit that was
 // acknowledged longer before than the staleness bound. Commits that a promotion
-// discarded don't count, also if they are back later.
+// discarded don't count, unless a later promotion brought them back.
 func (m *model) checkReads() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -85,11 +85,11 @@
 	commit *modelCommit // The last one in the log that was acknowledged until then.
 }
 
-// acknowledged returns the acknowledgements of the commits that were kept.
+// acknowledged returns the acknowledgements of the commits that are in the log in the end.
 func (m *model) acknowledged() acknowledgements {
 	var all acknowledgements
 	for c := m.primary.log; c != nil; c = c.previous {
-		if !c.acked.IsZero() && !c.discarded {
+		if !c.acked.IsZero() {
 			all = append(all, acknowledgement{c.acked, c})
 		}
 	}
--- a/internal/coordination/replacer/model_server_test.go
+++ b/internal/coordination/replacer/model_server_test.go
@@ -33,9 +33,6 @@
 	previous *modelCommit
 	end      identifier.Position
 	acked    time.Time // When a client got the acknowledgement; zero if none did.
-	// discarded is set once a server without the commit was promoted. The commit may
-	// be back if a server that still has it is promoted later.
-	discarded bool
 }
 
 // position returns the position of the commit. That of an empty log is the start of
@@ -148,11 +145,6 @@
 	}
 	m.promoted++
 	m.term++
-	for _, o := range m.servers {
-		for c := o.log; c != nil && !s.log.contains(c); c = c.previous {
-			c.discarded = true
-		}
-	}
 	if m.fenced || m.primary.crashed {
 		m.primary.leads = false
 	}
--- a/internal/coordination/replacer/model_stale_test.go
+++ b/internal/coordination/replacer/model_stale_test.go
@@ -58,6 +58,18 @@
 			{Kind: "restart of others", AfterSuccessor: true, At: seconds(0.6), Duration: seconds(0.2)},
 		}
 	},
+	// The new primary crashes before a replica has received anything from it, while the old
+	// one is back and still has commits that the promotion discarded.
+	"discarded commits that are back": func(seed uint64) []modelFault {
+		return []modelFault{
+			{Kind: "deaf replica", At: seconds(4), Duration: seconds(16), Target: 0},
+			{Kind: "deaf replica", At: seconds(4), Duration: seconds(16), Target: 1},
+			{Kind: "crash", At: seconds(6), Duration: seconds(3)},
+			{Kind: "deaf replica", At: seconds(8.8), Duration: seconds(12), Target: 0},
+			{Kind: "deaf replica", At: seconds(8.8), Duration: seconds(12), Target: 1},
+			{Kind: "crash", At: seconds(12 + float64(seed)/20), Duration: seconds(5)},
+		}
+	},
 	// The successor crashes before it leads, and the old primary, which is back, is
 	// chosen in its place.
 	"old primary that leads again": func(uint64) []modelFault {
--- a/internal/coordination/replacer/promote.go
+++ b/internal/coordination/replacer/promote.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"oleanderpulley/internal/protocol/requester"
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
 )
@@ -27,15 +28,27 @@
 		return err
 	}
 	p.steps.begin("lead")
-	term, err := r.awaitLeadership(ctx, b, r.leastTerm(p, b, otherRequested))
+	m, err := r.awaitLeadership(ctx, b, r.leastTerm(p, b, otherRequested))
 	if err != nil {
 		return err
 	}
 	p.steps.begin("grant")
-	r.grant(ctx, p, cataloger.Leadership{Term: term, Server: b.ID, Revision: p.record.Revision})
+	r.grant(ctx, p, cataloger.Leadership{
+		Term: m.Term, Server: b.ID, TermStarts: termStarts(p.record, m), Revision: p.record.Revision,
+	})
 	return nil
 }
 
+// termStarts returns the starts of the record with that of the term in which the promoted
+// server leads. No instance uses it yet, so that its log has no commit of the term; it has
+// one only if an earlier holder has granted its use, and the start is not known then.
+func termStarts(l cataloger.Leadership, m requester.ServerStatus) cataloger.TermStarts {
+	if m.Term <= l.Term || m.Received.Term >= m.Term {
+		return l.TermStarts
+	}
+	return l.TermStarts.With(m.Term, m.Received)
+}
+
 // grant ends the replacement. The peers are told at once; the store gets the
 // record as soon as it answers, also from a later check.
 func (r *Replacer) grant(ctx context.Context, p *replacement, l cataloger.Leadership) {
@@ -54,7 +67,9 @@
 	if err == nil || p.requested || p.reinstated || errors.Is(err, ErrRecordChanged) {
 		return
 	}
-	r.grant(ctx, p, cataloger.Leadership{Term: p.record.Term, Server: p.record.Server, Revision: p.record.Revision})
+	r.grant(ctx, p, cataloger.Leadership{
+		Term: p.record.Term, Server: p.record.Server, TermStarts: p.record.TermStarts, Revision: p.record.Revision,
+	})
 }
 
 // promote repeats the promotion until it is answered, at most
@@ -102,29 +117,29 @@
 }
 
 // awaitLeadership waits until the promoted server answers that it leads in the term or
-// a later one, and returns its term. An earlier term counts once the promotion must have
+// a later one, and returns its status. An earlier term counts once the promotion must have
 // taken effect: the server was the primary already.
-func (r *Replacer) awaitLeadership(ctx context.Context, b cataloger.BackendServer, least identifier.Term) (identifier.Term, error) {
+func (r *Replacer) awaitLeadership(ctx context.Context, b cataloger.BackendServer, least identifier.Term) (requester.ServerStatus, error) {
 	deadline := time.Now().Add(leadershipTimeout)
 	for ctx.Err() == nil {
-		term, leads := r.leadTerm(b)
+		m, leads := r.leaderStatus(b)
 		isOver := !time.Now().Before(deadline)
-		if leads && (term >= least || isOver) {
-			return term, nil
+		if leads && (m.Term >= least || isOver) {
+			return m, nil
 		}
 		if isOver {
 			break
 		}
 		sleep(ctx, leadershipPollInterval)
 	}
-	return 0, errors.Wrapf(errNoCandidate, "server %s does not lead after its promotion", b.ID)
+	return requester.ServerStatus{}, errors.Wrapf(errNoCandidate, "server %s does not lead after its promotion", b.ID)
 }
 
-// leadTerm returns the term that the server leads, and false if it does not lead.
-func (r *Replacer) leadTerm(b cataloger.BackendServer) (identifier.Term, bool) {
+// leaderStatus returns the status of a server that leads, and false if it does not lead.
+func (r *Replacer) leaderStatus(b cataloger.BackendServer) (requester.ServerStatus, bool) {
 	if r.Confirm(b) != nil {
-		return 0, false
+		return requester.ServerStatus{}, false
 	}
 	m, err := r.Status(b)
-	return m.Term, err == nil && m.Leads
+	return m, err == nil && m.Leads
 }
--- a/internal/coordination/replacer/replace.go
+++ b/internal/coordination/replacer/replace.go
@@ -19,6 +19,7 @@
 	// is empty if it has seen none.
 	lastLeader identifier.BackendServerID
 	remembered []identifier.BackendServerID // Servers that count as members of the service, also if no longer registered.
+	silentFor  time.Duration                // For which the primary was not reached when the replacement began.
 	record     cataloger.Leadership         // As last written by this instance.
 	written    time.Duration                // Clock before record was written.
 	acked      time.Duration                // Clock after the announcement was acknowledged.
@@ -37,7 +38,9 @@
 	basis cataloger.Leadership, draining *cataloger.BackendServer,
 ) {
 	started := time.Now()
-	p := &replacement{service: service, draining: draining, lastLeader: w.lastLeader, remembered: w.members.members()}
+	p := &replacement{
+		service: service, draining: draining, lastLeader: w.lastLeader, remembered: w.members.members(), silentFor: w.silentFor(),
+	}
 	p.steps.begin("announce")
 	err := r.announce(ctx, p, w, basis)
 	if err == nil {
--- a/internal/coordination/replacer/replacer.go
+++ b/internal/coordination/replacer/replacer.go
@@ -30,12 +30,13 @@
 	// still be executed.
 	ErrPromotionUnknown = errors.New("promotion has an unknown outcome")
 
-	errPrimaryLeads    = errors.New("primary still leads")
-	errNoCandidate     = errors.New("no server can become the primary")
-	errCommitsUnknown  = errors.New("too few servers answered to cover every acknowledged commit")
-	errProbeUnanswered = errors.New("the draining primary could not be promoted, so that it must not step down")
-	errSuccessorBehind = errors.New("successor has not received the whole log")
-	errWindowPassed    = errors.New("the record was written too long ago to request a promotion, or has changed")
+	errPrimaryLeads     = errors.New("primary still leads")
+	errNoCandidate      = errors.New("no server can become the primary")
+	errCommitsUnknown   = errors.New("too few servers answered to cover every acknowledged commit")
+	errCommitsDiscarded = errors.New("the servers that answered have commits that an earlier promotion discarded")
+	errProbeUnanswered  = errors.New("the draining primary could not be promoted, so that it must not step down")
+	errSuccessorBehind  = errors.New("successor has not received the whole log")
+	errWindowPassed     = errors.New("the record was written too long ago to request a promotion, or has changed")
 )
 
 const (
--- a/internal/coordination/replacer/replacer_test.go
+++ b/internal/coordination/replacer/replacer_test.go
@@ -440,7 +440,7 @@
 	calls := s.check(r, w)
 	qt.Assert(t, slices.Contains(calls, "promote c under 12"), qt.IsFalse)
 	qt.Assert(t, s.leader, qt.Equals, identifier.BackendServerID("a"))
-	qt.Assert(t, s.known, qt.Equals, cataloger.Leadership{Term: 2, Server: "a", Revision: s.known.Revision})
+	qt.Assert(t, s.known, qt.Equals, cataloger.Leadership{Term: 2, Server: "a", TermStarts: "2@1/9", Revision: s.known.Revision})
 	qt.Assert(t, w.pausedUntil.IsZero(), qt.IsFalse)
 }
 
--- a/internal/coordination/replacer/watch.go
+++ b/internal/coordination/replacer/watch.go
@@ -24,6 +24,14 @@
 	budget         replacementBudget
 }
 
+// silentFor returns the time since contact to the primary was lost, 0 while it is reachable.
+func (w *serviceWatch) silentFor() time.Duration {
+	if w.silentSince.IsZero() {
+		return 0
+	}
+	return time.Since(w.silentSince)
+}
+
 // unchangedFor returns the time since this instance first knew the record.
 func (w *serviceWatch) unchangedFor(l cataloger.Leadership) time.Duration {
 	if w.announcement != l.Revision {
--- a/internal/state/cataloger/leadership.go
+++ b/internal/state/cataloger/leadership.go
@@ -22,6 +22,9 @@
 	// Holder is the instance that replaces the primary. It is empty while no
 	// replacement is under way.
 	Holder identifier.InstanceID `json:"holder,omitempty" cbor:"holder,omitempty"`
+	// TermStarts tells which logs have commits that a promotion discarded. Releases
+	// before this field neither read nor keep it.
+	TermStarts TermStarts `json:"term_starts,omitempty" cbor:"term_starts,omitempty"`
 	// Revision is that of the record in the store. It is the fencing token of
 	// the holder.
 	Revision uint64 `json:"-" cbor:"revision"`
