internal/coordination/replacer: unanswered promotions are in the record

Callers lose writes that were acknowledged: where the platform checks no tokens, an unanswered promotion is executed seconds later, after another holder has handed over.

Cause: only the holder that made the call knows that it is open. The record names the successor while the replacement goes on, and forgets it with the end of the replacement, or when another successor is chosen. That holds for each promotion, also for the one that reinstates a draining primary.

The record keeps such promotions as open_promotions (SERVER@TOKEN), written with records that are written anyway; a holder that takes over adds the promotion of the one before. A promotion of the same server is requested at once. Where tokens are checked nothing waits.

--- a/internal/command/starter/replacer.go
+++ b/internal/command/starter/replacer.go
@@ -44,6 +44,7 @@
 	r.Era = s.fencer.Era
 	r.IsProven = s.fencer.IsProven
 	r.TokensChecked = s.Settings.TokensChecked
+	r.LateLimit = platform.PromotionLateLimit
 	r.Promote = promotions.Promote
 	r.Observe = func(step string, took time.Duration) {
 		s.registry.Observe(reporter.Series{Name: "replacement_seconds", Reason: step}, took)
--- a/internal/coordination/fencer/fencer.go
+++ b/internal/coordination/fencer/fencer.go
@@ -185,6 +185,9 @@
 		merged.Successor = earlier.Successor
 		merged.Carried = true
 	}
+	if restored {
+		merged.OpenPromotions = earlier.OpenPromotions.Union(later.OpenPromotions)
+	}
 	merged.Revision = later.Revision
 	return merged
 }
--- a/internal/coordination/replacer/check.go
+++ b/internal/coordination/replacer/check.go
@@ -15,6 +15,7 @@
 		return // The store does not answer, so that nothing can be announced.
 	}
 	known := r.Record(service)
+	r.observeOpenPromotions(w, known)
 	if known.IsReplacing() {
 		r.checkReplacement(ctx, service, w, known)
 		return
@@ -74,13 +75,13 @@
 	w.blocked = false
 	switch {
 	case p.registered && r.canHandOver(p.server, p.lastLed):
-		if w.leavingFor(p.id) >= r.rankDelay(service) {
+		if w.leavingFor(p.id) >= r.rankDelay(service) && !r.mustAwaitPromotions(service, w) {
 			r.handOverPrimary(ctx, service, w, known, p.server)
 		}
 	case p.leads():
 		w.silentSince = time.Time{}
 	default:
-		if r.hasFailed(ctx, service, w, c, p) {
+		if r.hasFailed(ctx, service, w, c, p) && !r.mustAwaitPromotions(service, w) {
 			r.replacePrimary(ctx, service, w, known, nil)
 		}
 	}
@@ -150,6 +151,8 @@
 	w.lackingSince = time.Time{}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	w.open.observe(stored, r.Clock(), r.LateLimit)
+	known.OpenPromotions = w.open.set(r.Clock())
 	known.Revision = stored.Revision
 	l, err := r.WriteRecord(ctx, service, known)
 	if err == nil {
--- a/internal/coordination/replacer/doc.go
+++ b/internal/coordination/replacer/doc.go
@@ -8,6 +8,10 @@
 // an instance that takes over continues with the same server: an unanswered
 // request may still be executed.
 //
+// A promotion that was not answered is kept in the record as open until it cannot be
+// executed any more. Where the platform does not check tokens, no other server is
+// promoted until then: the late execution would replace it while it is in use.
+//
 // No instance uses the old primary any more when the promotion is requested:
 // each has confirmed the announcement, or the old primary has stepped down, or
 // the permits of package fencer have expired. An instance whose registration was
--- a/internal/coordination/replacer/handover.go
+++ b/internal/coordination/replacer/handover.go
@@ -67,6 +67,7 @@
 	defer cancel()
 	err := r.Promote(ctx, p.service, draining.ID, p.record)
 	if errors.Is(err, ErrPromotionUnknown) {
+		r.addUnanswered(p, draining.ID)
 		return errors.Wrap(errProbeUnanswered, err.Error())
 	}
 	return err
--- a/internal/coordination/replacer/model_fault_test.go
+++ b/internal/coordination/replacer/model_fault_test.go
@@ -114,7 +114,17 @@
 		s := m.replica(f.Target)
 		set(func(on bool) { s.crashed = on })
 	case "crash of a server":
-		set(func(on bool) { m.servers[f.Target].crashed = on })
+		set(func(on bool) { m.servers[f.Target%len(m.servers)].crashed = on })
+	case "crash of the successor":
+		var s *modelServer
+		set(func(on bool) {
+			if on {
+				s = m.server(m.objects["record"].Successor)
+			}
+			if s != nil {
+				s.crashed = on
+			}
+		})
 	case "deaf replica":
 		s := m.replica(f.Target)
 		set(func(on bool) { s.deaf = on })
@@ -128,6 +138,10 @@
 		})
 	case "restart":
 		m.restart(f.Target, f.Duration)
+	case "restart of the holder":
+		if n := m.holder(); n >= 0 {
+			m.restart(n, f.Duration)
+		}
 	case "restart of others":
 		for n := range modelInstances {
 			if n != m.holder() {
@@ -136,6 +150,11 @@
 		}
 	case "store away":
 		set(func(on bool) { m.storeAway = on })
+	case "unanswered promotion":
+		m.mu.Lock()
+		m.unanswered++
+		m.lateBy = f.Duration + minLateness
+		m.mu.Unlock()
 	case "late promotions":
 		set(func(on bool) { m.late = on })
 	case "old copy":
--- a/internal/coordination/replacer/model_instance_test.go
+++ b/internal/coordination/replacer/model_instance_test.go
@@ -207,6 +207,9 @@
 }
 
 func (i *modelInstance) promote(_ context.Context, _ identifier.ServiceName, id identifier.BackendServerID, l cataloger.Leadership) error {
+	if i.m.isDead(i) {
+		return replacer.ErrPromotionUnknown // An ended process requests nothing.
+	}
 	i.m.mu.Lock()
 	if holder, used := i.m.tokens[l.Revision]; used && holder != i.id {
 		i.m.broken = append(i.m.broken, fmt.Sprintf("token %d was used by %s and %s", l.Revision, holder, i.id))
@@ -215,13 +218,14 @@
 		i.m.broken = append(i.m.broken, fmt.Sprintf("token %d of %s is lower than %d", l.Revision, i.id, i.m.highest))
 	}
 	i.m.tokens[l.Revision], i.m.highest = i.id, max(i.m.highest, l.Revision)
-	late, dead := i.m.late, i.dead
-	i.m.mu.Unlock()
-	if dead {
-		return replacer.ErrPromotionUnknown
+	late, lateBy := i.m.late, minLateness
+	if !late && i.m.unanswered > 0 {
+		i.m.unanswered--
+		late, lateBy = true, i.m.lateBy
 	}
+	i.m.mu.Unlock()
 	if late {
-		time.AfterFunc(2*time.Second, func() { i.m.executePromotion(id) })
+		time.AfterFunc(lateBy, func() { i.m.executePromotion(id) })
 		time.Sleep(1500 * time.Millisecond)
 		return replacer.ErrPromotionUnknown
 	}
--- a/internal/coordination/replacer/model_read_test.go
+++ b/internal/coordination/replacer/model_read_test.go
@@ -120,6 +120,7 @@
 		cancel()
 		close(done)
 	}
+	i.replacer.LateLimit = m.lateLimit
 	i.poll()
 	m.running.Go(func() { i.follow(done) })
 	m.running.Go(func() { i.write(done) })
--- a/internal/coordination/replacer/model_test.go
+++ b/internal/coordination/replacer/model_test.go
@@ -62,17 +62,22 @@
 	era       uint64
 	storeAway bool
 	late      bool // Promotions are not answered and executed later.
-	tokens    map[uint64]identifier.InstanceID
-	highest   uint64
-	servers   []*modelServer
-	instances []*modelInstance
-	primary   *modelServer
-	term      identifier.Term
-	delayed   time.Duration // From the execution of a promotion until the server leads, with what it has received by then.
-	reads     []modelRead
-	running   sync.WaitGroup
-	cutServer *modelServer   // Is reached only by cutWith, which reaches no other server.
-	cutWith   *modelInstance // Reaches neither the store nor the others.
+	// unanswered is the number of the next promotions that are not answered, each of
+	// which is executed lateBy after its request.
+	unanswered int
+	lateBy     time.Duration
+	lateLimit  time.Duration // After which no unanswered promotion has an effect, as the instances know.
+	tokens     map[uint64]identifier.InstanceID
+	highest    uint64
+	servers    []*modelServer
+	instances  []*modelInstance
+	primary    *modelServer
+	term       identifier.Term
+	delayed    time.Duration // From the execution of a promotion until the server leads, with what it has received by then.
+	reads      []modelRead
+	running    sync.WaitGroup
+	cutServer  *modelServer   // Is reached only by cutWith, which reaches no other server.
+	cutWith    *modelInstance // Reaches neither the store nor the others.
 }
 
 func newModel(seed uint64, fenced bool, d defect) *model {
@@ -153,6 +158,7 @@
 
 // run plays the faults and returns what was broken.
 func (m *model) run(faults []modelFault) {
+	m.lateLimit = lateLimit(faults)
 	for _, i := range m.all() {
 		m.begin(i)
 	}
--- a/internal/coordination/replacer/promote.go
+++ b/internal/coordination/replacer/promote.go
@@ -14,6 +14,9 @@
 // all instances. The server is written into the record first, so that an instance
 // that takes over continues with the same one.
 func (r *Replacer) promoteAndGrant(ctx context.Context, p *replacement, b cataloger.BackendServer) error {
+	if err := r.checkOpenPromotions(p, b.ID); err != nil {
+		return err
+	}
 	p.steps.begin("promotion")
 	otherRequested := p.requested && p.record.Successor != b.ID
 	next := p.record
@@ -39,6 +42,7 @@
 // grant ends the replacement. The peers are told at once; the store gets the
 // record as soon as it answers, also from a later check.
 func (r *Replacer) grant(ctx context.Context, p *replacement, l cataloger.Leadership) {
+	l.OpenPromotions = p.open.set(r.Clock())
 	r.Adopt(p.service, l)
 	r.Announce(p.service, l)
 	p.record = l
@@ -76,6 +80,7 @@
 		if errors.Is(err, ErrPromotionRefused) {
 			return err
 		}
+		r.addUnanswered(p, id)
 		sleep(ctx, promoteRetryDelay)
 	}
 	return err
--- a/internal/coordination/replacer/replace.go
+++ b/internal/coordination/replacer/replace.go
@@ -27,6 +27,7 @@
 	// be executed. The old primary must not be used again after that.
 	requested  bool
 	reinstated bool // The draining primary was promoted again.
+	open       *openPromotions
 	steps      stepTimer
 }
 
@@ -37,7 +38,7 @@
 	basis cataloger.Leadership, draining *cataloger.BackendServer,
 ) {
 	started := time.Now()
-	p := &replacement{service: service, draining: draining, lastLeader: w.lastLeader, remembered: w.members.members()}
+	p := &replacement{service: service, draining: draining, lastLeader: w.lastLeader, remembered: w.members.members(), open: &w.open}
 	p.steps.begin("announce")
 	err := r.announce(ctx, p, w, basis)
 	if err == nil {
@@ -91,12 +92,20 @@
 	if known.Term > l.Term || known.IsReplacing() {
 		// The store may have come back from a copy that lacks the known record.
 		next = known
+		w.open.observe(known, r.Clock(), r.LateLimit)
+		if known.IsReplacing() && known.Revision != l.Revision {
+			r.observeHolder(w, known, 0)
+		}
 	}
 	if l.Successor != "" {
 		next.Successor = l.Successor
 	}
 	// The holder of a lost announcement may have requested a promotion.
 	p.requested = known.IsReplacing() && !l.IsReplacing()
+	w.open.observe(l, r.Clock(), r.LateLimit)
+	if l.IsReplacing() {
+		r.observeHolder(w, l, w.unchangedFor(l))
+	}
 	next.Holder, next.Revision = r.Self, l.Revision
 	p.resumed = next.Successor != ""
 	if err := r.write(ctx, p, next); err != nil {
@@ -112,11 +121,12 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	written := r.Clock()
+	next.OpenPromotions = p.open.set(written)
 	l, err := r.WriteRecord(ctx, p.service, next)
 	if err != nil {
 		return err
 	}
-	p.record, p.written = l, written
+	p.record, p.written, p.open.written = l, written, l.Revision
 	r.Adopt(p.service, l)
 	return nil
 }
@@ -141,6 +151,9 @@
 	if err != nil {
 		return err
 	}
+	if err := r.checkOpenPromotions(p, next.Server.ID); err != nil {
+		return err
+	}
 	if p.draining != nil {
 		p.steps.begin("hand_over")
 		if err := r.handOver(ctx, p, next.Server); err != nil {
--- a/internal/coordination/replacer/replacer.go
+++ b/internal/coordination/replacer/replacer.go
@@ -35,6 +35,7 @@
 	errCommitsUnknown  = errors.New("too few servers answered to cover every acknowledged commit")
 	errProbeUnanswered = errors.New("the draining primary could not be promoted, so that it must not step down")
 	errSuccessorBehind = errors.New("successor has not received the whole log")
+	errPromotionOpen   = errors.New("an unanswered promotion of another server may still be executed")
 	errWindowPassed    = errors.New("the record was written too long ago to request a promotion, or has changed")
 )
 
@@ -114,6 +115,9 @@
 	// TokensChecked reports that the platform refuses a promotion whose token is lower
 	// than one that it has seen for the service, also if it is executed late.
 	TokensChecked bool
+	// LateLimit is the time after which an unanswered promotion is not executed any
+	// more and has taken effect if it was. At 0, unanswered promotions count as lost.
+	LateLimit time.Duration
 	// Promote requests the promotion of a server from the platform. It returns
 	// [ErrPromotionRefused] or [ErrPromotionUnknown].
 	Promote func(ctx context.Context, service identifier.ServiceName, id identifier.BackendServerID, l cataloger.Leadership) error
--- a/internal/coordination/replacer/watch.go
+++ b/internal/coordination/replacer/watch.go
@@ -22,6 +22,7 @@
 	lackingSince   time.Time // When the catalog was first seen to lack the known record; zero while it has it.
 	pausedUntil    time.Time
 	budget         replacementBudget
+	open           openPromotions
 }
 
 // unchangedFor returns the time since this instance first knew the record.
--- a/internal/state/cataloger/leadership.go
+++ b/internal/state/cataloger/leadership.go
@@ -22,6 +22,10 @@
 	// Holder is the instance that replaces the primary. It is empty while no
 	// replacement is under way.
 	Holder identifier.InstanceID `json:"holder,omitempty" cbor:"holder,omitempty"`
+	// OpenPromotions are the promotions that were not answered and may still be
+	// executed. Those of the holder for Successor are added once another server is
+	// chosen or the replacement ends. Releases before this field neither read nor keep it.
+	OpenPromotions OpenPromotions `json:"open_promotions,omitempty" cbor:"open_promotions,omitempty"`
 	// Revision is that of the record in the store. It is the fencing token of
 	// the holder.
 	Revision uint64 `json:"-" cbor:"revision"`
