--- a/internal/coordination/replacer/watch.go
+++ b/internal/coordination/replacer/watch.go
@@ -22,6 +22,7 @@
 	lackingSince   time.Time // When the catalog was first seen to lack the known record; zero while it has it.
 	pausedUntil    time.Time
 	budget         replacementBudget
+	open           openPromotions
 }
 
 // silentFor returns the time since contact to the primary was lost, 0 while it is reachable.
