platform, internal/coordination: an unreadable leadership record blocks only its service

Callers saw: one leadership record that could not be decoded, and no instance followed the store any more, for all services. A record without a term, such as {} or null, counted as that of a primary that was never replaced, so that any server that leads could be used.

Cause: the list of records failed as a whole, and what is missing in a record was taken as 0.

A record that cannot be read, has no term, a term without a server, or a member twice, is now kept in the catalog as a replacement of a holder that no instance is: every release then uses no primary of this service. The replacer leaves it alone while it is stored. Once it was removed, the service is handled like a replacement whose holder is gone, so that no old primary is used on the ground of an older record. The term that an instance knew is kept. Such records do not count as changes that the lists cover, and a nameless one, which may be that of any service, fails the list.

Without the exclusion in coversChanges, TestUnreadableRecordCoversNoChange fails.

--- a/internal/command/starter/leadership_test.go
+++ b/internal/command/starter/leadership_test.go
@@ -149,3 +149,25 @@
 	}
 	qt.Assert(t, cataloger.Era(highest), qt.Equals, uint64(1))
 }
+
+// Guards against a primary that is used or replaced while its leadership record cannot be
+// read, and against a service that is lost with it for good.
+func TestUnreadableRecordBlocksOnlyThePrimary(t *testing.T) {
+	p := newTestPlatform(t)
+	p.store.PutRaw("leases", "rentals", json.RawMessage(`{"term":0}`))
+	one := p.startInstance("one")
+	c := dialLine(t, one.address)
+	c.send("STARTUP booking key-1")
+	waitUntil(t, "a write is served", func() bool { return strings.HasPrefix(c.send("QUERY w0 WRITE x 1")[0], "COMPLETE") })
+	p.store.PutRaw("leases", "rentals", json.RawMessage(`{"term":`+strings.Repeat("[", 9_000)+strings.Repeat("]", 9_000)+`}`))
+	waitUntil(t, "no primary is used", func() bool { return strings.HasPrefix(c.send("QUERY w1 WRITE x 2")[0], "ERROR BUSY") })
+	before := len(p.group.Commits())
+	p.members[p.group.Primary()].FailWith("BUSY")
+	p.writeConfiguration()
+	waitUntil(t, "other lists are followed", func() bool { return one.ConfigVersion() == uint64(p.version) })
+	qt.Assert(t, p.store.Promotions(), qt.HasLen, 0)
+	qt.Assert(t, p.group.Commits(), qt.HasLen, before)
+	p.members[p.group.Primary()].FailWith("")
+	p.store.PutRaw("leases", "rentals", json.RawMessage(`{"term":0}`))
+	waitUntil(t, "a write is served", func() bool { return strings.HasPrefix(c.send("QUERY w2 WRITE x 3")[0], "COMPLETE") })
+}
--- a/internal/coordination/fencer/fencer.go
+++ b/internal/coordination/fencer/fencer.go
@@ -1,6 +1,7 @@
 package fencer
 
 import (
+	"cmp"
 	"maps"
 	"sync"
 	"sync/atomic"
@@ -170,6 +171,16 @@
 // replacements: a term that has ended does not return, and a replacement that
 // was announced goes on until its holder ends it or another takes it over.
 func mergeRecord(earlier, later cataloger.Leadership) cataloger.Leadership {
+	if later.IsUnreadable() {
+		if earlier.Term > later.Term {
+			later.Term, later.Server = earlier.Term, earlier.Server
+		}
+		later.Successor = cmp.Or(later.Successor, earlier.Successor)
+		return later
+	}
+	if earlier.IsUnreadable() {
+		earlier.Holder, earlier.Successor = "", "" // The later record can be read.
+	}
 	merged := later
 	restored := cataloger.Era(later.Revision) > cataloger.Era(earlier.Revision)
 	switch {
--- a/internal/coordination/fencer/fencer_test.go
+++ b/internal/coordination/fencer/fencer_test.go
@@ -9,6 +9,7 @@
 
 	"oleanderpulley/internal/coordination/fencer"
 	"oleanderpulley/internal/state/cataloger"
+	"oleanderpulley/internal/state/identifier"
 )
 
 func newFencer(now *time.Duration) *fencer.Fencer {
@@ -109,3 +110,30 @@
 		}
 	}
 }
+
+// Guards against the use of a primary on the ground of a record that cannot be read, and
+// against a service that stays blocked after it can be read again.
+func TestUnreadableRecordEndsPermitsUntilItIsReadable(t *testing.T) {
+	for era, want := range []cataloger.Leadership{
+		{Server: "b", Term: 2},
+		{Server: "c", Term: 3}, // The store came back from a copy, so that the late end counts.
+	} {
+		now := time.Hour
+		f := newFencer(&now)
+		f.Observe("rentals", cataloger.Leadership{Server: "b", Term: 2, Revision: 6})
+		f.Observe("rentals", cataloger.UnreadableLeadership(cataloger.Revision(uint64(era), 7)))
+		_, ok := f.Permit("rentals")
+		qt.Assert(t, ok, qt.IsFalse)
+		qt.Assert(t, f.Record("rentals").Term, qt.Equals, identifier.Term(2))
+		_, ok = f.Permit("others")
+		qt.Assert(t, ok, qt.IsTrue)
+		f.Observe("rentals", cataloger.Leadership{Server: "c", Term: 3, Revision: 6}) // The late end of a replacement.
+		f.Observe("rentals", cataloger.Leadership{Server: "a", Term: 1, Revision: 5})
+		_, ok = f.Permit("rentals")
+		qt.Assert(t, ok, qt.IsFalse)
+		f.Observe("rentals", cataloger.Leadership{Server: "b", Term: 2, Revision: cataloger.Revision(1, 8)})
+		p, ok := f.Permit("rentals")
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, p.Allows(want.Server) && !p.Allows("a") && p.Term() == want.Term, qt.IsTrue)
+	}
+}
--- a/internal/coordination/follower/lists.go
+++ b/internal/coordination/follower/lists.go
@@ -39,7 +39,9 @@
 		}
 	}
 	for _, r := range l.leaderships {
-		count(r.Revision)
+		if !r.IsUnreadable() { // Its revision may be that of the list.
+			count(r.Revision)
+		}
 	}
 	for _, servers := range l.servers {
 		for _, s := range servers {
--- a/internal/coordination/follower/lists_test.go
+++ b/internal/coordination/follower/lists_test.go
@@ -123,3 +123,19 @@
 		qt.Check(t, round(), qt.Equals, test.reads, qt.Commentf("%v", test.kinds))
 	}
 }
+
+// Guards against a withdrawn key that is not seen, because a leadership record without a
+// readable revision, which has that of the list, counts as the change.
+func TestUnreadableRecordCoversNoChange(t *testing.T) {
+	s := newChangingStore()
+	f, h, now := newFollower(&s.fakeStore)
+	f.Store.Leaderships = func(context.Context) (map[identifier.ServiceName]cataloger.Leadership, uint64, error) {
+		return map[identifier.ServiceName]cataloger.Leadership{"rentals": cataloger.UnreadableLeadership(s.revision)}, s.revision, nil
+	}
+	for range 3 {
+		s.change("configuration", 0)
+		*now += 400 * time.Millisecond
+		qt.Assert(t, f.Round(context.Background()), qt.IsNil)
+		qt.Assert(t, h.Catalog().Configuration.Version, qt.Equals, s.version)
+	}
+}
--- a/internal/coordination/replacer/check.go
+++ b/internal/coordination/replacer/check.go
@@ -15,6 +15,10 @@
 		return // The store does not answer, so that nothing can be announced.
 	}
 	known := r.Record(service)
+	stored, isStored := r.Catalog().Leaderships[service]
+	if stored.IsUnreadable() || (known.IsUnreadable() && (isStored || r.Catalog().Revision < known.Revision)) {
+		return // Operators have to rewrite or remove the record.
+	}
 	if known.IsReplacing() {
 		r.checkReplacement(ctx, service, w, known)
 		return
--- a/internal/coordination/replacer/replacer_test.go
+++ b/internal/coordination/replacer/replacer_test.go
@@ -531,3 +531,24 @@
 	qt.Assert(t, replacementTime() >= testValidity, qt.IsTrue)
 	qt.Assert(t, replacementTime() < testValidity, qt.IsTrue) // Its permit has ended.
 }
+
+// Guards against a promotion while the record cannot be read, and against an old primary
+// that is used again after the record was removed.
+func TestServiceWithAnUnreadableRecordIsReplacedOnlyOnceItIsRemoved(t *testing.T) {
+	s := newFakeService()
+	s.down["a"] = true
+	s.known = cataloger.Leadership{Server: "a", Term: 1, Holder: cataloger.UnreadableLeadership(5).Holder, Revision: 5}
+	s.catalog.Leaderships = map[identifier.ServiceName]cataloger.Leadership{"rentals": cataloger.UnreadableLeadership(5)}
+	s.catalog.Revision = 5
+	r, w := s.replacer(), &serviceWatch{silentSince: silentLongEnough(), announcement: 5, announcedSince: time.Now().Add(-TakeoverTimeout)}
+	qt.Assert(t, s.check(r, w), qt.HasLen, 0)
+	s.known = cataloger.Leadership{Server: "a", Term: 1, Revision: 4} // The catalog is newer.
+	qt.Assert(t, s.check(r, w), qt.HasLen, 0)
+	s.known = cataloger.Leadership{Server: "a", Term: 1, Holder: cataloger.UnreadableLeadership(5).Holder, Revision: 5}
+	s.catalog.Leaderships, s.catalog.Revision = nil, 4
+	qt.Assert(t, s.check(r, w), qt.HasLen, 0) // The catalog is older.
+	s.catalog.Revision = 6
+	calls := s.check(r, w)
+	qt.Assert(t, calls[0], qt.Equals, "announce 11 ")
+	qt.Assert(t, calls[len(calls)-1], qt.Equals, "grant c in term 2")
+}
--- a/internal/state/cataloger/leadership.go
+++ b/internal/state/cataloger/leadership.go
@@ -30,6 +30,22 @@
 	Carried bool `json:"-" cbor:"carried"`
 }
 
+// unreadableHolder is the holder of a record that cannot be read. No instance has this
+// id. Earlier releases that receive it with a catalog see a replacement under way.
+const unreadableHolder identifier.InstanceID = "(unreadable record)"
+
+// UnreadableLeadership returns what is known of a record that cannot be read. It is
+// never the same as no record: no server may be used as the primary, and none promoted,
+// until the record can be read again or is removed.
+func UnreadableLeadership(revision uint64) Leadership {
+	return Leadership{Holder: unreadableHolder, Revision: revision}
+}
+
+// IsUnreadable reports whether the record cannot be read.
+func (l Leadership) IsUnreadable() bool {
+	return l.Holder == unreadableHolder
+}
+
 // IsReplacing reports whether a replacement of the primary is under way. Until
 // it ends, no server may be used as the primary.
 func (l Leadership) IsReplacing() bool {
