internal/command/starter: log and count entries of the store that cannot be used

Operators saw nothing of an entry that was left out: a server that is missing without a cause. Each invalid entry now has one line when it appears and one when it goes, a gauge of those in the newest list and a counter.

--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -66,6 +66,7 @@
 	plans              homePlans
 	store              *platform.Store
 	storeCalls         callCounts
+	invalidEntries     invalidEntries
 	follower           follower.Follower
 	clientListener     net.Listener
 	probeServer        *http.Server
@@ -105,7 +106,11 @@
 
 func (s *Starter) configureComponents() {
 	settings := s.Settings
-	s.store = &platform.Store{Address: settings.StoreAddress, HTTP: platform.NewHTTPClient(), Observe: s.recordStoreCall}
+	s.invalidEntries.Registry, s.invalidEntries.Logger = &s.registry, s.Logger
+	s.store = &platform.Store{
+		Address: settings.StoreAddress, HTTP: platform.NewHTTPClient(),
+		Observe: s.recordStoreCall, ObserveInvalid: s.invalidEntries.Observe,
+	}
 	s.holder.MaxAge = settings.KeyWithdrawal - proofMargin
 	s.lender.Dial = platform.Dial
 	s.lender.Limit = s.connectionLimit
--- a/internal/transport/reporter/registry.go
+++ b/internal/transport/reporter/registry.go
@@ -13,7 +13,7 @@
 	"oleanderpulley/internal/state/identifier"
 )
 
-// Series identifies a histogram or a counter by its name and labels. Empty labels
+// Series identifies a histogram, a counter or a gauge by its name and labels. Empty labels
 // are omitted from the output.
 type Series struct {
 	Name      string // In snake_case, with its unit, such as "wait_seconds".
@@ -22,13 +22,14 @@
 	Reason    string // Reason of a refusal, or target of a read.
 }
 
-// Registry holds the histograms and counters of an instance. The zero value is
+// Registry holds the histograms, counters and gauges of an instance. The zero value is
 // ready to use.
 type Registry struct {
 	mu         sync.Mutex
 	registry   metrics.Registry
 	histograms sync.Map // Series to *BucketSample.
 	counters   sync.Map // Series to metrics.Counter.
+	gauges     sync.Map // Series to metrics.Gauge.
 }
 
 // Observe records a duration in the histogram of the series. Code on a hot path
@@ -81,6 +82,28 @@
 	return 0
 }
 
+// SetGauge sets the gauge of the series. It registers a new one if there is none.
+func (r *Registry) SetGauge(s Series, value int64) {
+	g, ok := r.gauges.Load(s)
+	if !ok {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		var loaded bool
+		if g, loaded = r.gauges.LoadOrStore(s, metrics.NewGauge()); !loaded {
+			r.register(s, g)
+		}
+	}
+	g.(metrics.Gauge).Update(value)
+}
+
+// GaugeValue returns the value of the gauge of the series, 0 if there is none.
+func (r *Registry) GaugeValue(s Series) int64 {
+	if g, ok := r.gauges.Load(s); ok {
+		return g.(metrics.Gauge).Value()
+	}
+	return 0
+}
+
 // RemoveWorkspace removes all series of a workspace. It is called for
 // workspaces that were removed from the configuration.
 func (r *Registry) RemoveWorkspace(workspace identifier.WorkspaceName) {
@@ -98,6 +121,7 @@
 	if r.registry != nil {
 		removeFrom(&r.histograms)
 		removeFrom(&r.counters)
+		removeFrom(&r.gauges)
 	}
 }
 
@@ -117,6 +141,12 @@
 		lines[s.Name+" counter"] = append(lines[s.Name+" counter"], line)
 		return true
 	})
+	r.gauges.Range(func(key, value any) bool {
+		s := key.(Series)
+		line := fmt.Sprintf("oleanderpulley_%s%s %d\n", s.Name, s.labels(""), value.(metrics.Gauge).Value())
+		lines[s.Name+" gauge"] = append(lines[s.Name+" gauge"], line)
+		return true
+	})
 	names := make([]string, 0, len(lines))
 	for name := range lines {
 		names = append(names, name)
