internal/transport/platformclient: a deep value hides no other object

Callers saw: a value nested 9,999 deep, which the platform accepts by itself, and the list of its kind could not be read any more: "invalid character '[' exceeded max depth", reported as a platform that is unavailable. One instance of another type hid the whole list of instances.

Cause: the list nests each value two levels deeper than its own limit, and is decoded as one document.

--- a/internal/transport/platformclient/client.go
+++ b/internal/transport/platformclient/client.go
@@ -202,7 +202,7 @@
 	}
 	defer func() { _ = res.Body.Close() }()
 	if res.StatusCode == http.StatusNotModified && cached.etag != "" {
-		return errors.Wrap(json.Unmarshal(cached.body, result), "kept answer")
+		return errors.Wrap(decode(cached.body, result), "kept answer")
 	}
 	if err := statusError(res.StatusCode, method); err != nil {
 		_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, 64<<10))
@@ -210,7 +210,7 @@
 	}
 	payload, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes))
 	if err == nil {
-		err = json.Unmarshal(payload, result)
+		err = decode(payload, result)
 	}
 	if err != nil {
 		return c.classifyFailure(method, path, true, err)
