internal/command/starter: samples of peers that know no earlier position do not keep an empty primary

What callers see: a primary that has started again without its log is refused by the instances that know how far it had got, but stays the primary as long as an instance uses it that has started since. Its samples, sent to the others, also lower the floor of their reads (STALE).

Cause: a recent sample of a peer proves that the primary leads, and is a floor, whatever its position is.

Change: a sample whose position is before one that the same primary reported to this instance earlier counts for neither.

TestPrimaryThatStartsAgainEmptyIsReplaced before this commit:

--- FAIL: TestPrimaryThatStartsAgainEmptyIsReplaced/new_instance_true (10.02s) leadership_test.go:81: in 10s not reached: another primary serves reads

and on both cases, as the empty primary serves on:

--- FAIL: TestPrimaryThatStartsAgainEmptyIsReplaced/new_instance_false (10.02s) --- FAIL: TestPrimaryThatStartsAgainEmptyIsReplaced/new_instance_true (10.02s)

What remains: an instance that knows no earlier position uses the empty primary until the others have replaced it, 1 to 2 s here.

--- a/internal/command/starter/leadership_test.go
+++ b/internal/command/starter/leadership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -61,6 +62,35 @@
 	})
 }
 
+// Guards against a primary that starts again without its log and is used (STALE), or is kept because an
+// instance that has not seen its log uses it.
+func TestPrimaryThatStartsAgainEmptyIsReplaced(t *testing.T) {
+	const commits = 5
+	for _, withNewInstance := range []bool{false, true} {
+		t.Run(fmt.Sprintf("new_instance_%t", withNewInstance), func(t *testing.T) {
+			p := newTestPlatform(t)
+			c := dialLine(t, p.startInstance("one").address)
+			c.send("STARTUP booking key-1")
+			for i := range commits {
+				qt.Assert(t, c.send(fmt.Sprintf("QUERY w%d WRITE x 1", i))[0], qt.Equals, "COMPLETE sig-a")
+			}
+			p.members["a"].RestartEmpty()
+			if withNewInstance {
+				p.startInstance("two")
+			}
+			waitUntil(t, "another primary serves reads", func() bool {
+				answer := c.send("QUERY r READ x")
+				return p.group.Primary() != "a" && strings.HasPrefix(answer[0], "DATAROW")
+			})
+			for _, run := range p.group.Executions() {
+				if run.ID == "r" && run.Code == "" && !withNewInstance { // The new instance knows no earlier position.
+					qt.Assert(t, run.Received >= commits, qt.IsTrue, qt.Commentf("%+v", run))
+				}
+			}
+		})
+	}
+}
+
 // Guards against a store that comes back from an older copy: an instance that
 // takes back an older configuration accepts a withdrawn key again, one that takes
 // the older record for the newest one uses a replaced primary, and an instance
--- a/internal/command/starter/peers.go
+++ b/internal/command/starter/peers.go
@@ -147,6 +147,9 @@
 		return false
 	}
 	sample := sampler.Sample{Position: r.body.Position, RequestedAt: r.sent - r.body.Age}
+	if s.sessions.ShowsLostLog(service, sample) {
+		return false
+	}
 	s.sessions.Sampler(service).Add(sample)
 	if r.body.Leader != "" {
 		s.balancer.RecordLeader(service, r.body.Leader, sample.Position.Term, s.holder.Time(sample.RequestedAt))
--- a/internal/command/starter/replacer.go
+++ b/internal/command/starter/replacer.go
@@ -8,6 +8,7 @@
 	"oleanderpulley/internal/coordination/replacer"
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
+	"oleanderpulley/internal/state/sampler"
 	"oleanderpulley/internal/transport/reporter"
 	"oleanderpulley/platform"
 )
@@ -69,7 +70,8 @@
 			continue
 		}
 		result.Answered++
-		if !r.body.Position.IsZero() && s.holder.Time(r.sent-r.body.Age).After(since) {
+		sample := sampler.Sample{Position: r.body.Position, RequestedAt: r.sent - r.body.Age}
+		if !sample.Position.IsZero() && s.holder.Time(sample.RequestedAt).After(since) && !s.sessions.ShowsLostLog(service, sample) {
 			result.Led = true
 		}
 	}
--- a/internal/transport/sessioner/lost_log.go
+++ b/internal/transport/sessioner/lost_log.go
@@ -8,6 +8,7 @@
 
 	"oleanderpulley/internal/coordination/fencer"
 	"oleanderpulley/internal/state/identifier"
+	"oleanderpulley/internal/state/sampler"
 	"oleanderpulley/internal/transport/lender"
 	"oleanderpulley/internal/transport/reporter"
 )
@@ -36,14 +37,20 @@
 	knownAt  time.Duration // Clock reading after the answer with the position.
 }
 
-// isLost reports whether the position, in the answer to a request that was sent at the
-// clock reading, shows that the server's log is shorter than it was before.
-func (l *leaderLogs) isLost(service identifier.ServiceName, reported leaderLog, sent time.Duration) bool {
+// isBefore reports whether a position is before one that the primary under the permit
+// reported earlier: known when the position's request was sent.
+func (l *leaderLogs) isBefore(service identifier.ServiceName, p fencer.Permit, sample sampler.Sample) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known := l.ends[service]
-	isSame := known.server == reported.server && known.permit == reported.permit
-	return isSame && sent > known.knownAt && reported.position.Compare(known.position) < 0
+	return known.permit == p && sample.RequestedAt > known.knownAt && sample.Position.Compare(known.position) < 0
+}
+
+// leader returns the server that was the primary when the furthest position was recorded.
+func (l *leaderLogs) leader(service identifier.ServiceName) identifier.BackendServerID {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ends[service].server
 }
 
 // record records a position that was reported by the primary.
@@ -61,13 +68,19 @@
 	l.ends[service] = reported
 }
 
+// ShowsLostLog reports whether a sample that a peer has taken shows that the primary of
+// the service has lost its log, which the peer cannot tell if it knows no earlier position.
+func (s *Server) ShowsLostLog(service identifier.ServiceName, sample sampler.Sample) bool {
+	permit, _ := s.Fencer.Permit(service)
+	return s.leaderLogs.isBefore(service, permit, sample)
+}
+
 // checkLog returns errLogLost if the position, which the server reported as the primary
 // in answer to a request that was sent at the clock reading, is before one that it has
 // reported earlier. Such a server does not count as the primary.
 func (s *Server) checkLog(c *lender.Conn, p fencer.Permit, position identifier.Position, sent time.Duration) error {
 	service, id := c.Server.Service, c.Server.ID
-	reported := leaderLog{server: id, permit: p, position: position, knownAt: s.Holder.Clock()}
-	if !s.leaderLogs.isLost(service, reported, sent) {
+	if s.leaderLogs.leader(service) != id || !s.leaderLogs.isBefore(service, p, sampler.Sample{Position: position, RequestedAt: sent}) {
 		return nil
 	}
 	s.Balancer.RecordNotLeading(service, id)
--- a/internal/transport/sessioner/lost_log_test.go
+++ b/internal/transport/sessioner/lost_log_test.go
@@ -10,6 +10,7 @@
 	"oleanderpulley/internal/protocol/requester"
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
+	"oleanderpulley/internal/state/sampler"
 	"oleanderpulley/internal/transport/lender"
 )
 
@@ -93,3 +94,19 @@
 	end.Offset = 49
 	qt.Assert(t, s.recordLeader(c, permit, requester.Result{Position: end}, sent), qt.IsNil)
 }
+
+// Guards against a peer's sample of a primary that lost its log, as the floor of reads or as proof that the
+// primary leads (STALE), and against later samples of a new primary that do not count.
+func TestSampleOfAPeerMayShowALostLog(t *testing.T) {
+	s, _ := newTestServer()
+	end := identifier.Position{Term: 1, Offset: 50}
+	reportPositions(s, &end)
+	earlier := s.Holder.Clock()
+	qt.Assert(t, s.Execute("peer", primaryRequest(requester.Write, "WRITE x 1")).Result.Code, qt.Equals, requester.OK)
+	shorter := identifier.Position{Term: 1, Offset: 49}
+	qt.Assert(t, s.ShowsLostLog("rentals", sampler.Sample{Position: shorter, RequestedAt: s.Holder.Clock()}), qt.IsTrue)
+	qt.Assert(t, s.ShowsLostLog("rentals", sampler.Sample{Position: end, RequestedAt: s.Holder.Clock()}), qt.IsFalse)
+	qt.Assert(t, s.ShowsLostLog("rentals", sampler.Sample{Position: shorter, RequestedAt: earlier}), qt.IsFalse)
+	s.Fencer.Observe("rentals", cataloger.Leadership{Server: "b", Term: 2, Revision: 7})
+	qt.Assert(t, s.ShowsLostLog("rentals", sampler.Sample{Position: shorter, RequestedAt: s.Holder.Clock()}), qt.IsFalse)
+}
