internal/transport/sessioner: a replica's position shows as well that the primary lost its log

What callers see: an instance that has started since, or has not used the service before, knows no earlier position of the primary. Its reads run on the empty log of a primary that started again, until others replace it (STALE).

Cause: a primary was compared with its own earlier positions only.

Change: the positions of the other servers count too. A replica has its log from the primary, so that the primary's cannot be shorter, unless the replica's position is of an earlier term than the record's.

Evidence: TestReplicaShowsThatThePrimaryLostItsLog, before:

--- FAIL: TestReplicaShowsThatThePrimaryLostItsLog (0.00s) lost_log_test.go:88: error: unexpected success got: s"ok"

What remains: until such an instance has an answer of a replica, it uses the empty primary.

--- a/internal/transport/sessioner/lost_log.go
+++ b/internal/transport/sessioner/lost_log.go
@@ -28,17 +28,16 @@
 	ends map[identifier.ServiceName]leaderLog
 }
 
-// leaderLog is the furthest position that a server has reported as the primary, under
-// one permit: a replacement may discard a part of the log.
+// leaderLog is the furthest position that the primary has reported, or a replica that got
+// it from the primary, under one permit: a replacement may discard a part of the log.
 type leaderLog struct {
-	server   identifier.BackendServerID
 	permit   fencer.Permit
 	position identifier.Position
 	knownAt  time.Duration // Clock reading after the answer with the position.
 }
 
-// isBefore reports whether a position is before one that the primary under the permit
-// reported earlier: known when the position's request was sent.
+// isBefore reports whether a position is before one that the log of the primary under the
+// permit had reached, as was known when the position's request was sent.
 func (l *leaderLogs) isBefore(service identifier.ServiceName, p fencer.Permit, sample sampler.Sample) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -46,26 +45,18 @@
 	return known.permit == p && sample.RequestedAt > known.knownAt && sample.Position.Compare(known.position) < 0
 }
 
-// leader returns the server that was the primary when the furthest position was recorded.
-func (l *leaderLogs) leader(service identifier.ServiceName) identifier.BackendServerID {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.ends[service].server
-}
-
-// record records a position that was reported by the primary.
-func (l *leaderLogs) record(service identifier.ServiceName, reported leaderLog) {
+// record records a position that the log of the primary has reached.
+func (l *leaderLogs) record(service identifier.ServiceName, reached leaderLog) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known := l.ends[service]
-	isSame := known.server == reported.server && known.permit == reported.permit
-	if isSame && reported.position.Compare(known.position) <= 0 {
+	if known.permit == reached.permit && reached.position.Compare(known.position) <= 0 {
 		return
 	}
 	if l.ends == nil {
 		l.ends = map[identifier.ServiceName]leaderLog{}
 	}
-	l.ends[service] = reported
+	l.ends[service] = reached
 }
 
 // ShowsLostLog reports whether a sample that a peer has taken shows that the primary of
@@ -75,12 +66,22 @@
 	return s.leaderLogs.isBefore(service, permit, sample)
 }
 
+// recordCopied records the position of any server as one that the log of the primary has
+// reached. A position of an earlier term than the primary's may be of a part that the
+// promotion has discarded.
+func (s *Server) recordCopied(service identifier.ServiceName, position identifier.Position) {
+	p, _ := s.Fencer.Permit(service)
+	if p.Term() == 0 || p.Term() == position.Term {
+		s.leaderLogs.record(service, leaderLog{p, position, s.Holder.Clock()})
+	}
+}
+
 // checkLog returns errLogLost if the position, which the server reported as the primary
 // in answer to a request that was sent at the clock reading, is before one that it has
 // reported earlier. Such a server does not count as the primary.
 func (s *Server) checkLog(c *lender.Conn, p fencer.Permit, position identifier.Position, sent time.Duration) error {
 	service, id := c.Server.Service, c.Server.ID
-	if s.leaderLogs.leader(service) != id || !s.leaderLogs.isBefore(service, p, sampler.Sample{Position: position, RequestedAt: sent}) {
+	if !s.leaderLogs.isBefore(service, p, sampler.Sample{Position: position, RequestedAt: sent}) {
 		return nil
 	}
 	s.Balancer.RecordNotLeading(service, id)
--- a/internal/transport/sessioner/lost_log_test.go
+++ b/internal/transport/sessioner/lost_log_test.go
@@ -64,6 +64,30 @@
 	}
 }
 
+// Guards against reads of a primary that lost its log at an instance that has started since, and knows only
+// from a replica how far the log had got (STALE).
+func TestReplicaShowsThatThePrimaryLostItsLog(t *testing.T) {
+	s, _ := newTestServer()
+	c := *s.Holder.Catalog()
+	c.Servers = map[identifier.ServiceName][]cataloger.BackendServer{"rentals": {
+		{ID: "a", Service: "rentals", ClaimsPrimary: true, Slots: 3}, {ID: "b", Service: "rentals", Slots: 3},
+	}}
+	s.Holder.Replace(&c)
+	s.Fencer.Observe("rentals", cataloger.Leadership{Server: "a", Term: 1, Revision: 7})
+	var connect Server
+	connect.Lender = &lender.Lender{}
+	ends := map[identifier.BackendServerID]*identifier.Position{"a": {Term: 1, Offset: 2}, "b": {Term: 1, Offset: 50}}
+	s.Lender.Dial = func(deadline time.Time, b cataloger.BackendServer, w identifier.WorkspaceName) (lender.Link, error) {
+		reportPositions(&connect, ends[b.ID])
+		return connect.Lender.Dial(deadline, b, w)
+	}
+	read := primaryRequest(requester.Read, "READ x")
+	bounded := read
+	bounded.Route.Consistency, bounded.Route.MaxStaleness = cataloger.BoundedStaleness, time.Second
+	qt.Assert(t, s.Execute("peer", bounded).Result.Code, qt.Equals, requester.OK)
+	qt.Assert(t, s.Execute("peer", read).Result.Code, qt.Not(qt.Equals), requester.OK)
+}
+
 // Guards against a new primary that is taken for one that lost its log, since it lacks commits that
 // its promotion discarded.
 func TestNewPrimaryWithAShorterLogIsUsed(t *testing.T) {
--- a/internal/transport/sessioner/primary.go
+++ b/internal/transport/sessioner/primary.go
@@ -58,7 +58,7 @@
 	if r.Position.IsZero() {
 		return nil
 	}
-	s.leaderLogs.record(c.Server.Service, leaderLog{c.Server.ID, p, r.Position, s.Holder.Clock()})
+	s.leaderLogs.record(c.Server.Service, leaderLog{p, r.Position, s.Holder.Clock()})
 	// Until its first commit, a primary reports the position of an earlier term.
 	s.Balancer.RecordLeader(c.Server.Service, c.Server.ID, max(p.Term(), r.Position.Term), s.Holder.Time(sent))
 	s.Sampler(c.Server.Service).Add(sampler.Sample{Position: r.Position, RequestedAt: sent})
@@ -79,11 +79,12 @@
 }
 
 // observeLag derives how far a server is behind the primary from the position in
-// its answer, and reports it to the balancer.
+// its answer, and reports it to the balancer. It records how far the log has got.
 func (s *Server) observeLag(c *lender.Conn, r requester.Result) {
 	if r.Position.IsZero() {
 		return
 	}
+	s.recordCopied(c.Server.Service, r.Position)
 	lag := time.Duration(0)
 	if since, ok := s.Sampler(c.Server.Service).Missing(r.Position); ok {
 		lag = s.Holder.Clock() - since
