internal/bench/soaker: servers that come back empty

Two faults that are injected by name: a replica or the primary starts again under its id, with a new start time and nothing of before. They are not drawn with the others, so that the seeds of other runs keep their faults, and because PROTOCOL.md does not say clearly whether a primary may lose its log.

--- a/internal/bench/soaker/environment.go
+++ b/internal/bench/soaker/environment.go
@@ -32,6 +32,7 @@
 
 	mu            sync.Mutex
 	configVersion int
+	restarts      map[string]int       // Of the backend servers, which were empty afterwards.
 	withdrawn     map[string]time.Time // Time at which the store acknowledged the withdrawal, by key.
 }
 
@@ -55,7 +56,7 @@
 func newEnvironment(s Soak, directory string) (*environment, error) {
 	e := &environment{
 		soak: s, directory: directory, members: map[string]*imitator.Member{}, proxies: map[string]*stager.Proxy{},
-		withdrawn: map[string]time.Time{},
+		withdrawn: map[string]time.Time{}, restarts: map[string]int{},
 	}
 	e.group.Service = "rentals"
 	e.group.Unfenced, e.store.Unfenced = s.Unfenced, s.Unfenced
@@ -95,6 +96,8 @@
 
 func (e *environment) registerServers() {
 	primary := e.group.Primary()
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	for id := range e.members {
 		role := "replica"
 		if id == primary {
@@ -102,7 +105,7 @@
 		}
 		e.store.Put("servers", id, map[string]any{
 			"service": "rentals", "address": e.proxies[id].Address, "zone": "one", "slots": 4,
-			"state": "ready", "reportedRole": role, "born": 1,
+			"state": "ready", "reportedRole": role, "born": 1 + e.restarts[id],
 		})
 	}
 }
--- a/internal/bench/soaker/fault.go
+++ b/internal/bench/soaker/fault.go
@@ -154,6 +154,21 @@
 	}},
 }
 
+// restartFaults are injected only by name, so that the seeds of other runs draw what they
+// have drawn before.
+var restartFaults = []fault{
+	{"replica back empty", func(e *environment, r *rand.Rand, _ time.Duration) {
+		if id := e.randomServer(r); id != e.group.Primary() {
+			e.restartEmpty(id)
+		}
+	}},
+	{"primary back empty", func(e *environment, _ *rand.Rand, _ time.Duration) {
+		if id := e.group.Primary(); id != "" {
+			e.restartEmpty(id)
+		}
+	}},
+}
+
 // faults returns the faults that a run draws from. It returns errUnknownFault if none
 // has the name of s.Fault.
 func (s Soak) faults() ([]fault, error) {
@@ -164,6 +179,7 @@
 	if s.Fault == "" {
 		return all, nil
 	}
+	all = slices.Concat(all, restartFaults)
 	i := slices.IndexFunc(all, func(f fault) bool { return f.name == s.Fault })
 	if i < 0 {
 		return nil, errors.Wrapf(errUnknownFault, "%q", s.Fault)
@@ -249,6 +265,15 @@
 	}
 }
 
+// restartEmpty makes a backend server start again under its id with nothing of before.
+func (e *environment) restartEmpty(id string) {
+	e.members[id].RestartEmpty()
+	e.mu.Lock()
+	e.restarts[id]++
+	e.mu.Unlock()
+	e.registerServers()
+}
+
 // restoreStore makes the store come back from a copy that is as old as the
 // duration. The operator and the backend servers then write again.
 func (e *environment) restoreStore(duration time.Duration) {
