internal/coordination/confirmer: a write right ends with a suspension of the machine

What callers see, on the PostgreSQL interface: after a suspension of an instance's machine a write right from before counts for what was left of its 1.5 s, although the promoter of another instance has waited for its end and opened a new term. Where the old primary is not reached by the others, the instance still uses it, for reads as well.

Cause: the deadline of the right is a reading of the clock of package time, which stops while the machine is suspended.

Change: tracker.WakeDetector compares that clock with the one that runs on, at each check of a right. A right counts only if the oldest query that proves it was sent after the last wake, so that an answer that was under way counts neither.

Evidence: TestRightEndsWithASuspension with the check taken out of Valid:

--- FAIL: TestRightEndsWithASuspension (0.00s) confirmer_test.go:94: error: value is not false

Not tried on a machine that is really suspended.

--- a/internal/command/runner/runner.go
+++ b/internal/command/runner/runner.go
@@ -51,6 +51,7 @@
 	dispatcher          *dispatcher.Dispatcher
 	groups              tracker.Groups
 	confirmer           confirmer.Confirmer
+	wakes               tracker.WakeDetector
 	prober              *prober.Prober
 	promoter            *promoter.Promoter
 	router              *router.Router
--- a/internal/coordination/confirmer/confirmer.go
+++ b/internal/coordination/confirmer/confirmer.go
@@ -28,6 +28,9 @@
 type Confirmer struct {
 	// Now is a monotonic clock; nil means time.Now.
 	Now func() time.Time
+	// LastWake returns a time after the end of the last suspension of the machine, as
+	// [tracker.WakeDetector.LastWake] does. Nil means that there was none.
+	LastWake func() time.Time
 
 	services sync.Map // identifier.ServiceName to *serviceState.
 }
@@ -35,6 +38,7 @@
 // writeRight is immutable, so that Valid can read it without a lock.
 type writeRight struct {
 	term     identifier.Term
+	provenAt time.Time // When the oldest query was sent that proves it.
 	deadline time.Time
 }
 
@@ -64,7 +68,13 @@
 		return false
 	}
 	r := v.(*serviceState).right.Load()
-	return r != nil && r.term == term && c.now().Before(r.deadline)
+	return r != nil && r.term == term && c.now().Before(r.deadline) && c.isAwakeSince(r.provenAt)
+}
+
+// isAwakeSince reports whether the machine was not suspended since the time. The clock
+// of the deadlines stops meanwhile.
+func (c *Confirmer) isAwakeSince(at time.Time) bool {
+	return c.LastWake == nil || at.After(c.LastWake())
 }
 
 // SetMembers sets the members of the service's group, of which a majority has to
@@ -120,7 +130,7 @@
 	if primary.sent.Before(oldest) {
 		oldest = primary.sent
 	}
-	s.right.Store(&writeRight{term: s.newestTerm, deadline: oldest.Add(RightDuration)})
+	s.right.Store(&writeRight{term: s.newestTerm, provenAt: oldest, deadline: oldest.Add(RightDuration)})
 }
 
 func (c *Confirmer) serviceState(service identifier.ServiceName) *serviceState {
--- a/internal/coordination/confirmer/confirmer_test.go
+++ b/internal/coordination/confirmer/confirmer_test.go
@@ -77,3 +77,23 @@
 		}
 	})
 }
+
+// Guards against a write right that outlives its proof because the clock stopped while the machine was suspended.
+func TestRightEndsWithASuspension(t *testing.T) {
+	var wake time.Time
+	now := time.Now()
+	c := confirmer.Confirmer{Now: func() time.Time { return now }, LastWake: func() time.Time { return wake }}
+	c.SetMembers("rentals", []identifier.BackendServerID{"a", "b", "c"})
+	answer := func(sent time.Time) {
+		c.Observe("rentals", tracker.MemberStatus{Server: "a", Role: primary, Term: 1, Promised: 1}, sent)
+		c.Observe("rentals", tracker.MemberStatus{Server: "b", Role: replica, Term: 1, Promised: 1}, sent)
+	}
+	answer(now)
+	qt.Assert(t, c.Valid("rentals", 1), qt.IsTrue)
+	wake = now.Add(time.Millisecond)
+	qt.Assert(t, c.Valid("rentals", 1), qt.IsFalse)
+	answer(now.Add(time.Millisecond)) // Sent before the machine woke, or as it did.
+	qt.Assert(t, c.Valid("rentals", 1), qt.IsFalse)
+	answer(now.Add(2 * time.Millisecond))
+	qt.Assert(t, c.Valid("rentals", 1), qt.IsTrue)
+}
