internal/state/tracker: the age of a replica's data has no bound after a suspension

What callers see, on the PostgreSQL interface: after a suspension of an instance's machine, a read with oleanderpulley.max_age may run on a replica whose data is older than that by the time of the suspension.

Cause: the age is a difference of two readings of the clock of package time, which stops meanwhile.

Change: an age that is measured from before the last wake has no bound, as when the primary is unreachable.

Not tried on a machine that is really suspended.

--- a/internal/command/runner/groups.go
+++ b/internal/command/runner/groups.go
@@ -28,7 +28,7 @@
 func (r *Runner) buildGroups() {
 	s := r.Settings
 	r.evacuations.view, r.evacuations.logger = r.distributor.Current, r.Logger
-	r.confirmer.LastWake = r.wakes.LastWake
+	r.groups.LastWake, r.confirmer.LastWake = r.wakes.LastWake, r.wakes.LastWake
 	r.wakes.LastWake() // Suspensions count from now on.
 	r.pooler = &pooler.Pooler{
 		User: s.Backend.User, Password: s.Backend.Password, Application: string(s.InstanceID), DataCentre: s.DataCentre,
--- a/internal/state/tracker/age.go
+++ b/internal/state/tracker/age.go
@@ -22,7 +22,8 @@
 // Age returns an upper bound for the age of the data that the member has
 // applied: the time since the query of the newest primary sample that it covers
 // was sent. The age grows while the primary or a majority of the members is
-// unreachable. Age returns false if the age has no bound.
+// unreachable. Age returns false if the age has no bound, as when the machine was
+// suspended since.
 func (g *Group) Age(server identifier.BackendServerID, now time.Time) (time.Duration, bool) {
 	g.mu.RLock()
 	defer g.mu.RUnlock()
@@ -32,7 +33,7 @@
 	}
 	for i := len(g.samples) - 1; i >= 0; i-- {
 		if start := g.ageStart(g.samples[i]); !start.IsZero() && m.status.covers(g.samples[i].position) == Covered {
-			return now.Sub(start), true
+			return now.Sub(start), g.lastWake == nil || start.After(g.lastWake())
 		}
 	}
 	return 0, false
--- a/internal/state/tracker/group.go
+++ b/internal/state/tracker/group.go
@@ -19,6 +19,7 @@
 	confirmedAt time.Time       // Latest time at which the newest term is proven to have been the last one; zero without proof.
 	samples     []sample        // Positions of the primaries, oldest first.
 	changed     chan struct{}
+	lastWake    func() time.Time // Of [Groups]; nil means never.
 }
 
 type member struct {
