--- a/internal/command/starter/peers.go
+++ b/internal/command/starter/peers.go
@@ -44,8 +44,9 @@
 	Leader   identifier.BackendServerID `cbor:"leader"`
 }
 
-func (s *Starter) startPeers() error {
-	var e encoder.Encoder
+// newEncoder returns an encoder with all message types between instances.
+func newEncoder() *encoder.Encoder {
+	e := &encoder.Encoder{}
 	e.Register("tokens_ask", ratelimiter.TokenRequest{})
 	e.Register("tokens_grant", ratelimiter.Grant{})
 	e.Register("sample_ask", sampleAsk{})
@@ -62,9 +63,13 @@
 	// The earlier messages "forward" and "forwarded" had keys with names.
 	e.Register("run", sessioner.ForwardRequest{})
 	e.Register("ran", sessioner.ForwardReply{})
+	return e
+}
+
+func (s *Starter) startPeers() error {
 	s.peers = messenger.Messenger{
 		Self:           encoder.Hello{Instance: s.Settings.InstanceID, DataCentre: s.Settings.DataCentre},
-		Encoder:        &e,
+		Encoder:        newEncoder(),
 		Handle:         s.handlePeerRequest,
 		AllowPlaintext: true,
 		Logger:         s.Logger,
--- a/internal/protocol/encoder/encoder.go
+++ b/internal/protocol/encoder/encoder.go
@@ -1,6 +1,7 @@
 package encoder
 
 import (
+	"maps"
 	"reflect"
 
 	"github.com/fxamacker/cbor/v2"
@@ -38,6 +39,12 @@
 	e.registerType(name, zero)
 }
 
+// Types returns the registered types by their names.
+func (e *Encoder) Types() map[string]reflect.Type {
+	e.init()
+	return maps.Clone(e.types)
+}
+
 // Encode returns the encoded message with the given body. The ID is 0 unless the
 // message is a request, and replyTo is 0 unless it is a reply. Encode returns
 // [ErrUnknownType] for a body whose type is not registered.
