internal/transport/messenger: a body of another build does not end the connection

What callers saw: after one message whose known type has a field of another type, or a catalog update in an unknown format, all requests in flight on the connection failed with ErrUnreachable, and forwarded writes among them had an unknown outcome. Cause: the encoder reported a body that cannot be decoded like an envelope that cannot, after which nothing on the connection can be trusted, and both sides ended the connection. Change: Decode returns ErrMalformedBody with the envelope. The receiver of a request answers with an error as for an unknown type, and the requester of a reply fails this request alone. Both are counted in MalformedBodies. An envelope that cannot be decoded still ends the connection. Builds up to end it in both cases, so that the type of a field must not change beside them.

Unknown types and unknown fields passed before.

--- a/internal/protocol/encoder/encoder.go
+++ b/internal/protocol/encoder/encoder.go
@@ -21,6 +21,9 @@
 var (
 	ErrUnknownType = errors.New("message type is not known")
 	ErrMalformed   = errors.New("message is malformed")
+	// ErrMalformedBody is an [ErrMalformed] of a message whose envelope was decoded.
+	// Another build may send a field with another type.
+	ErrMalformedBody = errors.WithMessage(ErrMalformed, "body")
 )
 
 // Encoder encodes message bodies into envelopes and decodes them. The transport's
@@ -64,7 +67,8 @@
 
 // Decode returns the envelope of a message and its body as a value of the
 // registered type. For an unknown type it returns the envelope and
-// [ErrUnknownType]. For data that cannot be decoded it returns [ErrMalformed].
+// [ErrUnknownType], and for a body that cannot be decoded the envelope and
+// [ErrMalformedBody]. For other data that cannot be decoded it returns [ErrMalformed].
 func (e *Encoder) Decode(data []byte) (Envelope, any, error) {
 	e.init()
 	var envelope Envelope
@@ -80,7 +84,7 @@
 	}
 	value := reflect.New(t)
 	if err := e.decode.Unmarshal(envelope.Body, value.Interface()); err != nil {
-		return envelope, nil, errors.Wrapf(ErrMalformed, "%s: %v", envelope.Type, err)
+		return envelope, nil, errors.Wrapf(ErrMalformedBody, "%s: %v", envelope.Type, err)
 	}
 	return envelope, value.Elem().Interface(), nil
 }
--- a/internal/transport/messenger/link.go
+++ b/internal/transport/messenger/link.go
@@ -222,11 +222,11 @@
 			return errors.Wrapf(ErrUnreachable, "instance %s: %v", l.peer.ID, err)
 		}
 		envelope, body, err := l.messenger.Encoder.Decode(data)
-		if errors.Is(err, encoder.ErrMalformed) {
+		if err != nil && !isOfOtherBuild(err) {
 			return errors.Wrapf(err, "instance %s", l.peer.ID)
 		}
 		if err != nil {
-			l.messenger.Counters.UnknownTypes.Add(1)
+			l.messenger.Counters.countOfOtherBuild(err)
 		}
 		if failure, ok := body.(encoder.Error); ok {
 			body, err = nil, errors.Wrapf(ErrRemote, "instance %s: %s", l.peer.ID, failure.Text)
--- a/internal/transport/messenger/messenger.go
+++ b/internal/transport/messenger/messenger.go
@@ -99,7 +99,7 @@
 type Counters struct {
 	MessagesSent, MessagesReceived atomic.Int64
 	BytesSent, BytesReceived       atomic.Int64
-	UnknownTypes                   atomic.Int64
+	UnknownTypes, MalformedBodies  atomic.Int64 // Received messages that another build sent.
 	Panics                         atomic.Int64 // Of handlers.
 }
 
--- a/internal/transport/messenger/messenger_test.go
+++ b/internal/transport/messenger/messenger_test.go
@@ -36,6 +36,12 @@
 	e := &encoder.Encoder{}
 	e.Register("question", question{})
 	e.Register("reply", reply{})
+	return startWith(t, id, e, handle)
+}
+
+// startWith is start with another encoder.
+func startWith(t *testing.T, id identifier.InstanceID, e *encoder.Encoder, handle func(question) (any, error)) (*messenger.Messenger, messenger.Peer) {
+	t.Helper()
 	m := &messenger.Messenger{
 		Self:    encoder.Hello{Instance: id, DataCentre: "centro-a"},
 		Encoder: e,
--- a/internal/transport/messenger/server.go
+++ b/internal/transport/messenger/server.go
@@ -60,11 +60,11 @@
 			return err
 		}
 		envelope, body, err := m.Encoder.Decode(data)
-		if errors.Is(err, encoder.ErrMalformed) {
+		if err != nil && !isOfOtherBuild(err) {
 			return err
 		}
 		if err != nil {
-			m.Counters.UnknownTypes.Add(1)
+			m.Counters.countOfOtherBuild(err)
 			m.reply(ctx, conn, envelope.ID, nil, err)
 			continue
 		}
@@ -83,6 +83,21 @@
 	}
 }
 
+// isOfOtherBuild reports whether the error of a message concerns that message alone.
+// Another build may have sent it, whose other messages are understood.
+func isOfOtherBuild(err error) bool {
+	return errors.Is(err, encoder.ErrUnknownType) || errors.Is(err, encoder.ErrMalformedBody)
+}
+
+// countOfOtherBuild counts a message for which isOfOtherBuild is true.
+func (c *Counters) countOfOtherBuild(err error) {
+	if errors.Is(err, encoder.ErrUnknownType) {
+		c.UnknownTypes.Add(1)
+	} else {
+		c.MalformedBodies.Add(1)
+	}
+}
+
 // errHandlerPanicked is the outcome of a request whose handler panicked. It may
 // have been handled in part.
 var errHandlerPanicked = errors.New("handler panicked")
