--- a/internal/transport/sessioner/region_test.go
+++ b/internal/transport/sessioner/region_test.go
@@ -5,6 +5,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"oleanderpulley/internal/protocol/requester"
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
 )
@@ -53,3 +54,17 @@
 	o = operation{servers: servers, route: cataloger.Route{Regions: []identifier.Region{"south"}}}
 	qt.Assert(t, n.limitRegions(&o, cataloger.Workspace{Regions: []identifier.Region{"north"}}), qt.IsFalse)
 }
+
+// Guards against a forwarded statement that runs outside its regions; builds before cf639d8 send none.
+func TestForwardedStatementsStayInTheirRegions(t *testing.T) {
+	s, seen := newTestServer()
+	s.Regions = map[identifier.DataCentre]identifier.Region{"": "north"} // Of the only server.
+	f := primaryRequest(requester.Write, "WRITE x 1")
+	f.Route.Regions = []identifier.Region{"south"}
+	qt.Assert(t, s.Execute("peer", f).Result.Code, qt.Not(qt.Equals), requester.OK)
+	qt.Assert(t, seen, qt.HasLen, 0)
+	f.Route.Regions = nil
+	qt.Assert(t, s.Execute("peer", f).Result.Code, qt.Equals, requester.OK)
+	f.Route.Regions = []identifier.Region{"north"}
+	qt.Assert(t, s.Execute("peer", f).Result.Code, qt.Equals, requester.OK)
+}
