--- a/internal/bench/builder/builder.go
+++ b/internal/bench/builder/builder.go
@@ -44,7 +44,9 @@
 		return errors.Wrapf(err, "checking out commit %s", commit)
 	}
 	defer func() { err = stderrors.Join(err, b.remove(ctx, directory)) }()
-	build := exec.CommandContext(ctx, "go", "build", "-buildvcs=false", "-o", output, "./cmd/oleanderpulley") //nolint:gosec // The caller chooses the path.
+	// Without the path of the worktree in them, the packages come from the build cache
+	// after the first build of the commit.
+	build := exec.CommandContext(ctx, "go", "build", "-trimpath", "-buildvcs=false", "-o", output, "./cmd/oleanderpulley") //nolint:gosec // The caller chooses the path.
 	build.Dir = directory
 	_, err = run(build)
 	return errors.Wrapf(err, "building commit %s", commit)
