--- a/internal/command/starter/format_test.go
+++ b/internal/command/starter/format_test.go
@@ -10,8 +10,9 @@
 	"oleanderpulley/internal/protocol/encoder"
 )
 
-// messageVersions are the versions of the message formats above 1.
-var messageVersions = map[string]int{}
+// messageVersions are the versions of the message formats above 1. Version 2 of those with
+// leadership records has the starts of terms and the promotions that were not answered.
+var messageVersions = map[string]int{"catalog": 2, "era_reply": 2, "leadership": 2, "leadership_reply": 2}
 
 // messageFormat returns the format of a message as it is sent: the envelope of a
 // request that is a reply as well, with the body.
--- a/internal/coordination/fencer/fencer.go
+++ b/internal/coordination/fencer/fencer.go
@@ -173,7 +173,7 @@
 func mergeRecord(earlier, later cataloger.Leadership) cataloger.Leadership {
 	if later.IsUnreadable() {
 		if earlier.Term > later.Term {
-			later.Term, later.Server = earlier.Term, earlier.Server
+			later.Term, later.Server, later.TermStarts = earlier.Term, earlier.Server, earlier.TermStarts
 		}
 		later.Successor = cmp.Or(later.Successor, earlier.Successor)
 		return later
@@ -199,6 +199,9 @@
 	if restored {
 		merged.OpenPromotions = earlier.OpenPromotions.Union(later.OpenPromotions)
 	}
+	if merged.TermStarts == "" {
+		merged.TermStarts = earlier.TermStarts // An instance of an earlier release does not keep it.
+	}
 	merged.Revision = later.Revision
 	return merged
 }
