internal/bench/soaker: odd entries of another writer while faults run

With -odd-entries another writer leaves, changes and removes odd entries of backend servers from the start of the faults to the end of the run, one of them throughout. Two checks are new: such a run ends with every instance ready, and in all runs no instance ends without a signal.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -33,6 +33,7 @@
 	flag.StringVar(&s.Logs, "logs", "", "directory for the logs of failed runs")
 	flag.BoolVar(&s.Unfenced, "unfenced", false, "play a platform that checks no fencing tokens and replaced primaries that lead on")
 	flag.StringVar(&s.Fault, "fault", "", "name of the only fault to inject, as -v prints it")
+	flag.BoolVar(&s.OddEntries, "odd-entries", false, "make another writer write and remove odd entries of backend servers throughout")
 	verbose := flag.Bool("v", false, "print the faults of each run, with their times in seconds")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/internal/bench/soaker/soaker.go
+++ b/internal/bench/soaker/soaker.go
@@ -38,6 +38,9 @@
 	// Fault is the name of the only fault to inject, again and again without overlap. ""
 	// draws from all faults, which may overlap.
 	Fault string
+	// OddEntries makes another writer write and remove odd entries of backend servers
+	// from the start of the faults to the end of the run.
+	OddEntries bool
 }
 
 // Report is the result of a run.
@@ -98,14 +101,22 @@
 		c := &client{environment: e, history: h, number: i, random: rand.New(rand.NewPCG(s.Seed, uint64(i)+100))}
 		clients.Go(func() { c.run(stop) })
 	}
+	if s.OddEntries {
+		clients.Go(func() { e.putOddEntries(rand.New(rand.NewPCG(s.Seed, 3)), stop) })
+	}
 	faults := e.injectFaults(ctx, drawn, rand.New(rand.NewPCG(s.Seed, 1)), s.Length)
 	sleep(ctx, recoveryTime)
+	var notReady []string
+	if s.OddEntries {
+		notReady = e.checkReady()
+	}
 	close(stop)
 	clients.Wait()
 	if ctx.Err() != nil {
 		return Report{}, ctx.Err()
 	}
 	r := h.check(e)
+	r.Broken = append(append(r.Broken, notReady...), e.checkExits()...)
 	r.Seed, r.Faults = s.Seed, faults
 	if !r.OK() {
 		err = s.keepLogs(directory)
--- a/internal/bench/stager/process.go
+++ b/internal/bench/stager/process.go
@@ -51,6 +51,15 @@
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	exited chan struct{}
+	ending bool // A signal that ends the process was sent.
+	exits  int  // Of processes that were sent none.
+}
+
+// UnexpectedExits returns how often the process has ended without a signal that ends it.
+func (p *Process) UnexpectedExits() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.exits
 }
 
 // NewProcess writes the settings files of an instance and opens its log. It does
@@ -121,10 +130,15 @@
 		return errors.Wrapf(err, "starting instance %s", p.Name)
 	}
 	exited := make(chan struct{})
-	p.cmd, p.exited = c, exited
+	p.cmd, p.exited, p.ending = c, exited, false
 	go func() {
 		defer close(exited)
 		_ = c.Wait() // The error is expected: the process is ended by a signal.
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if !p.ending {
+			p.exits++
+		}
 	}()
 	return nil
 }
@@ -134,6 +148,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.cmd != nil {
+		p.ending = p.ending || s == syscall.SIGKILL || s == syscall.SIGTERM
 		_ = p.cmd.Process.Signal(s) // Fails if the process has already exited.
 	}
 }
