--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -40,6 +40,7 @@
 	flag.StringVar(&s.OldProgram, "old", "", "path of the binary of an older build that runs beside -program")
 	oldCommit := flag.String("old-commit", "", "commit of an older build, built from the history of the repository, that runs beside -program")
 	schedule := flag.String("schedule", string(soaker.ForwardAndBack), fmt.Sprintf("changes between the two builds, one of %v", soaker.Schedules))
+	flag.BoolVar(&s.OddEntries, "odd-entries", false, "make another writer write and remove odd entries of backend servers throughout")
 	verbose := flag.Bool("v", false, "print the faults of each run, with their times in seconds")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/internal/bench/soaker/soaker.go
+++ b/internal/bench/soaker/soaker.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -43,6 +44,9 @@
 	// Schedule determines which instances run OldProgram, and when they change between
 	// the builds.
 	Schedule Schedule
+	// OddEntries makes another writer write and remove odd entries of backend servers
+	// from the start of the faults to the end of the run.
+	OddEntries bool
 }
 
 // Report is the result of a run.
@@ -111,6 +115,9 @@
 		c := &client{environment: e, history: h, number: i, random: rand.New(rand.NewPCG(s.Seed, uint64(i)+100))}
 		clients.Go(func() { c.run(stop) })
 	}
+	if s.OddEntries {
+		clients.Go(func() { e.putOddEntries(rand.New(rand.NewPCG(s.Seed, 3)), stop) })
+	}
 	var upgrades []string
 	upgraded := make(chan struct{})
 	go func() {
@@ -120,13 +127,17 @@
 	faults := e.injectFaults(ctx, drawn, rand.New(rand.NewPCG(s.Seed, 1)), s.Length, upgraded)
 	<-upgraded
 	sleep(ctx, recoveryTime)
+	var notReady []string
+	if s.OddEntries {
+		notReady = e.checkReady()
+	}
 	close(stop)
 	clients.Wait()
 	if ctx.Err() != nil {
 		return Report{}, ctx.Err()
 	}
 	r := h.check(e)
-	r.Broken = append(r.Broken, e.checkBuilds(plan)...)
+	r.Broken = slices.Concat(r.Broken, notReady, e.checkExits(), e.checkBuilds(plan))
 	r.Seed, r.Faults, r.Upgrades = s.Seed, faults, upgrades
 	if !r.OK() {
 		err = s.keepLogs(directory)
--- a/internal/bench/stager/process.go
+++ b/internal/bench/stager/process.go
@@ -53,6 +53,15 @@
 	started string // Path of the executable of the last start.
 	cmd     *exec.Cmd
 	exited  chan struct{}
+	ending  bool // A signal that ends the process was sent.
+	exits   int  // Of processes that were sent none.
+}
+
+// UnexpectedExits returns how often the process has ended without a signal that ends it.
+func (p *Process) UnexpectedExits() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.exits
 }
 
 // NewProcess writes the settings files of an instance and opens its log. It does
@@ -123,10 +132,15 @@
 		return errors.Wrapf(err, "starting instance %s", p.Name)
 	}
 	exited := make(chan struct{})
-	p.cmd, p.exited, p.started = c, exited, p.program
+	p.cmd, p.exited, p.started, p.ending = c, exited, p.program, false
 	go func() {
 		defer close(exited)
 		_ = c.Wait() // The error is expected: the process is ended by a signal.
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if !p.ending {
+			p.exits++
+		}
 	}()
 	return nil
 }
@@ -151,6 +165,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.cmd != nil {
+		p.ending = p.ending || s == syscall.SIGKILL || s == syscall.SIGTERM
 		_ = p.cmd.Process.Signal(s) // Fails if the process has already exited.
 	}
 }
