internal/transport/sessioner: a shorter log under an old proof is no lost log

What callers see: an instance that was cut off takes a primary that was replaced and promoted again meanwhile, with a shorter log, for one that has lost its log. It does not use it until its proof is recent, so that the fault is a wrong line primary_log_lost and a search for the primary.

Cause: the proxy's own queries compared positions also without a permit.

Change: without a permit they do so only under a recent proof, while the primary is replaced and no successor is chosen, when the answer decides whether the primary still leads.

Evidence: TestShorterLogUnderAnOldProofIsNoLostLog, before:

--- FAIL: TestShorterLogUnderAnOldProofIsNoLostLog (0.00s) lost_log_test.go:153: error: got non-nil error got: backend server does not lead

--- a/internal/transport/sessioner/lost_log_test.go
+++ b/internal/transport/sessioner/lost_log_test.go
@@ -134,3 +134,21 @@
 	s.Fencer.Observe("rentals", cataloger.Leadership{Server: "b", Term: 2, Revision: 7})
 	qt.Assert(t, s.ShowsLostLog("rentals", sampler.Sample{Position: shorter, RequestedAt: s.Holder.Clock()}), qt.IsFalse)
 }
+
+// Guards against a false alarm at an instance that was cut off, and knows only an earlier term of a
+// primary that was replaced and promoted again with a shorter log.
+func TestShorterLogUnderAnOldProofIsNoLostLog(t *testing.T) {
+	s, _ := newTestServer()
+	now := s.Holder.Clock()
+	s.Holder.Now = func() time.Duration { return now }
+	s.Fencer.Observe("rentals", cataloger.Leadership{Server: "a", Term: 2, Revision: 7})
+	end := identifier.Position{Term: 2, Offset: 50}
+	reportPositions(s, &end)
+	qt.Assert(t, s.Execute("peer", primaryRequest(requester.Write, "WRITE x 1")).Result.Code, qt.Equals, requester.OK)
+	now += time.Hour
+	end.Offset = 40
+	c := *s.Holder.Catalog()
+	c.Configuration = &cataloger.Configuration{Workspaces: map[identifier.WorkspaceName]cataloger.Workspace{"shops": {}}}
+	s.Holder.Replace(&c)
+	qt.Assert(t, s.ConfirmLeader(c.Servers["rentals"][0]), qt.IsNil)
+}
--- a/internal/transport/sessioner/primary.go
+++ b/internal/transport/sessioner/primary.go
@@ -116,8 +116,9 @@
 		s.Balancer.RecordNotLeading(c.Server.Service, c.Server.ID)
 		return fencer.ErrNotLeading
 	}
-	// Once a successor is chosen, a promotion may have discarded a part of the log.
-	if permitted || s.Fencer.Record(c.Server.Service).Successor == "" {
+	// Without a proof, or once a successor is chosen, a promotion may have discarded a part of the log.
+	record := s.Fencer.Record(c.Server.Service)
+	if permitted || (s.Fencer.IsProven() && record.IsReplacing() && record.Successor == "") {
 		if err := s.checkLog(c, permit, r.Position, sent); err != nil {
 			return errors.Wrap(fencer.ErrNotLeading, err.Error())
 		}
