internal/coordination/replacer: a step-down proves nothing while a promotion is open

Where tokens are checked, an unanswered promotion of the old primary may still be executed until the platform has seen a higher token, that is until the successor is promoted. The old primary then leads again after its step-down, and an instance that has not confirmed the announcement has a write acknowledged that the successor may lack.

Nothing changes without an open promotion.

TestStepDownOfAServerWithAnOpenPromotionProvesNothing, on the code before (failed and draining):

fence_test.go:39: value is not true qt.Assert(t, r.Clock()-started >= testValidity, qt.IsTrue)

and with this change: PASS, 3 of 3. The package passes with -race.

--- a/internal/coordination/replacer/fence.go
+++ b/internal/coordination/replacer/fence.go
@@ -22,7 +22,8 @@
 
 // awaitFence returns when no instance may use the old primary any more: every
 // other instance has confirmed the announcement, the old primary has stepped
-// down, or every permit that was granted before the announcement has expired.
+// down, or every permit that was granted before the announcement has expired. A
+// step-down counts only if no unanswered promotion may make the old primary lead again.
 func (r *Replacer) awaitFence(ctx context.Context, p *replacement) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -104,10 +105,10 @@
 
 // stepDownPrimary tries to step down the old primary. The returned channel is
 // closed when the old primary has confirmed; it is nil if the old primary is not
-// known.
+// known or may lead again.
 func (r *Replacer) stepDownPrimary(p *replacement) chan struct{} {
 	b, term, known := r.oldPrimary(p)
-	if !known {
+	if !known || p.open.includes(b.ID, r.Clock()) {
 		return nil
 	}
 	confirmed := make(chan struct{})
--- a/internal/coordination/replacer/handover.go
+++ b/internal/coordination/replacer/handover.go
@@ -13,7 +13,8 @@
 // handOver makes the draining primary step down and waits until the successor
 // has received its whole log. Because the service has no primary in between, it
 // first verifies that the successor follows and, where an unanswered call can do no
-// harm, that promotions are answered. If
+// harm, that promotions are answered. If an earlier promotion of the draining primary
+// may still be executed, it waits until no instance uses that one any more. If
 // the successor falls behind after all, the draining primary is promoted again,
 // so that no acknowledged commit is lost; the error is then [errSuccessorBehind].
 func (r *Replacer) handOver(ctx context.Context, p *replacement, next cataloger.BackendServer) error {
@@ -22,6 +23,10 @@
 		if err := r.probePromotions(ctx, p, draining); err != nil {
 			return err
 		}
+	} else if p.open.includes(draining.ID, r.Clock()) {
+		if err := r.awaitFence(ctx, p); err != nil {
+			return err
+		}
 	}
 	current, err := r.Status(draining)
 	if err != nil {
--- a/internal/coordination/replacer/late.go
+++ b/internal/coordination/replacer/late.go
@@ -49,8 +49,11 @@
 	}
 }
 
-// set returns the promotions that may still be executed.
+// set returns the promotions that may still be executed, none if o is nil.
 func (o *openPromotions) set(now time.Duration) cataloger.OpenPromotions {
+	if o == nil {
+		return ""
+	}
 	var open []cataloger.OpenPromotion
 	for p, until := range o.until {
 		if until > now {
@@ -60,6 +63,11 @@
 	return cataloger.NewOpenPromotions(open)
 }
 
+// includes reports whether a promotion of the server may still be executed.
+func (o *openPromotions) includes(id identifier.BackendServerID, now time.Duration) bool {
+	return slices.ContainsFunc(o.set(now).All(), func(p cataloger.OpenPromotion) bool { return p.Server() == id })
+}
+
 // observeOpenPromotions takes over the unanswered promotions of the newest known
 // record, and forgets those that cannot be executed any more.
 func (r *Replacer) observeOpenPromotions(w *serviceWatch, known cataloger.Leadership) {
