--- a/internal/coordination/replacer/model_server_test.go
+++ b/internal/coordination/replacer/model_server_test.go
@@ -33,6 +33,8 @@
 	previous *modelCommit
 	end      identifier.Position
 	acked    time.Time // When a client got the acknowledgement; zero if none did.
+	// discarded is set once a server without the commit was promoted.
+	discarded bool
 }
 
 // position returns the position of the commit. That of an empty log is the start of
@@ -145,6 +147,11 @@
 	}
 	m.promoted++
 	m.term++
+	for _, o := range m.servers {
+		for c := o.log; c != nil && !s.log.contains(c); c = c.previous {
+			c.discarded = true
+		}
+	}
 	if m.fenced || m.primary.crashed {
 		m.primary.leads = false
 	}
