--- a/internal/state/cataloger/format_test.go
+++ b/internal/state/cataloger/format_test.go
@@ -41,7 +41,7 @@
 
 func updateFormat(name string, unstable bool) archiver.Format {
 	return archiver.Format{
-		Name: name, Unstable: unstable,
+		Name: name, Version: 2, Unstable: unstable, // Leadership records have two more fields than in version 1.
 		Write: cbor.Marshal,
 		Read: func(data []byte) (any, error) {
 			u := &cataloger.Update{}
