--- a/internal/bench/archiver/archiver_test.go
+++ b/internal/bench/archiver/archiver_test.go
@@ -20,8 +20,7 @@
 	Hidden  int              `json:"-"`
 }
 
-// Guards against a sample that lacks a field, whose format could then change
-// unnoticed.
+// Guards against a sample that lacks a field, whose format could then change unnoticed.
 func TestSampleSetsAllEncodedFields(t *testing.T) {
 	r := Sample(reflect.TypeFor[record](), "json").(record)
 	qt.Assert(t, r.Name, qt.Equals, "name")
--- a/internal/bench/builder/builder_test.go
+++ b/internal/bench/builder/builder_test.go
@@ -44,8 +44,7 @@
 	return strings.TrimSpace(string(output))
 }
 
-// Guards against a build of the wrong commit and against worktrees that stay behind,
-// also when git's environment of a hook names another repository.
+// Guards against a build of the wrong commit, worktrees that stay behind and the use of git's environment of a hook.
 func TestBuildOfAnEarlierCommit(t *testing.T) {
 	directory, commits := repository(t)
 	hook := filepath.Join(directory, ".git", "hooks", "post-checkout")
--- a/internal/bench/soaker/upgrade_test.go
+++ b/internal/bench/soaker/upgrade_test.go
@@ -14,8 +14,7 @@
 	"oleanderpulley/internal/bench/stager"
 )
 
-// Guards against a schedule that runs one build alone, leaves an instance out or
-// differs between two runs of a seed.
+// Guards against a schedule that runs one build alone, leaves an instance out or differs between two runs of a seed.
 func TestUpgradePlans(t *testing.T) {
 	for _, test := range []struct {
 		schedule   Schedule
@@ -66,8 +65,7 @@
 	return n
 }
 
-// Guards against a change that restarts an instance with the build that it ran, and
-// against a run that passes although its builds were not those of the plan.
+// Guards against a change that restarts an instance with the same build, and a run that passes with other builds than planned.
 func TestUpgradeRunsTheOtherBuild(t *testing.T) {
 	directory := t.TempDir()
 	s := Soak{Instances: 1, Program: script(t, directory, "new"), OldProgram: script(t, directory, "old"), Schedule: Forward}
--- a/internal/command/runner/format_test.go
+++ b/internal/command/runner/format_test.go
@@ -35,8 +35,7 @@
 	}
 }
 
-// Guards against a message that the build before or after this one cannot read, or
-// whose fields it drops.
+// Guards against a message that the build before or after this one cannot read, or whose fields it drops.
 func TestMessageFormats(t *testing.T) {
 	e := newEncoder()
 	for name, body := range e.Types() {
@@ -55,8 +54,7 @@
 	}
 }
 
-// FuzzMessage guards against a panic on the message of another instance, an error
-// that is not one of the encoder's, and a body that is decoded and cannot be sent.
+// FuzzMessage guards against a panic, an error that is not one of the encoder's, and a decoded body that cannot be sent.
 func FuzzMessage(f *testing.F) {
 	for _, data := range archiver.Files(f, "^message-") {
 		f.Add(data)
@@ -73,8 +71,7 @@
 	})
 }
 
-// Guards against a record in the store that the build before or after this one cannot
-// read, or whose fields it drops.
+// Guards against a record in the store that the build before or after this one cannot read, or whose fields it drops.
 func TestRecordFormats(t *testing.T) {
 	check[distributor.Head](t, "record-head")
 	check[distributor.Record](t, "record-config_document")
@@ -89,8 +86,7 @@
 	archiver.JSON[T](name, 1).Check(t, archiver.Sample(reflect.TypeFor[T](), "json"))
 }
 
-// FuzzRecord guards against a panic on a record that another build wrote, and against
-// one that is decoded and cannot be written.
+// FuzzRecord guards against a panic on a record that another build wrote, and against one that is decoded and cannot be written.
 func FuzzRecord(f *testing.F) {
 	for _, data := range archiver.Files(f, "^record-") {
 		f.Add(data)
--- a/internal/command/starter/decision_test.go
+++ b/internal/command/starter/decision_test.go
@@ -64,10 +64,9 @@
 	return d
 }
 
-// Guards against two adjacent builds that disagree on the owners of a rate, on homes,
-// relays, the order of takeover or on who monitors an instance. Only the version
-// changes on purpose, after a way was found for the builds to agree.
+// Guards against adjacent builds that disagree on owners of a rate, homes, relays, the order of takeover or who monitors whom.
 func TestDecisionsOfAdjacentBuilds(t *testing.T) {
+	// The version changes only once there is a way for adjacent builds to agree on it.
 	f := archiver.JSON[decisions]("decisions", 1)
 	f.Write = func(v any) ([]byte, error) { return json.MarshalIndent(v, "", "  ") }
 	f.Check(t, decide())
--- a/internal/command/starter/format_test.go
+++ b/internal/command/starter/format_test.go
@@ -27,8 +27,7 @@
 	}
 }
 
-// Guards against a message that the build before or after this one cannot read, or
-// whose fields it drops.
+// Guards against a message that the build before or after this one cannot read, or whose fields it drops.
 func TestMessageFormats(t *testing.T) {
 	e := newEncoder()
 	for name, body := range e.Types() {
@@ -47,8 +46,7 @@
 	}
 }
 
-// FuzzMessage guards against a panic on the message of another instance, an error
-// that is not one of the encoder's, and a body that is decoded and cannot be sent.
+// FuzzMessage guards against a panic, an error that is not one of the encoder's, and a decoded body that cannot be sent.
 func FuzzMessage(f *testing.F) {
 	for _, data := range archiver.Files(f, "^message-") {
 		f.Add(data)
--- a/internal/command/starter/invalid_entries_test.go
+++ b/internal/command/starter/invalid_entries_test.go
@@ -43,8 +43,7 @@
 	qt.Assert(t, registry.GaugeValue(reporter.Series{Name: "invalid_entries", Reason: "servers"}), qt.Equals, int64(2))
 }
 
-// Guards against a flood of lines, and against memory that grows with the entries of
-// another writer.
+// Guards against a flood of lines, and against memory that grows with the entries of another writer.
 func TestInvalidEntriesThatComeAndGoDoNotFloodTheLog(t *testing.T) {
 	now := time.Unix(1000, 0)
 	i, logs, registry := newInvalidEntries(&now)
--- a/internal/command/starter/leadership_test.go
+++ b/internal/command/starter/leadership_test.go
@@ -62,8 +62,7 @@
 	})
 }
 
-// Guards against a primary that starts again without its log and is used (STALE), or is kept because an
-// instance that has not seen its log uses it.
+// Guards against a primary without its log that is used (STALE), or kept because another instance uses it.
 func TestPrimaryThatStartsAgainEmptyIsReplaced(t *testing.T) {
 	const commits = 5
 	for _, withNewInstance := range []bool{false, true} {
@@ -180,8 +179,7 @@
 	qt.Assert(t, cataloger.Era(highest), qt.Equals, uint64(1))
 }
 
-// Guards against a primary that is used or replaced while its leadership record cannot be
-// read, and against a service that is lost with it for good.
+// Guards against the use or replacement of a primary whose record cannot be read, and a service that is lost with it for good.
 func TestUnreadableRecordBlocksOnlyThePrimary(t *testing.T) {
 	p := newTestPlatform(t)
 	p.store.PutRaw("leases", "rentals", json.RawMessage(`{"term":0}`))
--- a/internal/command/starter/odd_entry_test.go
+++ b/internal/command/starter/odd_entry_test.go
@@ -8,8 +8,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// Guards against one odd entry in any list hiding all others from an instance that runs
-// or starts.
+// Guards against one odd entry in any list hiding all others from an instance that runs or starts.
 func TestOddEntriesHideNoOtherFromAnInstance(t *testing.T) {
 	p := newTestPlatform(t)
 	deep := strings.Repeat("[", 200_000) + strings.Repeat("]", 200_000)
--- a/internal/coordination/fencer/fencer_test.go
+++ b/internal/coordination/fencer/fencer_test.go
@@ -111,8 +111,7 @@
 	}
 }
 
-// Guards against the use of a primary on the ground of a record that cannot be read, and
-// against a service that stays blocked after it can be read again.
+// Guards against permits from a record that cannot be read, and a service that stays blocked after it can be read again.
 func TestUnreadableRecordEndsPermitsUntilItIsReadable(t *testing.T) {
 	for era, want := range []cataloger.Leadership{
 		{Server: "b", Term: 2},
--- a/internal/coordination/follower/lists_test.go
+++ b/internal/coordination/follower/lists_test.go
@@ -124,8 +124,7 @@
 	}
 }
 
-// Guards against a withdrawn key that is not seen, because a leadership record without a
-// readable revision, which has that of the list, counts as the change.
+// Guards against a withdrawn key that is not seen, because the revision of an unreadable record counts as the change.
 func TestUnreadableRecordCoversNoChange(t *testing.T) {
 	s := newChangingStore()
 	f, h, now := newFollower(&s.fakeStore)
--- a/internal/coordination/replacer/durability_test.go
+++ b/internal/coordination/replacer/durability_test.go
@@ -166,8 +166,7 @@
 	}
 }
 
-// Guards against the loss of acknowledged commits: a former primary that has started again without its log,
-// but knows its term, was taken for one that has all of them, and a replica that was behind was promoted.
+// Guards against lost commits: a former primary that knows its term and lacks its log counted as one that has all of them.
 func TestFormerPrimaryWithoutItsLogCoversNothing(t *testing.T) {
 	for name, answers := range map[string]bool{"alone": false, "with a replica that is behind": true} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/coordination/replacer/fence_test.go
+++ b/internal/coordination/replacer/fence_test.go
@@ -11,8 +11,7 @@
 	"oleanderpulley/internal/state/identifier"
 )
 
-// Guards against a step-down that is taken for the end of the old primary, although an
-// unanswered promotion of it, with an accepted token, may still make it lead again.
+// Guards against a step-down taken as final although an unanswered promotion may make the old primary lead again.
 func TestStepDownOfAServerWithAnOpenPromotionProvesNothing(t *testing.T) {
 	for name, draining := range map[string]bool{"failed": false, "draining": true} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/coordination/replacer/late_test.go
+++ b/internal/coordination/replacer/late_test.go
@@ -10,8 +10,7 @@
 	"oleanderpulley/internal/state/identifier"
 )
 
-// Guards against a replacement that is withheld for good, because the record keeps an
-// unanswered promotion that cannot be executed any more.
+// Guards against a replacement withheld for good by a recorded promotion that cannot be executed any more.
 func TestOpenPromotionExpiresAlthoughTheRecordHasIt(t *testing.T) {
 	const limit = time.Second
 	l := cataloger.Leadership{Server: "b", Term: 2, OpenPromotions: "b@5"}
@@ -28,8 +27,7 @@
 	qt.Assert(t, o.set(time.Hour+limit), qt.Equals, cataloger.OpenPromotions("b@9"))
 }
 
-// Guards against an unanswered promotion that the next holder does not know of, because
-// it is stored only after the holder has failed or not at all (review/2).
+// Guards against an unanswered promotion that the next holder does not know, since it is stored too late or not at all (review/2).
 func TestUnansweredPromotionIsInTheRecord(t *testing.T) {
 	s := newFakeService()
 	s.down["a"] = true
@@ -57,8 +55,7 @@
 	qt.Assert(t, s.check(other, &serviceWatch{silentSince: silentLongEnough(), term: 2})[0], qt.Equals, "announce 14 ")
 }
 
-// Guards against an instance that takes over from a holder whose promotion may be
-// executed late, and promotes another server at once because the first one is gone.
+// Guards against a promotion of another server while the one that the previous holder requested may be executed late.
 func TestSuccessorOfAnotherHolderIsAwaited(t *testing.T) {
 	s := newFakeService()
 	s.down["a"] = true
--- a/internal/coordination/replacer/model_discarded_test.go
+++ b/internal/coordination/replacer/model_discarded_test.go
@@ -6,8 +6,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// Guards against commits that are discarded by one promotion and back after the next, so
-// that all reads in between ran on logs that lack them (STALE).
+// Guards against commits that one promotion discards and the next brings back, which all reads in between lack (STALE).
 func TestReplacedPrimaryIsNotPromotedWithDiscardedCommits(t *testing.T) {
 	returned, first := 0, ""
 	for seed := range uint64(30) {
--- a/internal/coordination/replacer/model_late_test.go
+++ b/internal/coordination/replacer/model_late_test.go
@@ -59,8 +59,7 @@
 	},
 }
 
-// Guards against a promotion that is executed late and replaces the primary that
-// another holder has promoted meanwhile, where tokens are not checked (ONE).
+// Guards against a late promotion that replaces a primary promoted meanwhile, where tokens are not checked (ONE).
 func TestLatePromotionDoesNotReplaceALaterPrimary(t *testing.T) {
 	for name, faults := range latePromotionScenarios {
 		t.Run(name, func(t *testing.T) {
@@ -81,8 +80,7 @@
 	}
 }
 
-// Guards against scenarios that cannot fail: without the wait for unanswered promotions,
-// each of them has a write that a replaced primary ran.
+// Guards against scenarios that cannot fail: without the wait for unanswered promotions, a replaced primary runs a write in each.
 func TestLatePromotionScenariosNeedOpenPromotions(t *testing.T) {
 	for name, faults := range latePromotionScenarios {
 		t.Run(name, func(t *testing.T) {
@@ -96,8 +94,7 @@
 	}
 }
 
-// Guards against a service that stays without a primary because of a promotion that was
-// not answered, longer than the promotion may be late.
+// Guards against a service without a primary for longer than an unanswered promotion may be late.
 func TestUnansweredPromotionBlocksAServiceOnlyUntilItsLimit(t *testing.T) {
 	const answered = 10 * time.Second // The first promotion is requested and given up before.
 	for seed := range uint64(10) {
--- a/internal/coordination/replacer/replacer_test.go
+++ b/internal/coordination/replacer/replacer_test.go
@@ -532,8 +532,7 @@
 	qt.Assert(t, replacementTime() < testValidity, qt.IsTrue) // Its permit has ended.
 }
 
-// Guards against a promotion while the record cannot be read, and against an old primary
-// that is used again after the record was removed.
+// Guards against a promotion while the record cannot be read, and the use of an old primary after the record was removed.
 func TestServiceWithAnUnreadableRecordIsReplacedOnlyOnceItIsRemoved(t *testing.T) {
 	s := newFakeService()
 	s.down["a"] = true
--- a/internal/protocol/splitter/splitter_test.go
+++ b/internal/protocol/splitter/splitter_test.go
@@ -54,8 +54,7 @@
 	qt.Assert(t, got, qt.DeepEquals, []string{"a=1e999", `a=[ "}" ]`, "b=@#!", "={}"})
 }
 
-// FuzzElements compares the elements of valid documents with those that encoding/json
-// finds.
+// FuzzElements compares the elements of valid documents with those that encoding/json finds.
 func FuzzElements(f *testing.F) {
 	for _, seed := range []string{
 		`[]`, `[1,"a",{"b":[{}]}]`, `[[[[`, `["\"",{"a":"\\"}]`, `[{"meta":{"name":"a"},"spec":{}}, null ]`, `[1,2`, `["a,{"b":"c"}]`,
--- a/internal/state/cataloger/format_test.go
+++ b/internal/state/cataloger/format_test.go
@@ -23,14 +23,12 @@
 	}
 }
 
-// Guards against an update of the catalog that the build before or after this one
-// cannot read, or whose fields it drops.
+// Guards against an update of the catalog that the build before or after this one cannot read, or whose fields it drops.
 func TestUpdateFormat(t *testing.T) {
 	updateFormat("update", false).Check(t, sampleUpdate())
 }
 
-// Guards against a compressed update that the build before or after this one cannot
-// read.
+// Guards against a compressed update that the build before or after this one cannot read.
 func TestCompressedUpdateFormat(t *testing.T) {
 	u := sampleUpdate()
 	for i := range 200 {
@@ -51,8 +49,7 @@
 	}
 }
 
-// FuzzUpdate guards against a panic on an update of another instance, and against one
-// that is decoded and cannot be written.
+// FuzzUpdate guards against a panic on an update of another instance, and against one that is decoded and cannot be written.
 func FuzzUpdate(f *testing.F) {
 	for _, data := range archiver.Files(f, "^update") {
 		f.Add(data)
--- a/internal/state/cataloger/promotion_test.go
+++ b/internal/state/cataloger/promotion_test.go
@@ -22,8 +22,7 @@
 	Carried   bool                       `json:"-" cbor:"carried"`
 }
 
-// Guards against a record that the release before cannot read, or that this one cannot
-// read from it, in the store or in a notice.
+// Guards against a record that the release before cannot read, or that this one cannot read from it, in the store or in a notice.
 func TestRecordsOfBothReleasesAreReadable(t *testing.T) {
 	now := cataloger.Leadership{Term: 3, Server: "b", Successor: "c", Holder: "two", OpenPromotions: "b@7"}
 	before := earlierLeadership{Term: 3, Server: "b", Successor: "c", Holder: "two"}
--- a/internal/state/cataloger/term_start_test.go
+++ b/internal/state/cataloger/term_start_test.go
@@ -9,8 +9,7 @@
 	"oleanderpulley/internal/state/identifier"
 )
 
-// Guards against a server that has commits which a promotion discarded, and is taken for one that may
-// lead, or against one that only lacks commits and may not.
+// Guards against a candidate with discarded commits that may lead, and one that only lacks commits and may not.
 func TestTermStartsTellDiscardedCommits(t *testing.T) {
 	starts := cataloger.TermStarts("").With(2, identifier.Position{Term: 1, Offset: 104}).With(4, identifier.Position{Term: 2, Offset: 110})
 	qt.Assert(t, starts, qt.Equals, cataloger.TermStarts("2@1/104 4@2/110"))
--- a/internal/transport/messenger/newer_test.go
+++ b/internal/transport/messenger/newer_test.go
@@ -45,8 +45,7 @@
 	return e
 }
 
-// Guards against a message of another build that ends the connection and with it the
-// other requests in flight on it, whose outcomes are unknown then.
+// Guards against a message of another build that ends the connection with the other requests in flight on it.
 func TestMessagesOfOtherBuilds(t *testing.T) {
 	for name, request := range map[string]struct {
 		body    any
--- a/internal/transport/messenger/undecodable_test.go
+++ b/internal/transport/messenger/undecodable_test.go
@@ -11,8 +11,7 @@
 	"oleanderpulley/internal/protocol/encoder"
 )
 
-// Guards against requests that are taken from a connection on which a message could
-// not be told from the next one, or whose sender is not known.
+// Guards against requests from a connection on which a message could not be delimited or the sender is not known.
 func TestUndecodableMessagesEndTheConnection(t *testing.T) {
 	e := otherBuild()
 	hello, err := e.Encode(0, 0, encoder.Hello{Instance: "a", DataCentre: "centro-a"})
--- a/internal/transport/platformclient/decode_test.go
+++ b/internal/transport/platformclient/decode_test.go
@@ -14,8 +14,7 @@
 	"oleanderpulley/internal/transport/platformclient"
 )
 
-// Guards against one deep value, which the platform accepts by itself, hiding all other
-// objects of its kind.
+// Guards against one deep value, which the platform accepts by itself, hiding all other objects of its kind.
 func TestDeepValueHidesNoOtherObject(t *testing.T) {
 	_, c := start(t)
 	ctx := context.Background()
@@ -38,8 +37,7 @@
 	qt.Assert(t, changed, qt.HasLen, 2)
 }
 
-// Guards against one odd entry hiding all other instances, and against a part of a list
-// being taken as the whole list.
+// Guards against one odd entry hiding all other instances, and against a part of a list being taken as the whole list.
 func TestOddResponses(t *testing.T) {
 	deep := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
 	good := `{"id":"a","address":"127.0.0.1:1","role":"entry","state":"live"}`
--- a/internal/transport/sessioner/commit_test.go
+++ b/internal/transport/sessioner/commit_test.go
@@ -21,8 +21,7 @@
 	qt.Assert(t, seen["shops"], qt.DeepEquals, []requester.Kind{requester.Begin, requester.Write, requester.Set, requester.Commit})
 }
 
-// Guards against a read that lacks its session's own commit, which the primary has acknowledged, because
-// the permit ended before the answer and a replacement that fails leaves the primary in place (STALE).
+// Guards against a read that lacks its session's own commit, which was answered after the permit had ended (STALE).
 func TestCommitOfUnknownOutcomeIsTheNewestOfItsSession(t *testing.T) {
 	own := identifier.Position{Term: 1, Offset: 5}
 	s, _ := newTestServer()
--- a/internal/transport/sessioner/lost_log_test.go
+++ b/internal/transport/sessioner/lost_log_test.go
@@ -40,8 +40,7 @@
 	}
 }
 
-// Guards against reads of a primary that has started again without its log and still leads its
-// term (STALE), and against its position as the floor of other reads.
+// Guards against reads of a primary that leads on without its log (STALE), and its position as the floor of other reads.
 func TestPrimaryThatLostItsLogIsNotUsed(t *testing.T) {
 	for name, lost := range map[string]identifier.Position{"empty": {Term: 2}, "no position": {}, "new commits": {Term: 2, Offset: 3}, "earlier term": {Term: 1, Offset: 40}} {
 		for statement, k := range map[string]requester.Kind{"READ x": requester.Read, "WRITE x 1": requester.Write} {
@@ -64,8 +63,7 @@
 	}
 }
 
-// Guards against reads of a primary that lost its log at an instance that has started since, and knows only
-// from a replica how far the log had got (STALE).
+// Guards against reads of a primary that lost its log at an instance that knows only from a replica how far it had got (STALE).
 func TestReplicaShowsThatThePrimaryLostItsLog(t *testing.T) {
 	s, _ := newTestServer()
 	c := *s.Holder.Catalog()
@@ -88,8 +86,7 @@
 	qt.Assert(t, s.Execute("peer", read).Result.Code, qt.Not(qt.Equals), requester.OK)
 }
 
-// Guards against a new primary that is taken for one that lost its log, since it lacks commits that
-// its promotion discarded.
+// Guards against a new primary that is taken for one that lost its log, since it lacks commits that its promotion discarded.
 func TestNewPrimaryWithAShorterLogIsUsed(t *testing.T) {
 	s, _ := newTestServer()
 	end := identifier.Position{Term: 1, Offset: 50}
@@ -101,8 +98,7 @@
 	qt.Assert(t, s.Execute("peer", write).Result.Code, qt.Equals, requester.OK)
 }
 
-// Guards against a primary that is taken for one that lost its log, since an answer overtook an earlier
-// one on another connection.
+// Guards against a primary that is taken for one that lost its log, because answers overtook each other on two connections.
 func TestAnswerThatWasOvertakenDoesNotShowALostLog(t *testing.T) {
 	s, _ := newTestServer()
 	now := s.Holder.Clock()
@@ -119,8 +115,7 @@
 	qt.Assert(t, s.recordLeader(c, permit, requester.Result{Position: end}, sent), qt.IsNil)
 }
 
-// Guards against a peer's sample of a primary that lost its log, as the floor of reads or as proof that the
-// primary leads (STALE), and against later samples of a new primary that do not count.
+// Guards against a peer's sample of a primary that lost its log (STALE), and the loss of later samples of a new primary.
 func TestSampleOfAPeerMayShowALostLog(t *testing.T) {
 	s, _ := newTestServer()
 	end := identifier.Position{Term: 1, Offset: 50}
@@ -135,8 +130,7 @@
 	qt.Assert(t, s.ShowsLostLog("rentals", sampler.Sample{Position: shorter, RequestedAt: s.Holder.Clock()}), qt.IsFalse)
 }
 
-// Guards against a false alarm at an instance that was cut off, and knows only an earlier term of a
-// primary that was replaced and promoted again with a shorter log.
+// Guards against a false alarm at an instance that was cut off while a primary was replaced and promoted again.
 func TestShorterLogUnderAnOldProofIsNoLostLog(t *testing.T) {
 	s, _ := newTestServer()
 	now := s.Holder.Clock()
