internal/transport/sessioner: plain names for what is known of a primary's log

Cause: lostLogLogPause, ends and recordCopied need explaining.

Change: lostLogLineInterval, byService and recordReached; doc comments say why a position is or is not recorded. No change of behaviour.

--- a/internal/transport/sessioner/lost_log.go
+++ b/internal/transport/sessioner/lost_log.go
@@ -13,9 +13,9 @@
 	"oleanderpulley/internal/transport/reporter"
 )
 
-// lostLogLogPause is the minimum time between two log lines about the lost log of a
+// lostLogLineInterval is the minimum time between two log lines about the lost log of a
 // service's primary.
-const lostLogLogPause = time.Second
+const lostLogLineInterval = time.Second
 
 // errLogLost reports that a server leads with a shorter log than it has had in its
 // term. A backend server that starts again under its id may have nothing of before.
@@ -24,8 +24,8 @@
 // leaderLogs holds how far the log of the primary of each service has reached. The
 // zero value is ready to use. It is safe for concurrent use.
 type leaderLogs struct {
-	mu   sync.Mutex
-	ends map[identifier.ServiceName]leaderLog
+	mu        sync.Mutex
+	byService map[identifier.ServiceName]leaderLog
 }
 
 // leaderLog is the furthest position that the primary has reported, or a replica that got
@@ -41,7 +41,7 @@
 func (l *leaderLogs) isBefore(service identifier.ServiceName, p fencer.Permit, sample sampler.Sample) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known := l.ends[service]
+	known := l.byService[service]
 	return known.permit == p && sample.RequestedAt > known.knownAt && sample.Position.Compare(known.position) < 0
 }
 
@@ -49,14 +49,14 @@
 func (l *leaderLogs) record(service identifier.ServiceName, reached leaderLog) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known := l.ends[service]
+	known := l.byService[service]
 	if known.permit == reached.permit && reached.position.Compare(known.position) <= 0 {
 		return
 	}
-	if l.ends == nil {
-		l.ends = map[identifier.ServiceName]leaderLog{}
+	if l.byService == nil {
+		l.byService = map[identifier.ServiceName]leaderLog{}
 	}
-	l.ends[service] = reached
+	l.byService[service] = reached
 }
 
 // ShowsLostLog reports whether a sample that a peer has taken shows that the primary of
@@ -66,10 +66,10 @@
 	return s.leaderLogs.isBefore(service, permit, sample)
 }
 
-// recordCopied records the position of any server as one that the log of the primary has
-// reached. A position of an earlier term than the primary's may be of a part that the
-// promotion has discarded.
-func (s *Server) recordCopied(service identifier.ServiceName, position identifier.Position) {
+// recordReached records the position that any server reported. The log of the primary has
+// reached it, since replicas receive theirs from it. A position of an earlier term than the
+// primary's is not recorded: it may be of a part that the promotion has discarded.
+func (s *Server) recordReached(service identifier.ServiceName, position identifier.Position) {
 	p, _ := s.Fencer.Permit(service)
 	if p.Term() == 0 || p.Term() == position.Term {
 		s.leaderLogs.record(service, leaderLog{p, position, s.Holder.Clock()})
@@ -88,7 +88,7 @@
 	if s.Registry != nil {
 		s.Registry.Count(reporter.Series{Name: "primary_logs_lost", Service: service}, 1)
 	}
-	if s.lostLogLines.isDue(service, lostLogLogPause) {
+	if s.lostLogLines.isDue(service, lostLogLineInterval) {
 		s.lostLogLines.record(service)
 		s.Logger.Error().Str("event", "primary_log_lost").Str("service", string(service)).Str("server", string(id)).
 			Str("position", position.String()).Uint64("term", uint64(p.Term())).Int64("born", c.Server.Born).Send()
--- a/internal/transport/sessioner/primary.go
+++ b/internal/transport/sessioner/primary.go
@@ -79,12 +79,13 @@
 }
 
 // observeLag derives how far a server is behind the primary from the position in
-// its answer, and reports it to the balancer. It records how far the log has got.
+// its answer, and reports it to the balancer. It also records the position as one that the
+// log of the primary has reached.
 func (s *Server) observeLag(c *lender.Conn, r requester.Result) {
 	if r.Position.IsZero() {
 		return
 	}
-	s.recordCopied(c.Server.Service, r.Position)
+	s.recordReached(c.Server.Service, r.Position)
 	lag := time.Duration(0)
 	if since, ok := s.Sampler(c.Server.Service).Missing(r.Position); ok {
 		lag = s.Holder.Clock() - since
