internal/coordination/fencer: records that cannot be read are merged in a function of their own

Cause: mergeRecord did two things, the merge of two records and that of a record with one that cannot be read.

Change: mergeUnreadable. No change of behaviour.

--- a/internal/coordination/fencer/fencer.go
+++ b/internal/coordination/fencer/fencer.go
@@ -172,11 +172,7 @@
 // was announced goes on until its holder ends it or another takes it over.
 func mergeRecord(earlier, later cataloger.Leadership) cataloger.Leadership {
 	if later.IsUnreadable() {
-		if earlier.Term > later.Term {
-			later.Term, later.Server, later.TermStarts = earlier.Term, earlier.Server, earlier.TermStarts
-		}
-		later.Successor = cmp.Or(later.Successor, earlier.Successor)
-		return later
+		return mergeUnreadable(earlier, later)
 	}
 	if earlier.IsUnreadable() {
 		earlier.Holder, earlier.Successor = "", "" // The later record can be read.
@@ -206,6 +202,16 @@
 	return merged
 }
 
+// mergeUnreadable returns a later record that cannot be read, with what the earlier one
+// tells of the term and of the successor that was chosen.
+func mergeUnreadable(earlier, later cataloger.Leadership) cataloger.Leadership {
+	if earlier.Term > later.Term {
+		later.Term, later.Server, later.TermStarts = earlier.Term, earlier.Server, earlier.TermStarts
+	}
+	later.Successor = cmp.Or(later.Successor, earlier.Successor)
+	return later
+}
+
 // Records returns all known records.
 func (f *Fencer) Records() map[identifier.ServiceName]cataloger.Leadership {
 	if records := f.records.Load(); records != nil {
