internal/command/starter: the log lines on invalid entries are split from the record of their kind

Cause: Observe did three things on more than half a screen, and the names left and lines did not tell of what.

Change: addKind, logChanges, allowedLines and omittedLines. No change of behaviour, events or metrics.

--- a/internal/command/starter/invalid_entries.go
+++ b/internal/command/starter/invalid_entries.go
@@ -21,18 +21,18 @@
 	entryLineInterval = 2 * time.Second
 )
 
-// invalidEntries are the entries of the store that this instance does not use. Registry
-// is required. It is safe for concurrent use.
+// invalidEntries logs and counts the entries of the store that this instance does not
+// use. Registry is required. It is safe for concurrent use.
 type invalidEntries struct {
 	Registry *reporter.Registry
 	Logger   zerolog.Logger
 	Now      func() time.Time // Nil means time.Now.
 
-	mu         sync.Mutex
-	byKind     map[string]*invalidKind
-	lines      int // That may be written now.
-	refilledAt time.Time
-	left       int // Lines that were left out since the last one.
+	mu           sync.Mutex
+	byKind       map[string]*invalidKind
+	allowedLines int // That may be written now.
+	refilledAt   time.Time
+	omittedLines int // Since the last one that was written.
 }
 
 // invalidKind has the invalid entries in the newest list of a kind.
@@ -48,35 +48,43 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	k := i.byKind[kind]
-	if k == nil {
-		if len(entries) == 0 {
-			return
-		}
-		k = &invalidKind{}
-		if i.byKind == nil {
-			i.byKind = map[string]*invalidKind{}
-		}
-		i.byKind[kind] = k
+	if k == nil && len(entries) > 0 {
+		k = i.addKind(kind)
 	}
-	if revision < k.revision {
+	if k == nil || revision < k.revision {
 		return
 	}
 	k.revision = revision
+	k.byName = i.logChanges(kind, revision, k.byName, entries)
+	i.Registry.SetGauge(reporter.Series{Name: "invalid_entries", Reason: kind}, int64(len(entries)))
+}
+
+func (i *invalidEntries) addKind(kind string) *invalidKind {
+	if i.byKind == nil {
+		i.byKind = map[string]*invalidKind{}
+	}
+	k := &invalidKind{}
+	i.byKind[kind] = k
+	return k
+}
+
+// logChanges writes the lines on the entries that have appeared or gone since the earlier
+// list. It returns the entries that are tracked from now on, and whether each has had a line.
+func (i *invalidEntries) logChanges(kind string, revision uint64, earlier map[string]bool, entries []platform.InvalidEntry) map[string]bool {
 	present := make(map[string]bool, min(len(entries), maxTrackedEntries))
 	for _, e := range entries {
-		logged, known := k.byName[e.Name]
+		logged, known := earlier[e.Name]
 		if _, repeated := present[e.Name]; repeated || (!known && len(present) >= maxTrackedEntries) {
 			continue
 		}
 		present[e.Name] = logged || (!known && i.logAppeared(kind, e))
 	}
-	for name, logged := range k.byName {
+	for name, logged := range earlier {
 		if _, ok := present[name]; !ok && logged {
 			i.logGone(kind, name, revision)
 		}
 	}
-	k.byName = present
-	i.Registry.SetGauge(reporter.Series{Name: "invalid_entries", Reason: kind}, int64(len(entries)))
+	return present
 }
 
 // logAppeared counts an entry and reports whether its line was written.
@@ -97,21 +105,21 @@
 		now = i.Now()
 	}
 	if i.refilledAt.IsZero() {
-		i.lines, i.refilledAt = maxEntryLines, now
+		i.allowedLines, i.refilledAt = maxEntryLines, now
 	}
 	if earned := int(now.Sub(i.refilledAt) / entryLineInterval); earned > 0 {
-		i.lines = min(maxEntryLines, i.lines+earned)
+		i.allowedLines = min(maxEntryLines, i.allowedLines+earned)
 		i.refilledAt = i.refilledAt.Add(time.Duration(earned) * entryLineInterval)
 	}
-	if i.lines == 0 {
-		i.left++
+	if i.allowedLines == 0 {
+		i.omittedLines++
 		line.Discard()
 		return false
 	}
-	i.lines--
-	if i.left > 0 {
-		line.Int("lines_left_out", i.left)
-		i.left = 0
+	i.allowedLines--
+	if i.omittedLines > 0 {
+		line.Int("lines_left_out", i.omittedLines)
+		i.omittedLines = 0
 	}
 	line.Send()
 	return true
