internal: comments call the host of an instance host

Cause: comments on suspensions said machine, which in the users' words is an instance.

Change: comments only; the event machine_suspended keeps its name.

--- a/internal/bench/measurer/doc.go
+++ b/internal/bench/measurer/doc.go
@@ -1,6 +1,6 @@
 // Package measurer measures the cost of an instance's control plane and fits a
 // line to each cost, so that docs/CAPACITY.md can extrapolate to sizes that do
-// not fit on one machine.
+// not fit on one host.
 //
 // It also measures the proxy's policies by the figures that matter to users and
 // operators, such as consistency violations, goodput and wrongful refusals. The
--- a/internal/command/commander/entry.go
+++ b/internal/command/commander/entry.go
@@ -47,7 +47,7 @@
 }
 
 // memoryLimitFraction is the soft memory limit of the Go runtime, as a fraction of
-// the machine's memory. The garbage collector runs more often close to it.
+// the host's memory. The garbage collector runs more often close to it.
 const memoryLimitFraction = 0.6
 
 func runEntry(ctx context.Context, settings platform.Settings, e loader.ObservabilitySettings, out io.Writer) error {
--- a/internal/command/starter/forward.go
+++ b/internal/command/starter/forward.go
@@ -319,7 +319,7 @@
 
 // runMaintenance periodically ends the transactions forwarded by peers that are
 // gone, closes unused connections to servers, records the age of the
-// configuration proof, and logs the activity and suspensions of the machine.
+// configuration proof, and logs the activity and suspensions of the host.
 func (s *Starter) runMaintenance(ctx context.Context) {
 	ticker := time.NewTicker(time.Second)
 	defer ticker.Stop()
--- a/internal/command/starter/suspension_test.go
+++ b/internal/command/starter/suspension_test.go
@@ -7,7 +7,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// Guards against a suspension of the machine that no log line shows, and against
+// Guards against a suspension of the host that no log line shows, and against
 // lines about a process that was only paused.
 func TestSuspensionIsDetected(t *testing.T) {
 	var d suspensionDetector
--- a/internal/coordination/confirmer/confirmer.go
+++ b/internal/coordination/confirmer/confirmer.go
@@ -28,7 +28,7 @@
 type Confirmer struct {
 	// Now is a monotonic clock; nil means time.Now.
 	Now func() time.Time
-	// LastWake returns a time after the end of the last suspension of the machine, as
+	// LastWake returns a time after the end of the last suspension of the host, as
 	// [tracker.WakeDetector.LastWake] does. Nil means that there was none.
 	LastWake func() time.Time
 
@@ -71,7 +71,7 @@
 	return r != nil && r.term == term && c.now().Before(r.deadline) && c.isAwakeSince(r.provenAt)
 }
 
-// isAwakeSince reports whether the machine was not suspended since the time. The clock
+// isAwakeSince reports whether the host was not suspended since the time. The clock
 // of the deadlines stops meanwhile.
 func (c *Confirmer) isAwakeSince(at time.Time) bool {
 	return c.LastWake == nil || at.After(c.LastWake())
--- a/internal/coordination/confirmer/confirmer_test.go
+++ b/internal/coordination/confirmer/confirmer_test.go
@@ -78,7 +78,7 @@
 	})
 }
 
-// Guards against a write right that outlives its proof because the clock stopped while the machine was suspended.
+// Guards against a write right that outlives its proof because the clock stopped while the host was suspended.
 func TestRightEndsWithASuspension(t *testing.T) {
 	var wake time.Time
 	now := time.Now()
@@ -92,7 +92,7 @@
 	qt.Assert(t, c.Valid("rentals", 1), qt.IsTrue)
 	wake = now.Add(time.Millisecond)
 	qt.Assert(t, c.Valid("rentals", 1), qt.IsFalse)
-	answer(now.Add(time.Millisecond)) // Sent before the machine woke, or as it did.
+	answer(now.Add(time.Millisecond)) // Sent before the host woke, or as it did.
 	qt.Assert(t, c.Valid("rentals", 1), qt.IsFalse)
 	answer(now.Add(2 * time.Millisecond))
 	qt.Assert(t, c.Valid("rentals", 1), qt.IsTrue)
--- a/internal/coordination/replacer/replacer.go
+++ b/internal/coordination/replacer/replacer.go
@@ -107,7 +107,7 @@
 	// Validity is the time for which an instance that does not confirm an
 	// announcement may go on using the old primary.
 	Validity time.Duration
-	// Clock reads a clock that keeps running while the machine is suspended.
+	// Clock reads a clock that keeps running while the host is suspended.
 	Clock func() time.Duration
 	// Era returns the newest era of the store that this instance knows.
 	Era func() uint64
--- a/internal/state/cataloger/clock.go
+++ b/internal/state/cataloger/clock.go
@@ -7,12 +7,12 @@
 )
 
 // BootTime returns the reading of a monotonic clock that keeps running while the
-// machine is suspended, unlike the monotonic clock of package time.
+// host is suspended, unlike the monotonic clock of package time.
 func BootTime() time.Duration {
 	return readClock(unix.CLOCK_BOOTTIME)
 }
 
-// SuspendedTime returns for how long the machine has been suspended in all, or less if
+// SuspendedTime returns for how long the host has been suspended in all, or less if
 // the process was paused between the readings of the two clocks.
 func SuspendedTime() time.Duration {
 	boot := BootTime()
--- a/internal/state/cataloger/doc.go
+++ b/internal/state/cataloger/doc.go
@@ -4,6 +4,6 @@
 // A [Catalog] is immutable. A proof is the time at which the instance sent a
 // request that the store answered: the catalog contains every change that was
 // acknowledged before that time. The clock of proofs includes the time for
-// which the machine is suspended, because a withdrawn key must stop working in
+// which the host is suspended, because a withdrawn key must stop working in
 // time on an instance that was suspended as well.
 package cataloger
--- a/internal/state/cataloger/holder.go
+++ b/internal/state/cataloger/holder.go
@@ -9,7 +9,7 @@
 // Holder holds the latest catalog and its proof. The zero value holds neither.
 // It is safe for concurrent use.
 type Holder struct {
-	// Now reads a clock that keeps running while the machine is suspended. Nil
+	// Now reads a clock that keeps running while the host is suspended. Nil
 	// selects [BootTime].
 	Now func() time.Duration
 	// MaxAge is the maximum age of the proof at which keys are accepted.
@@ -77,7 +77,7 @@
 	return ok && age <= h.MaxAge
 }
 
-// Time returns the time that corresponds to a clock reading. If the machine was
+// Time returns the time that corresponds to a clock reading. If the host was
 // suspended since then, it is earlier than the one that package time had.
 func (h *Holder) Time(reading time.Duration) time.Time {
 	return time.Now().Add(reading - h.Clock())
--- a/internal/state/configurer/patch_test.go
+++ b/internal/state/configurer/patch_test.go
@@ -89,7 +89,7 @@
 			qt.Assert(t, err, qt.IsNotNil)
 			_, err = large.MergePatch([]byte(patch))
 			qt.Assert(t, err, qt.IsNotNil)
-			// The time limit allows for the race detector and a loaded machine.
+			// The time limit allows for the race detector and a loaded host.
 			qt.Assert(t, time.Since(start) < 10*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(start)))
 		})
 	}
--- a/internal/state/sampler/sampler.go
+++ b/internal/state/sampler/sampler.go
@@ -19,7 +19,7 @@
 // sent at RequestedAt. It covers every commit that was acknowledged before then.
 type Sample struct {
 	Position identifier.Position
-	// RequestedAt is the reading of a clock that keeps running while the machine is
+	// RequestedAt is the reading of a clock that keeps running while the host is
 	// suspended. By a clock that stops, a sample from before a suspension would count
 	// as recent after it.
 	RequestedAt time.Duration
--- a/internal/state/tracker/age.go
+++ b/internal/state/tracker/age.go
@@ -22,7 +22,7 @@
 // Age returns an upper bound for the age of the data that the member has
 // applied: the time since the query of the newest primary sample that it covers
 // was sent. The age grows while the primary or a majority of the members is
-// unreachable. Age returns false if the age has no bound, as when the machine was
+// unreachable. Age returns false if the age has no bound, as when the host was
 // suspended since.
 func (g *Group) Age(server identifier.BackendServerID, now time.Time) (time.Duration, bool) {
 	g.mu.RLock()
--- a/internal/state/tracker/age_test.go
+++ b/internal/state/tracker/age_test.go
@@ -10,7 +10,7 @@
 	"oleanderpulley/internal/state/tracker"
 )
 
-// Guards against data that count as recent because the clock stopped while the machine was suspended.
+// Guards against data that count as recent because the clock stopped while the host was suspended.
 func TestAgeIsUnknownAfterASuspension(t *testing.T) {
 	var wake time.Time
 	groups := tracker.Groups{LastWake: func() time.Time { return wake }}
--- a/internal/state/tracker/groups.go
+++ b/internal/state/tracker/groups.go
@@ -10,7 +10,7 @@
 // Groups holds one [Group] per service. The zero value is empty. It is safe for
 // concurrent use.
 type Groups struct {
-	// LastWake returns a time after the end of the last suspension of the machine, as
+	// LastWake returns a time after the end of the last suspension of the host, as
 	// [WakeDetector.LastWake] does. Nil means that there was none.
 	LastWake func() time.Time
 
--- a/internal/state/tracker/wake.go
+++ b/internal/state/tracker/wake.go
@@ -11,11 +11,11 @@
 // no suspension: it is computed from two clocks that are read one after the other.
 const wakeTolerance = 5 * time.Millisecond
 
-// WakeDetector tells when the machine was last found to have been suspended. The clock of
+// WakeDetector tells when the host was last found to have been suspended. The clock of
 // package time stops meanwhile, so that ages which were measured across a suspension are
 // too low. The zero value is ready to use. It is safe for concurrent use.
 type WakeDetector struct {
-	// Suspended returns for how long the machine has been suspended in all. Nil
+	// Suspended returns for how long the host has been suspended in all. Nil
 	// selects [cataloger.SuspendedTime].
 	Suspended func() time.Duration
 
--- a/internal/transport/acceptor/bench_test.go
+++ b/internal/transport/acceptor/bench_test.go
@@ -126,7 +126,7 @@
 }
 
 // BenchmarkStatement alternates between a direct connection and a connection
-// through the proxy, so that both are measured under the same machine load.
+// through the proxy, so that both are measured under the same host load.
 func BenchmarkStatement(b *testing.B) {
 	extended := framer.AppendFrame(nil, 'P', append([]byte("\x00SELECT v FROM t WHERE id = $1\x00"), 0, 0)...)
 	extended = framer.AppendFrame(extended, 'B', append([]byte("\x00\x00"), 0, 0, 0, 1, 0, 0, 0, 2, '4', '2', 0, 0)...)
--- a/internal/transport/pooler/unanswered_test.go
+++ b/internal/transport/pooler/unanswered_test.go
@@ -13,7 +13,7 @@
 )
 
 // lostStatementTimeout exceeds the time of the last check after a call of
-// CheckConnections, with a margin for a busy machine.
+// CheckConnections, with a margin for a busy host.
 const lostStatementTimeout = 12 * time.Second
 
 // Guards against a statement that waits until its own deadline, and occupies a
--- a/internal/transport/sessioner/floor_test.go
+++ b/internal/transport/sessioner/floor_test.go
@@ -13,7 +13,7 @@
 	"oleanderpulley/internal/state/identifier"
 )
 
-// Guards against a sample from before a suspension of the machine that counts as recent (STALE).
+// Guards against a sample from before a suspension of the host that counts as recent (STALE).
 func TestReadAfterASuspensionIgnoresEarlierSamples(t *testing.T) {
 	s, _ := newTestServer()
 	replaceDuring(s, requester.Unknown)
