internal/bench/soaker: the run is split from its preparation

Cause: Run did both on more than one screen; some comments spoke of what was before, or stood on the wrong declaration.

Change: play; comments.

--- a/internal/bench/soaker/doc.go
+++ b/internal/bench/soaker/doc.go
@@ -8,8 +8,8 @@
 // With an older build, instances of two builds run side by side, and a [Schedule]
 // changes them from one to the other one by one while the faults are injected.
 //
-// The seed determines the schedule of faults and the order of the instances. After a run, the promises of the
-// proxy are checked by comparing the answers that clients received with the
-// statements that the backend servers ran. A run ends only processes that it
-// started, by their process ids.
+// The seed determines the schedule of faults and the order of the instances. After a
+// run, the promises of the proxy are checked by comparing the answers that clients
+// received with the statements that the backend servers ran. A run ends only
+// processes that it started, by their process ids.
 package soaker
--- a/internal/bench/soaker/environment.go
+++ b/internal/bench/soaker/environment.go
@@ -32,7 +32,7 @@
 
 	mu            sync.Mutex
 	configVersion int
-	restarts      map[string]int       // Of the backend servers, which were empty afterwards.
+	restarts      map[string]int       // Number of restarts without a log, by backend server.
 	withdrawn     map[string]time.Time // Time at which the store acknowledged the withdrawal, by key.
 }
 
--- a/internal/bench/soaker/fault.go
+++ b/internal/bench/soaker/fault.go
@@ -275,7 +275,7 @@
 	}
 }
 
-// restartEmpty makes a backend server start again under its id with nothing of before.
+// restartEmpty makes a backend server start again under its id with an empty log.
 func (e *environment) restartEmpty(id string) {
 	e.members[id].RestartEmpty()
 	e.mu.Lock()
--- a/internal/bench/soaker/soaker.go
+++ b/internal/bench/soaker/soaker.go
@@ -108,7 +108,17 @@
 	if err := e.startInstances(plan); err != nil {
 		return Report{}, stderrors.Join(err, s.keepLogs(directory))
 	}
-	h := &history{}
+	r, err := e.play(ctx, drawn, plan)
+	if err == nil && !r.OK() {
+		err = s.keepLogs(directory)
+	}
+	return r, err
+}
+
+// play sends statements while it injects faults and changes the builds of instances, and
+// reports the promises that were broken.
+func (e *environment) play(ctx context.Context, drawn []fault, plan upgradePlan) (Report, error) {
+	s, h := e.soak, &history{}
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
 	for i := range s.Clients {
@@ -139,10 +149,7 @@
 	r := h.check(e)
 	r.Broken = slices.Concat(r.Broken, notReady, e.checkExits(), e.checkBuilds(plan))
 	r.Seed, r.Faults, r.Upgrades = s.Seed, faults, upgrades
-	if !r.OK() {
-		err = s.keepLogs(directory)
-	}
-	return r, err
+	return r, nil
 }
 
 // sleep waits for the duration d or until the context is cancelled.
--- a/internal/bench/soaker/upgrade.go
+++ b/internal/bench/soaker/upgrade.go
@@ -36,9 +36,9 @@
 
 var errUnknownSchedule = errors.New("schedule is not known")
 
-// maxReadyWait is the time for which a change waits until the instance is ready, before
-// the next instance changes. A fault may keep an instance from becoming ready.
 const (
+	// maxReadyWait is the time for which a change waits until the instance is ready, before
+	// the next instance changes. A fault may keep an instance from becoming ready.
 	maxReadyWait      = 3 * time.Second
 	readyPollInterval = 50 * time.Millisecond
 )
