internal/coordination/replacer: kept term starts are used after a record of the build before

What callers see: in a mixed fleet, a server with discarded commits is promoted, so that reads of the term between lacked them (STALE).

Cause: an instance keeps the term starts when the build before writes the record without them (mergeRecord), but the announcement of its own replacement begins with the record that is read from the store, so that the starts are unknown to the choice of the successor, and lost in the store.

Change: an announcement without starts takes those that this instance knows, or those of the store where the record that it knows has none.

Evidence: TestTermStartsOutliveARecordOfAnEarlierRelease before:

--- FAIL: TestTermStartsOutliveARecordOfAnEarlierRelease (0.10s) got: "b" want: "c"

It passes now; the package passes with -race (193 s).

--- /dev/null
+++ b/internal/coordination/replacer/discarded_test.go
@@ -0,0 +1,30 @@
+package replacer
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"oleanderpulley/internal/state/cataloger"
+	"oleanderpulley/internal/state/identifier"
+)
+
+// newDiscardedService returns a service whose primary a of term 2 has failed. The term began after
+// offset 8, so that server b, which is at 9, has a commit that its promotion discarded.
+func newDiscardedService() (*fakeService, *Replacer) {
+	s := newFakeService()
+	s.leader, s.term, s.down["a"] = "", 2, true
+	s.received["a"], s.received["b"], s.received["c"] = 8, 9, 8
+	s.stored = cataloger.Leadership{Term: 2, Server: "a", TermStarts: "2@1/8", Revision: 10}
+	s.known = s.stored
+	return s, s.replacer()
+}
+
+// Guards against the loss of the starts that an instance has kept when it replaces a record of an earlier release.
+func TestTermStartsOutliveARecordOfAnEarlierRelease(t *testing.T) {
+	s, r := newDiscardedService()
+	s.stored.TermStarts = ""
+	s.check(r, &serviceWatch{term: 2, silentSince: silentLongEnough()})
+	qt.Assert(t, s.leader, qt.Equals, identifier.BackendServerID("c"))
+	qt.Assert(t, s.stored.TermStarts, qt.Equals, cataloger.TermStarts("2@1/8 3@1/8"))
+}
--- a/internal/coordination/replacer/replace.go
+++ b/internal/coordination/replacer/replace.go
@@ -1,6 +1,7 @@
 package replacer
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -110,6 +111,8 @@
 	if l.IsReplacing() {
 		r.observeHolder(w, l, w.unchangedFor(l))
 	}
+	// An instance of an earlier release does not keep the starts that this one knows.
+	next.TermStarts = cmp.Or(next.TermStarts, l.TermStarts, known.TermStarts)
 	next.Holder, next.Revision = r.Self, l.Revision
 	p.resumed = next.Successor != ""
 	if err := r.write(ctx, p, next); err != nil {
