internal/coordination/replacer: discarded commits are the last resort also after a minute

What callers see: where a service has had no primary for a minute, and a server with discarded commits answers beside one without them, the former is promoted: the reads of the term between lacked these commits (STALE).

Cause: after the limit all candidates were compared by the length of their logs again.

Change: they are compared without discarded commits first, and all of them only if none of the others may lead.

Evidence: TestDiscardedCommitsAreTheLastResort before:

--- FAIL: TestDiscardedCommitsAreTheLastResort (0.10s) got: "b" want: "c"

It passes now with -race, as do the tests of successors, draining and failed primaries; the rest of the package was not run on this commit.

--- a/internal/coordination/replacer/candidate.go
+++ b/internal/coordination/replacer/candidate.go
@@ -93,11 +93,12 @@
 		}
 	}
 	keepsAll := p.draining == nil && group.syncReplicas > 0
-	eligible := candidates
-	if p.silentFor < discardedCommitsLimit {
-		eligible = withoutDiscarded(candidates, p.record.TermStarts)
-	}
+	eligible := withoutDiscarded(candidates, p.record.TermStarts)
 	next, ok := ChooseSuccessor(eligible, keepsAll)
+	if !ok && p.silentFor >= discardedCommitsLimit {
+		eligible = candidates
+		next, ok = ChooseSuccessor(eligible, keepsAll)
+	}
 	r.logCandidates(p, candidates, next)
 	switch {
 	case !ok && len(eligible) < len(candidates):
--- a/internal/coordination/replacer/discarded_test.go
+++ b/internal/coordination/replacer/discarded_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -28,3 +29,10 @@
 	qt.Assert(t, s.leader, qt.Equals, identifier.BackendServerID("c"))
 	qt.Assert(t, s.stored.TermStarts, qt.Equals, cataloger.TermStarts("2@1/8 3@1/8"))
 }
+
+// Guards against discarded commits that are back although a server without them answers.
+func TestDiscardedCommitsAreTheLastResort(t *testing.T) {
+	s, r := newDiscardedService()
+	s.check(r, &serviceWatch{term: 2, silentSince: time.Now().Add(-2 * discardedCommitsLimit)})
+	qt.Assert(t, s.leader, qt.Equals, identifier.BackendServerID("c"))
+}
