internal/state/cataloger: a promotion of discarded commits drops the terms without them

What callers see: after a minute without another server, one with discarded commits is promoted. The starts of the terms between then contradicted the new one: "2@1/100 3@1/104" took a log at 1/104, which term 3 continues, for a discarded one. Good replicas would have been left out for a minute, and an idle primary could not have handed over.

A term between that of the position and the new one is not in the log that leads, so that its start is dropped, and a log that ends in it is a discarded one.

--- a/internal/state/cataloger/term_start.go
+++ b/internal/state/cataloger/term_start.go
@@ -21,19 +21,24 @@
 type TermStarts string
 
 // With returns the starts with that of one more term, whose last commit from before it
-// is at the position. An earlier term than the newest known one changes nothing.
+// is at the position. An earlier term than the newest known one changes nothing. A term
+// between the position's and the new one is dropped: the log that leads has none of it.
 func (s TermStarts) With(term identifier.Term, last identifier.Position) TermStarts {
-	known := strings.Fields(string(s))
-	if len(known) > 0 {
-		if newest, _, ok := parseTermStart(known[len(known)-1]); ok && term <= newest {
+	var kept []string
+	for text := range strings.FieldsSeq(string(s)) {
+		known, _, ok := parseTermStart(text)
+		switch {
+		case ok && known >= term:
 			return s
+		case !ok || known <= last.Term:
+			kept = append(kept, text)
 		}
 	}
-	known = append(known, strconv.FormatUint(uint64(term), 10)+"@"+last.String())
-	if len(known) > maxTermStarts {
-		known = known[len(known)-maxTermStarts:]
+	kept = append(kept, strconv.FormatUint(uint64(term), 10)+"@"+last.String())
+	if len(kept) > maxTermStarts {
+		kept = kept[len(kept)-maxTermStarts:]
 	}
-	return TermStarts(strings.Join(known, " "))
+	return TermStarts(strings.Join(kept, " "))
 }
 
 // HasDiscarded reports whether a log that ends at the position has commits that a known
@@ -41,7 +46,7 @@
 func (s TermStarts) HasDiscarded(end identifier.Position) bool {
 	for text := range strings.FieldsSeq(string(s)) {
 		if term, last, ok := parseTermStart(text); ok && end.Term < term {
-			return end.Offset > last.Offset
+			return end.Offset > last.Offset || end.Term > last.Term
 		}
 	}
 	return false
--- a/internal/state/cataloger/term_start_test.go
+++ b/internal/state/cataloger/term_start_test.go
@@ -42,3 +42,11 @@
 		qt.Assert(t, starts.With(3, identifier.Position{Term: 2, Offset: 4}).HasDiscarded(identifier.Position{Term: 2, Offset: 5}), qt.IsTrue, qt.Commentf("%q", starts))
 	}
 }
+
+// Guards against a start that contradicts a later promotion: logs that the newest term continues are taken for discarded.
+func TestTermStartsFollowAPromotionOfDiscardedCommits(t *testing.T) {
+	starts := cataloger.TermStarts("2@1/100").With(3, identifier.Position{Term: 1, Offset: 104})
+	qt.Assert(t, starts.HasDiscarded(identifier.Position{Term: 1, Offset: 104}), qt.IsFalse)
+	qt.Assert(t, starts.HasDiscarded(identifier.Position{Term: 1, Offset: 105}), qt.IsTrue)
+	qt.Assert(t, starts.HasDiscarded(identifier.Position{Term: 2, Offset: 102}), qt.IsTrue) // Term 2 is not in the log.
+}
