internal/coordination/replacer: an empty log does not replace one with discarded commits

What callers see: the whole content of a service is lost.

Found by the review: TestEmptyLogDoesNotReplaceDiscardedCommits, got "c" (offset 0), want nobody yet; passes now. Candidates that have received nothing are left out as long as one with discarded commits is.

--- a/internal/coordination/replacer/candidate.go
+++ b/internal/coordination/replacer/candidate.go
@@ -66,6 +66,12 @@
 	return slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return starts.HasDiscarded(c.Member.Received) })
 }
 
+// withoutEmpty leaves out the candidates that have received nothing. A new server that
+// is promoted in place of one with discarded commits would lose the whole log.
+func withoutEmpty(candidates []Candidate) []Candidate {
+	return slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Member.Received.Offset == 0 })
+}
+
 func withoutLeaving(candidates []Candidate) []Candidate {
 	return slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return c.Server.IsLeaving() })
 }
@@ -94,6 +100,9 @@
 	}
 	keepsAll := p.draining == nil && group.syncReplicas > 0
 	eligible := withoutDiscarded(candidates, p.record.TermStarts)
+	if len(eligible) < len(candidates) {
+		eligible = withoutEmpty(eligible)
+	}
 	next, ok := ChooseSuccessor(eligible, keepsAll)
 	if !ok && p.silentFor >= discardedCommitsLimit {
 		eligible = candidates
