internal/coordination/replacer: a discarded log does not outweigh the failed primary that is back

The logs without discarded commits are looked at alone as well. Those with them count as answers as before: such a server has received nothing since.

--- a/internal/coordination/replacer/candidate.go
+++ b/internal/coordination/replacer/candidate.go
@@ -115,7 +115,8 @@
 	case !ok:
 		return Candidate{}, errNoCandidate
 	}
-	if keepsAll && !group.includesAcknowledgedCommits(candidates) {
+	// A server with discarded commits shows, too, that it has received nothing since.
+	if keepsAll && !group.includesAcknowledgedCommits(candidates) && !group.includesAcknowledgedCommits(eligible) {
 		return Candidate{}, errors.Wrapf(errCommitsUnknown, "%d servers answered, primary %q and replicas %q may have them",
 			len(candidates), group.primary, group.replicas)
 	}
--- a/internal/coordination/replacer/discarded_test.go
+++ b/internal/coordination/replacer/discarded_test.go
@@ -46,6 +46,16 @@
 	qt.Assert(t, s.leader, qt.Equals, identifier.BackendServerID("c"))
 }
 
+// Guards against a service that stays without a primary because a log with discarded commits is longer than that of
+// the failed primary, which is back.
+func TestDiscardedCommitsDoNotOutweighTheFailedPrimary(t *testing.T) {
+	s, r := newDiscardedService()
+	s.catalog.Configuration.Services = map[identifier.ServiceName]cataloger.Service{"rentals": {SyncReplicas: 1}}
+	s.down["a"], s.down["c"] = false, true
+	s.check(r, &serviceWatch{term: 2, silentSince: silentLongEnough()})
+	qt.Assert(t, s.leader, qt.Equals, identifier.BackendServerID("a"))
+}
+
 // Guards against the loss of the whole log: a server that has nothing is promoted because the other one has a
 // discarded commit.
 func TestEmptyLogDoesNotReplaceDiscardedCommits(t *testing.T) {
