internal/coordination/replacer: the last resort is reached by an instance that takes over

What callers see: a service stays without a primary for good. The time without one was counted from the loss of contact to the primary, which an instance that takes over a replacement has not seen, so that a server with discarded commits was never promoted although no other was left.

The time since the instance first saw the replacement that is under way counts as well.

--- a/internal/coordination/replacer/check.go
+++ b/internal/coordination/replacer/check.go
@@ -20,6 +20,7 @@
 		return // Operators have to rewrite or remove the record.
 	}
 	r.observeOpenPromotions(w, known)
+	w.observeReplacing(known.IsReplacing())
 	if known.IsReplacing() {
 		r.checkReplacement(ctx, service, w, known)
 		return
--- a/internal/coordination/replacer/discarded_test.go
+++ b/internal/coordination/replacer/discarded_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -56,6 +57,23 @@
 	qt.Assert(t, s.leader, qt.Equals, identifier.BackendServerID("a"))
 }
 
+// Guards against a service that is blocked for good: the instance that takes over did not see the primary fail.
+func TestLastResortIsReachedByAnInstanceThatTakesOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, r := newDiscardedService()
+		s.down["c"] = true
+		s.removeEntry("a")
+		s.stored.Holder, s.stored.Successor = "one", "a" // The successor is gone for good.
+		s.known = s.stored
+		w := &serviceWatch{term: 2}
+		s.check(r, w)
+		qt.Assert(t, s.leader, qt.Equals, identifier.BackendServerID(""))
+		time.Sleep(discardedCommitsLimit)
+		s.check(r, w)
+		qt.Assert(t, s.leader, qt.Equals, identifier.BackendServerID("b"))
+	})
+}
+
 // Guards against the loss of the whole log: a server that has nothing is promoted because the other one has a
 // discarded commit.
 func TestEmptyLogDoesNotReplaceDiscardedCommits(t *testing.T) {
--- a/internal/coordination/replacer/watch.go
+++ b/internal/coordination/replacer/watch.go
@@ -11,6 +11,7 @@
 type serviceWatch struct {
 	running        bool                       // A check is in progress.
 	silentSince    time.Time                  // When contact to the primary was lost; zero while it is reachable.
+	replacingSince time.Time                  // When a replacement was first seen; zero while none is under way.
 	term           identifier.Term            // Of the record under which silentSince was set.
 	lastLeader     identifier.BackendServerID // The server that this instance last saw leading; kept when it does not any more.
 	members        memberHistory              // Of a service with synchronous replication.
@@ -25,12 +26,27 @@
 	open           openPromotions
 }
 
-// silentFor returns the time since contact to the primary was lost, 0 while it is reachable.
+// silentFor returns how long the service has had no primary, as far as this instance knows: the
+// time since contact to the primary was lost, or since it first saw the replacement that is under
+// way. 0 means that the primary is reachable.
 func (w *serviceWatch) silentFor() time.Duration {
-	if w.silentSince.IsZero() {
-		return 0
+	var longest time.Duration
+	for _, since := range []time.Time{w.silentSince, w.replacingSince} {
+		if !since.IsZero() {
+			longest = max(longest, time.Since(since))
+		}
+	}
+	return longest
+}
+
+// observeReplacing records whether a replacement is under way.
+func (w *serviceWatch) observeReplacing(isReplacing bool) {
+	switch {
+	case !isReplacing:
+		w.replacingSince = time.Time{}
+	case w.replacingSince.IsZero():
+		w.replacingSince = time.Now()
 	}
-	return time.Since(w.silentSince)
 }
 
 // unchangedFor returns the time since this instance first knew the record.
