--- a/internal/bench/soaker/fault.go
+++ b/internal/bench/soaker/fault.go
@@ -13,7 +13,6 @@
 	"github.com/pkg/errors"
 
 	"oleanderpulley/internal/bench/stager"
-	"oleanderpulley/platform/imitator"
 )
 
 // Bounds of the gaps between faults and of their durations.
@@ -136,21 +135,21 @@
 		e.registerServers()
 	}},
 	{"primary replaced and lagging", func(e *environment, r *rand.Rand, duration time.Duration) {
-		previous := e.replacePrimary(r)
+		resume := e.replacePrimary(r)
 		time.Sleep(minDuration) // Delays the update of the registrations.
 		e.registerServers()
 		time.Sleep(duration)
-		previous.PauseReplication(false)
+		resume()
 	}},
 	{"primary replaced during a pause", func(e *environment, r *rand.Rand, duration time.Duration) {
 		p := e.randomInstance(r)
 		p.Signal(syscall.SIGSTOP)
-		previous := e.replacePrimary(r)
+		resume := e.replacePrimary(r)
 		time.Sleep(minDuration)
 		p.Signal(syscall.SIGCONT)
 		e.registerServers()
 		time.Sleep(duration)
-		previous.PauseReplication(false)
+		resume()
 	}},
 }
 
@@ -222,17 +221,21 @@
 }
 
 // replacePrimary promotes another server and pauses replication to the previous
-// primary, which it returns.
-func (e *environment) replacePrimary(r *rand.Rand) *imitator.Member {
+// primary. It returns a function that ends the pause. If there is no primary, which has stepped
+// down for its successor, it promotes a server alone.
+func (e *environment) replacePrimary(r *rand.Rand) (resume func()) {
 	primary := e.group.Primary()
 	successor := e.randomServer(r)
 	for successor == primary {
 		successor = e.randomServer(r)
 	}
-	previous := e.members[primary]
-	previous.PauseReplication(true)
+	resume = func() {}
+	if previous, ok := e.members[primary]; ok {
+		previous.PauseReplication(true)
+		resume = func() { previous.PauseReplication(false) }
+	}
 	e.group.Promote(successor)
-	return previous
+	return resume
 }
 
 // partitionPrimary cuts the primary off from the instances and from its replicas
