--- a/internal/command/starter/session_test.go
+++ b/internal/command/starter/session_test.go
@@ -163,8 +163,13 @@
 
 var positionSuffix = regexp.MustCompile(` \d+\.\d+$`)
 
+// signatureSuffix is the part of a signature after the server: the number of the run and
+// the id of its statement.
+var signatureSuffix = regexp.MustCompile(`^(COMPLETE sig-\w+)\.\d+\.(.*)$`)
+
 // send sends a message and reads until READY or the end of the connection.
-// Positions, which differ between runs, are replaced by P.
+// Positions, which differ between runs, are replaced by P. A signature of the statement
+// that was sent is cut to its server; any other signature is left as it is.
 func (c *lineClient) send(line string) []string {
 	c.t.Helper()
 	_, err := io.WriteString(c.conn, line+"\r\n")
@@ -180,6 +185,9 @@
 		}
 		answer = strings.TrimRight(answer, "\r\n")
 		answer = positionSuffix.ReplaceAllString(answer, " P")
+		if m := signatureSuffix.FindStringSubmatch(answer); m != nil && strings.HasPrefix(line, "QUERY "+m[2]+" ") {
+			answer = m[1]
+		}
 		lines = append(lines, answer)
 		if strings.HasPrefix(answer, "READY ") {
 			return lines
