--- a/internal/command/starter/session_test.go
+++ b/internal/command/starter/session_test.go
@@ -161,10 +161,13 @@
 	return &lineClient{t, conn, bufio.NewReader(conn)}
 }
 
+var signatureNumber = regexp.MustCompile(`^(COMPLETE sig-[^.]+)\.\d+$`)
+
 var positionSuffix = regexp.MustCompile(` \d+\.\d+$`)
 
 // send sends a message and reads until READY or the end of the connection.
-// Positions, which differ between runs, are replaced by P.
+// Positions, which differ between runs, are replaced by P, and the numbers of signatures
+// are removed.
 func (c *lineClient) send(line string) []string {
 	c.t.Helper()
 	_, err := io.WriteString(c.conn, line+"\r\n")
@@ -180,6 +183,7 @@
 		}
 		answer = strings.TrimRight(answer, "\r\n")
 		answer = positionSuffix.ReplaceAllString(answer, " P")
+		answer = signatureNumber.ReplaceAllString(answer, "$1")
 		lines = append(lines, answer)
 		if strings.HasPrefix(answer, "READY ") {
 			return lines
