internal/transport/lender: count and log answers received again and unrequested data

A backend server may send an answer twice.

An answer whose signature was given before is counted in unexpected_answers{service,reason} and logged with the server as answer_repeated or answer_out_of_step; so is a connection that has unread data when it is to be lent (unrequested_data). What callers get is unchanged by this commit.

--- a/internal/command/starter/starter.go
+++ b/internal/command/starter/starter.go
@@ -114,7 +114,7 @@
 	s.holder.MaxAge = settings.KeyWithdrawal - proofMargin
 	s.lender.Dial = platform.Dial
 	s.lender.Limit = s.connectionLimit
-	s.lender.Registry = &s.registry
+	s.lender.Registry, s.lender.Logger = &s.registry, s.Logger
 	s.lender.ConcurrencyLimit = func(b cataloger.BackendServer) int { return s.balancer.ConcurrencyLimit(b.ID) }
 	s.balancer.DataCentre = settings.DataCentre
 	s.balancer.HasIdle = s.lender.HasIdle
--- a/internal/protocol/requester/statement.go
+++ b/internal/protocol/requester/statement.go
@@ -25,6 +25,20 @@
 	StepDown
 )
 
+var kindNames = [...]string{
+	Unknown: "unknown", Begin: "begin", BeginReadOnly: "begin_read", Commit: "commit", Rollback: "rollback", Read: "read",
+	Write: "write", Set: "set", Prepare: "prepare", Execute: "execute", Deallocate: "deallocate", Discard: "discard",
+	Status: "status", StepDown: "step_down",
+}
+
+// String returns the name of the kind in logs.
+func (k Kind) String() string {
+	if int(k) < len(kindNames) {
+		return kindNames[k]
+	}
+	return "unknown"
+}
+
 // StatementID is the identifier that the client gave a statement. It is empty for
 // statements of the proxy itself.
 type StatementID string
--- /dev/null
+++ b/internal/transport/lender/answers_test.go
@@ -0,0 +1,172 @@
+package lender_test
+
+import (
+	"bytes"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"oleanderpulley/internal/protocol/requester"
+	"oleanderpulley/internal/state/cataloger"
+	"oleanderpulley/internal/state/identifier"
+	"oleanderpulley/internal/transport/lender"
+	"oleanderpulley/internal/transport/reporter"
+)
+
+// scriptedServer is a lender with a backend server that answers as a server of the
+// users does, and sends the answers that a test inserts.
+type scriptedServer struct {
+	lender   lender.Lender
+	registry reporter.Registry
+	logs     bytes.Buffer
+	links    []*scriptedLink
+
+	// Before returns the answers that arrive after the statement was sent and
+	// before its own answer. Nil means none.
+	before func(l *scriptedLink, st requester.Statement) []requester.Result
+	// Answer changes the statement's own answer. Nil means that it stays.
+	answer func(st requester.Statement, r requester.Result) requester.Result
+}
+
+// scriptedLink is a connection to the server.
+type scriptedLink struct {
+	given  []requester.Result // All answers of the connection, without those that were inserted.
+	unread []requester.Result
+	state  requester.TransactionState
+	ran    []requester.Statement
+	closed bool
+}
+
+func newScriptedServer() *scriptedServer {
+	s := &scriptedServer{}
+	s.lender.Registry, s.lender.Logger = &s.registry, zerolog.New(&s.logs)
+	s.lender.Limit = func(cataloger.BackendServer) int { return 1 }
+	s.lender.Dial = func(time.Time, cataloger.BackendServer, identifier.WorkspaceName) (lender.Link, error) {
+		l := &scriptedLink{state: requester.Idle}
+		s.links = append(s.links, l)
+		return lender.Link{
+			Send: func(_ time.Time, statements ...requester.Statement) error {
+				for _, st := range statements {
+					if s.before != nil {
+						l.unread = append(l.unread, s.before(l, st)...)
+					}
+					r := s.run(l, st)
+					l.given = append(l.given, r)
+					l.unread = append(l.unread, r)
+				}
+				return nil
+			},
+			Receive: func(time.Time) (requester.Result, error) {
+				if len(l.unread) == 0 {
+					return requester.Result{}, os.ErrDeadlineExceeded
+				}
+				r := l.unread[0]
+				l.unread = l.unread[1:]
+				return r, nil
+			},
+			Open:   func() bool { return len(l.unread) == 0 },
+			Unread: func() bool { return len(l.unread) > 0 },
+			Close:  func() { l.closed = true },
+		}, nil
+	}
+	return s
+}
+
+// run returns the answer to the statement. A read returns its text and the number
+// of statements before it.
+func (s *scriptedServer) run(l *scriptedLink, st requester.Statement) requester.Result {
+	n := 0
+	for _, other := range s.links {
+		n += len(other.ran)
+	}
+	l.ran = append(l.ran, st)
+	r := requester.Result{Position: identifier.Position{Term: 3, Offset: identifier.LogOffset(n + 1)}}
+	switch st.Kind {
+	case requester.Begin, requester.BeginReadOnly:
+		l.state = requester.InTransaction
+	case requester.Commit, requester.Rollback:
+		l.state = requester.Idle
+	}
+	switch st.Kind {
+	case requester.Read, requester.Execute:
+		r.Rows = []string{st.Text + " " + strconv.Itoa(n)}
+		fallthrough
+	case requester.Write, requester.Commit:
+		r.Signature = "7.1f3." + strconv.Itoa(n)
+	case requester.Status, requester.StepDown:
+		r.Rows = []string{"replica 3 3." + strconv.Itoa(n) + " 0 12 2 17"}
+	}
+	r.State = l.state
+	if s.answer != nil {
+		r = s.answer(st, r)
+		l.state = r.State
+	}
+	return r
+}
+
+// last returns the last connection that was opened.
+func (s *scriptedServer) last() *scriptedLink {
+	return s.links[len(s.links)-1]
+}
+
+func (s *scriptedServer) borrow(t testing.TB, change ...func(*lender.Request)) *lender.Conn {
+	req := request("shops")
+	for _, f := range change {
+		f(&req)
+	}
+	c, err := s.lender.Borrow(req)
+	qt.Assert(t, err, qt.IsNil)
+	return c
+}
+
+// unexpected returns the counter of the answers that belong to no statement.
+func (s *scriptedServer) unexpected(reason string) int64 {
+	return s.registry.CounterValue(reporter.Series{Name: "unexpected_answers", Service: "rentals", Reason: reason})
+}
+
+func statement(k requester.Kind, text string) requester.Statement {
+	return requester.Statement{ID: "5c0e", Kind: k, Text: text}
+}
+
+// repeatOnce returns a function for scriptedServer.before that inserts the answer of
+// the connection at the index before the answer to the next statement of the kind.
+func repeatOnce(k requester.Kind, index int) func(*scriptedLink, requester.Statement) []requester.Result {
+	done := false
+	return func(l *scriptedLink, st requester.Statement) []requester.Result {
+		if done || st.Kind != k || len(l.given) <= index {
+			return nil
+		}
+		done = true
+		return slices.Clone(l.given[index : index+1])
+	}
+}
+
+func soon() time.Time {
+	return time.Now().Add(time.Second)
+}
+
+// Guards against repeated answers and unrequested data that leave no trace in the
+// metrics and the logs.
+func TestRepeatedAnswersAreReported(t *testing.T) {
+	s := newScriptedServer()
+	c := s.borrow(t)
+	_, err := c.Run(soon(), statement(requester.Read, "READ x"))
+	qt.Assert(t, err, qt.IsNil)
+	s.before = repeatOnce(requester.Write, 0)
+	_, _ = c.Run(soon(), statement(requester.Write, "WRITE x 1"))
+	qt.Assert(t, s.unexpected("repeated"), qt.Equals, int64(1))
+	qt.Assert(t, s.logs.String(), qt.Contains, `"event":"answer_repeated","server":"a","workspace":"shops","statement":"write"`)
+	s.last().unread = nil
+	s.lender.Return(c)
+
+	s.last().unread = slices.Clone(s.last().given[:1])
+	s.lender.Return(s.borrow(t))
+	qt.Assert(t, s.unexpected("unrequested"), qt.Equals, int64(1))
+	qt.Assert(t, strings.Count(s.logs.String(), `"event":"unrequested_data"`), qt.Equals, 1)
+}
--- a/internal/transport/lender/conn.go
+++ b/internal/transport/lender/conn.go
@@ -1,6 +1,7 @@
 package lender
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -30,6 +31,8 @@
 	// Open reports whether the backend server has neither closed the idle
 	// connection nor sent data on it.
 	Open func() bool
+	// Unread reports whether data has arrived that was not read. Nil means never.
+	Unread func() bool
 	// Close closes the connection.
 	Close func()
 }
@@ -42,6 +45,7 @@
 	// LastAnswer is the time of the last complete answer.
 	LastAnswer time.Time
 
+	lender   *Lender
 	link     Link
 	pool     *serverPool
 	settings Settings
@@ -52,6 +56,9 @@
 	stale    bool // To a retired pool; close on return.
 	returned time.Time
 
+	unanswered []requester.Kind // Of the statements that were sent, the oldest first.
+	answers    answerLog
+
 	statement *scheduler.Statement // For which the connection is lent; nil if it did not wait.
 }
 
@@ -69,6 +76,9 @@
 func (c *Conn) Send(deadline time.Time, statements ...requester.Statement) error {
 	err := c.link.Send(deadline, statements...)
 	if err == nil {
+		for _, s := range statements {
+			c.unanswered = append(c.unanswered, s.Kind)
+		}
 		return nil
 	}
 	c.broken = true
@@ -86,9 +96,35 @@
 		return r, errors.Wrapf(ErrNoAnswer, "%s: %v", c.Server.ID, err)
 	}
 	c.LastAnswer = time.Now()
+	k := c.nextUnanswered()
+	if v := c.answers.judge(r); v != expected {
+		c.lender.reportAnswer(c, k, v, r)
+	}
 	return r, nil
 }
 
+// nextUnanswered removes the oldest unanswered statement and returns its kind.
+func (c *Conn) nextUnanswered() requester.Kind {
+	if len(c.unanswered) == 0 {
+		return requester.Unknown
+	}
+	k := c.unanswered[0]
+	c.unanswered = slices.Delete(c.unanswered, 0, 1)
+	return k
+}
+
+// isOpen reports whether a statement may be sent on the connection. It reports data
+// that was not requested.
+func (c *Conn) isOpen() bool {
+	if c.link.Open() {
+		return true
+	}
+	if c.link.Unread != nil && c.link.Unread() {
+		c.lender.reportUnrequested(c)
+	}
+	return false
+}
+
 // MarkBroken marks the connection as unusable. It is closed on return.
 func (c *Conn) MarkBroken() {
 	c.broken = true
--- a/internal/transport/lender/lender.go
+++ b/internal/transport/lender/lender.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
@@ -50,9 +51,10 @@
 	// be lent at the same time outside transactions. If ConcurrencyLimit is
 	// nil, only Limit applies. It may call methods of the lender.
 	ConcurrencyLimit func(s cataloger.BackendServer) int
-	// Registry gets the waits in the queues and the refusals by cause. It may be
-	// nil.
+	// Registry gets the waits in the queues, the refusals by cause, and the answers
+	// that belong to no statement. It may be nil.
 	Registry *reporter.Registry
+	Logger   zerolog.Logger
 
 	mu    sync.Mutex
 	pools map[identifier.BackendServerID]*serverPool
@@ -93,7 +95,7 @@
 		switch {
 		case g.reserved:
 			return l.dialReserved(req, g)
-		case g.conn != nil && g.conn.link.Open():
+		case g.conn != nil && g.conn.isOpen():
 			return g.conn, nil
 		case g.statement != nil:
 			return l.dialReserved(req, l.replace(g))
@@ -173,7 +175,7 @@
 	s := g.pool
 	s.dialing--
 	c := &Conn{
-		Server: req.Server, Workspace: req.Workspace, LastAnswer: time.Now(), link: link, pool: s,
+		Server: req.Server, Workspace: req.Workspace, LastAnswer: time.Now(), lender: l, link: link, pool: s,
 		stale: s.retired, statement: g.statement,
 	}
 	s.markBorrowed(c, req)
