internal/protocol/encoder: decode texts that are not UTF-8

Callers whose statement, setting, prepared shape or row was not UTF-8 got an unknown outcome, an aborted transaction or another home whenever the statement was forwarded, and a success when it was not. The encoder writes Go strings unchecked as CBOR text strings, but the decoder refused the whole body ("run: cbor: invalid UTF-8 string"). It accepts any bytes now. What is sent is the same bytes as before: the golden files are unchanged.

TestBuildBeforeRefusesOnlyTheBody shows that the default decoding, as of the build before, reads the envelope and refuses the body alone, so that the connection stays.

The update of the catalog still refuses such texts: its names and keys come from JSON.

--- a/internal/protocol/encoder/doc.go
+++ b/internal/protocol/encoder/doc.go
@@ -5,7 +5,8 @@
 // body. Bodies are CBOR maps with snake_case keys. A receiver ignores unknown
 // fields and returns [ErrUnknownType] for unknown types and [ErrMalformedBody] for a
 // known type with fields of other types, so that instances of adjacent releases are
-// compatible during a rollout.
+// compatible during a rollout. A text may be any bytes, which are sent and decoded
+// unchanged.
 //
 // Invariant: the size, nesting depth and number of elements that are decoded are
 // limited.
--- a/internal/protocol/encoder/encoder.go
+++ b/internal/protocol/encoder/encoder.go
@@ -97,6 +97,7 @@
 		MaxNestedLevels:  maxNestedLevels,
 		MaxArrayElements: maxElements,
 		MaxMapPairs:      maxElements,
+		UTF8:             cbor.UTF8DecodeInvalid, // Texts of clients and servers are any bytes.
 	}.DecMode()
 	if err != nil {
 		panic(err) // Unreachable: the options are constants.
--- a/internal/protocol/encoder/encoder_test.go
+++ b/internal/protocol/encoder/encoder_test.go
@@ -74,6 +74,20 @@
 	}
 }
 
+// Guards against a text that makes a build which accepts UTF-8 alone end the connection, in place of refusing the message.
+func TestBuildBeforeRefusesOnlyTheBody(t *testing.T) {
+	var e encoder.Encoder
+	e.Register("group_notice", notice{})
+	data, err := e.Encode(7, 9, notice{Service: "a\xff"})
+	qt.Assert(t, err, qt.IsNil)
+	var envelope encoder.Envelope
+	qt.Assert(t, cbor.Unmarshal(data, &envelope), qt.IsNil) // The default refuses texts that are not UTF-8.
+	qt.Assert(t, envelope.ID, qt.Equals, uint64(7))
+	qt.Assert(t, envelope.ReplyTo, qt.Equals, uint64(9))
+	var body notice
+	qt.Assert(t, cbor.Unmarshal(envelope.Body, &body), qt.ErrorMatches, ".*invalid UTF-8.*")
+}
+
 // FuzzDecode guards against a panic on untrusted bytes, and against an error that
 // is neither ErrMalformed nor ErrUnknownType.
 func FuzzDecode(f *testing.F) {
