internal/protocol/loader: cut one line end of a password file alone

The password of a file that ended in several line ends, or in CRs before the last LF, was another one at the backend servers, which then refused each login of the proxy. TrimRight cut all CR and LF at the end. Exactly one LF or CR LF is cut now, and the fake backend server reads its file in the same way.

A file with an empty line at its end now has that line in its password.

--- a/cmd/backend/main.go
+++ b/cmd/backend/main.go
@@ -6,10 +6,10 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"strings"
 
 	"oleanderpulley/internal/fake/backendserver"
 	"oleanderpulley/internal/fake/supervisor"
+	"oleanderpulley/internal/protocol/loader"
 )
 
 func main() {
@@ -39,7 +39,7 @@
 		if err != nil {
 			return err
 		}
-		s.Password = strings.TrimSpace(string(password))
+		s.Password = loader.CutLineEnd(string(password))
 	}
 	p := supervisor.Process{
 		Start: func() (string, error) { return s.Start(listen) }, Close: s.Close,
--- a/internal/protocol/loader/secret.go
+++ b/internal/protocol/loader/secret.go
@@ -85,7 +85,7 @@
 		if err != nil {
 			return errors.Wrapf(ErrSettings, "backend.password_file: %v", err)
 		}
-		if s.Backend.Password = strings.TrimRight(string(data), "\r\n"); s.Backend.Password == "" {
+		if s.Backend.Password = CutLineEnd(string(data)); s.Backend.Password == "" {
 			return errors.Wrapf(ErrSettings, "backend.password_file: %s is empty", name)
 		}
 	}
@@ -101,6 +101,16 @@
 	return nil
 }
 
+// CutLineEnd returns the content of a file with one line without its line end, LF or
+// CR LF, if it has one.
+func CutLineEnd(text string) string {
+	line, found := strings.CutSuffix(text, "\n")
+	if !found {
+		return text
+	}
+	return strings.TrimSuffix(line, "\r")
+}
+
 // parseTokens parses lines of a token's hash and an operator's name. A "#" starts
 // a comment.
 func parseTokens(name, text string) ([]Token, error) {
--- a/internal/protocol/loader/settings.go
+++ b/internal/protocol/loader/settings.go
@@ -66,7 +66,7 @@
 // Backend configures the authentication at backend servers.
 type Backend struct {
 	User         string `json:"user" default:"oleanderpulley" usage:"user at backend servers"`
-	PasswordFile string `json:"password_file" usage:"file with the password at backend servers"`
+	PasswordFile string `json:"password_file" usage:"file with the password at backend servers, of which one line end is cut"`
 	TLSCAFile    string `json:"tls_ca_file" usage:"authority of the backend servers' certificates; no TLS when empty"`
 	Password     string `json:"-" secret:"password_file"`
 }
