internal/fake/backendserver: responses that are sent twice

A server can repeat a response, at once or after the next statement arrived. No stand-in did, so that no test could show what the proxy makes of it. The fault repeat_responses sends the next responses twice, with repeat_late the second time when the next message has arrived, and repeat_sql limits it to statements that contain a text.

Evidence: TestRepeatedResponses passes, for the simple and the extended protocol.

--- a/internal/fake/backendserver/extended.go
+++ b/internal/fake/backendserver/extended.go
@@ -146,6 +146,7 @@
 		ss.backend.Send(&pgproto3.EmptyQueryResponse{})
 		return nil
 	}
+	ss.recordResponse(bound.statement.sql)
 	if bound.result == nil {
 		res, err := ss.runStatement(bound.statement, bound.args, bound.types, false)
 		if err != nil {
--- a/internal/fake/backendserver/faults.go
+++ b/internal/fake/backendserver/faults.go
@@ -17,6 +17,14 @@
 	// connection is reset, so that the client gets no response although the
 	// commit took effect. It decreases with each of them.
 	LoseCommits int `json:"lose_commits"`
+	// RepeatResponses is the number of next responses, including their
+	// ReadyForQuery, that are sent twice. It decreases with each of them. The
+	// second copy follows at once, or with RepeatLate when the next message of
+	// the client has arrived. RepeatSQL limits the fault to statements that
+	// contain this text.
+	RepeatResponses int    `json:"repeat_responses"`
+	RepeatLate      bool   `json:"repeat_late"`
+	RepeatSQL       string `json:"repeat_sql"`
 	// CutClients, CutDataCentres and CutMembers partition the server from
 	// others: CutClients lists clients by application_name, CutDataCentres
 	// lists clients by the startup parameter oleanderpulley.data_centre and
--- a/internal/fake/backendserver/faults_test.go
+++ b/internal/fake/backendserver/faults_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/jackc/pgx/v5/pgproto3"
 
 	"oleanderpulley/internal/fake/backendserver"
 )
@@ -49,6 +51,59 @@
 	qt.Assert(t, countRows(t, s), qt.Equals, 4)
 }
 
+// Guards against a fault that sends a response once, in part, or to a statement that
+// it does not apply to.
+func TestRepeatedResponses(t *testing.T) {
+	s := startGroup(t, 1, nil)[0]
+	for _, late := range []bool{false, true} {
+		c, err := net.Dial("tcp", s.Address())
+		qt.Assert(t, err, qt.IsNil)
+		defer c.Close()
+		qt.Assert(t, c.SetDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
+		f := pgproto3.NewFrontend(c, c)
+		f.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "proxy"}})
+		qt.Assert(t, f.Flush(), qt.IsNil)
+		readResponse(t, f)
+		s.SetFaults(backendserver.Faults{RepeatResponses: 2, RepeatLate: late, RepeatSQL: "'a'"})
+		for _, step := range []struct{ sql, want string }{
+			{"SELECT 'b'", "b SELECT 1"}, {"SELECT 'a'", "a SELECT 1"}, {"SELECT 'c'", "a SELECT 1"},
+		} {
+			f.Send(&pgproto3.Query{String: step.sql})
+			qt.Assert(t, f.Flush(), qt.IsNil)
+			qt.Assert(t, readResponse(t, f), qt.Equals, step.want)
+		}
+		qt.Assert(t, readResponse(t, f), qt.Equals, "c SELECT 1")
+		f.Send(&pgproto3.Parse{Query: "SELECT 'a'"})
+		f.Send(&pgproto3.Bind{})
+		f.Send(&pgproto3.Execute{})
+		f.Send(&pgproto3.Sync{})
+		f.Send(&pgproto3.Query{String: "SELECT 'd'"})
+		qt.Assert(t, f.Flush(), qt.IsNil)
+		qt.Assert(t, readResponse(t, f), qt.Equals, "a SELECT 1")
+		qt.Assert(t, readResponse(t, f), qt.Equals, "a SELECT 1")
+		qt.Assert(t, readResponse(t, f), qt.Equals, "d SELECT 1")
+		qt.Assert(t, s.Faults().RepeatResponses, qt.Equals, 0)
+	}
+}
+
+// readResponse returns the values and the command tag of a response.
+func readResponse(t *testing.T, f *pgproto3.Frontend) string {
+	t.Helper()
+	text := ""
+	for {
+		m, err := f.Receive()
+		qt.Assert(t, err, qt.IsNil)
+		switch m := m.(type) {
+		case *pgproto3.DataRow:
+			text += string(m.Values[0]) + " "
+		case *pgproto3.CommandComplete:
+			text += string(m.CommandTag)
+		case *pgproto3.ReadyForQuery:
+			return text
+		}
+	}
+}
+
 // Guards against a control endpoint that behaves differently from the Go
 // methods.
 func TestControlEndpoint(t *testing.T) {
--- a/internal/fake/backendserver/session.go
+++ b/internal/fake/backendserver/session.go
@@ -44,6 +44,8 @@
 	server            *Server
 	conn              net.Conn
 	backend           *pgproto3.Backend
+	writer            responseWriter
+	lateResponse      []byte // sent before the response to the next message
 	ctx               context.Context
 	cancel            context.CancelFunc
 	pid               uint32
@@ -66,7 +68,7 @@
 
 func newSession(s *Server, conn net.Conn, pid uint32) *session {
 	ss := &session{
-		server: s, conn: conn, backend: pgproto3.NewBackend(conn, conn), pid: pid,
+		server: s, conn: conn, writer: responseWriter{conn: conn}, pid: pid,
 		prepared: map[string]*preparedStatement{}, portals: map[string]*portal{},
 		defaults: map[string]string{
 			"server_version": "17.0", "server_encoding": "UTF8", "client_encoding": "UTF8", "datestyle": "ISO, MDY",
@@ -74,6 +76,7 @@
 			"transaction_isolation": "read committed",
 		},
 	}
+	ss.backend = pgproto3.NewBackend(conn, &ss.writer)
 	ss.ctx, ss.cancel = context.WithCancel(s.ctx)
 	return ss
 }
@@ -116,6 +119,9 @@
 		if err := ss.waitWhileBlocked(); err != nil {
 			return
 		}
+		if err := ss.sendLateResponse(); err != nil {
+			return
+		}
 		if err := ss.handleMessage(msg); err != nil {
 			return
 		}
@@ -162,7 +168,7 @@
 		status = 'T'
 	}
 	ss.backend.Send(&pgproto3.ReadyForQuery{TxStatus: status})
-	return ss.flush()
+	return ss.flushResponse()
 }
 
 func (ss *session) handleMessage(msg pgproto3.FrontendMessage) error {
@@ -197,6 +203,7 @@
 
 // handleQuery runs the statements of a Query message (simple protocol).
 func (ss *session) handleQuery(sql string) error {
+	ss.recordResponse(sql)
 	list, err := parse(sql)
 	if err == nil && len(list) == 0 {
 		ss.backend.Send(&pgproto3.EmptyQueryResponse{})
