internal/transport/pooler: responses of a reset belong to their statements

What callers saw: a backend server that repeated the response to DISCARD ALL, to SET of the workspace or the end of the login gave the next statement of a client the response SET, and each later one the response before it.

Cause: runQueries counted ReadyForQuery messages and accepted any other message. The query for active processes stopped at the first ReadyForQuery, too, so that a repeated one made all connections look inactive.

Each statement of the proxy now names the command tag of its response. The response must have exactly one outcome, with this tag or an error, rows only for SELECT, and end idle. Acquire also lends no connection that has data after the last response. A connection that fails this is closed.

The scripted server of TestIdleSessionReceivesNotifications answered SET with LISTEN. It answers with SET now, as PostgreSQL does. The stand-in answers DEALLOCATE ALL with that tag, as PostgreSQL does.

--- a/internal/fake/backendserver/transaction.go
+++ b/internal/fake/backendserver/transaction.go
@@ -232,6 +232,7 @@
 	case "deallocate":
 		if st.name == "all" {
 			clear(ss.prepared)
+			return &result{tag: "DEALLOCATE ALL"}, nil
 		}
 		delete(ss.prepared, st.name)
 		return &result{tag: "DEALLOCATE"}, nil
--- a/internal/transport/acceptor/driver_test.go
+++ b/internal/transport/acceptor/driver_test.go
@@ -138,7 +138,7 @@
 // against a pinned session that outlives its backend connection.
 func TestIdleSessionReceivesNotifications(t *testing.T) {
 	push := make(chan []byte)
-	done := framer.AppendFrame(framer.AppendText(nil, 'C', "LISTEN"), 'Z', 'I')
+	done := func(tag string) []byte { return framer.AppendFrame(framer.AppendText(nil, 'C', tag), 'Z', 'I') }
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	defer l.Close()
@@ -151,9 +151,9 @@
 		readStartup(nc)
 		nc.Write(framer.AppendFrame(framer.AppendFrame(nil, 'R', 0, 0, 0, 0), 'Z', 'I'))
 		r := framer.Reader{Source: nc}
-		for range 2 { // SET of the workspace, then LISTEN.
+		for _, tag := range []string{"SET", "LISTEN"} { // SET of the workspace, then LISTEN.
 			r.Next()
-			nc.Write(done)
+			nc.Write(done(tag))
 		}
 		for b := range push {
 			nc.Write(b)
--- a/internal/transport/acceptor/lease.go
+++ b/internal/transport/acceptor/lease.go
@@ -42,21 +42,21 @@
 func (s *session) prepareConnection(ctx context.Context) error {
 	c := s.lease.conn
 	if len(c.Prepared) > maxPreparedPerConn {
-		if err := c.Run(ctx, "DEALLOCATE ALL"); err != nil {
+		if err := c.Run(ctx, pooler.Statement{SQL: "DEALLOCATE ALL", Tag: "DEALLOCATE ALL"}); err != nil {
 			return err
 		}
 		clear(c.Prepared)
 	}
-	var sql strings.Builder
+	var statements []pooler.Statement
 	for _, p := range s.startupSettings {
 		if v, ok := c.Parameters.Lookup(p[0]); !ok || !strings.EqualFold(v, p[1]) {
-			sql.WriteString("SET " + p[0] + " = " + pooler.Literal(p[1]) + ";")
+			statements = append(statements, pooler.Statement{SQL: "SET " + p[0] + " = " + pooler.Literal(p[1]), Tag: "SET"})
 		}
 	}
-	if sql.Len() == 0 {
+	if len(statements) == 0 {
 		return nil
 	}
-	if err := c.Run(ctx, sql.String()); err != nil {
+	if err := c.Run(ctx, statements...); err != nil {
 		return asFatal(refuser.New(refuser.InvalidSetting, "startup parameter: "+err.Error()))
 	}
 	s.pinned, s.startupSettings = true, nil
--- a/internal/transport/pooler/conn.go
+++ b/internal/transport/pooler/conn.go
@@ -1,7 +1,6 @@
 package pooler
 
 import (
-	"context"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -120,66 +119,6 @@
 	_ = c.Close()
 }
 
-// resetForWorkspace discards the session state of the connection, unless it is
-// new, and sets its workspace.
-func (p *Pooler) resetForWorkspace(ctx context.Context, c *Conn, workspace identifier.WorkspaceName) error {
-	if p.Reset != nil {
-		return p.Reset(ctx, c, workspace)
-	}
-	var out []byte
-	responses := 1
-	if !c.newlyOpened {
-		out = framer.AppendText(out, 'Q', "DISCARD ALL")
-		clear(c.Prepared)
-		responses++
-	}
-	out = framer.AppendText(out, 'Q', WorkspaceSetting(workspace))
-	return c.runQueries(ctx, out, responses)
-}
-
-// Run executes statements whose rows, if any, are discarded, and returns the
-// first error.
-func (c *Conn) Run(ctx context.Context, sql string) error {
-	return c.runQueries(ctx, framer.AppendText(nil, 'Q', sql), 1)
-}
-
-// runQueries sends encoded Query messages and reads up to the given number of
-// ReadyForQuery messages. It returns the first error of the server.
-func (c *Conn) runQueries(ctx context.Context, out []byte, responses int) error {
-	deadline, ok := ctx.Deadline()
-	if limit := time.Now().Add(connectTimeout); !ok || limit.Before(deadline) {
-		deadline = limit
-	}
-	if err := c.SetDeadline(deadline); err != nil {
-		return errors.Wrap(err, "set deadline")
-	}
-	if _, err := c.Write(out); err != nil {
-		return errors.Wrap(err, "send")
-	}
-	c.Status = 0
-	var firstError error
-	for responses > 0 {
-		kind, frame, err := c.Reader.Next()
-		if err != nil {
-			return errors.Wrap(err, "read answer")
-		}
-		switch kind {
-		case 'E':
-			if firstError == nil {
-				firstError = errors.Errorf("%s %s", framer.ErrorField(frame, 'C'), framer.ErrorField(frame, 'M'))
-			}
-		case 'Z':
-			c.Status = frame[framer.HeaderSize]
-			responses--
-		}
-		c.Reader.Consume()
-	}
-	if firstError != nil {
-		return firstError
-	}
-	return errors.Wrap(c.SetDeadline(time.Time{}), "clear deadline")
-}
-
 // WorkspaceSetting returns the statement that sets the workspace of a connection
 // at the backend server.
 func WorkspaceSetting(workspace identifier.WorkspaceName) string {
--- a/internal/transport/pooler/pooler.go
+++ b/internal/transport/pooler/pooler.go
@@ -103,7 +103,11 @@
 		if c.workspace == workspace && !c.newlyOpened {
 			return c, nil
 		}
-		if err := p.resetForWorkspace(ctx, c, workspace); err != nil {
+		err = p.resetForWorkspace(ctx, c, workspace)
+		if err == nil && !c.HasNoInput() {
+			err = errors.Wrap(ErrUnexpectedResponse, "data after the last response")
+		}
+		if err != nil {
 			p.Release(c, false)
 			if c.newlyOpened || ctx.Err() != nil {
 				return nil, errors.Wrapf(ErrConnect, "reset: %v", err)
--- a/internal/transport/pooler/unanswered.go
+++ b/internal/transport/pooler/unanswered.go
@@ -5,10 +5,6 @@
 	"encoding/binary"
 	"strconv"
 	"time"
-
-	"github.com/pkg/errors"
-
-	"oleanderpulley/internal/protocol/framer"
 )
 
 const (
@@ -124,30 +120,16 @@
 		return nil, err
 	}
 	defer c.close()
-	if err := c.SetDeadline(time.Now().Add(connectTimeout)); err != nil {
-		return nil, errors.Wrap(err, "set deadline")
-	}
-	if _, err := c.Write(framer.AppendText(nil, 'Q', activePIDsQuery)); err != nil {
-		return nil, errors.Wrap(err, "send")
-	}
 	pids := map[uint32]bool{}
-	for {
-		kind, frame, err := c.Reader.Next()
-		if err != nil {
-			return nil, errors.Wrap(err, "read answer")
-		}
-		switch kind {
-		case 'D':
-			if pid, ok := parseFirstUint(frame[framer.HeaderSize:]); ok {
-				pids[pid] = true
-			}
-		case 'E':
-			return nil, errors.Errorf("%s %s", framer.ErrorField(frame, 'C'), framer.ErrorField(frame, 'M'))
-		case 'Z':
-			return pids, nil
+	serverError, err := c.runUntil(time.Now().Add(connectTimeout), []Statement{{activePIDsQuery, selectTag}}, func(row []byte) {
+		if pid, ok := parseFirstUint(row); ok {
+			pids[pid] = true
 		}
-		c.Reader.Consume()
+	})
+	if err == nil {
+		err = serverError
 	}
+	return pids, err
 }
 
 // parseFirstUint parses the first column of a DataRow body in text format as an
