internal/transport/acceptor: unrequested responses end a held connection

What callers saw: in a transaction, or in a session with state on its connection, a response that the server sent twice at once was given to the next statement: rows of the statement before it, its row count, its error.

Cause: only the pooler looks for unread data, when a connection changes its borrower. A connection that the session holds was written to without a look.

Before a batch is sent on a held connection, everything that has arrived is read. Notices, parameters and notifications are forwarded, as the protocol allows them at any time. Any other message belongs to no statement: the connection is closed, which rolls back the transaction, and the batch is not sent.

--- a/internal/transport/acceptor/execute.go
+++ b/internal/transport/acceptor/execute.go
@@ -186,7 +186,12 @@
 		}
 		l.releaseSlot = release
 	}
-	err := s.runOnLease(ctx, b)
+	err := s.checkUnrequested()
+	if err != nil {
+		s.abandonLease(ctx, b, err)
+	} else {
+		err = s.runOnLease(ctx, b)
+	}
 	if err != nil && s.pinned && s.lease == nil {
 		// The session state on the connection is lost, so the session cannot
 		// continue.
@@ -195,6 +200,17 @@
 	return err
 }
 
+// checkUnrequested returns an error if the connection that the session holds is
+// lost, or has received a response although none is outstanding.
+func (s *session) checkUnrequested() error {
+	err := s.forwardAsynchronous()
+	var clientErr *clientError
+	if err == nil || errors.As(err, &clientErr) || errors.Is(err, errUnexpectedResponse) {
+		return err
+	}
+	return s.connectionLost(err)
+}
+
 func (s *session) failPinnedSession(b *batch, err error) error {
 	var clientErr *clientError
 	if errors.As(err, &clientErr) || errors.Is(err, errConnectionEnded) {
--- a/internal/transport/acceptor/notice.go
+++ b/internal/transport/acceptor/notice.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"oleanderpulley/internal/protocol/framer"
 	"oleanderpulley/internal/protocol/refuser"
 )
 
@@ -43,23 +44,40 @@
 }
 
 // forwardNotices forwards the messages that an idle pinned session's backend
-// connection has received. If that connection is lost, the session ends,
-// because its state is lost too.
+// connection has received. If that connection is lost or out of step, the session
+// ends, because its state is lost too.
 func (s *session) forwardNotices() error {
 	if !s.mayReceiveNotices() {
 		return nil
 	}
+	err := s.forwardAsynchronous()
+	var clientErr *clientError
+	if err == nil || errors.As(err, &clientErr) {
+		return err
+	}
+	return s.failIdleSession()
+}
+
+// forwardAsynchronous forwards the asynchronous messages that the session's
+// backend connection has received while no response is outstanding. Any other
+// message belongs to no statement, and it returns [errUnexpectedResponse].
+func (s *session) forwardAsynchronous() error {
 	c := s.lease.conn
 	for !c.HasNoInput() {
 		if err := c.SetReadDeadline(time.Now().Add(noticeReadTimeout)); err != nil {
-			return s.failIdleSession()
+			return errors.Wrap(err, "set deadline")
 		}
 		kind, frame, err := c.Reader.Next()
 		if errors.Is(err, os.ErrDeadlineExceeded) && c.Reader.Buffered() == 0 {
 			return nil // A TLS record without data.
 		}
-		if err != nil || kind != 'A' && kind != 'N' && kind != 'S' {
-			return s.failIdleSession()
+		switch {
+		case err != nil:
+			return errors.Wrap(err, "read without a statement")
+		case kind == 'E' && isFatal(frame):
+			return errors.Errorf("backend server ended the connection: %s", framer.ErrorField(frame, 'C'))
+		case kind != 'A' && kind != 'N' && kind != 'S':
+			return errors.Wrapf(errUnexpectedResponse, "type %q without a statement", kind)
 		}
 		if err := s.writeToClient(frame); err != nil {
 			return err
