internal/transport/lender: an answer with a signature given before is dropped

Callers got a success for a READ, WRITE, EXECUTE or COMMIT with the rows and the signature of an earlier statement of the same connection (MIXED), when a backend server sent an answer a second time after the next statement was sent.

A signature names its run, so an answer whose signature was given before on the connection is no answer to a new statement. If its rows are the same too, it is dropped and the next answer is awaited within the deadline, at most 8 for one statement. If they differ, the answers are out of step: the connection is broken and the outcome unknown. Receive does this for statements alone, in transactions and in pipelined series.

Before: TestRepeatedSignedAnswerIsDropped failed in 8 of 8 cases, TestRepeatInASeriesShiftsNoAnswer, TestKnownSignatureOfAnotherAnswerBreaksTheConnection, TestRepeatsWithoutAnEndBreakTheConnection and TestOlderSignaturesAreRemembered failed. After: all pass.

--- a/internal/transport/lender/answers_test.go
+++ b/internal/transport/lender/answers_test.go
@@ -115,12 +115,8 @@
 	return s.links[len(s.links)-1]
 }
 
-func (s *scriptedServer) borrow(t testing.TB, change ...func(*lender.Request)) *lender.Conn {
-	req := request("shops")
-	for _, f := range change {
-		f(&req)
-	}
-	c, err := s.lender.Borrow(req)
+func (s *scriptedServer) borrow(t testing.TB) *lender.Conn {
+	c, err := s.lender.Borrow(request("shops"))
 	qt.Assert(t, err, qt.IsNil)
 	return c
 }
@@ -170,3 +166,92 @@
 	qt.Assert(t, s.unexpected("unrequested"), qt.Equals, int64(1))
 	qt.Assert(t, strings.Count(s.logs.String(), `"event":"unrequested_data"`), qt.Equals, 1)
 }
+
+// Guards against the success of a statement with the rows and the signature of an
+// earlier one (MIXED): a repeat that arrived after the statement was sent was taken as
+// its answer.
+func TestRepeatedSignedAnswerIsDropped(t *testing.T) {
+	for _, k := range []requester.Kind{requester.Read, requester.Write, requester.Execute, requester.Commit} {
+		for _, earlier := range []requester.Kind{requester.Read, requester.Write} {
+			t.Run(earlier.String()+"/"+k.String(), func(t *testing.T) {
+				s := newScriptedServer()
+				c := s.borrow(t)
+				_, err := c.Run(soon(), statement(earlier, "x"))
+				qt.Assert(t, err, qt.IsNil)
+				for range 2 {
+					s.before = repeatOnce(k, 0)
+					r, err := c.Run(soon(), statement(k, "y"))
+					qt.Assert(t, err, qt.IsNil)
+					qt.Assert(t, r, qt.DeepEquals, s.last().given[len(s.last().given)-1])
+				}
+				s.lender.Return(c)
+				qt.Assert(t, s.last().closed, qt.IsFalse)
+			})
+		}
+	}
+}
+
+// Guards against a repeat in a pipelined series that shifts the answers after it.
+func TestRepeatInASeriesShiftsNoAnswer(t *testing.T) {
+	s := newScriptedServer()
+	c := s.borrow(t)
+	_, err := c.Run(soon(), statement(requester.Read, "x"))
+	qt.Assert(t, err, qt.IsNil)
+	for _, k := range []requester.Kind{requester.Begin, requester.Read, requester.Rollback} {
+		s.before = repeatOnce(k, 0)
+		series := []requester.Statement{{Kind: requester.Begin}, statement(requester.Read, "y"), {Kind: requester.Rollback}}
+		qt.Assert(t, c.Send(soon(), series...), qt.IsNil)
+		for i := range series {
+			r, err := c.Receive(soon())
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, r, qt.DeepEquals, s.last().given[len(s.last().given)-len(series)+i], qt.Commentf("%s", k))
+		}
+	}
+}
+
+// Guards against an answer whose signature belongs to another one, which shows that the
+// answers are out of step.
+func TestKnownSignatureOfAnotherAnswerBreaksTheConnection(t *testing.T) {
+	s := newScriptedServer()
+	c := s.borrow(t)
+	first, err := c.Run(soon(), statement(requester.Read, "x"))
+	qt.Assert(t, err, qt.IsNil)
+	s.answer = func(_ requester.Statement, r requester.Result) requester.Result {
+		r.Signature = first.Signature
+		return r
+	}
+	_, err = c.Run(soon(), statement(requester.Write, "y"))
+	qt.Assert(t, err, qt.ErrorIs, lender.ErrNoAnswer)
+	qt.Assert(t, c.Broken(), qt.IsTrue)
+	qt.Assert(t, s.unexpected("out_of_step"), qt.Equals, int64(1))
+}
+
+// Guards against a borrower that reads answers without an end from a server that sends
+// one answer again and again.
+func TestRepeatsWithoutAnEndBreakTheConnection(t *testing.T) {
+	s := newScriptedServer()
+	c := s.borrow(t)
+	first, err := c.Run(soon(), statement(requester.Read, "x"))
+	qt.Assert(t, err, qt.IsNil)
+	s.before = func(*scriptedLink, requester.Statement) []requester.Result {
+		return slices.Repeat([]requester.Result{first}, 1000)
+	}
+	_, err = c.Run(soon(), statement(requester.Write, "y"))
+	qt.Assert(t, err, qt.ErrorIs, lender.ErrNoAnswer)
+	qt.Assert(t, c.Broken(), qt.IsTrue)
+	qt.Assert(t, len(s.last().unread) > 900, qt.IsTrue)
+}
+
+// Guards against signatures that are remembered without a bound, or too few of them.
+func TestOlderSignaturesAreRemembered(t *testing.T) {
+	s := newScriptedServer()
+	c := s.borrow(t)
+	for range 700 {
+		_, err := c.Run(soon(), statement(requester.Read, "x"))
+		qt.Assert(t, err, qt.IsNil)
+	}
+	s.before = repeatOnce(requester.Write, 700-500)
+	r, err := c.Run(soon(), statement(requester.Write, "y"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, r.Signature, qt.Equals, "7.1f3.700")
+}
--- a/internal/transport/lender/conn.go
+++ b/internal/transport/lender/conn.go
@@ -88,19 +88,35 @@
 	return errors.Wrapf(ErrNoAnswer, "sending to %s: %v", c.Server.ID, err)
 }
 
-// Receive returns the result of the oldest unanswered statement.
+// maxRepeats is the number of repeated answers to one statement after which the
+// connection is broken.
+const maxRepeats = 8
+
+// Receive returns the result of the oldest unanswered statement. It drops answers
+// that the backend server has sent before. An error is [ErrNoAnswer], and the
+// connection is broken afterwards.
 func (c *Conn) Receive(deadline time.Time) (requester.Result, error) {
-	r, err := c.link.Receive(deadline)
-	if err != nil {
-		c.broken = true
-		return r, errors.Wrapf(ErrNoAnswer, "%s: %v", c.Server.ID, err)
-	}
-	c.LastAnswer = time.Now()
 	k := c.nextUnanswered()
-	if v := c.answers.judge(r); v != expected {
-		c.lender.reportAnswer(c, k, v, r)
+	for range maxRepeats {
+		r, err := c.link.Receive(deadline)
+		if err != nil {
+			c.broken = true
+			return r, errors.Wrapf(ErrNoAnswer, "%s: %v", c.Server.ID, err)
+		}
+		switch v := c.answers.judge(r); v {
+		case expected:
+			c.LastAnswer = time.Now()
+			return r, nil
+		case repeated:
+			c.lender.reportAnswer(c, k, v, r)
+		case outOfStep:
+			c.lender.reportAnswer(c, k, v, r)
+			c.broken = true
+			return requester.Result{}, errors.Wrapf(ErrNoAnswer, "%s: the answer is to another statement than %s", c.Server.ID, k)
+		}
 	}
-	return r, nil
+	c.broken = true
+	return requester.Result{}, errors.Wrapf(ErrNoAnswer, "%s: %d repeated answers", c.Server.ID, maxRepeats)
 }
 
 // nextUnanswered removes the oldest unanswered statement and returns its kind.
