internal/command/commander: send the token of the token file unchanged

A token that ended in a blank such as U+00A0 was cut, so that the hash of another token was compared and the operator was answered "a valid bearer token is needed". TrimSpace cut every kind of blank at both ends. One line end is cut now. A token that a header cannot hold unchanged, with control characters or with blanks at its ends, is refused with the name of the file before anything is sent.

--- a/internal/command/commander/admin_client.go
+++ b/internal/command/commander/admin_client.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"oleanderpulley/internal/protocol/loader"
 )
 
 const (
@@ -66,11 +68,11 @@
 		return 0, nil, errors.Wrap(errUsage, err.Error())
 	}
 	if a.tokenFile != "" {
-		token, err := os.ReadFile(filepath.Clean(a.tokenFile))
+		token, err := readToken(a.tokenFile)
 		if err != nil {
-			return 0, nil, errors.Wrap(err, "reading the token file")
+			return 0, nil, err
 		}
-		request.Header.Set("Authorization", "Bearer "+strings.TrimSpace(string(token)))
+		request.Header.Set("Authorization", "Bearer "+token)
 	}
 	client, err := a.httpClient()
 	if err != nil {
@@ -85,6 +87,21 @@
 	return response.StatusCode, data, errors.Wrap(err, "reading the response")
 }
 
+// readToken returns the token in a file with one line. It refuses one that a header
+// cannot hold unchanged.
+func readToken(name string) (string, error) {
+	data, err := os.ReadFile(filepath.Clean(name))
+	if err != nil {
+		return "", errors.Wrap(err, "reading the token file")
+	}
+	token := loader.CutLineEnd(string(data))
+	isControl := func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
+	if token == "" || token != strings.Trim(token, " \t") || strings.ContainsFunc(token, isControl) {
+		return "", errors.Wrapf(errUsage, "--token-file %s: needs one token, without control characters and without blanks at its ends", name)
+	}
+	return token, nil
+}
+
 func (a *adminClient) httpClient() (*http.Client, error) {
 	httpClient := &http.Client{Timeout: adminTimeout}
 	if a.caFile == "" {
