internal/transport/logger: escape characters that are not printable

An id that ended in U+0085 or U+00A0 was read back from the last field of its line without them, so that explain did not find the request, and a text with U+0085 or U+2028 began another line in readers that end one there. zerolog escapes control characters below 0x20 alone, and Fields trimmed all blanks of Unicode. Strings with a character that is not printable stay quoted now and have escapes in their place; Fields cuts ASCII blanks and line ends alone.

Failed before: TestTextsOfLinesAreReadBackUnchanged ("\u0085" was read back as ""). Passes after.

--- a/internal/transport/logger/format.go
+++ b/internal/transport/logger/format.go
@@ -3,13 +3,18 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"strings"
+	"unicode"
+	"unicode/utf16"
+	"unicode/utf8"
 )
 
 // Format appends a JSON event to line as key=value pairs in the order of the
 // event's fields, and a newline. Strings that are empty or contain spaces, quotes,
-// backslashes or equals signs stay quoted; lists and objects stay JSON. An event
-// that is not a JSON object is appended unchanged.
+// backslashes, equals signs or characters that are not printable stay quoted; lists and
+// objects stay JSON. Characters that are not printable are escaped. An event that is not
+// a JSON object is appended unchanged.
 func Format(line, event []byte) []byte {
 	start := len(line)
 	rest := bytes.TrimSpace(event)
@@ -28,7 +33,7 @@
 		}
 		line = append(line, key[1:len(key)-1]...)
 		line = append(line, '=')
-		line = append(line, unquoteIfPlain(value)...)
+		line = appendPrintable(line, unquoteIfPlain(value))
 		rest = next
 		if len(rest) > 0 && rest[0] == ',' {
 			rest = rest[1:]
@@ -85,12 +90,33 @@
 		return value
 	}
 	text := value[1 : len(value)-1]
-	if len(text) == 0 || bytes.ContainsAny(text, " =\\\"") {
+	if len(text) == 0 || bytes.ContainsAny(text, " =\\\"") || bytes.ContainsFunc(text, isNotPrintable) {
 		return value
 	}
 	return text
 }
 
+func isNotPrintable(r rune) bool {
+	return !unicode.IsPrint(r)
+}
+
+// appendPrintable appends JSON with escapes in place of the characters that are not
+// printable, such as U+0085 and U+2028, at which some readers end a line.
+func appendPrintable(line, value []byte) []byte {
+	for {
+		i := bytes.IndexFunc(value, isNotPrintable)
+		if i < 0 {
+			return append(line, value...)
+		}
+		line = append(line, value[:i]...)
+		r, size := utf8.DecodeRune(value[i:])
+		for _, unit := range utf16.AppendRune(nil, r) {
+			line = fmt.Appendf(line, `\u%04x`, unit)
+		}
+		value = value[i+size:]
+	}
+}
+
 // textField returns the value of a string field of an event, "" if there is none.
 func textField(event []byte, name string) string {
 	_, after, found := bytes.Cut(event, []byte(`"`+name+`":"`))
@@ -105,7 +131,7 @@
 // that precedes the first pair.
 func Fields(line string) map[string]string {
 	fields := map[string]string{}
-	for rest := strings.TrimSpace(line); rest != ""; rest = strings.TrimLeft(rest, " ") {
+	for rest := strings.Trim(line, " \t\r\n"); rest != ""; rest = strings.TrimLeft(rest, " ") {
 		key, after, found := strings.Cut(rest, "=")
 		if !found {
 			return fields
--- a/internal/transport/logger/logger_test.go
+++ b/internal/transport/logger/logger_test.go
@@ -7,9 +7,11 @@
 	"sync"
 	"testing"
 	"time"
+	"unicode"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
 
 	"oleanderpulley/internal/transport/logger"
 )
@@ -92,3 +94,18 @@
 		logger.Fields(string(line))
 	})
 }
+
+// Guards against a text of a client that ends a log line, becomes a field of its own, or is cut when the line is read back.
+func TestTextsOfLinesAreReadBackUnchanged(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		text := rapid.OneOf(rapid.String(), rapid.StringOf(rapid.SampledFrom([]rune(" =\"\\\r\n\t\x00\x7f\u0085\u00a0\u2028{}[],:aé\ufffd")))).Draw(r, "text")
+		var b bytes.Buffer
+		l := zerolog.New(&b)
+		l.Info().Str("id", text).Str("reason", text).Send()
+		line := string(logger.Format(nil, b.Bytes()))
+		fields := logger.Fields(line)
+		if strings.ContainsFunc(strings.TrimSuffix(line, "\n"), func(r rune) bool { return !unicode.IsPrint(r) }) || len(fields) != 3 || fields["id"] != text || fields["reason"] != text {
+			r.Fatalf("text %q was read back from %q as %q", text, line, fields)
+		}
+	})
+}
