internal/command/commander: explain requests whose id is not UTF-8

explain did not find a request whose id has bytes that are not UTF-8 ("no log line contains the request id"), as lines have U+FFFD in place of each of them. It looks for the id in the form in which it is logged, and says on the error output that other requests may have the same form. The error of an id that is not found quotes it.

Failed before: TestRequestsAreFoundByIDsOfAnyBytes (3 of 13 ids, and the error had the bytes of the id as they are). Passes after.

--- a/internal/command/commander/explain.go
+++ b/internal/command/commander/explain.go
@@ -53,11 +53,20 @@
 		if err != nil {
 			return err
 		}
+		if logged := loggedID(id); logged != id {
+			id = logged
+			c.PrintErrln("the id is not UTF-8: logs have U+FFFD for each byte of it that is not, so that the lines may be those of other requests as well")
+		}
 		return printExplanation(c.OutOrStdout(), id, lines)
 	}
 	return c
 }
 
+// loggedID returns the id as it is logged.
+func loggedID(id string) string {
+	return string([]rune(id))
+}
+
 // logLine is a logged event.
 type logLine struct {
 	text   string
@@ -111,7 +120,7 @@
 		}
 	}
 	if first.IsZero() {
-		return errors.Wrapf(errRequestNotLogged, "id %s", id)
+		return errors.Wrapf(errRequestNotLogged, "id %q", id)
 	}
 	for _, l := range lines {
 		inPeriod := l.at.After(first.Add(-stateChangesBefore)) && l.at.Before(last.Add(stateChangesAfter))
