internal/command/commander: explain reads log lines of any length

One line with a long text, such as an id of a MiB with an escape for each byte, made explain fail for all requests ("bufio.Scanner: token too long"). It reads lines without a limit on their length.

Failed before: TestLongLinesHideNoRequest. Passes after.

--- a/internal/command/commander/explain.go
+++ b/internal/command/commander/explain.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
+	"oleanderpulley/internal/protocol/loader"
 	"oleanderpulley/internal/transport/logger"
 )
 
@@ -82,16 +83,7 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "opening the log")
 		}
-		scanner := bufio.NewScanner(f)
-		scanner.Buffer(nil, 1<<20)
-		for scanner.Scan() {
-			fields := logger.Fields(scanner.Text())
-			at, err := time.Parse(time.RFC3339Nano, fields["time"])
-			if err == nil {
-				lines = append(lines, logLine{scanner.Text(), at, fields})
-			}
-		}
-		err = scanner.Err()
+		lines, err = appendLog(lines, f)
 		_ = f.Close()
 		if err != nil {
 			return nil, errors.Wrapf(err, "reading the log %s", name)
@@ -101,6 +93,26 @@
 	return lines, nil
 }
 
+// appendLog appends the lines of a log that have a valid time. A line may be of any
+// length, as it may have a text of a client with an escape for each byte.
+func appendLog(lines []logLine, log io.Reader) ([]logLine, error) {
+	reader := bufio.NewReader(log)
+	for {
+		text, err := reader.ReadString('\n')
+		text = loader.CutLineEnd(text)
+		fields := logger.Fields(text)
+		if at, timeErr := time.Parse(time.RFC3339Nano, fields["time"]); timeErr == nil {
+			lines = append(lines, logLine{text, at, fields})
+		}
+		if errors.Is(err, io.EOF) {
+			return lines, nil
+		}
+		if err != nil {
+			return lines, err
+		}
+	}
+}
+
 // printExplanation writes the lines of the request and the state changes around
 // it, of the instances that handled or were forwarded the request.
 func printExplanation(w io.Writer, id string, lines []logLine) error {
--- a/internal/command/commander/explain_id_test.go
+++ b/internal/command/commander/explain_id_test.go
@@ -56,3 +56,10 @@
 	qt.Assert(t, err, qt.ErrorIs, errRequestNotLogged)
 	qt.Assert(t, err, qt.ErrorMatches, `id "a\\x1b\[2J�": .*`)
 }
+
+// Guards against one line of a client's long text that hides all requests of the log.
+func TestLongLinesHideNoRequest(t *testing.T) {
+	out, _, err := runExplain("a", logOf(t, strings.Repeat("\x01", 1<<20), "a"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, strings.Count(out, "\n"), qt.Equals, 1)
+}
