internal/transport/reporter: labels have only the escapes of the format

A collector refused all metrics of an instance once the name of one workspace or service had a tab, a NUL, a blank such as U+00A0 or another character that Go does not print: %q wrote escapes such as \t and \u00a0, but the text exposition format has \\, \" and \n alone.

Failed before: TestLabelsHaveOnlyTheEscapesOfTheFormat (4 of 9 names). Passes after.

--- a/internal/transport/reporter/registry.go
+++ b/internal/transport/reporter/registry.go
@@ -182,7 +182,7 @@
 		{"workspace", string(s.Workspace)}, {"service", string(s.Service)}, {"reason", s.Reason}, {"le", le},
 	} {
 		if label[1] != "" {
-			parts = append(parts, fmt.Sprintf("%s=%q", label[0], label[1]))
+			parts = append(parts, label[0]+`="`+escapeLabel(label[1])+`"`)
 		}
 	}
 	if len(parts) == 0 {
@@ -191,6 +191,15 @@
 	return "{" + strings.Join(parts, ",") + "}"
 }
 
+// labelEscapes are all escapes of the text exposition format. A collector refuses all
+// metrics if one has another escape.
+var labelEscapes = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
+
+// escapeLabel returns the value of a label in the text exposition format, which is UTF-8.
+func escapeLabel(value string) string {
+	return labelEscapes.Replace(string([]rune(value)))
+}
+
 // histogramLines returns the lines of a histogram in the text exposition format.
 // Buckets with the same cumulative count as the previous one are omitted.
 func histogramLines(s Series, h *BucketSample) string {
