internal/transport/acceptor: a response must fit its statement

What callers saw: a response that the server sent again after it had received the next statement was given to that statement, also if it was one of another kind: a COMMIT got the rows of a SELECT, a SELECT the row count of an INSERT. A response without an outcome, with two, with rows after its outcome, or with a transaction status that the statement cannot lead to was a success. A large row was forwarded even if no rows were expected.

Cause: the relay checked the type of each message, but neither its place in the response nor what it says.

The classifier now knows the command tags with which a server may complete each statement, and the relay requires exactly one outcome with such a tag for each statement, no rows after the last, at most one error, a ParameterDescription before the description of a statement, and the transaction status that the batch leads to. Otherwise the connection is closed and the outcome unknown. The number of statements is not checked where a server may count them differently: a backslash in a string constant, or the body of a function.

A repeat of the same kind that comes late, rows for rows, cannot be told by the protocol.

The scripted server of TestCopyInExtendedProtocol completed SELECT 1 with the tag OK, which no PostgreSQL server sends. It sends SELECT 1 now. TestClassify compares all fields but the tags, which TestTags checks.

--- a/internal/protocol/classifier/classifier.go
+++ b/internal/protocol/classifier/classifier.go
@@ -19,11 +19,14 @@
 	Begin               bool            // Begins a transaction.
 	ReadOnly            bool            // The only statement begins a read-only transaction.
 	End                 bool            // Commits, rolls back or prepares a transaction.
+	Chain               bool            // Ends a transaction and begins another one at once.
 	Rollback            bool            // The only statement rolls back the whole transaction.
 	Savepoint           bool            // Rolls back to a savepoint.
 	CreatesSessionState bool            // Creates session state on the connection.
 	ProxyStatement      *ProxyStatement // The only statement, if the proxy responds to it itself.
 	Mixed               bool            // Several statements, one of which sets, resets or shows a proxy setting.
+	Tags                Tags            // Command tags with which a server may complete the statements.
+	Uncertain           bool            // A server may count the statements differently, see [Classify].
 	Hints               []byte          // Content of a leading comment after "oleanderpulley:".
 }
 
@@ -48,10 +51,13 @@
 }
 
 // Classify classifies the statements of sql. It allocates only for statements that
-// the proxy responds to itself.
+// the proxy responds to itself. Their number is uncertain if the text has a
+// backslash, whose meaning in a string constant depends on a setting of the
+// connection, or the body of a function.
 func Classify(sql []byte) Summary {
 	var s Summary
 	lex := lexer{sql: sql}
+	s.Uncertain = bytes.IndexByte(sql, '\\') >= 0
 	for {
 		t := lex.next()
 		if t.kind == tokenEnd {
@@ -61,6 +67,7 @@
 			continue
 		}
 		s.Count++
+		s.Tags |= tagsOf(t)
 		// A later statement must not overwrite ProxyStatement without a trace
 		// if it is a proxy setting.
 		s.Mixed = s.Mixed || s.ProxyStatement != nil && s.ProxyStatement.Verb != Deallocate
--- a/internal/protocol/classifier/classifier_test.go
+++ b/internal/protocol/classifier/classifier_test.go
@@ -59,6 +59,8 @@
 		"START TRANSACTION ISOLATION LEVEL REPEATABLE READ, READ ONLY": {Class: classifier.Read, Count: 1, Begin: true, ReadOnly: true},
 		"BEGIN READ ONLY; INSERT INTO t VALUES (1)":                    {Class: classifier.Write, Count: 2, Begin: true},
 		"COMMIT":                        {Class: classifier.Read, Count: 1, End: true},
+		"COMMIT AND CHAIN":              {Class: classifier.Read, Count: 1, End: true, Chain: true},
+		"ROLLBACK WORK AND NO CHAIN":    {Class: classifier.Read, Count: 1, End: true, Rollback: true},
 		"ROLLBACK":                      {Class: classifier.Read, Count: 1, End: true, Rollback: true},
 		"ROLLBACK TO SAVEPOINT a":       {Class: classifier.Read, Count: 1, Savepoint: true},
 		"SELECT 1; UPDATE t SET v = 1;": {Class: classifier.Write, Count: 2},
@@ -69,11 +71,45 @@
 		"SELECT 1; SET oleanderpulley.route = 'x'":                                                     {Class: classifier.Read, Count: 2, Mixed: true},
 	} {
 		t.Run(sql, func(t *testing.T) {
-			qt.Assert(t, classifier.Classify([]byte(sql)), qt.DeepEquals, want)
+			got := classifier.Classify([]byte(sql))
+			got.Tags, got.Uncertain = 0, false // See TestTags.
+			qt.Assert(t, got, qt.DeepEquals, want)
 		})
 	}
 }
 
+// Guards against a response that is refused although it belongs to the statement,
+// and against one of another kind of statement that is accepted.
+func TestTags(t *testing.T) {
+	for sql, tags := range map[string][2]string{
+		"SELECT 1":                        {"SELECT 1", "INSERT 0 1"},
+		"(values (1))":                    {"SELECT 1", "SET"},
+		"table t":                         {"SELECT 1", "CREATE TABLE"},
+		"with x as (select 1) delete":     {"DELETE 1", "BEGIN"},
+		"insert into t":                   {"INSERT 0 1", "UPDATE 1"},
+		"CREATE TABLE x AS SELECT 1":      {"SELECT 1", "INSERT 0 1"},
+		"CREATE TABLE x (v int)":          {"CREATE TABLE", "DROP TABLE"},
+		"START TRANSACTION":               {"START TRANSACTION", "COMMIT"},
+		"END":                             {"COMMIT", "SELECT 1"},
+		"COMMIT":                          {"ROLLBACK", "BEGIN"},
+		"PREPARE TRANSACTION 'x'":         {"PREPARE TRANSACTION", "COMMIT PREPARED"},
+		"ABORT":                           {"ROLLBACK", "COMMIT"},
+		"EXECUTE p":                       {"DELETE 1", ""},
+		"VACUUM t":                        {"VACUUM", "SELECT 1"},
+		"refresh materialized view v":     {"REFRESH MATERIALIZED VIEW", "UPDATE 1"},
+		"SELECT 1; DELETE FROM t":         {"DELETE 1", "UPDATE 1"},
+		"averylongstatementkeyword x y z": {"OTHER", "SELECT 1"},
+	} {
+		s := classifier.Classify([]byte(sql))
+		qt.Check(t, s.Tags.Contain([]byte(tags[0])), qt.IsTrue, qt.Commentf("%s", sql))
+		qt.Check(t, tags[1] != "" && s.Tags.Contain([]byte(tags[1])), qt.IsFalse, qt.Commentf("%s", sql))
+		qt.Check(t, s.Uncertain, qt.IsFalse, qt.Commentf("%s", sql))
+	}
+	for _, sql := range []string{`SELECT '\'; SELECT 1`, "CREATE PROCEDURE p() BEGIN ATOMIC SELECT 1; END"} {
+		qt.Check(t, classifier.Classify([]byte(sql)).Uncertain, qt.IsTrue, qt.Commentf("%s", sql))
+	}
+}
+
 // Guards against statements for the proxy, such as SET of a proxy setting, that are
 // sent to a backend server.
 func TestOwnStatements(t *testing.T) {
--- a/internal/protocol/classifier/statement.go
+++ b/internal/protocol/classifier/statement.go
@@ -191,20 +191,21 @@
 		return
 	}
 	st.raiseClass(Read)
-	if first.is("rollback") {
-		t := second
-		for ; t.kind != tokenEnd && !t.is(";"); t = st.next() {
-			if t.is("to") {
-				s.Savepoint = true
-				return
-			}
+	previous, chain := first, false
+	for t := second; t.kind != tokenEnd && !t.is(";"); t = st.next() {
+		if first.is("rollback") && t.is("to") {
+			s.Savepoint = true
+			return
 		}
+		chain = t.is("chain") && !previous.is("no")
+		previous = t
 	}
 	if second.is("prepared") {
 		st.raiseClass(Write)
 		return
 	}
 	s.End = true
+	s.Chain = s.Chain || chain
 	s.Rollback = first.isAnyOf("rollback", "abort")
 }
 
@@ -246,6 +247,7 @@
 		switch {
 		case previous.is("begin") && t.is("atomic"), depth > 0 && t.is("case"):
 			depth++
+			st.summary.Uncertain = true
 		case depth > 0 && t.is("end"):
 			depth--
 		}
--- a/internal/transport/acceptor/build.go
+++ b/internal/transport/acceptor/build.go
@@ -27,7 +27,7 @@
 	if len(b.request) == 0 && whole && b.terminator != 'd' && !s.needsRewrite(b) {
 		for i := range b.messages {
 			if m := &b.messages[i]; m.kind != 'H' {
-				b.expected = append(b.expected, expectedResponse{kind: m.kind, stmt: m.stmt})
+				b.expected = append(b.expected, expectedResponse{kind: m.kind, stmt: m.stmt, answer: m.answer})
 			}
 		}
 		return kept
@@ -54,7 +54,7 @@
 			b.request = append(b.request, frame...)
 		}
 		if m.kind != 'H' {
-			b.expected = append(b.expected, expectedResponse{kind: m.kind})
+			b.expected = append(b.expected, expectedResponse{kind: m.kind, stmt: m.stmt, answer: m.answer})
 		}
 		unnamed = unnamed && m.kind != 'Q'
 	}
@@ -144,17 +144,18 @@
 func (s *session) buildPrelude(b *batch) {
 	if s.pinned && s.txStatus == 'I' && !s.awaitingSync {
 		b.request = framer.AppendText(b.request, 'Q', pooler.WorkspaceSetting(s.workspace))
-		b.expected = append(b.expected, expectedResponse{kind: 'Q', role: rolePrelude})
+		b.expected = append(b.expected, expectedResponse{kind: 'Q', role: rolePrelude, answer: settingAnswer})
 	}
 	if b.recordRequest {
+		shape := recordAnswer
 		sql := "INSERT INTO oleanderpulley_requests (workspace, request_id, digest) VALUES (" +
 			pooler.Literal(string(s.workspace)) + ", " + pooler.Literal(string(b.settings.requestID)) + ", '" +
 			strconv.FormatUint(s.requestDigest(b), 16) + "')"
 		if b.wrapInTx {
-			sql = "BEGIN; " + sql
+			sql, shape = "BEGIN; "+sql, wrappedRecordAnswer
 		}
 		b.request = framer.AppendText(b.request, 'Q', sql)
-		b.expected = append(b.expected, expectedResponse{kind: 'Q', role: rolePrelude})
+		b.expected = append(b.expected, expectedResponse{kind: 'Q', role: rolePrelude, answer: shape})
 	}
 }
 
@@ -171,6 +172,6 @@
 func (s *session) buildPostlude(b *batch) {
 	if b.wrapInTx {
 		b.request = framer.AppendText(b.request, 'Q', "COMMIT")
-		b.expected = append(b.expected, expectedResponse{kind: 'Q', role: rolePostlude})
+		b.expected = append(b.expected, expectedResponse{kind: 'Q', role: rolePostlude, answer: commitAnswer})
 	}
 }
--- a/internal/transport/acceptor/driver_test.go
+++ b/internal/transport/acceptor/driver_test.go
@@ -129,7 +129,7 @@
 		sr.runClientCommand(c, "ask", `d 1\n; d 2\n; c; S`)
 		sr.runClientCommand(c, "ask", "P - SELECT 1; B -; E; S")
 		qt.Check(t, sr.out.String(), qt.Equals, "  ParseComplete\n  BindComplete\n  copy in\n  done COPY 2\n  ready I\n"+
-			"  ParseComplete\n  BindComplete\n  done OK\n  ready I\n")
+			"  ParseComplete\n  BindComplete\n  done SELECT 1\n  ready I\n")
 		qt.Check(t, <-copied+<-copied, qt.Equals, "1\n2\n")
 	}
 }
@@ -207,7 +207,7 @@
 				if inCopy = strings.HasPrefix(text, "COPY"); inCopy {
 					b.Send(&pgproto3.CopyInResponse{})
 				} else {
-					b.Send(&pgproto3.CommandComplete{CommandTag: []byte("OK")})
+					b.Send(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")})
 				}
 			case *pgproto3.CopyData:
 				copied <- string(m.Data)
--- a/internal/transport/acceptor/plan.go
+++ b/internal/transport/acceptor/plan.go
@@ -75,6 +75,7 @@
 func (s *session) planBatch(b *batch) error {
 	b.settings = s.settings
 	kept := s.input.Retained()
+	var bound *message // The last Bind of the batch.
 	for i := range b.messages {
 		m := &b.messages[i]
 		body := kept[m.start+framer.HeaderSize : m.end]
@@ -86,12 +87,18 @@
 			err = s.planParse(b, m, body)
 		case 'B':
 			err = s.planBind(b, m, body)
+			bound = m
 		case 'D', 'C':
 			err = s.planNamed(b, m, body)
 		case 'E':
 			if b.proxyMessages == 0 {
 				b.class = max(b.class, classifier.Read)
 			}
+			if bound != nil && samePortal(kept[bound.start+framer.HeaderSize:bound.end], body) {
+				m.answer = answerTo(&bound.stmt.summary)
+			} else {
+				b.unbound = true
+			}
 		}
 		if err != nil {
 			return err
@@ -106,6 +113,7 @@
 		return refuser.New(refuser.Protocol, "malformed query message")
 	}
 	summary := classifier.Classify(sql)
+	m.answer = answerTo(&summary)
 	s.unnamedStatement = nil // A simple query destroys the unnamed statement.
 	return s.addStatement(b, m, &summary)
 }
@@ -228,6 +236,7 @@
 	b.beginsTx = b.beginsTx || sum.Begin
 	b.readOnlyTx = sum.ReadOnly && b.statementCount == 1
 	b.endsTx = b.endsTx || sum.End
+	b.chainsTx = b.chainsTx || sum.Chain
 	b.rollsBack = sum.Rollback && b.statementCount == 1
 	b.usesSavepoint = b.usesSavepoint || sum.Savepoint
 	if sum.ProxyStatement != nil && (!s.pinned || sum.ProxyStatement.Verb != classifier.Deallocate) {
--- a/internal/transport/acceptor/relay.go
+++ b/internal/transport/acceptor/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"os"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -110,7 +109,11 @@
 	if err != nil {
 		return false, errors.Wrap(err, "read answer")
 	}
-	if (kind == 'D' || kind == 'd') && size > minStreamedRow && b.expected[b.next].role == roleForward && !b.discardRest {
+	e := &b.expected[b.next]
+	if (kind == 'D' || kind == 'd') && size > minStreamedRow && e.role == roleForward && !b.discardRest {
+		if _, allowed := e.classifyFrame(kind, nil); !allowed {
+			return false, errors.Wrapf(errUnexpectedResponse, "type %q", kind)
+		}
 		return true, s.streamFrame(ctx, b, size)
 	}
 	for r.Buffered() < size {
@@ -199,8 +202,8 @@
 	case 'E':
 		return s.handleErrorResponse(b, e, frame)
 	case 'G':
-		if e.kind != 'Q' && e.kind != 'E' || e.role != roleForward {
-			return errUnexpectedResponse
+		if e.kind != 'Q' && e.kind != 'E' || e.role != roleForward || !e.mayContinue() {
+			return errors.Wrapf(errUnexpectedResponse, "type %q", kind)
 		}
 		return s.copyIn(ctx, b, e)
 	}
@@ -210,7 +213,7 @@
 // advanceExpected checks that the frame belongs to the expected response, and
 // advances to the next one if this frame completes it.
 func (s *session) advanceExpected(b *batch, e *expectedResponse, kind byte, frame []byte) error {
-	ends, allowed := e.classifyFrame(kind)
+	ends, allowed := e.classifyFrame(kind, frame)
 	if !allowed {
 		return errors.Wrapf(errUnexpectedResponse, "type %q", kind)
 	}
@@ -229,27 +232,6 @@
 	return nil
 }
 
-// classifyFrame reports whether a frame of this type may occur in the response,
-// and whether it completes the response.
-func (e *expectedResponse) classifyFrame(kind byte) (ends, allowed bool) {
-	switch e.kind {
-	case 'P':
-		return kind == '1', kind == '1'
-	case 'B':
-		return kind == '2', kind == '2'
-	case 'C':
-		return kind == '3', kind == '3'
-	case 'D':
-		return kind != 't', kind == 't' || kind == 'T' || kind == 'n'
-	case 'E':
-		ends = strings.IndexByte("CIs", kind) >= 0
-		return ends, ends || strings.IndexByte("DHdc", kind) >= 0
-	case 'S':
-		return kind == 'Z', kind == 'Z'
-	}
-	return kind == 'Z', strings.IndexByte("ZTDCIHdc", kind) >= 0
-}
-
 // handleErrorResponse handles an ErrorResponse from the server.
 func (s *session) handleErrorResponse(b *batch, e *expectedResponse, frame []byte) error {
 	state := framer.ErrorField(frame, 'C')
@@ -259,6 +241,10 @@
 	if state == sqlStateReadOnly && !b.onPrimary && !b.forwarded && s.txStatus == 'I' && s.openRoute == "" && !s.awaitingSync && b.isIdempotent() {
 		return errRefusedByReplica
 	}
+	if !e.mayFail() || e.kind == 'S' && b.skipToSync {
+		return errors.Wrapf(errUnexpectedResponse, "second outcome %s", state)
+	}
+	e.failed = true
 	if e.kind != 'Q' && e.kind != 'S' {
 		b.skipToSync = true
 		s.removeUnprepared(e)
--- a/internal/transport/acceptor/repeat_test.go
+++ b/internal/transport/acceptor/repeat_test.go
@@ -1,12 +1,14 @@
 package acceptor_test
 
 import (
+	"bytes"
 	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
 	"oleanderpulley/internal/fake/backendserver"
+	"oleanderpulley/internal/protocol/framer"
 )
 
 // repeatCase has the server repeat its response to one statement. The next
@@ -76,3 +78,75 @@
 		{"autocommit", nil, "SELECT v FROM t WHERE id = 1", "SELECT v FROM t WHERE id = 2", `row ["two"]`},
 	}, false)
 }
+
+// Guards against a response that the server sends again after it has received the
+// next statement, and that this statement gets although it is of another kind.
+func TestResponseRepeatedLate(t *testing.T) {
+	runRepeatCases(t, []repeatCase{
+		{"begin", nil, "BEGIN", "SELECT v FROM t WHERE id = 2", `row ["two"]`},
+		{"rows before write", []string{"BEGIN"}, "SELECT v FROM t WHERE id = 1", "INSERT INTO t VALUES (3, 'x')", "done INSERT 0 1"},
+		{"write before rows", []string{"BEGIN"}, "INSERT INTO t VALUES (3, 'x')", "SELECT v FROM t WHERE id = 2", `row ["two"]`},
+		{"rows before commit", []string{"BEGIN"}, "SELECT v FROM t WHERE id = 1", "COMMIT", "done COMMIT"},
+		{"commit", []string{"BEGIN", "INSERT INTO t VALUES (3, 'x')"}, "COMMIT", "INSERT INTO t VALUES (4, 'x')", "done INSERT 0 1"},
+		{"autocommit before transaction", []string{"UPDATE t SET v = 'a' WHERE id = 1"}, "UPDATE t SET v = 'b' WHERE id = 1", "BEGIN", "done BEGIN"},
+		{"error in a transaction", []string{"BEGIN"}, "SELECT x FROM t", "ROLLBACK", "done ROLLBACK"},
+	}, true)
+}
+
+// Guards against a success without exactly one outcome, with the outcome of
+// another statement, or with a transaction status that the statement does not lead
+// to.
+func TestMalformedResponses(t *testing.T) {
+	frame := framer.AppendText
+	tag := func(text string) []byte { return frame(nil, 'C', text) }
+	ready := func(status byte) []byte { return framer.AppendFrame(nil, 'Z', status) }
+	row := framer.AppendFrame(nil, 'D', 0, 1, 0, 0, 0, 1, 'x')
+	failure := framer.AppendFrame(nil, 'E', []byte("SERROR\x00VERROR\x00C22012\x00Mdivision by zero\x00\x00")...)
+	for name, test := range map[string]struct {
+		sql      string
+		response [][]byte
+		own      bool // The response belongs to the statement.
+	}{
+		"own response":             {"SELECT v FROM t", [][]byte{row, tag("SELECT 1"), ready('I')}, true},
+		"own responses":            {"INSERT INTO t VALUES (1); SELECT v FROM t", [][]byte{tag("INSERT 0 1"), row, tag("SELECT 1"), ready('I')}, true},
+		"own error":                {"SELECT 1/0", [][]byte{failure, ready('I')}, true},
+		"notice":                   {"SELECT v FROM t", [][]byte{row, framer.AppendFrame(nil, 'N', 0), tag("SELECT 1"), ready('I')}, true},
+		"no outcome":               {"INSERT INTO t VALUES (1)", [][]byte{ready('I')}, false},
+		"two outcomes":             {"INSERT INTO t VALUES (1)", [][]byte{tag("INSERT 0 1"), tag("INSERT 0 1"), ready('I')}, false},
+		"row after the outcome":    {"SELECT v FROM t", [][]byte{tag("SELECT 1"), row, ready('I')}, false},
+		"error after the outcome":  {"INSERT INTO t VALUES (1)", [][]byte{tag("INSERT 0 1"), failure, ready('I')}, false},
+		"outcome after the error":  {"INSERT INTO t VALUES (1)", [][]byte{failure, tag("INSERT 0 1"), ready('I')}, false},
+		"two errors":               {"INSERT INTO t VALUES (1)", [][]byte{failure, failure, ready('I')}, false},
+		"empty query":              {"INSERT INTO t VALUES (1)", [][]byte{framer.AppendFrame(nil, 'I'), ready('I')}, false},
+		"tag of another statement": {"INSERT INTO t VALUES (1)", [][]byte{tag("UPDATE 1"), ready('I')}, false},
+		"transaction is open":      {"INSERT INTO t VALUES (1)", [][]byte{tag("INSERT 0 1"), ready('T')}, false},
+		"transaction is not open":  {"BEGIN", [][]byte{tag("BEGIN"), ready('I')}, false},
+		"unknown status":           {"SELECT v FROM t", [][]byte{tag("SELECT 1"), ready('X')}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := startScriptedServer(t, func(sql string) []byte {
+				if strings.HasPrefix(sql, "SET") {
+					return append(tag("SET"), ready('I')...)
+				}
+				return bytes.Join(test.response, nil)
+			})
+			got := query(t, connect(t, serveAcceptor(t, newTestAcceptor(l.Addr().String())), nil), test.sql)
+			qt.Check(t, !strings.Contains(got, "ERROR 40003"), qt.Equals, test.own, qt.Commentf("%s", got))
+		})
+	}
+}
+
+// Guards against a large row that is forwarded before it is known to be part of
+// the response.
+func TestLargeRowOfAnotherStatement(t *testing.T) {
+	row := framer.AppendFrame(nil, 'D', append([]byte{0, 1, 0, 0, 0x80, 0}, make([]byte, 0x8000)...)...)
+	l := startScriptedServer(t, func(sql string) []byte {
+		if strings.HasPrefix(sql, "SET") {
+			return framer.AppendFrame(framer.AppendText(nil, 'C', "SET"), 'Z', 'I')
+		}
+		return framer.AppendFrame(append(framer.AppendText(nil, 'C', "INSERT 0 1"), row...), 'Z', 'I')
+	})
+	got := query(t, connect(t, serveAcceptor(t, newTestAcceptor(l.Addr().String())), nil), "INSERT INTO t VALUES (1)")
+	qt.Check(t, got, qt.Not(qt.Contains), "row")
+	qt.Check(t, got, qt.Contains, "ERROR 40003")
+}
--- a/internal/transport/acceptor/response.go
+++ b/internal/transport/acceptor/response.go
@@ -82,6 +82,9 @@
 func (s *session) completeResponse(ctx *statementContext, b *batch) error {
 	c := s.lease.conn
 	ready := c.Status != 0 && !b.lacksSync()
+	if ready && !s.awaitingSync && !b.fitsStatus(s.txStatus, c.Status) {
+		return errors.Wrapf(errUnexpectedResponse, "transaction status %q after %q", c.Status, s.txStatus)
+	}
 	s.recordOutcome(b, c.Status, ready)
 	// The response to the Execute of a COMMIT acknowledges it before the Sync.
 	if b.confirmsWrite && (ready || b.endsTx) {
