internal/transport/prober: a status belongs to the query that asked for it

What callers saw: after a backend server had sent the answer to a status query twice, each later query on the connection got the status of the one before. A position from before a write was recorded as sampled after it, so that a session could miss its own write on a replica, and a promised term from before a fence could extend a write right.

Cause: the answers to status queries differ only in their values, and pgconn takes the next complete answer on the connection.

From the second query on a connection, which uses a prepared statement, the query now returns a number that it was sent with. An answer with another number closes the connection, and the status is queried on a new one, as after any failure of an open connection. The first query has no earlier answer that it could get. The stand-in evaluates the expressions beside the status.

--- a/internal/fake/backendserver/describe.go
+++ b/internal/fake/backendserver/describe.go
@@ -29,14 +29,16 @@
 	switch {
 	case st.verb == "show":
 		return t.types, showColumns(st), nil
-	case st.table == "group_member_status()":
-		return t.types, statusColumns, nil
 	case st.table == activityTable:
 		return t.types, activityColumns, nil
 	}
 	var columns []column
 	for _, it := range st.outputs {
 		if it.expr.kind == starExpr {
+			if st.table == statusTable {
+				columns = append(columns, statusColumns...)
+				continue
+			}
 			if def == nil {
 				return nil, nil, sqlErrorf("42601", "SELECT * with no tables specified is not valid")
 			}
--- a/internal/fake/backendserver/function.go
+++ b/internal/fake/backendserver/function.go
@@ -206,7 +206,7 @@
 	if st.verb != "select" {
 		return false
 	}
-	return st.table == "group_member_status()" || st.table == activityTable || st.table == "" && len(st.outputs) == 1 &&
+	return st.table == statusTable || st.table == activityTable || st.table == "" && len(st.outputs) == 1 &&
 		st.outputs[0].expr.kind == callExpr && strings.HasPrefix(st.outputs[0].expr.name, "group_")
 }
 
@@ -216,10 +216,16 @@
 	if st.table == activityTable {
 		return ss.server.activity(), nil
 	}
+	x := &execution{ss: ss, st: st, args: args}
 	if st.table != "" {
-		return &result{columns: statusColumns, rows: [][]value{ss.server.Status().row()}, tag: "SELECT 1"}, nil
+		_, columns, err := ss.server.describe(nil, st, nil)
+		if err != nil {
+			return nil, err
+		}
+		x.resultColumns = columns
+		res := &result{columns: columns, tag: "SELECT 1"}
+		return res, x.project(res, ss.server.Status().row())
 	}
-	x := &execution{ss: ss, st: st, args: args}
 	e := st.outputs[0].expr
 	var values []value
 	for _, a := range e.args {
--- a/internal/fake/backendserver/member.go
+++ b/internal/fake/backendserver/member.go
@@ -223,6 +223,9 @@
 	return textValue("t"), true, command(term, *args[1])
 }
 
+// statusTable is the function that returns the status of the member.
+const statusTable = "group_member_status()"
+
 var statusColumns = []column{
 	{"server", 25, true}, {"incarnation", 25, true}, {"role", 25, true}, {"term", 20, true}, {"promised_term", 20, true},
 	{"applied", 20, true}, {"received", 20, true}, {"history", 25, true},
--- a/internal/transport/prober/statement.go
+++ b/internal/transport/prober/statement.go
@@ -1,6 +1,7 @@
 package prober
 
 import (
+	"bytes"
 	"context"
 	"strconv"
 	"strings"
@@ -21,7 +22,14 @@
 // the member has promised.
 const sqlStateRefused = "55000"
 
-const statusQuery = "SELECT * FROM group_member_status()"
+const (
+	statusQuery = "SELECT * FROM group_member_status()"
+	// numberedStatusQuery returns the number of the query with the status, because
+	// a server may send an answer twice: an earlier status would otherwise be taken
+	// for the answer to a later query.
+	numberedStatusQuery = "SELECT *, $1::text AS " + columnNumber + " FROM group_member_status()"
+	columnNumber        = "oleanderpulley_query"
+)
 
 // Status queries a member's status on a new connection.
 func (p *Prober) Status(ctx context.Context, service identifier.ServiceName, server identifier.BackendServerID) (tracker.MemberStatus, error) {
@@ -97,11 +105,12 @@
 const (
 	keyQueried  = "asked"
 	keyPrepared = "prepared"
+	keyNumber   = "number" // uint64, of the last numbered query.
 )
 
 // executeStatusQuery runs the status query. From the second query on a connection
-// it uses a prepared statement, so that the answer does not repeat the column
-// descriptions. They are two thirds of the bytes of an answer, and status queries
+// it uses a prepared statement with a number, so that the answer does not repeat the
+// column descriptions. They are two thirds of the bytes of an answer, and status queries
 // are the largest part of an instance's control traffic.
 func executeStatusQuery(ctx context.Context, conn *pgconn.PgConn) (*pgconn.Result, error) {
 	connectionData := conn.CustomData()
@@ -119,13 +128,33 @@
 	description, ok := connectionData[keyPrepared].(*pgconn.StatementDescription)
 	if !ok {
 		var err error
-		if description, err = conn.Prepare(ctx, keyPrepared, statusQuery, nil); err != nil {
+		if description, err = conn.Prepare(ctx, keyPrepared, numberedStatusQuery, nil); err != nil {
 			return nil, err
 		}
 		connectionData[keyPrepared] = description
 	}
-	result := conn.ExecStatement(ctx, description, nil, nil, nil).Read()
-	return result, result.Err
+	number, _ := connectionData[keyNumber].(uint64)
+	connectionData[keyNumber] = number + 1
+	text := strconv.AppendUint(nil, number, 10)
+	result := conn.ExecStatement(ctx, description, [][]byte{text}, nil, nil).Read()
+	if result.Err != nil {
+		return nil, result.Err
+	}
+	if got := column(result, columnNumber); !bytes.Equal(got, text) {
+		return nil, errors.Wrapf(ErrInvalidStatus, "answer to query %.20q instead of %s", got, text)
+	}
+	return result, nil
+}
+
+// column returns the value of a column in the first row, or nil if the result has no
+// row or no such column.
+func column(r *pgconn.Result, name string) []byte {
+	for i, f := range r.FieldDescriptions {
+		if f.Name == name && len(r.Rows) > 0 && i < len(r.Rows[0]) {
+			return r.Rows[0][i]
+		}
+	}
+	return nil
 }
 
 // parseStatus converts the row of a status query. It finds columns by name, so
