internal/fake/backendserver: texts as PostgreSQL reads them

The stand-in cut white space around the statements that it records, took an escape string constant for a word and a string, and stored a list setting as it was written. It would have agreed with a proxy that does the same. It now records a statement with all bytes, reads E'' strings, and quotes each element of search_path, as SET does at a PostgreSQL server. It also has set_config.

--- a/internal/fake/backendserver/describe.go
+++ b/internal/fake/backendserver/describe.go
@@ -156,6 +156,7 @@
 	"count":                    {pgtype.Int8OID},
 	"pg_sleep":                 {pgtype.TextOID, pgtype.Float8OID},
 	"version":                  {pgtype.TextOID},
+	"set_config":               {pgtype.TextOID, pgtype.TextOID, pgtype.TextOID, pgtype.BoolOID},
 	"current_setting":          {pgtype.TextOID, pgtype.TextOID, pgtype.BoolOID},
 	"pg_backend_pid":           {pgtype.Int4OID},
 	"pg_is_in_recovery":        {pgtype.BoolOID},
--- a/internal/fake/backendserver/function.go
+++ b/internal/fake/backendserver/function.go
@@ -101,6 +101,8 @@
 		return numberValue(x.ss.pid), nil
 	case "pg_is_in_recovery":
 		return textValue(map[bool]string{true: "t", false: "f"}[s.Status().Role == RoleReplica]), nil
+	case "set_config":
+		return x.setConfig(e)
 	case "current_setting":
 		if len(e.args) == 0 {
 			break
@@ -120,6 +122,31 @@
 	return nil, sqlErrorf("42883", "function %s does not exist", e.name)
 }
 
+// setConfig sets a setting to exactly the given text and returns it.
+func (x *execution) setConfig(e expr) (value, error) {
+	var args []string
+	for _, a := range e.args {
+		v, err := x.eval(a, nil)
+		if err != nil {
+			return nil, err
+		}
+		if v == nil {
+			return nil, sqlErrorf("22004", "null value not allowed")
+		}
+		args = append(args, *v)
+	}
+	if len(args) != 3 {
+		return nil, sqlErrorf("42883", "set_config needs three arguments")
+	}
+	st := &statement{name: strings.ToLower(args[0]), value: args[1], local: args[2] == "t"}
+	if err := checkSettingName(st.name); err != nil {
+		return nil, err
+	}
+	x.ss.saveSettings(st)
+	x.ss.applySetting(st.name, st.value)
+	return textValue(st.value), nil
+}
+
 // advisoryLock is a lock on an application-defined number. Its owner can take
 // it several times and must release it as often.
 type advisoryLock struct {
--- a/internal/fake/backendserver/parser.go
+++ b/internal/fake/backendserver/parser.go
@@ -1,10 +1,14 @@
 package backendserver
 
 import (
+	"regexp"
 	"slices"
 	"strings"
 )
 
+// simpleIdentifier matches identifiers that need no quotes.
+var simpleIdentifier = regexp.MustCompile(`^[a-z_][a-z0-9_$]*$`)
+
 // parser parses tokens. On the first syntax error it panics with a *sqlError,
 // which parse recovers.
 type parser struct {
@@ -44,7 +48,7 @@
 			end = p.peek().offset
 			p.expect(";")
 		}
-		st.sql = strings.TrimSpace(sql[start:end])
+		st.sql = sql[start:end]
 		list = append(list, st)
 	}
 }
@@ -140,6 +144,34 @@
 	return words
 }
 
+// settingValue consumes the value of SET.
+func (p *parser) settingValue(name string) string {
+	if name == "search_path" {
+		return strings.Join(p.quotedList(), ", ")
+	}
+	return strings.Join(p.remainingWords(), "")
+}
+
+// quotedList consumes a list of names or string constants, and returns each as an
+// identifier. SET treats every value of a list setting as one element of the list.
+func (p *parser) quotedList() []string {
+	var list []string
+	for {
+		t := p.peek()
+		p.next++
+		if t.kind != wordToken && t.kind != quotedToken && t.kind != stringToken {
+			p.failSyntax()
+		}
+		if !simpleIdentifier.MatchString(t.text) {
+			t.text = `"` + strings.ReplaceAll(t.text, `"`, `""`) + `"`
+		}
+		list = append(list, t.text)
+		if !p.accept(",") {
+			return list
+		}
+	}
+}
+
 func (p *parser) statement() *statement {
 	st := &statement{verb: p.identifier()}
 	switch st.verb {
@@ -203,7 +235,7 @@
 		if !p.accept("=") && !p.accept("to") {
 			p.failSyntax()
 		}
-		st.value = strings.Join(p.remainingWords(), "")
+		st.value = p.settingValue(st.name)
 	case "show", "reset":
 		st.name = p.qualifiedName()
 	case "discard":
--- a/internal/fake/backendserver/scanner.go
+++ b/internal/fake/backendserver/scanner.go
@@ -49,6 +49,12 @@
 // scanToken returns the token at the start of s and its length in bytes.
 func scanToken(s string) (token, int, error) {
 	switch c := s[0]; {
+	case len(s) > 1 && (c == 'e' || c == 'E') && s[1] == '\'':
+		body, n, ok := scanEscaped(s[1:])
+		if !ok {
+			return token{}, 0, sqlErrorf("42601", "unterminated escape string")
+		}
+		return token{kind: stringToken, text: body}, n + 1, nil
 	case c == '\'' || c == '"':
 		body, n, ok := scanQuoted(s)
 		if !ok {
@@ -118,3 +124,21 @@
 	}
 	return "", 0, false
 }
+
+// scanEscaped is scanQuoted for an escape string constant. A backslash stands for
+// the byte that follows; no other escapes are supported.
+func scanEscaped(s string) (body string, n int, ok bool) {
+	var b strings.Builder
+	for i := 1; i < len(s); i++ {
+		switch {
+		case s[i] == '\\' && i+1 < len(s):
+			i++
+		case s[i] == '\'' && i+1 < len(s) && s[i+1] == '\'':
+			i++
+		case s[i] == '\'':
+			return b.String(), i + 1, true
+		}
+		b.WriteByte(s[i])
+	}
+	return "", 0, false
+}
