internal/bench/soaker: odd texts, repeated answers, and checks of texts, rows, signatures, values and transactions

The soak saw neither: its texts ended in letters and digits, its servers answered once, its clients cut lines as the proxy does, and it compared no text, row, signature or session value.

Clients now send and receive texts that end in CR, hold lone LF, tabs, NUL, U+0085, U+00A0, blanks at the ends, bytes that are not UTF-8 and what looks like a message, as data, items, values, arguments, shapes and rows; two keys and a second database of each kind of route have such characters too. New checks: mixed (a success without the signature or the rows of a run of that statement; not exactly one outcome), unasked (an id or a text that no client sent), pinned (session values, unknown names, transactions) and config (a valid key or database refused). A report counts broken promises by rule and lists four of each.

--- a/internal/bench/soaker/check.go
+++ b/internal/bench/soaker/check.go
@@ -23,7 +23,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	runs, commits := e.group.Executions(), e.group.Commits()
-	r := Report{Operations: len(h.operations)}
+	r := Report{Operations: len(h.operations), Repeats: int(e.repeats.Load())}
 	for _, o := range h.operations {
 		switch o.outcome {
 		case acknowledged:
@@ -38,6 +38,11 @@
 	r.Broken = append(r.Broken, checkTokens(e.store.Promotions())...)
 	r.Broken = append(r.Broken, h.checkKeys(runs, e.withdrawn)...)
 	r.Broken = append(r.Broken, h.checkShapes(runs)...)
+	r.Broken = append(r.Broken, h.checkAnswers(runs)...)
+	r.Broken = append(r.Broken, h.checkTexts(runs)...)
+	r.Broken = append(r.Broken, h.checkSettings(runs)...)
+	r.Broken = append(r.Broken, h.checkTransactions(runs)...)
+	r.Broken = append(r.Broken, h.checkKeysAccepted()...)
 	r.Broken = append(r.Broken, h.checkReads(runs, commits)...)
 	r.Broken = append(r.Broken, h.checkRates(runs)...)
 	r.Broken = append(r.Broken, h.checkRecovery()...)
@@ -167,7 +172,7 @@
 	var broken []string
 	for _, run := range runs {
 		o, ok := byID[run.ID]
-		isRead := strings.HasSuffix(run.Text, "READ item") || strings.HasPrefix(run.Shape, "READ ")
+		isRead := strings.HasPrefix(comparableText(run.Text), "READ ") || strings.HasPrefix(run.Shape, "READ ")
 		if !ok || run.Code != "" || !isRead || len(o.writeIDs) > 0 || o.outcome != acknowledged {
 			continue
 		}
--- a/internal/bench/soaker/client.go
+++ b/internal/bench/soaker/client.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"oleanderpulley/platform/imitator"
 )
 
 const (
@@ -39,21 +41,26 @@
 // operation is one statement outside of a transaction, or one transaction. The id
 // is that of the statement which decides the outcome, such as COMMIT.
 type operation struct {
-	id, key, workspace, database string
+	id, key, workspace, database string // The database stands for its kind of route.
 	instance                     string // Name of the instance that it was sent to.
 	writeIDs                     []string
 	statementIDs                 []string // Statements that were sent.
-	shape                        string   // "READ shape" or "WRITE shape" if a prepared statement was executed.
-	lastWrite                    string   // Statement id of the last acknowledged write of the session.
+	isTransaction                bool
+	beginID                      string            // Of the BEGIN of a transaction.
+	settings                     map[string]string // Session values that were acknowledged before. Not changed.
+	shape                        string            // "READ shape" or "WRITE shape" if a prepared statement was executed.
+	lastWrite                    string            // Statement id of the last acknowledged write of the session.
 	sent, answered               time.Time
 	outcome                      outcome
 	code                         string
 }
 
-// history records the operations of all clients.
+// history records the operations of all clients, and all statements that they sent.
 type history struct {
-	mu         sync.Mutex
-	operations []operation
+	mu             sync.Mutex
+	operations     []operation
+	statements     []statement
+	wronglyRefused []string // Refused sessions with a key and a database that are always valid.
 }
 
 func (h *history) add(o operation) {
@@ -62,13 +69,20 @@
 	h.operations = append(h.operations, o)
 }
 
+func (h *history) addStatement(s statement) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.statements = append(h.statements, s)
+}
+
 // client opens sessions at random instances and sends random operations.
 type client struct {
 	environment *environment
 	history     *history
 	number      int // Distinguishes the clients in statement ids.
 	random      *rand.Rand
-	count       int // Number of ids that newID returned.
+	count       int               // Number of ids that newID returned.
+	settings    map[string]string // Acknowledged session values.
 
 	conn   net.Conn
 	reader *bufio.Reader
@@ -88,16 +102,19 @@
 // runSession opens a session and sends operations until one returns an error, stop
 // is closed or the session has sent maxSessionOperations.
 func (c *client) runSession(stop <-chan struct{}) {
-	credential := keys[c.random.IntN(len(keys))]
-	database := []string{"primary", "bounded_staleness", "read_own_writes"}[c.random.IntN(3)]
+	credential := c.environment.keys[c.random.IntN(len(c.environment.keys))]
+	database := routeKinds[c.random.IntN(len(routeKinds))]
+	hosts := c.environment.soak.hosts(database)
+	host := hosts[c.random.IntN(len(hosts))]
 	instance := c.environment.randomInstance(c.random)
 	conn, err := net.DialTimeout("tcp4", instance.Address, time.Second)
 	if err != nil {
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	c.conn, c.reader = conn, bufio.NewReader(conn)
-	if code, _, err := c.exchange("STARTUP " + database + " " + credential.key); err != nil || code != "" {
+	c.conn, c.reader, c.settings = conn, bufio.NewReader(conn), map[string]string{}
+	if r, err := c.exchange("STARTUP " + host + " " + credential.key); err != nil || r.code != "" {
+		c.recordRefusal(host, credential.key, r)
 		return
 	}
 	if err := c.prepareStatements(); err != nil {
@@ -110,7 +127,12 @@
 			return
 		case <-time.After(time.Duration(c.random.Int64N(int64(maxPause)))):
 		}
-		o := operation{key: credential.key, workspace: credential.workspace, database: database, lastWrite: lastWrite, instance: instance.Name}
+		if c.random.IntN(setEvery) == 0 && c.setValue() != nil {
+			return
+		}
+		o := operation{
+			key: credential.key, workspace: credential.workspace, database: database, lastWrite: lastWrite, instance: instance.Name, settings: c.settings,
+		}
 		if err := c.sendOperation(&o); err != nil {
 			return
 		}
@@ -120,9 +142,27 @@
 	}
 }
 
+// recordRefusal records that a session was refused as if its key or its database were not
+// configured, unless the key may have been withdrawn.
+func (c *client) recordRefusal(host, key string, r reply) {
+	if (r.code != "NOAUTH" && r.code != "NODB") || strings.HasPrefix(key, withdrawableKeyPrefix) {
+		return
+	}
+	c.history.mu.Lock()
+	defer c.history.mu.Unlock()
+	c.history.wronglyRefused = append(c.history.wronglyRefused, fmt.Sprintf("key %q was refused with %s for the database %q", key, r.code, host))
+}
+
 // shapeTexts are the shapes of the clients' prepared statements. They differ only in
-// characters that a name on the wire cannot have or that may stand for them.
-var shapeTexts = []string{"q 2c", "q_2c", "q  2c", "q2c"}
+// characters that a name on the wire cannot have, that may stand for them or that a reader
+// may trim.
+var shapeTexts = []string{
+	"q 2c", "q_2c", "q  2c", "q2c", "q2c\r", "q2c\r\r", " q2c ", "\tq2c", "q2c\n", "q\u00852c", "q\u00a02c", "q\x002c", "q\xff2c", "q\xfe2c",
+	"q2c\nQUERY smuggled WRITE item y",
+}
+
+// setEvery is the number of operations before one of which a session value is set.
+const setEvery = 6
 
 // preparedEvery is the number of statement ids of which one is executed as a
 // prepared statement where the operation is a single read or write.
@@ -132,9 +172,9 @@
 // all clients, the shapes are not.
 func (c *client) prepareStatements() error {
 	for name, access := range map[string]string{"s1": "READ ", "s2": "WRITE "} {
-		code, _, err := c.exchange("QUERY " + c.newID() + " PREPARE " + name + " " + access + c.shapeText())
-		if err == nil && code != "" {
-			err = errors.Wrapf(errUnexpectedAnswer, "PREPARE: %s", code)
+		r, err := c.query(c.newID(), "PREPARE "+name+" "+access+c.shapeText())
+		if err == nil && r.code != "" {
+			err = errors.Wrapf(errUnexpectedAnswer, "PREPARE: %s", r.code)
 		}
 		if err != nil {
 			return err
@@ -144,7 +184,8 @@
 }
 
 func (c *client) shapeText() string {
-	return shapeTexts[c.number%len(shapeTexts)]
+	all := c.environment.soak.texts(shapeTexts)
+	return all[c.number%len(all)]
 }
 
 // readOrWriteText returns the text of a single read or write, and sets the shape of the
@@ -154,14 +195,14 @@
 	switch {
 	case isPrepared && len(o.writeIDs) > 0:
 		o.shape = "WRITE " + c.shapeText()
-		return "EXECUTE s2 item " + o.id
+		return "EXECUTE s2 " + c.item() + " " + c.text(o.id)
 	case isPrepared:
 		o.shape = "READ " + c.shapeText()
-		return "EXECUTE s1 item"
+		return "EXECUTE s1 " + c.item()
 	case len(o.writeIDs) > 0:
-		return "WRITE item " + o.id
+		return "WRITE " + c.item() + " " + c.text(o.id)
 	default:
-		return "READ item"
+		return "READ " + c.item()
 	}
 }
 
@@ -195,17 +236,17 @@
 // sets the outcome.
 func (c *client) sendStatement(o *operation, text string) error {
 	o.statementIDs = append(o.statementIDs, o.id)
-	code, state, err := c.exchange("QUERY " + o.id + " " + text)
-	o.code = code
+	r, err := c.query(o.id, text)
+	o.code = r.code
 	switch {
 	case err != nil:
 		o.outcome = unknown
-	case code == "":
+	case r.code == "":
 		o.outcome = acknowledged
-	case isRefusal(code):
+	case isRefusal(r.code):
 		o.outcome = refused
 	}
-	if err == nil && state != "I" {
+	if err == nil && r.state != "I" {
 		return errUnexpectedAnswer
 	}
 	return err
@@ -214,18 +255,22 @@
 // sendTransaction sends a transaction of a read and two writes. It rolls back after
 // the first error.
 func (c *client) sendTransaction(o *operation) error {
-	for _, text := range []string{"BEGIN", "WRITE item x", "READ item", "WRITE item y"} {
+	o.isTransaction = true
+	for _, text := range []string{"BEGIN", "WRITE item " + c.text("x"), "READ " + c.item(), "WRITE item " + c.text("y")} {
 		id := c.newID()
-		code, _, err := c.exchange("QUERY " + id + " " + text)
+		r, err := c.query(id, text)
 		if strings.HasPrefix(text, "WRITE") {
 			o.writeIDs = append(o.writeIDs, id)
 		}
-		o.id, o.code = id, code
+		if text == "BEGIN" {
+			o.beginID = id
+		}
+		o.id, o.code = id, r.code
 		o.statementIDs = append(o.statementIDs, id)
-		if err != nil || code != "" {
+		if err != nil || r.code != "" {
 			o.outcome = refused // No effect, because COMMIT is never sent.
 			if err == nil && text != "BEGIN" {
-				_, _, err = c.exchange("QUERY " + c.newID() + " ROLLBACK")
+				_, err = c.query(c.newID(), "ROLLBACK")
 			}
 			return err
 		}
@@ -244,28 +289,49 @@
 	return false
 }
 
-// exchange sends a line and reads its answer. It returns the error code, "" on
-// success, and the transaction state of the session.
-func (c *client) exchange(line string) (code, state string, err error) {
+// query sends a statement, reads its answer and records both.
+func (c *client) query(id, text string) (reply, error) {
+	r, err := c.exchange("QUERY " + id + " " + text)
+	c.history.addStatement(statement{id: id, text: text, answered: err == nil, reply: r})
+	return r, err
+}
+
+// exchange sends a message and reads its answer.
+func (c *client) exchange(message string) (reply, error) {
+	var r reply
+	if c.reader.Buffered() > 0 {
+		r.outcomes++ // Of an answer that nothing asked for.
+	}
 	if err := c.conn.SetDeadline(time.Now().Add(answerTimeout)); err != nil {
-		return "", "", err
+		return r, err
 	}
-	if _, err := c.conn.Write([]byte(line + "\r\n")); err != nil {
-		return "", "", err
+	if _, err := c.conn.Write([]byte(message + "\r\n")); err != nil {
+		return r, err
 	}
 	for {
-		answer, err := c.reader.ReadString('\n')
+		answer, err := imitator.ReadMessage(c.reader)
 		if err != nil {
-			return code, "", err
+			return r, err
+		}
+		word, rest, found := strings.Cut(answer, " ")
+		if !found {
+			return r, errUnexpectedAnswer
 		}
-		words := strings.Fields(answer)
-		switch {
-		case len(words) < 2:
-			return code, "", errUnexpectedAnswer
-		case words[0] == "ERROR":
-			code = words[1]
-		case words[0] == "READY":
-			return code, words[1], nil
+		switch word {
+		case "DATAROW":
+			r.rows = append(r.rows, rest)
+			r.rowsAfter = r.outcomes > 0
+		case "COMPLETE":
+			r.outcomes++
+			r.signature = rest
+		case "ERROR":
+			r.outcomes++
+			r.code, _, _ = strings.Cut(rest, " ")
+		case "READY":
+			r.state, _, _ = strings.Cut(rest, " ")
+			return r, nil
+		default:
+			return r, errors.Wrapf(errUnexpectedAnswer, "%.60q", answer)
 		}
 	}
 }
--- a/internal/bench/soaker/environment.go
+++ b/internal/bench/soaker/environment.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,6 +26,8 @@
 	store     imitator.Store
 	group     imitator.Group
 	members   map[string]*imitator.Member
+	keys      []credential
+	repeats   atomic.Int64             // Answers that the backend servers sent again.
 	proxies   map[string]*stager.Proxy // To a backend server by its id; to the store by the name of the instance.
 	instances []*stager.Process
 	// promotionDelay is the time from the execution of a promotion until the server
@@ -36,13 +40,33 @@
 	withdrawn     map[string]time.Time // Time at which the store acknowledged the withdrawal, by key.
 }
 
-// keys are the keys of the clients with their workspaces. Those that begin with
-// withdrawableKeyPrefix are withdrawn by faults, one after another.
-var keys = []struct{ key, workspace string }{
+// credential is a key with its workspace.
+type credential struct{ key, workspace string }
+
+// plainKeys are keys of the clients. Those that begin with withdrawableKeyPrefix are
+// withdrawn by faults, one after another.
+var plainKeys = []credential{
 	{"key-shops", "shops"}, {"key-fitters", "fitters"}, {"key-desks", "desks"},
 	{withdrawableKeyPrefix + "1", "shops"}, {withdrawableKeyPrefix + "2", "fitters"}, {withdrawableKeyPrefix + "3", "shops"},
 }
 
+// oddKeys have characters that a reader of STARTUP may split at or trim.
+var oddKeys = []credential{{"key \tshops \r", "shops"}, {"\u0085key\nfitters\u00a0", "fitters"}}
+
+// routeKinds are the kinds of routes.
+var routeKinds = []string{"primary", "bounded_staleness", "read_own_writes"}
+
+// oddHostSuffix follows the name of a kind in the names of its second database.
+const oddHostSuffix = "\t\u0085"
+
+// hosts returns the names of the databases with a route of the kind.
+func (s Soak) hosts(kind string) []string {
+	if s.OldProgram != "" {
+		return []string{kind}
+	}
+	return []string{kind, kind + oddHostSuffix}
+}
+
 const withdrawableKeyPrefix = "key-old-"
 
 const dataCentres = 2
@@ -56,8 +80,12 @@
 func newEnvironment(s Soak, directory string) (*environment, error) {
 	e := &environment{
 		soak: s, directory: directory, members: map[string]*imitator.Member{}, proxies: map[string]*stager.Proxy{},
-		withdrawn: map[string]time.Time{}, restarts: map[string]int{},
+		withdrawn: map[string]time.Time{}, restarts: map[string]int{}, keys: plainKeys,
+	}
+	if s.OldProgram == "" { // Builds up to f789805 split keys.
+		e.keys = slices.Concat(plainKeys, oddKeys)
 	}
+	e.group.Rows = s.drawRows()
 	e.group.Service = "rentals"
 	e.group.Unfenced, e.store.Unfenced = s.Unfenced, s.Unfenced
 	e.promotionDelay = minPromotionDelay + time.Duration(rand.New(rand.NewPCG(s.Seed, 2)).Int64N(int64(maxPromotionDelay-minPromotionDelay)))
@@ -131,7 +159,7 @@
 	var tenants []any
 	for _, name := range []string{"shops", "fitters", "desks"} {
 		valid := []string{}
-		for _, k := range keys {
+		for _, k := range e.keys {
 			if _, isWithdrawn := e.withdrawn[k.key]; k.workspace == name && !isWithdrawn {
 				valid = append(valid, k.key)
 			}
@@ -139,11 +167,13 @@
 		tenants = append(tenants, map[string]any{"name": name, "apiKeys": valid, "ratePerS": workspaceRates[name], "burst": workspaceRates[name]})
 	}
 	var routes []any
-	for _, kind := range []string{"primary", "bounded_staleness", "read_own_writes"} {
-		routes = append(routes, map[string]any{
-			"host": kind, "type": kind, "service": "rentals", "timeoutMs": 800, "targetLatencyMs": 400,
-			"maxStalenessMs": maxStaleness.Milliseconds(), "priority": 1,
-		})
+	for _, kind := range routeKinds {
+		for _, host := range e.soak.hosts(kind) {
+			routes = append(routes, map[string]any{
+				"host": host, "type": kind, "service": "rentals", "timeoutMs": 800, "targetLatencyMs": 400,
+				"maxStalenessMs": maxStaleness.Milliseconds(), "priority": 1,
+			})
+		}
 	}
 	e.store.Put("config", "main", map[string]any{
 		"version": e.configVersion, "routes": routes, "tenants": tenants,
--- a/internal/bench/soaker/fault.go
+++ b/internal/bench/soaker/fault.go
@@ -111,6 +111,12 @@
 		e.members[id].PauseReplication(false)
 	}},
 	{"answers lost", func(e *environment, r *rand.Rand, _ time.Duration) { e.members[e.randomServer(r)].DropAnswers(3) }},
+	{"server answers twice", func(e *environment, r *rand.Rand, duration time.Duration) {
+		m := e.members[e.randomServer(r)]
+		m.SetRepeat(e.drawRepeats(rand.New(rand.NewPCG(r.Uint64(), 0))))
+		time.Sleep(duration)
+		m.SetRepeat(nil)
+	}},
 	{"key withdrawn", func(e *environment, _ *rand.Rand, _ time.Duration) { e.withdrawNextKey() }},
 	{"configuration", func(e *environment, _ *rand.Rand, _ time.Duration) { e.writeConfiguration() }},
 	{"store back from a copy", func(e *environment, _ *rand.Rand, duration time.Duration) { e.restoreStore(duration) }},
--- a/internal/bench/soaker/soaker.go
+++ b/internal/bench/soaker/soaker.go
@@ -4,6 +4,7 @@
 	"context"
 	stderrors "errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -21,8 +22,8 @@
 	recoveryTime = 6 * time.Second
 	// minServedShare is the share of the last operations that must be served.
 	minServedShare = 0.5
-	// maxListedBroken is the number of broken promises that a report lists.
-	maxListedBroken = 10
+	// maxListedBroken is the number of broken promises of each rule that a report lists.
+	maxListedBroken = 4
 )
 
 // Soak configures a run of the soak test.
@@ -55,6 +56,7 @@
 	Operations int
 	Served     int      // Acknowledged operations.
 	Unknown    int      // Operations with an unknown outcome.
+	Repeats    int      // Answers that backend servers sent again.
 	Faults     []string // Start time in seconds and name of each fault.
 	Upgrades   []string // Time in seconds, instance and build of each change of a build.
 	Broken     []string // Broken promises, one line each, that begin with the rule.
@@ -66,24 +68,49 @@
 }
 
 // String returns a summary line and one line for each of the first broken
-// promises.
+// promises of each rule.
 func (r Report) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "seed %d: %d operations, %d served, %d unknown, %d faults, %d broken",
-		r.Seed, r.Operations, r.Served, r.Unknown, len(r.Faults), len(r.Broken))
+	fmt.Fprintf(&b, "seed %d: %d operations, %d served, %d unknown, %d faults, %d repeated answers, %d broken%s",
+		r.Seed, r.Operations, r.Served, r.Unknown, len(r.Faults), r.Repeats, len(r.Broken), r.brokenByRule())
 	if len(r.Upgrades) > 0 {
 		fmt.Fprintf(&b, ", %d changes of a build", len(r.Upgrades))
 	}
-	for i, line := range r.Broken {
-		if i == maxListedBroken {
-			b.WriteString("\n  ...")
-			break
+	listed := map[string]int{}
+	for _, line := range r.Broken {
+		rule := brokenRule(line)
+		listed[rule]++
+		switch n := listed[rule]; {
+		case n <= maxListedBroken:
+			b.WriteString("\n  " + line)
+		case n == maxListedBroken+1:
+			b.WriteString("\n  " + rule + ": ...")
 		}
-		b.WriteString("\n  " + line)
 	}
 	return b.String()
 }
 
+func brokenRule(line string) string {
+	rule, _, _ := strings.Cut(line, ":")
+	return rule
+}
+
+// brokenByRule returns the number of broken promises by rule.
+func (r Report) brokenByRule() string {
+	counts := map[string]int{}
+	for _, line := range r.Broken {
+		counts[brokenRule(line)]++
+	}
+	var all []string
+	for _, rule := range slices.Sorted(maps.Keys(counts)) {
+		all = append(all, fmt.Sprintf("%s %d", rule, counts[rule]))
+	}
+	if all == nil {
+		return ""
+	}
+	return " (" + strings.Join(all, ", ") + ")"
+}
+
 // Run runs the soak test with its seed. If the context is cancelled, Run ends early
 // and returns the error of the context without a report.
 func (s Soak) Run(ctx context.Context) (Report, error) {
