--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -130,6 +130,14 @@
 	b.eject(s)
 }
 
+// Cancel records a statement that was not sent, for a reason that says nothing about
+// the server.
+func (b *Balancer) Cancel(id identifier.BackendServerID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.server(id).inFlight--
+}
+
 // Overloaded records that a server refused a statement because of its load.
 func (b *Balancer) Overloaded(id identifier.BackendServerID) {
 	b.mu.Lock()
--- a/internal/transport/lender/conn.go
+++ b/internal/transport/lender/conn.go
@@ -20,11 +20,16 @@
 // ErrNotSent reports that no part of the statement reached the backend server.
 var ErrNotSent = errors.New("statement was not sent")
 
+// ErrNotEncodable is an [ErrNotSent] of a statement or startup that the wire
+// protocol cannot carry. It fails in the same way on each backend server.
+var ErrNotEncodable = errors.WithMessage(ErrNotSent, "the protocol cannot carry it")
+
 // Link is an open connection to a backend server, independent of the wire
 // protocol. The package that implements the protocol sets the function fields.
 type Link struct {
 	// Send writes all statements at once. It returns [ErrNotSent] if no byte
-	// was sent, and any other error if some bytes may have been.
+	// was sent, [ErrNotEncodable] if that holds for every connection, and any
+	// other error if some bytes may have been.
 	Send func(deadline time.Time, statements ...requester.Statement) error
 	// Receive reads the answer to the oldest unanswered statement.
 	Receive func(deadline time.Time) (requester.Result, error)
@@ -265,7 +270,9 @@
 // runAll runs statements that change only the state of the connection. No
 // statement of the client has been sent yet, so every error is [ErrNotSent].
 func (c *Conn) runAll(deadline time.Time, todo []requester.Statement) error {
-	if err := c.Send(deadline, todo...); err != nil {
+	if err := c.Send(deadline, todo...); errors.Is(err, ErrNotEncodable) {
+		return err
+	} else if err != nil {
 		return errors.Wrapf(ErrNotSent, "adapting: %v", err)
 	}
 	for range todo {
--- a/internal/transport/lender/lender.go
+++ b/internal/transport/lender/lender.go
@@ -42,7 +42,7 @@
 // required. It is safe for concurrent use.
 type Lender struct {
 	// Dial opens a connection to the server for the workspace. Its error is
-	// [ErrServerFull], [ErrWrongServer] or [ErrUnreachable].
+	// [ErrServerFull], [ErrWrongServer], [ErrUnreachable] or [ErrNotEncodable].
 	Dial func(deadline time.Time, s cataloger.BackendServer, w identifier.WorkspaceName) (Link, error)
 	// Limit returns the number of connections that this instance may have to
 	// the server, possibly 0.
--- a/internal/transport/sessioner/primary.go
+++ b/internal/transport/sessioner/primary.go
@@ -78,6 +78,15 @@
 	}
 }
 
+// recordFailure reports a statement without an answer to the balancer.
+func (s *Server) recordFailure(b cataloger.BackendServer, err error) {
+	if errors.Is(err, lender.ErrNotEncodable) {
+		s.Balancer.Cancel(b.ID)
+	} else {
+		s.Balancer.Fail(b.ID)
+	}
+}
+
 // observeLag derives how far a server is behind the primary from the position in
 // its answer, and reports it to the balancer. It also records the position as one that the
 // log of the primary has reached.
--- a/internal/transport/sessioner/read.go
+++ b/internal/transport/sessioner/read.go
@@ -43,7 +43,9 @@
 	if err := n.server.recordLeader(c, p, r, sent); err != nil {
 		return r, errors.Wrap(lender.ErrNotSent, err.Error())
 	}
-	if err := c.Send(deadline, read, requester.Statement{Kind: requester.Rollback}); err != nil {
+	if err := c.Send(deadline, read, requester.Statement{Kind: requester.Rollback}); errors.Is(err, lender.ErrNotEncodable) {
+		return r, err
+	} else if err != nil {
 		return r, errors.Wrap(errReadUnanswered, err.Error())
 	}
 	r, err = c.Receive(deadline)
@@ -123,6 +125,8 @@
 		tried = append(tried, b.ID)
 		r, err := run(b, f, len(tried)+skipped)
 		switch {
+		case errors.Is(err, lender.ErrNotEncodable):
+			return n.refusal(requester.Malformed, err.Error()), unanswered
 		case errors.Is(err, lender.ErrNoConnection):
 			last = n.borrowRefusal(err)
 			if errors.Is(err, lender.ErrCancelled) {
--- a/internal/transport/sessioner/run.go
+++ b/internal/transport/sessioner/run.go
@@ -48,7 +48,7 @@
 		c, err := n.borrowPrimary(o, b, permit, pinned)
 		if err != nil {
 			last = n.borrowRefusal(err)
-			if errors.Is(err, lender.ErrNoConnection) || errors.Is(err, lender.ErrNoShare) || !time.Now().Before(o.searchDeadline) {
+			if errors.Is(err, lender.ErrNoConnection) || errors.Is(err, lender.ErrNoShare) || errors.Is(err, lender.ErrNotEncodable) || !time.Now().Before(o.searchDeadline) {
 				return last
 			}
 			n.pauseAfter(err, o)
@@ -56,6 +56,8 @@
 		}
 		r, err := run(c, permit)
 		switch {
+		case errors.Is(err, lender.ErrNotEncodable):
+			return n.refusal(requester.Malformed, err.Error())
 		case errors.Is(err, lender.ErrNotSent), errors.Is(err, errReadUnanswered):
 			last = n.repeatableRefusal(err)
 			if !time.Now().Before(o.deadline) {
@@ -91,6 +93,9 @@
 	if errors.Is(err, lender.ErrNoConnection) {
 		return n.refusal(requester.Overloaded, err.Error())
 	}
+	if errors.Is(err, lender.ErrNotEncodable) {
+		return n.refusal(requester.Malformed, err.Error())
+	}
 	return n.unreachedRefusal(requester.Overloaded, err.Error())
 }
 
@@ -148,7 +153,8 @@
 	c, err := n.borrow(o, n.connRequest(o, b, pinned, o.waitDeadline))
 	if err != nil {
 		o.trace.addAttempt(b.ID, requester.Result{}, err, time.Since(o.arrived))
-		isOwnLimit := errors.Is(err, lender.ErrNoConnection) || errors.Is(err, lender.ErrNoShare) || errors.Is(err, errCold) || errors.Is(err, errEvacuated)
+		isOwnLimit := errors.Is(err, lender.ErrNoConnection) || errors.Is(err, lender.ErrNoShare) || errors.Is(err, errCold) || errors.Is(err, errEvacuated) ||
+			errors.Is(err, lender.ErrNotEncodable)
 		if errors.Is(err, lender.ErrUnreachable) || (pinned && !isOwnLimit) {
 			s.Balancer.RecordNotLeading(b.Service, b.ID)
 		}
@@ -181,7 +187,7 @@
 	started := time.Now()
 	rs, err := n.prepareConn(c, o.deadline, rs)
 	if err != nil {
-		s.Balancer.Fail(c.Server.ID)
+		s.recordFailure(c.Server, err)
 		o.trace.addAttempt(c.Server.ID, requester.Result{}, err, time.Since(started))
 		return requester.Result{}, err
 	}
@@ -189,7 +195,7 @@
 	o.trace.addAttempt(c.Server.ID, r, err, time.Since(started))
 	if err != nil {
 		c.MarkBroken()
-		s.Balancer.Fail(c.Server.ID)
+		s.recordFailure(c.Server, err)
 		return r, err
 	}
 	s.recordAnswer(c.Server, time.Since(started), r)
