internal/transport/sessioner: own queries use a workspace that a server can be told

With a workspace such as "a b" first by name, no server was found to lead and every status query failed, for all workspaces: the instance's own queries connect as the first workspace, and its name cannot be sent in a STARTUP.

Fix: names with a blank, CR or LF are passed over.

Evidence, go test -run OwnQueriesNeed ./internal/transport/sessioner: before: seen["shops"] has length 0, the query went out as " a" after: ok, and ok oleanderpulley/internal/transport/sessioner 2.169s with -race

--- a/internal/transport/sessioner/not_encodable_test.go
+++ b/internal/transport/sessioner/not_encodable_test.go
@@ -74,3 +74,16 @@
 		})
 	}
 }
+
+// Guards against the status of all servers being unknown because the workspace that comes first has a name with a blank.
+func TestOwnQueriesNeedAWorkspaceThatCanBeSent(t *testing.T) {
+	s, seen := newTestServer()
+	c := *s.Holder.Catalog()
+	c.Configuration = &cataloger.Configuration{Workspaces: map[identifier.WorkspaceName]cataloger.Workspace{
+		" a": {}, "b c": {}, "d\r\nQUERY": {}, "shops": {}, "tools": {},
+	}}
+	s.Holder.Replace(&c)
+	qt.Assert(t, s.ConfirmLeader(c.Servers["rentals"][0]), qt.IsNil)
+	qt.Assert(t, seen, qt.HasLen, 1)
+	qt.Assert(t, seen["shops"], qt.Not(qt.HasLen), 0)
+}
--- a/internal/transport/sessioner/status.go
+++ b/internal/transport/sessioner/status.go
@@ -1,6 +1,7 @@
 package sessioner
 
 import (
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -51,11 +52,15 @@
 	return s.ParseServerStatus(r.Rows[0])
 }
 
-// anyWorkspace returns the first workspace by name. The proxy's own queries
-// belong to no workspace, but a connection requires one.
+// anyWorkspace returns the first workspace by name that a backend server can be
+// told. The proxy's own queries belong to no workspace, but a connection requires
+// one.
 func (s *Server) anyWorkspace() identifier.WorkspaceName {
 	var first identifier.WorkspaceName
 	for name := range s.Holder.Catalog().Configuration.Workspaces {
+		if strings.ContainsAny(string(name), " \r\n") {
+			continue
+		}
 		if first == "" || name < first {
 			first = name
 		}
