internal/transport/acceptor: startup parameters keep their value at the server

What callers saw: a session that was started with search_path=a,b ran its statements with the one schema "a,b" instead of the schemas a and b.

Cause: a startup parameter was set by SET name = 'value'. PostgreSQL reads the value of a startup packet as a list, but each string constant of SET as one element of it, which it quotes.

The parameters are now set by set_config, which takes the text as the startup packet does.

Evidence: TestSettingsArriveUnchanged failed before for 66 of 67 texts, all of them for search_path, and passes after. It also sends request IDs, which arrived unchanged before.

--- a/internal/transport/acceptor/lease.go
+++ b/internal/transport/acceptor/lease.go
@@ -47,16 +47,17 @@
 		}
 		clear(c.Prepared)
 	}
-	var statements []pooler.Statement
+	// SET would take the whole value of a list, such as search_path, for one element.
+	var calls []string
 	for _, p := range s.startupSettings {
 		if v, ok := c.Parameters.Lookup(p[0]); !ok || !strings.EqualFold(v, p[1]) {
-			statements = append(statements, pooler.Statement{SQL: "SET " + p[0] + " = " + pooler.Literal(p[1]), Tag: "SET"})
+			calls = append(calls, "set_config('"+p[0]+"', "+pooler.Literal(p[1])+", false)")
 		}
 	}
-	if len(statements) == 0 {
+	if len(calls) == 0 {
 		return nil
 	}
-	if err := c.Run(ctx, statements...); err != nil {
+	if err := c.Run(ctx, pooler.Statement{SQL: "SELECT " + strings.Join(calls, ", "), Tag: "SELECT"}); err != nil {
 		return asFatal(refuser.New(refuser.InvalidSetting, "startup parameter: "+err.Error()))
 	}
 	s.pinned, s.startupSettings = true, nil
--- a/internal/transport/acceptor/texts_test.go
+++ b/internal/transport/acceptor/texts_test.go
@@ -73,3 +73,27 @@
 		})
 	}
 }
+
+// Guards against a startup parameter or a request ID that reaches the backend server
+// with another value.
+func TestSettingsArriveUnchanged(t *testing.T) {
+	f := startFixture(t, nil)
+	for _, text := range oddTexts() {
+		t.Run(strings.ToValidUTF8(text, "?"), func(t *testing.T) {
+			for _, name := range []string{"shop.note", "search_path"} {
+				c := connect(t, f.address, []string{name + "=" + text})
+				c.send(&pgproto3.Query{String: "SHOW " + name})
+				qt.Check(t, lastRow(t, c), qt.Equals, text)
+			}
+			c := connect(t, f.address, nil)
+			c.send(&pgproto3.Query{String: "SET oleanderpulley.request_id = " + quoted(text)})
+			lastRow(t, c)
+			c.send(&pgproto3.Query{String: "SHOW oleanderpulley.request_id"})
+			qt.Check(t, lastRow(t, c), qt.Equals, text)
+			c.send(&pgproto3.Query{String: "UPDATE t SET v = 'x' WHERE id = 1"})
+			lastRow(t, c)
+			c.send(&pgproto3.Query{String: "SELECT request_id FROM oleanderpulley_requests WHERE request_id = " + quoted(text)})
+			qt.Check(t, lastRow(t, c), qt.Equals, text)
+		})
+	}
+}
