internal/transport/acceptor: startup parameters that differ in case are set

What callers saw: a session that was started with search_path="Shop" ran with the server's default "shop", if the server reports search_path, as PostgreSQL 18 does.

Cause: a startup parameter was taken for the reported default if both were equal without regard to case. For bytes that are not UTF-8, EqualFold even takes different bytes for equal.

Values are now compared as bytes, except those of DateStyle, IntervalStyle and TimeZone, which ignore case. The stand-in reports search_path.

--- a/internal/fake/backendserver/session.go
+++ b/internal/fake/backendserver/session.go
@@ -21,12 +21,13 @@
 	"server_version": "server_version", "server_encoding": "server_encoding", "client_encoding": "client_encoding",
 	"datestyle": "DateStyle", "timezone": "TimeZone", "integer_datetimes": "integer_datetimes",
 	"standard_conforming_strings": "standard_conforming_strings", "application_name": "application_name",
+	"search_path": "search_path",
 }
 
 // otherSettings lists the further settings without a dot that clients may set.
 // Their values have no effect.
 var otherSettings = []string{
-	"search_path", "statement_timeout", "lock_timeout", "idle_in_transaction_session_timeout", "extra_float_digits",
+	"statement_timeout", "lock_timeout", "idle_in_transaction_session_timeout", "extra_float_digits",
 	"synchronous_commit", "default_transaction_isolation", "default_transaction_read_only", "transaction_isolation",
 }
 
@@ -73,7 +74,7 @@
 		defaults: map[string]string{
 			"server_version": "17.0", "server_encoding": "UTF8", "client_encoding": "UTF8", "datestyle": "ISO, MDY",
 			"timezone": "UTC", "integer_datetimes": "on", "standard_conforming_strings": "on", "application_name": "",
-			"transaction_isolation": "read committed",
+			"transaction_isolation": "read committed", "search_path": `"$user", public`,
 		},
 	}
 	ss.backend = pgproto3.NewBackend(conn, &ss.writer)
--- a/internal/transport/acceptor/lease.go
+++ b/internal/transport/acceptor/lease.go
@@ -50,7 +50,7 @@
 	// SET would take the whole value of a list, such as search_path, for one element.
 	var calls []string
 	for _, p := range s.startupSettings {
-		if v, ok := c.Parameters.Lookup(p[0]); !ok || !strings.EqualFold(v, p[1]) {
+		if v, ok := c.Parameters.Lookup(p[0]); !ok || !sameSetting(p[0], v, p[1]) {
 			calls = append(calls, "set_config('"+p[0]+"', "+pooler.Literal(p[1])+", false)")
 		}
 	}
@@ -64,6 +64,16 @@
 	return nil
 }
 
+// sameSetting reports whether two values of a setting are equal. Case matters unless
+// the setting is known to ignore it.
+func sameSetting(name, a, b string) bool {
+	switch name {
+	case "DateStyle", "IntervalStyle", "TimeZone":
+		return strings.EqualFold(a, b)
+	}
+	return a == b
+}
+
 // runOnLease sends the batch and forwards its response. The connection is
 // returned, unless a transaction or a pin keeps it, before the end of the
 // response is written to the client.
--- a/internal/transport/acceptor/texts_test.go
+++ b/internal/transport/acceptor/texts_test.go
@@ -97,3 +97,22 @@
 		})
 	}
 }
+
+// Guards against a startup parameter that is taken for the default of the server
+// because it differs in case alone, which matters in quoted names.
+func TestStartupParameterThatDiffersInCase(t *testing.T) {
+	f := startFixture(t, nil)
+	for _, text := range []string{`"$USER", public`, `"$user", public`} {
+		query(t, connect(t, f.address, nil), "SELECT 1") // The server has reported its default.
+		c := connect(t, f.address, []string{"search_path=" + text})
+		c.send(&pgproto3.Query{String: "SHOW search_path"})
+		qt.Check(t, lastRow(t, c), qt.Equals, text)
+	}
+	c := connect(t, f.address, []string{"TimeZone=utc"})
+	query(t, c, "SELECT 1")
+	for _, s := range f.servers {
+		for _, r := range s.Records() {
+			qt.Check(t, r.SQL, qt.Not(qt.Contains), "'TimeZone'") // The session is not pinned needlessly.
+		}
+	}
+}
