internal/protocol/classifier: values of settings without comments and trimming

What callers saw: SET oleanderpulley.request_id = 'a' -- comment set the value "'a' -- comment", and E'a' or $$a$$ with their quotes. An unquoted value or one of a hint that ends in U+0085, U+00A0 or another white space of Unicode lost it, so that two request IDs could become one.

Cause: the value was the rest of the text, cut by bytes.TrimSpace.

The value is now read as tokens: one string constant, plain, dollar-quoted or with escapes, or one name, or other text without string constants. White space is that of SQL. A value that the proxy cannot read, such as U&'a', is refused with 22023 and not set.

--- a/internal/protocol/classifier/classifier.go
+++ b/internal/protocol/classifier/classifier.go
@@ -48,6 +48,8 @@
 	Name  string // Setting without its prefix, or prepared statement; empty for all.
 	Value string // Empty for DEFAULT and RESET.
 	Tag   string // Command tag of the response.
+	// Malformed reports a value that is not one constant that the proxy can read.
+	Malformed bool
 }
 
 // Classify classifies the statements of sql. It allocates only for statements that
@@ -85,7 +87,7 @@
 // proxyHints returns the hints of a comment, or nil if it is not addressed to the
 // proxy.
 func proxyHints(comment []byte) []byte {
-	text, found := bytes.CutPrefix(bytes.TrimSpace(comment), []byte("oleanderpulley:"))
+	text, found := bytes.CutPrefix(trimSpace(comment), []byte("oleanderpulley:"))
 	if !found {
 		return nil
 	}
@@ -97,9 +99,12 @@
 func NextHint(hints []byte) (name, value string, rest []byte) {
 	hint, rest, _ := bytes.Cut(hints, []byte(","))
 	n, v, _ := bytes.Cut(hint, []byte("="))
-	return string(bytes.TrimSpace(n)), string(bytes.TrimSpace(v)), rest
+	return string(trimSpace(n)), string(trimSpace(v)), rest
 }
 
+// trimSpace removes the white space of SQL, which does not include that of Unicode.
+func trimSpace(b []byte) []byte { return bytes.Trim(b, " \t\n\r\f\v") }
+
 // is reports whether the token is the given unquoted word, in any case, or the
 // given punctuation.
 func (t token) is(word string) bool {
--- a/internal/protocol/classifier/statement.go
+++ b/internal/protocol/classifier/statement.go
@@ -299,15 +299,36 @@
 	}
 	if first.is("set") {
 		st.next()
-		start := st.lexer.pos
-		st.next()
-		st.skipToEnd()
-		value := bytes.TrimSpace(bytes.TrimSuffix(st.lexer.sql[start:st.lexer.pos], []byte(";")))
-		own.Value = unquoteSettingValue(value)
+		value, ok := st.settingValue()
+		own.Value, own.Malformed = value, !ok
 	}
 	st.summary.ProxyStatement = own
 }
 
+// settingValue reads the value of a setting: one constant or name, or other text
+// without string constants. The value DEFAULT is empty.
+func (st *statementParser) settingValue() (value string, ok bool) {
+	first := st.next()
+	start, end, count, hasString := st.lexer.pos-len(first.text), 0, 0, false
+	for t := first; t.kind != tokenEnd && !t.is(";"); t = st.next() {
+		end, count = st.lexer.pos, count+1
+		hasString = hasString || t.kind == tokenString
+	}
+	switch {
+	case count == 0, count > 1 && hasString:
+		return "", false
+	case count > 1:
+		return string(st.lexer.sql[start:end]), true
+	case first.kind == tokenString:
+		return decodeString(first.text)
+	case first.kind == tokenQuoted:
+		return unquoteIdentifier(first), true
+	case first.is("default"):
+		return "", true
+	}
+	return string(first.text), true
+}
+
 // unquoteIdentifier returns the name of an identifier: a quoted one without its
 // quotes, another one in lower case.
 func unquoteIdentifier(t token) string {
@@ -316,15 +337,3 @@
 	}
 	return strings.ToLower(string(t.text))
 }
-
-// unquoteSettingValue returns the value of a setting without its quotes, or an
-// empty string for DEFAULT.
-func unquoteSettingValue(value []byte) string {
-	if bytes.EqualFold(value, []byte("default")) {
-		return ""
-	}
-	if n := len(value); n > 1 && value[0] == '\'' && value[n-1] == '\'' {
-		return strings.ReplaceAll(string(value[1:n-1]), "''", "'")
-	}
-	return string(value)
-}
--- a/internal/transport/acceptor/proxy_statement.go
+++ b/internal/transport/acceptor/proxy_statement.go
@@ -58,6 +58,9 @@
 func (s *session) runProxyStatement(o *classifier.ProxyStatement, view configurer.View) ([]byte, error) {
 	switch o.Verb {
 	case classifier.Set:
+		if o.Malformed {
+			return nil, refuser.New(refuser.InvalidSetting, o.Name+" is not one constant")
+		}
 		if o.Name == "route" {
 			if err := s.checkRoute(view, o.Value); err != nil {
 				return nil, err
--- a/internal/transport/acceptor/texts_test.go
+++ b/internal/transport/acceptor/texts_test.go
@@ -116,3 +116,11 @@
 		}
 	}
 }
+
+// Guards against a value that the classifier cannot read and that is still set.
+func TestProxyStatementValues(t *testing.T) {
+	c := connect(t, startFixture(t, nil).address, nil)
+	qt.Check(t, query(t, c, `SET oleanderpulley.request_id = E'a\'b' -- comment`), qt.Contains, "done SET")
+	qt.Check(t, query(t, c, "SET oleanderpulley.request_id = 'a' 'b'"), qt.Contains, "ERROR 22023")
+	qt.Check(t, query(t, c, "SHOW oleanderpulley.request_id"), qt.Contains, `["a'b"]`)
+}
