internal/protocol/classifier: names of statements as PostgreSQL reads them

What callers saw: DEALLOCATE "all" dropped all prepared statements of the session. DEALLOCATE of a name with bytes that are not UTF-8 dropped the statement whose name has U+FFFD in their place, an upper-case letter outside ASCII became a lower-case one, and a quoted name that begins or ends in a quote lost it.

Cause: strings.ToLower re-encodes and folds all letters, strings.Trim removes all quotes at the ends, and the proxy took the name "all" for the keyword.

An unquoted name now changes in its ASCII letters alone, a quoted one loses one quote on each side, and only the keyword ALL has an empty name.

Evidence: TestDeallocatedNames failed before for 3 of 6 names, and TestProxyStatementValues for DEALLOCATE "all". Both pass after.

--- a/internal/protocol/classifier/statement.go
+++ b/internal/protocol/classifier/statement.go
@@ -330,10 +330,17 @@
 }
 
 // unquoteIdentifier returns the name of an identifier: a quoted one without its
-// quotes, another one in lower case.
+// quotes, another one in lower case. Like PostgreSQL, it changes the case of ASCII
+// letters alone.
 func unquoteIdentifier(t token) string {
 	if t.kind == tokenQuoted {
-		return strings.ReplaceAll(strings.Trim(string(t.text), `"`), `""`, `"`)
+		return strings.ReplaceAll(string(bytes.TrimSuffix(t.text[1:], []byte(`"`))), `""`, `"`)
 	}
-	return strings.ToLower(string(t.text))
+	lower := []byte(string(t.text))
+	for i, c := range lower {
+		if c >= 'A' && c <= 'Z' {
+			lower[i] = c + 'a' - 'A'
+		}
+	}
+	return string(lower)
 }
--- a/internal/protocol/classifier/values_test.go
+++ b/internal/protocol/classifier/values_test.go
@@ -54,3 +54,13 @@
 		qt.Check(t, value, qt.Equals, want, qt.Commentf("%q", text))
 	}
 }
+
+// Guards against DEALLOCATE that drops a statement of another name.
+func TestDeallocatedNames(t *testing.T) {
+	for text, want := range map[string]string{
+		`"all"`: "all", `"""a"""`: `"a"`, "\xc3\x84A": "\xc3\x84a", "\xffA": "\xffa", "ALL": "", `"A"`: "A",
+	} {
+		got := classifier.Classify([]byte("DEALLOCATE " + text)).ProxyStatement
+		qt.Check(t, got.Name, qt.Equals, want, qt.Commentf("%q", text))
+	}
+}
--- a/internal/transport/acceptor/proxy_statement.go
+++ b/internal/transport/acceptor/proxy_statement.go
@@ -70,7 +70,7 @@
 			return nil, err
 		}
 	case classifier.Deallocate:
-		if o.Name == "" || o.Name == "all" {
+		if o.Name == "" {
 			s.prepared, s.preparedBytes = nil, 0
 		} else if s.prepared[o.Name] == nil {
 			return nil, refuser.New(refuser.UnknownStatement, "")
--- a/internal/transport/acceptor/texts_test.go
+++ b/internal/transport/acceptor/texts_test.go
@@ -117,10 +117,17 @@
 	}
 }
 
-// Guards against a value that the classifier cannot read and that is still set.
+// Guards against a value that is refused by the classifier and still set, and against
+// DEALLOCATE of one statement that drops all.
 func TestProxyStatementValues(t *testing.T) {
 	c := connect(t, startFixture(t, nil).address, nil)
 	qt.Check(t, query(t, c, `SET oleanderpulley.request_id = E'a\'b' -- comment`), qt.Contains, "done SET")
 	qt.Check(t, query(t, c, "SET oleanderpulley.request_id = 'a' 'b'"), qt.Contains, "ERROR 22023")
 	qt.Check(t, query(t, c, "SHOW oleanderpulley.request_id"), qt.Contains, `["a'b"]`)
+	sr := &scriptRunner{t: t}
+	sr.runClientCommand(c, "ask", "P all SELECT 1; P other SELECT 2; S")
+	qt.Check(t, query(t, c, `DEALLOCATE "all"`), qt.Contains, "done DEALLOCATE")
+	sr.out.Reset()
+	sr.runClientCommand(c, "ask", "B other; E; S")
+	qt.Check(t, sr.out.String(), qt.Contains, `row ["2"]`)
 }
