internal/protocol/classifier: escape strings that continue on another line

What callers saw: nothing so far. SELECT E'a', a line end, 'b\'', charge(1), '' was classified as a read: it would have run on a replica, or at the primary without a check of the write right.

Cause: PostgreSQL joins string constants that are separated by white space with a line end, and applies the escapes of the first to all. The lexer read the second one without escapes, so that a call was hidden in a string.

Evidence: the two continued constants of TestClassify failed before and pass after.

--- a/internal/protocol/classifier/classifier_test.go
+++ b/internal/protocol/classifier/classifier_test.go
@@ -40,6 +40,9 @@
 		"EXPLAIN ANALYZE INSERT INTO t VALUES (1)":              write,
 		"COPY t FROM STDIN":                                     write,
 		"COPY t TO PROGRAM 'cat'":                               write,
+		"SELECT E'a'\n'b\\'', charge(1), ''":                    write, // The escapes apply to the continuation, too.
+		"SELECT E'a' -- b\r\n 'c\\'', charge(1), ''":            write,
+		"SELECT E'a' 'b\\'', charge(1), ''":                     read, // Not a continuation.
 		"TRUNCATE t":                                            write,
 		"DO $$ BEGIN DELETE FROM t; END $$":                     write,
 		"CALL p()":                                              write,
--- a/internal/protocol/classifier/constant.go
+++ b/internal/protocol/classifier/constant.go
@@ -42,6 +42,8 @@
 		switch {
 		case (c == '\'' || c == '\\') && i+1 == len(body):
 			return "", false
+		case c == '\'' && body[i+1] != '\'': // The constant continues on another line.
+			return "", false
 		case c == '\'': // Doubled.
 			i++
 		case c == '\\':
--- a/internal/protocol/classifier/lexer.go
+++ b/internal/protocol/classifier/lexer.go
@@ -39,7 +39,11 @@
 	switch {
 	case isStringStart(l.sql[start:]):
 		l.pos = start + bytes.IndexByte(l.sql[start:], '\'')
-		l.skipQuoted('\'', c == 'e' || c == 'E')
+		escapes := c == 'e' || c == 'E'
+		l.skipQuoted('\'', escapes)
+		for escapes && l.skipToContinuation() {
+			l.skipQuoted('\'', true)
+		}
 		return token{tokenString, l.sql[start:l.pos]}
 	case isWordStart(c):
 		for l.pos < len(l.sql) && isWordPart(l.sql[l.pos]) {
@@ -123,6 +127,33 @@
 	}
 }
 
+// skipToContinuation skips white space with a line end, and comments to the end of a
+// line, if another quote follows. The string constant continues there with the same
+// escapes.
+func (l *lexer) skipToContinuation() bool {
+	newLine := false
+	for i := l.pos; i < len(l.sql); i++ {
+		switch c := l.sql[i]; {
+		case c == '\'':
+			if newLine {
+				l.pos = i
+			}
+			return newLine
+		case c == '\n' || c == '\r':
+			newLine = true
+		case c == '-' && bytes.HasPrefix(l.sql[i:], []byte("--")):
+			end := bytes.IndexAny(l.sql[i:], "\r\n")
+			if end < 0 {
+				return false
+			}
+			i += end - 1
+		case !isSpace(c):
+			return false
+		}
+	}
+	return false
+}
+
 // skipDollarQuoted skips a dollar-quoted string and reports whether there was one.
 func (l *lexer) skipDollarQuoted() bool {
 	rest := l.sql[l.pos:]
--- a/internal/protocol/classifier/values_test.go
+++ b/internal/protocol/classifier/values_test.go
@@ -37,7 +37,7 @@
 		qt.Check(t, got.Name, qt.Equals, "request_id")
 		qt.Check(t, got.Value, qt.Equals, want, qt.Commentf("%q", text))
 	}
-	for _, text := range []string{"'a' 'b'", "'a', 'b'", "U&'a'", "X'41'", "'a", `E'\u0041'`, "$$a", `E'a\`, "", "'a''", "E'a''", `E'\000'`, `E'\x'`} {
+	for _, text := range []string{"'a' 'b'", "'a', 'b'", "U&'a'", "X'41'", "'a", `E'\u0041'`, "$$a", `E'a\`, "", "'a''", "E'a''", `E'\000'`, "E'a'\n'b'", `E'\x'`} {
 		got := classifier.Classify([]byte("SET oleanderpulley.request_id = " + text)).ProxyStatement
 		qt.Check(t, got.Malformed, qt.IsTrue, qt.Commentf("%q", text))
 	}
