internal/transport/pooler: servers that repeat a response are not reused for a minute

What callers saw: a response that is repeated after the next statement arrived is given to that statement if it is of the same kind, rows for rows. Nothing in the protocol tells the two apart.

A server that has repeated one response is likely to repeat others. Once a connection has received data that belongs to no statement, the connections of its server are closed when they are idle or released, for a minute, so that no statement follows another one there outside of transactions and sessions with state. The event backend_out_of_step and the counter connections_out_of_step name the server; no log line and no metric showed a repeat before. A closed connection, an error that ends one and asynchronous messages do not count.

The price is a login for each statement at such a server. A repeat inside a transaction that is of the same kind and late still cannot be told.

Evidence: TestServerThatRepeatsIsNotReused fails with the check taken out (the connection is reused) and passes with it.

--- a/internal/command/runner/groups.go
+++ b/internal/command/runner/groups.go
@@ -13,6 +13,7 @@
 	"oleanderpulley/internal/state/tracker"
 	"oleanderpulley/internal/transport/pooler"
 	"oleanderpulley/internal/transport/prober"
+	"oleanderpulley/internal/transport/reporter"
 )
 
 // backendServersByID maps the id of a backend server to its configuration. A map is
@@ -35,6 +36,7 @@
 		MaxConnections: r.dispatcher.Budget, OnTooManyConnections: r.dispatcher.ReportTooManyConnections,
 		IdleTimeout: time.Duration(s.Timeouts.BackendIdle),
 		Dial:        r.Override.backendDialer(),
+		OnOutOfStep: r.reportOutOfStep,
 	}
 	r.prober = &prober.Prober{
 		User: r.Settings.Backend.User, Password: r.Settings.Backend.Password,
@@ -84,6 +86,13 @@
 	}
 }
 
+// reportOutOfStep logs and counts a connection that was closed because it had received
+// data that belongs to no statement.
+func (r *Runner) reportOutOfStep(server identifier.BackendServerID, reason string) {
+	r.registry.Count(reporter.Series{Name: "connections_out_of_step", Reason: string(server)}, 1)
+	r.Logger.Warn().Str("event", "backend_out_of_step").Str("backend_server", string(server)).Str("reason", reason).Send()
+}
+
 // closeSilentConnections closes the idle connections to a backend server after one
 // open connection to it broke or gave no answer. The pooler also closes busy
 // connections whose answer it finds to be lost; other statements in flight end by
--- a/internal/transport/acceptor/execute.go
+++ b/internal/transport/acceptor/execute.go
@@ -135,6 +135,7 @@
 	}
 	s.attachLease(l)
 	if err := s.prepareConnection(ctx); err != nil {
+		s.reportOutOfStep(err)
 		s.closeLease(err.Error())
 		return err
 	}
--- a/internal/transport/acceptor/lease.go
+++ b/internal/transport/acceptor/lease.go
@@ -122,6 +122,7 @@
 	if b.sent && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		s.acceptor.Pooler.CheckConnections(s.target(s.lease.choice), b.started)
 	}
+	s.reportOutOfStep(err)
 	s.closeLease(err.Error())
 	switch {
 	case b.endsTx && b.sent:
@@ -132,6 +133,14 @@
 	s.awaitingSync = false
 }
 
+// reportOutOfStep tells the pooler if the connection of the lease has received a
+// response to another statement.
+func (s *session) reportOutOfStep(err error) {
+	if errors.Is(err, errUnexpectedResponse) || errors.Is(err, pooler.ErrUnexpectedResponse) {
+		s.acceptor.Pooler.ReportOutOfStep(s.lease.conn, err.Error())
+	}
+}
+
 // cancelAbandoned cancels the statement on its own goroutine, so that the
 // response to the client does not wait for the backend server.
 func (s *session) cancelAbandoned(c *pooler.Conn) {
--- a/internal/transport/acceptor/notice.go
+++ b/internal/transport/acceptor/notice.go
@@ -55,6 +55,7 @@
 	if err == nil || errors.As(err, &clientErr) {
 		return err
 	}
+	s.reportOutOfStep(err)
 	return s.failIdleSession()
 }
 
--- a/internal/transport/pooler/conn.go
+++ b/internal/transport/pooler/conn.go
@@ -40,6 +40,7 @@
 	scram        *scramClient     // Set during a login with SCRAM-SHA-256.
 	rawConn      syscall.RawConn  // Of the TCP connection; nil if it is not available.
 	peekSocket   func(fd uintptr) // Sets openAndEmpty.
+	peeked       byte             // First byte of the data that the last peekSocket found; 0 if there is none.
 	openAndEmpty bool             // The last peekSocket found the connection open and without data to read.
 }
 
@@ -105,8 +106,11 @@
 	var buf [1]byte
 	c.rawConn = raw
 	c.peekSocket = func(fd uintptr) {
-		_, _, err := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		c.openAndEmpty = errors.Is(err, syscall.EAGAIN)
+		n, _, err := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		c.openAndEmpty, c.peeked = errors.Is(err, syscall.EAGAIN), 0
+		if err == nil && n > 0 {
+			c.peeked = buf[0]
+		}
 	}
 }
 
--- a/internal/transport/pooler/pooler.go
+++ b/internal/transport/pooler/pooler.go
@@ -63,14 +63,18 @@
 	// OnTooManyConnections is called when a login fails with SQLSTATE 53300
 	// (too_many_connections). Nil ignores the event.
 	OnTooManyConnections func(identifier.BackendServerID)
-	Now                  func() time.Time // Nil means time.Now.
+	// OnOutOfStep is called when a connection is closed because it has received
+	// data that belongs to no statement. Nil ignores the event.
+	OnOutOfStep func(server identifier.BackendServerID, reason string)
+	Now         func() time.Time // Nil means time.Now.
 
 	mu              sync.Mutex
 	pools           map[Target]*pool
 	parameters      map[string]*Parameters // By database.
 	closed          bool
 	sweeperStarted  bool
-	checksRequested map[Target]int // Calls of CheckConnections since the running checks of a target began.
+	notReusedUntil  map[identifier.BackendServerID]time.Time // Servers that have repeated a response.
+	checksRequested map[Target]int                           // Calls of CheckConnections since the running checks of a target began.
 	// openConns has every open *Conn as a key.
 	openConns  sync.Map
 	done       chan struct{}
@@ -97,6 +101,9 @@
 			return nil, err
 		}
 		if !c.newlyOpened && !c.hasNoInput() {
+			if isResponse(c.peeked) {
+				p.ReportOutOfStep(c, "data on an idle connection")
+			}
 			p.Release(c, false)
 			continue
 		}
@@ -107,6 +114,9 @@
 		if err == nil && !c.HasNoInput() {
 			err = errors.Wrap(ErrUnexpectedResponse, "data after the last response")
 		}
+		if errors.Is(err, ErrUnexpectedResponse) {
+			p.ReportOutOfStep(c, err.Error())
+		}
 		if err != nil {
 			p.Release(c, false)
 			if c.newlyOpened || ctx.Err() != nil {
@@ -200,6 +210,10 @@
 			isReusable = (*Conn).Clean
 		}
 		reusable = isReusable(c)
+		if !reusable && c.Status == 'I' && c.hasResponse() {
+			p.ReportOutOfStep(c, "data after the last response")
+		}
+		reusable = reusable && !p.isOutOfStep(c)
 	}
 	if !reusable {
 		c.close()
--- a/internal/transport/pooler/repeat_test.go
+++ b/internal/transport/pooler/repeat_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -10,6 +11,7 @@
 
 	"oleanderpulley/internal/fake/backendserver"
 	"oleanderpulley/internal/protocol/framer"
+	"oleanderpulley/internal/state/identifier"
 	"oleanderpulley/internal/transport/pooler"
 )
 
@@ -87,3 +89,42 @@
 		p.Release(c, true)
 	}
 }
+
+// Guards against a connection that is lent again although its server has repeated a
+// response, of which a further repeat could arrive late.
+func TestServerThatRepeatsIsNotReused(t *testing.T) {
+	s, target := startServer(t, nil)
+	p := newPooler(t, 4)
+	now := time.Now()
+	p.Now = func() time.Time { return now }
+	var reported []identifier.BackendServerID
+	p.OnOutOfStep = func(server identifier.BackendServerID, _ string) { reported = append(reported, server) }
+	acquire := func() *pooler.Conn {
+		c, err := p.Acquire(testContext(t), target, "shop")
+		qt.Assert(t, err, qt.IsNil)
+		return c
+	}
+	idle, c := acquire(), acquire()
+	p.Release(idle, true)
+	s.SetFaults(backendserver.Faults{RepeatResponses: 1})
+	qt.Assert(t, queryTag(t, c, "SELECT 1"), qt.Equals, "SELECT 1")
+	p.Release(c, true)
+	qt.Assert(t, reported, qt.DeepEquals, []identifier.BackendServerID{"s"})
+	qt.Assert(t, p.Open("s"), qt.Equals, 0)
+	for _, step := range []struct {
+		after  time.Duration
+		reused bool
+	}{{0, false}, {59 * time.Second, false}, {time.Second, true}} {
+		now = now.Add(step.after)
+		c = acquire()
+		p.Release(c, true)
+		qt.Assert(t, p.Open("s") == 1, qt.Equals, step.reused)
+	}
+	qt.Assert(t, acquire(), qt.Equals, c)
+
+	p.Release(c, true)
+	qt.Assert(t, s.Kill(true), qt.IsNil)
+	qt.Assert(t, s.Restart(), qt.IsNil)
+	p.Release(acquire(), true)
+	qt.Assert(t, reported, qt.HasLen, 1) // A closed connection is no repeat.
+}
