--- a/internal/bench/soaker/fault_test.go
+++ b/internal/bench/soaker/fault_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -48,3 +49,15 @@
 		}
 	}
 }
+
+// Guards against a run beside an older build that reports the promises which that one breaks, and a run of this build alone without the fault.
+func TestRepeatedAnswersBesideAnOlderBuild(t *testing.T) {
+	for _, test := range []struct {
+		soak Soak
+		want bool
+	}{{Soak{}, true}, {Soak{OldProgram: "old"}, false}, {Soak{OldProgram: "old", Fault: repeatFault}, true}} {
+		drawn, err := test.soak.faults()
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, slices.ContainsFunc(drawn, func(f fault) bool { return f.name == repeatFault }), qt.Equals, test.want)
+	}
+}
