--- a/internal/bench/player/generator.go
+++ b/internal/bench/player/generator.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"oleanderpulley/internal/coordination/ratelimiter"
+	"oleanderpulley/platform/imitator"
 )
 
 var errSessionFailed = errors.New("session failed")
@@ -158,11 +159,11 @@
 		return "", false, errors.Wrap(errSessionFailed, err.Error())
 	}
 	for {
-		answer, err := s.reader.ReadString('\n')
+		answer, err := imitator.ReadMessage(s.reader)
 		if err != nil {
 			return "", false, errors.Wrap(errSessionFailed, err.Error())
 		}
-		word, rest, _ := strings.Cut(strings.TrimSpace(answer), " ")
+		word, rest, _ := strings.Cut(answer, " ")
 		switch word {
 		case "ERROR":
 			code, _, _ = strings.Cut(rest, " ")
