--- a/internal/fake/backendserver/describe.go
+++ b/internal/fake/backendserver/describe.go
@@ -29,14 +29,16 @@
 	switch {
 	case st.verb == "show":
 		return t.types, showColumns(st), nil
-	case st.table == "group_member_status()":
-		return t.types, statusColumns, nil
 	case st.table == activityTable:
 		return t.types, activityColumns, nil
 	}
 	var columns []column
 	for _, it := range st.outputs {
 		if it.expr.kind == starExpr {
+			if st.table == statusTable {
+				columns = append(columns, statusColumns...)
+				continue
+			}
 			if def == nil {
 				return nil, nil, sqlErrorf("42601", "SELECT * with no tables specified is not valid")
 			}
@@ -154,6 +156,7 @@
 	"count":                    {pgtype.Int8OID},
 	"pg_sleep":                 {pgtype.TextOID, pgtype.Float8OID},
 	"version":                  {pgtype.TextOID},
+	"set_config":               {pgtype.TextOID, pgtype.TextOID, pgtype.TextOID, pgtype.BoolOID},
 	"current_setting":          {pgtype.TextOID, pgtype.TextOID, pgtype.BoolOID},
 	"pg_backend_pid":           {pgtype.Int4OID},
 	"pg_is_in_recovery":        {pgtype.BoolOID},
