internal/transport/lender, internal/transport/sessioner: an unsigned answer must fit its statement

Callers got a success without the signature of the server (MIXED), and reads relied on old positions as if they were new (STALE), when a backend server sent the answer to a BEGIN, ROLLBACK, SET, PREPARE or DISCARD a second time: any success was taken for any statement, and the answer to a BEGIN was recorded as a position sample although nothing names it.

- "-" is no answer to READ, WRITE, EXECUTE or COMMIT, and a success of the other kinds must show the transaction state that its statement leads to, without rows (one row for STATUS and STEPDOWN).
What does not fit is dropped if an equal answer was received before on the connection, otherwise the connection is broken.
- A connection whose last answer shows an open transaction is closed on return.
- A sample of the primary comes from a signed answer in its transaction, or from a series of BEGIN and ROLLBACK in which no answer was dropped.
A position that shows a lost log counts only if the ROLLBACK after it is in step: a repeated answer to BEGIN is followed by that to the new one, which has another state.
Before, one repeat made the primary count as one that lost its log.
- A read on the primary whose answer shows no open transaction is not returned.

--- a/internal/transport/lender/answers.go
+++ b/internal/transport/lender/answers.go
@@ -1,6 +1,7 @@
 package lender
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,10 +16,17 @@
 // one from one that is received again. The zero value is empty.
 type answerLog struct {
 	signatures []uint64 // Hashes of the last signatures, a ring once it is full.
-	contents   []uint64 // Hashes of the whole answers, in the same order.
+	contents   []uint64 // Hashes of the whole answers, in the same order; unnamed for statements that need no signature.
 	next       int      // Index of the oldest entry of the full ring.
+
+	state    requester.TransactionState   // In the last expected answer; 0 if there was none.
+	unsigned []requester.TransactionState // The different states in unsigned answers without rows.
 }
 
+// unnamed is the entry for a signature of a statement that needs none. Such a
+// signature may be given again.
+const unnamed = 0
+
 // find returns the hash of the whole answer that had the signature.
 func (l *answerLog) find(signature uint64) (content uint64, ok bool) {
 	i := slices.Index(l.signatures, signature)
@@ -46,7 +54,7 @@
 	for _, row := range r.Rows {
 		hash = (hash ^ xxhash.Sum64String(row)) * prime
 	}
-	return hash
+	return max(hash, unnamed+1)
 }
 
 // verdict is what an answer is to the oldest unanswered statement.
@@ -58,10 +66,27 @@
 	outOfStep                // The answer to another statement.
 )
 
-// judge returns what the answer is, and remembers it if it is expected.
-func (l *answerLog) judge(r requester.Result) verdict {
-	if r.Code != requester.OK || !isSigned(r) {
-		return expected
+// judge returns what the answer is to a statement of the kind, and remembers it if it
+// is expected.
+func (l *answerLog) judge(k requester.Kind, r requester.Result) verdict {
+	v := expected
+	switch {
+	case r.Code != requester.OK:
+	case needsSignature(k):
+		v = l.judgeSigned(r)
+	default:
+		v = l.judgeUnsigned(k, r)
+	}
+	if v == expected {
+		l.state = r.State
+	}
+	return v
+}
+
+// judgeSigned judges the success of a statement that has to be signed.
+func (l *answerLog) judgeSigned(r requester.Result) verdict {
+	if !isSigned(r) {
+		return l.repeatedOr(outOfStep, r)
 	}
 	signature := xxhash.Sum64String(r.Signature)
 	content := contentHash(r, signature)
@@ -72,11 +97,84 @@
 		return expected
 	case known == content:
 		return repeated
+	case known == unnamed:
+		return l.repeatedOr(outOfStep, r)
 	default:
 		return outOfStep
 	}
 }
 
+// judgeUnsigned judges the success of a statement that needs no signature. Its
+// transaction state has to be the one that the statement leads to. A signature that
+// no signed answer had says nothing.
+func (l *answerLog) judgeUnsigned(k requester.Kind, r requester.Result) verdict {
+	if isSigned(r) {
+		signature := xxhash.Sum64String(r.Signature)
+		switch known, ok := l.find(signature); {
+		case !ok:
+			l.add(signature, unnamed)
+		case known == contentHash(r, signature):
+			return repeated
+		case known != unnamed:
+			return outOfStep
+		}
+	}
+	if r.State != l.stateAfter(k) || len(r.Rows) != rowsOf(k) {
+		return l.repeatedOr(outOfStep, r)
+	}
+	if len(r.Rows) == 0 && !slices.Contains(l.unsigned, r.State) {
+		l.unsigned = append(l.unsigned, r.State)
+	}
+	return expected
+}
+
+// repeatedOr returns repeated if an equal answer to a statement that needs no
+// signature was received before, otherwise v.
+func (l *answerLog) repeatedOr(v verdict, r requester.Result) verdict {
+	if len(r.Rows) == 0 && slices.Contains(l.unsigned, r.State) {
+		return repeated
+	}
+	return v
+}
+
+// stateAfter returns the transaction state to which the success of a statement of
+// the kind leads.
+func (l *answerLog) stateAfter(k requester.Kind) requester.TransactionState {
+	switch k {
+	case requester.Begin, requester.BeginReadOnly:
+		return requester.InTransaction
+	case requester.Commit, requester.Rollback:
+		return requester.Idle
+	default:
+		return cmp.Or(l.state, requester.Idle)
+	}
+}
+
+// inTransaction reports whether the last answer showed an open transaction.
+func (l *answerLog) inTransaction() bool {
+	return l.state != 0 && l.state != requester.Idle
+}
+
+// rowsOf returns the number of rows of the answer to a statement that needs no
+// signature.
+func rowsOf(k requester.Kind) int {
+	if k == requester.Status || k == requester.StepDown {
+		return 1
+	}
+	return 0
+}
+
+// needsSignature reports whether the backend server signs the success of a
+// statement of the kind.
+func needsSignature(k requester.Kind) bool {
+	switch k {
+	case requester.Read, requester.Write, requester.Execute, requester.Commit:
+		return true
+	default:
+		return false
+	}
+}
+
 // isSigned reports whether the answer has a signature.
 func isSigned(r requester.Result) bool {
 	return r.Signature != "" && r.Signature != "-"
--- a/internal/transport/lender/answers_test.go
+++ b/internal/transport/lender/answers_test.go
@@ -255,3 +255,110 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, r.Signature, qt.Equals, "7.1f3.700")
 }
+
+// unsignedKinds are the kinds of statements whose success a server does not sign.
+var unsignedKinds = []requester.Kind{
+	requester.Begin, requester.BeginReadOnly, requester.Rollback, requester.Set, requester.Prepare, requester.Discard,
+}
+
+// Guards against a success without the signature of the server (MIXED).
+func TestUnsignedSuccessIsNoAnswerToASignedStatement(t *testing.T) {
+	for _, k := range []requester.Kind{requester.Read, requester.Write, requester.Execute, requester.Commit} {
+		t.Run(k.String(), func(t *testing.T) {
+			s := newScriptedServer()
+			c := s.borrow(t)
+			s.answer = func(_ requester.Statement, r requester.Result) requester.Result {
+				r.Signature, r.Rows = "", nil
+				return r
+			}
+			_, err := c.Run(soon(), statement(k, "x"))
+			qt.Assert(t, err, qt.ErrorIs, lender.ErrNoAnswer)
+			qt.Assert(t, c.Broken(), qt.IsTrue)
+		})
+	}
+}
+
+// Guards against an unsigned answer that is received again and taken as the answer to a
+// statement of another kind, or breaks the connection.
+func TestRepeatedUnsignedAnswerIsDropped(t *testing.T) {
+	transaction := []requester.Statement{
+		{Kind: requester.Begin}, {Kind: requester.Set}, statement(requester.Read, "x"), statement(requester.Write, "x 1"),
+		statement(requester.Commit, ""), {Kind: requester.Begin}, {Kind: requester.Rollback}, statement(requester.Read, "y"),
+	}
+	for first := range transaction {
+		for next := first + 1; next < len(transaction); next++ {
+			s := newScriptedServer()
+			c := s.borrow(t)
+			for i, st := range transaction {
+				if i == next {
+					s.before = repeatOnce(st.Kind, first)
+				}
+				r, err := c.Run(soon(), st)
+				comment := qt.Commentf("answer to %s again before that to %s", transaction[first].Kind, transaction[next].Kind)
+				qt.Assert(t, err, qt.IsNil, comment)
+				if k := st.Kind; k != requester.Begin && k != requester.Set { // Only its place tells a BEGIN from another.
+					qt.Assert(t, r, qt.DeepEquals, s.last().given[i], comment)
+				}
+			}
+		}
+	}
+}
+
+// Guards against an unsigned success that shows another transaction state than the one
+// that its statement leads to.
+func TestUnsignedSuccessHasTheStateOfItsStatement(t *testing.T) {
+	for _, k := range unsignedKinds {
+		for _, begun := range []bool{false, true} {
+			s := newScriptedServer()
+			c := s.borrow(t)
+			if begun {
+				_, err := c.Run(soon(), requester.Statement{Kind: requester.Begin})
+				qt.Assert(t, err, qt.IsNil)
+			}
+			s.answer = func(_ requester.Statement, r requester.Result) requester.Result {
+				if r.State == requester.Idle {
+					r.State = requester.Failed
+				} else {
+					r.State = requester.Idle
+				}
+				return r
+			}
+			_, err := c.Run(soon(), requester.Statement{Kind: k})
+			qt.Assert(t, err, qt.ErrorIs, lender.ErrNoAnswer, qt.Commentf("%s", k))
+			qt.Assert(t, c.Broken(), qt.IsTrue)
+		}
+	}
+}
+
+// Guards against a server whose answers are refused because it signs statements that need
+// no signature, all alike.
+func TestSignatureOfAnUnsignedStatementSaysNothing(t *testing.T) {
+	s := newScriptedServer()
+	s.answer = func(st requester.Statement, r requester.Result) requester.Result {
+		if slices.Contains(unsignedKinds, st.Kind) {
+			r.Signature = "a.-"
+		}
+		return r
+	}
+	c := s.borrow(t)
+	for range 2 {
+		for _, k := range []requester.Kind{requester.Set, requester.Begin, requester.Read, requester.Rollback} {
+			_, err := c.Run(soon(), statement(k, "x"))
+			qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", k))
+		}
+	}
+	s.before = repeatOnce(requester.Write, 0)
+	r, err := c.Run(soon(), statement(requester.Write, "x 1"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, r.Signature, qt.Equals, "7.1f3.8")
+}
+
+// Guards against a statement that runs in the transaction of an earlier borrower.
+func TestConnectionInATransactionIsNotLentAgain(t *testing.T) {
+	s := newScriptedServer()
+	c := s.borrow(t)
+	_, err := c.Run(soon(), requester.Statement{Kind: requester.Begin})
+	qt.Assert(t, err, qt.IsNil)
+	s.lender.Return(c)
+	qt.Assert(t, s.last().closed, qt.IsTrue)
+}
--- a/internal/transport/lender/conn.go
+++ b/internal/transport/lender/conn.go
@@ -58,6 +58,7 @@
 
 	unanswered []requester.Kind // Of the statements that were sent, the oldest first.
 	answers    answerLog
+	repeats    int // Number of dropped answers.
 
 	statement *scheduler.Statement // For which the connection is lent; nil if it did not wait.
 }
@@ -103,11 +104,12 @@
 			c.broken = true
 			return r, errors.Wrapf(ErrNoAnswer, "%s: %v", c.Server.ID, err)
 		}
-		switch v := c.answers.judge(r); v {
+		switch v := c.answers.judge(k, r); v {
 		case expected:
 			c.LastAnswer = time.Now()
 			return r, nil
 		case repeated:
+			c.repeats++
 			c.lender.reportAnswer(c, k, v, r)
 		case outOfStep:
 			c.lender.reportAnswer(c, k, v, r)
@@ -119,6 +121,13 @@
 	return requester.Result{}, errors.Wrapf(ErrNoAnswer, "%s: %d repeated answers", c.Server.ID, maxRepeats)
 }
 
+// Repeats returns the number of answers on this connection that were dropped as
+// repeats. If it grows in a series of statements, an unsigned answer in the series may
+// be a repeat too.
+func (c *Conn) Repeats() int {
+	return c.repeats
+}
+
 // nextUnanswered removes the oldest unanswered statement and returns its kind.
 func (c *Conn) nextUnanswered() requester.Kind {
 	if len(c.unanswered) == 0 {
--- /dev/null
+++ b/internal/transport/sessioner/fake_answers_test.go
@@ -0,0 +1,35 @@
+package sessioner
+
+import (
+	"strconv"
+
+	"oleanderpulley/internal/protocol/requester"
+	"oleanderpulley/internal/state/identifier"
+)
+
+// fakeAnswers gives the successful answers of a connection to a backend server. The zero
+// value is a new connection.
+type fakeAnswers struct {
+	inTransaction bool
+	signatures    int
+}
+
+// answer returns the answer to a statement of the kind.
+func (f *fakeAnswers) answer(k requester.Kind, end identifier.Position) requester.Result {
+	r := requester.Result{State: requester.Idle, Position: end}
+	switch k {
+	case requester.Begin, requester.BeginReadOnly:
+		f.inTransaction = true
+	case requester.Commit, requester.Rollback:
+		f.inTransaction = false
+	}
+	switch k {
+	case requester.Read, requester.Write, requester.Execute, requester.Commit:
+		f.signatures++
+		r.Signature = "s" + strconv.Itoa(f.signatures)
+	}
+	if f.inTransaction {
+		r.State = requester.InTransaction
+	}
+	return r
+}
--- a/internal/transport/sessioner/open.go
+++ b/internal/transport/sessioner/open.go
@@ -17,7 +17,9 @@
 	n.watchPrimary(o)
 	if n.tx.onPrimary {
 		return n.runOnPrimary(o, true, func(c *lender.Conn, p fencer.Permit) (requester.Result, error) {
-			return n.beginOn(c, p, requester.Statement{Kind: requester.Begin})
+			return n.beginOn(c, p, func(deadline time.Time) (requester.Result, error) {
+				return n.server.beginOnPrimary(c, p, deadline)
+			})
 		})
 	}
 	return n.runOnReaders(o, func(b cataloger.BackendServer, f floor, _ int) (requester.Result, error) {
@@ -25,19 +27,28 @@
 		if err != nil {
 			return requester.Result{}, err
 		}
-		return n.beginOn(c, fencer.Permit{}, requester.Statement{Kind: requester.BeginReadOnly, After: f.position})
+		return n.beginOn(c, fencer.Permit{}, func(deadline time.Time) (requester.Result, error) {
+			return c.Run(deadline, requester.Statement{Kind: requester.BeginReadOnly, After: f.position})
+		})
 	})
 }
 
 // beginOn begins the transaction on the connection and keeps the connection on
 // success. The permit matters only for a transaction on the primary. Every error
-// is a [lender.ErrNotSent].
-func (n *session) beginOn(c *lender.Conn, p fencer.Permit, st requester.Statement) (requester.Result, error) {
+// is a [lender.ErrNotSent]. The answer may be a repeat of an earlier one, so that its
+// position is not recorded; the first signed answer of the transaction has one.
+func (n *session) beginOn(c *lender.Conn, p fencer.Permit, begin func(deadline time.Time) (requester.Result, error)) (requester.Result, error) {
 	s := n.server
 	s.Balancer.Start(c.Server.ID)
-	sent := s.Holder.Clock()
-	r, err := c.Run(time.Now().Add(queryTimeout), st)
-	if err != nil {
+	r, err := begin(time.Now().Add(queryTimeout))
+	switch {
+	case errors.Is(err, errFenced), errors.Is(err, errLogLost):
+		s.Balancer.Finish(c.Server.ID, 0)
+		s.Balancer.RecordNotLeading(c.Server.Service, c.Server.ID)
+		c.MarkBroken()
+		s.Lender.Return(c)
+		return r, errors.Wrap(lender.ErrNotSent, err.Error())
+	case err != nil:
 		s.Balancer.Fail(c.Server.ID)
 		s.Lender.Return(c)
 		return r, errors.Wrap(lender.ErrNotSent, err.Error())
@@ -53,14 +64,6 @@
 		s.Lender.Return(c)
 		return r, errors.Wrapf(lender.ErrNotSent, "server %s did not begin the transaction: %s", c.Server.ID, r.Code)
 	}
-	if n.tx.onPrimary {
-		if err := s.recordLeader(c, p, r, sent); err != nil {
-			s.Balancer.RecordNotLeading(c.Server.Service, c.Server.ID)
-			c.MarkBroken()
-			s.Lender.Return(c)
-			return r, errors.Wrap(lender.ErrNotSent, err.Error())
-		}
-	}
 	n.tx.conn, n.tx.permit = c, p
 	return r, nil
 }
--- a/internal/transport/sessioner/primary.go
+++ b/internal/transport/sessioner/primary.go
@@ -36,6 +36,10 @@
 	// before the statement ran.
 	errFenced = errors.New("the permission to use the primary ended before its answer")
 
+	// errInDoubt reports answers of a server that say nothing about whether it leads,
+	// because one of them was sent for an earlier statement.
+	errInDoubt = errors.New("an answer may be that to an earlier statement")
+
 	errReplacing   = errors.New("the primary is being replaced")
 	errProofTooOld = errors.New("the proof of the configuration is too old to use the primary; use another instance")
 	errNoPrimary   = errors.New("no primary is known")
@@ -43,14 +47,57 @@
 	errNoSample    = errors.New("no primary showed a position in time")
 )
 
+// checkPermit returns errFenced if the permit to use the server as the primary is no
+// longer held.
+func (s *Server) checkPermit(c *lender.Conn, p fencer.Permit) error {
+	if !p.Allows(c.Server.ID) || !s.Fencer.IsHeld(p) {
+		return errors.Wrapf(errFenced, "server %s", c.Server.ID)
+	}
+	return nil
+}
+
+// beginAttempts is the number of times that a transaction is begun on a connection
+// while an answer may be that to an earlier BEGIN.
+const beginAttempts = 2
+
+// beginOnPrimary begins a transaction on the primary. Its result is not OK if the
+// server refused it. An error means that the transaction may not be used. If the
+// position in the answer shows a lost log, the transaction is rolled back first: the
+// answer to an earlier BEGIN would be followed by that to the new one.
+func (s *Server) beginOnPrimary(c *lender.Conn, p fencer.Permit, deadline time.Time) (begun requester.Result, err error) {
+	for range beginAttempts {
+		sent := s.Holder.Clock()
+		begun, err = c.Run(deadline, requester.Statement{Kind: requester.Begin})
+		if err != nil || begun.Code != requester.OK {
+			return begun, err
+		}
+		if err = s.checkPermit(c, p); err != nil {
+			return begun, err
+		}
+		if !s.leaderLogs.isBefore(c.Server.Service, p, sampler.Sample{Position: begun.Position, RequestedAt: sent}) {
+			return begun, nil
+		}
+		repeats := c.Repeats()
+		ended, err := c.Run(deadline, requester.Statement{Kind: requester.Rollback})
+		if err != nil {
+			return begun, err
+		}
+		if ended.Code == requester.OK && c.Repeats() == repeats {
+			return begun, s.checkLog(c, p, begun.Position, sent)
+		}
+	}
+	c.MarkBroken()
+	return begun, errors.Wrapf(errInDoubt, "server %s", c.Server.ID)
+}
+
 // recordLeader records that the server was the leader when it answered, and its
 // position as a sample. The answer must be one to a write, or one from a
 // transaction that only a leader opens, to a request that was sent after the clock
-// reading sent. It returns errFenced if the permit is no longer held, or errLogLost:
+// reading sent, and no repeat of an earlier answer. It returns errFenced if the permit is no longer held, or errLogLost:
 // the answer then proves nothing.
 func (s *Server) recordLeader(c *lender.Conn, p fencer.Permit, r requester.Result, sent time.Duration) error {
-	if !p.Allows(c.Server.ID) || !s.Fencer.IsHeld(p) {
-		return errors.Wrapf(errFenced, "server %s", c.Server.ID)
+	if err := s.checkPermit(c, p); err != nil {
+		return err
 	}
 	if err := s.checkLog(c, p, r.Position, sent); err != nil {
 		return err
@@ -96,10 +143,11 @@
 // confirmLeader verifies that the server on the connection leads, by opening and
 // rolling back a transaction. If this instance may use the primary, the answer is
 // recorded as a position sample; otherwise it says nothing about whether the
-// server was replaced. It returns [fencer.ErrNotLeading], or the error of the connection.
+// server was replaced. It returns [fencer.ErrNotLeading], errInDoubt, or the error of
+// the connection. After errInDoubt the connection is broken.
 func (s *Server) confirmLeader(c *lender.Conn) error {
 	permit, permitted := s.Fencer.Permit(c.Server.Service)
-	sent := s.Holder.Clock()
+	sent, repeats := s.Holder.Clock(), c.Repeats()
 	deadline := time.Now().Add(queryTimeout)
 	begin := requester.Statement{Kind: requester.Begin}
 	rollback := requester.Statement{Kind: requester.Rollback}
@@ -110,9 +158,14 @@
 	if err != nil {
 		return err
 	}
-	if _, err := c.Receive(deadline); err != nil {
+	ended, err := c.Receive(deadline)
+	if err != nil {
 		return err
 	}
+	if c.Repeats() != repeats || (r.Code == requester.OK && ended.Code != requester.OK) {
+		c.MarkBroken()
+		return errors.Wrapf(errInDoubt, "server %s", c.Server.ID)
+	}
 	if r.Code != requester.OK || (permitted && !permit.Allows(c.Server.ID)) {
 		s.Balancer.RecordNotLeading(c.Server.Service, c.Server.ID)
 		return fencer.ErrNotLeading
@@ -132,16 +185,29 @@
 	return nil
 }
 
+// confirmAttempts is the number of connections on which a server is asked whether it
+// leads while its answers are in doubt.
+const confirmAttempts = 2
+
 // borrowAndConfirm borrows a connection to the server and verifies that the
 // server leads.
-func (s *Server) borrowAndConfirm(b cataloger.BackendServer, w identifier.WorkspaceName) error {
+func (s *Server) borrowAndConfirm(b cataloger.BackendServer, w identifier.WorkspaceName) (err error) {
+	for range confirmAttempts {
+		if err = s.borrowAndConfirmOnce(b, w); !errors.Is(err, errInDoubt) {
+			return err
+		}
+	}
+	return err
+}
+
+func (s *Server) borrowAndConfirmOnce(b cataloger.BackendServer, w identifier.WorkspaceName) error {
 	c, err := s.borrow(lender.Request{Server: b, Workspace: w, AnyWorkspace: true, Deadline: time.Now().Add(queryTimeout)})
 	if err != nil {
 		return err
 	}
 	defer s.Lender.Return(c)
 	err = s.confirmLeader(c)
-	if err != nil && !errors.Is(err, fencer.ErrNotLeading) {
+	if err != nil && !errors.Is(err, fencer.ErrNotLeading) && !errors.Is(err, errInDoubt) {
 		s.Balancer.Unreachable(b.ID)
 	}
 	return err
--- a/internal/transport/sessioner/read.go
+++ b/internal/transport/sessioner/read.go
@@ -32,29 +32,37 @@
 // when the read is answered. Its error is a [lender.ErrNotSent] before the read
 // was sent and an errReadUnanswered after that; in both cases it may be repeated.
 func (n *session) readFromLeader(c *lender.Conn, p fencer.Permit, deadline time.Time, read requester.Statement) (requester.Result, error) {
-	sent := n.server.Holder.Clock()
-	r, err := c.Run(deadline, requester.Statement{Kind: requester.Begin})
+	sent, repeats := n.server.Holder.Clock(), c.Repeats()
+	begun, err := n.server.beginOnPrimary(c, p, deadline)
 	if err != nil {
-		return r, errors.Wrap(lender.ErrNotSent, err.Error())
+		return begun, errors.Wrap(lender.ErrNotSent, err.Error())
 	}
-	if r.Code != requester.OK {
-		return r, nil
-	}
-	if err := n.server.recordLeader(c, p, r, sent); err != nil {
-		return r, errors.Wrap(lender.ErrNotSent, err.Error())
+	if begun.Code != requester.OK {
+		return begun, nil
 	}
 	if err := c.Send(deadline, read, requester.Statement{Kind: requester.Rollback}); err != nil {
-		return r, errors.Wrap(errReadUnanswered, err.Error())
+		return begun, errors.Wrap(errReadUnanswered, err.Error())
 	}
-	r, err = c.Receive(deadline)
+	r, err := c.Receive(deadline)
 	if err != nil {
 		return r, errors.Wrap(errReadUnanswered, err.Error())
 	}
-	if _, err = c.Receive(deadline); err != nil {
+	ended, err := c.Receive(deadline)
+	if err != nil || ended.Code != requester.OK {
 		c.MarkBroken()
 	}
-	if r.Code == requester.OK && !n.server.Fencer.IsHeld(p) {
-		return r, errors.Wrapf(errReadUnanswered, "server %s: %v", c.Server.ID, errFenced)
+	switch {
+	case r.Code == requester.OK && r.State == requester.InTransaction:
+		if err := n.server.recordLeader(c, p, r, sent); err != nil {
+			return r, errors.Wrapf(errReadUnanswered, "server %s: %v", c.Server.ID, err)
+		}
+	case r.Code == requester.OK:
+		c.MarkBroken()
+		return r, errors.Wrapf(errReadUnanswered, "server %s: the transaction of the read was not open", c.Server.ID)
+	case !c.Broken() && c.Repeats() == repeats:
+		if err := n.server.recordLeader(c, p, begun, sent); err != nil {
+			n.server.Logger.Debug().Str("event", "leader_not_recorded").Err(err).Send()
+		}
 	}
 	return r, nil
 }
--- /dev/null
+++ b/internal/transport/sessioner/repeat_test.go
@@ -0,0 +1,161 @@
+package sessioner
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oleanderpulley/internal/protocol/requester"
+	"oleanderpulley/internal/state/cataloger"
+	"oleanderpulley/internal/state/identifier"
+	"oleanderpulley/internal/transport/lender"
+	"oleanderpulley/internal/transport/reporter"
+)
+
+// repeater is a backend server that leads. Its commits advance by 10 with each statement.
+// A test may make it send answers again.
+type repeater struct {
+	end    identifier.Position
+	dialed int
+	given  []requester.Result // On the last connection, without repeats.
+	// Before returns the answers that arrive between the statement and its own answer.
+	before func(k requester.Kind) []requester.Result
+	// Answer changes the statement's own answer.
+	answer func(k requester.Kind, r requester.Result) requester.Result
+	ran    []requester.Kind
+}
+
+func (p *repeater) dial(time.Time, cataloger.BackendServer, identifier.WorkspaceName) (lender.Link, error) {
+	p.dialed++
+	p.given = nil
+	var pending []requester.Result
+	var answers fakeAnswers
+	return lender.Link{
+		Send: func(_ time.Time, statements ...requester.Statement) error {
+			for _, st := range statements {
+				p.ran = append(p.ran, st.Kind)
+				if p.before != nil {
+					pending = append(pending, p.before(st.Kind)...)
+				}
+				p.end.Offset += 10
+				r := answers.answer(st.Kind, p.end)
+				if p.answer != nil {
+					r = p.answer(st.Kind, r)
+				}
+				p.given = append(p.given, r)
+				pending = append(pending, r)
+			}
+			return nil
+		},
+		Receive: func(time.Time) (requester.Result, error) {
+			if len(pending) == 0 {
+				return requester.Result{}, os.ErrDeadlineExceeded
+			}
+			r := pending[0]
+			pending = pending[1:]
+			return r, nil
+		},
+		Open:   func() bool { return len(pending) == 0 },
+		Unread: func() bool { return len(pending) > 0 },
+		Close:  func() {},
+	}, nil
+}
+
+// newRepeater returns a server with the backend server, from which a first series of
+// BEGIN and ROLLBACK was answered.
+func newRepeater(t *testing.T) (*Server, *repeater) {
+	s, _ := newTestServer()
+	p := &repeater{end: identifier.Position{Term: 1}}
+	s.Lender.Dial = p.dial
+	qt.Assert(t, s.ConfirmLeader(s.Holder.Catalog().Servers["rentals"][0]), qt.IsNil)
+	sample, _ := s.Sampler("rentals").Latest()
+	qt.Assert(t, sample.Position, qt.Equals, p.given[0].Position)
+	return s, p
+}
+
+// repeatFirst makes the server send the first answer of the connection again before
+// that to the next statement of the kind.
+func (p *repeater) repeatFirst(at requester.Kind) {
+	first := p.given[:1]
+	p.before = func(k requester.Kind) []requester.Result {
+		if k != at {
+			return nil
+		}
+		at = requester.Unknown
+		return first
+	}
+}
+
+// Guards against an old position that counts as a new one, because the answer to an
+// earlier BEGIN is received again (STALE), and against a primary that is taken for one
+// that lost its log because of it.
+func TestRepeatedBeginAnswerIsNoSample(t *testing.T) {
+	requests := map[string]func(s *Server) requester.Code{
+		"confirm": func(s *Server) requester.Code {
+			if s.ConfirmLeader(s.Holder.Catalog().Servers["rentals"][0]) != nil {
+				return requester.OtherError
+			}
+			return requester.OK
+		},
+		"read": func(s *Server) requester.Code {
+			return s.Execute("peer", primaryRequest(requester.Read, "READ x")).Result.Code
+		},
+		"transaction": func(s *Server) requester.Code { return s.Execute("peer", openingForward("shops", 1)).Result.Code },
+	}
+	for name, request := range requests {
+		t.Run(name, func(t *testing.T) {
+			s, p := newRepeater(t)
+			old := p.given[0].Position
+			clock := setClock(s)
+			clock.advance(time.Second)
+			s.Holder.SetProof(clock.now())
+			since := s.Holder.Clock()
+			check := func() {
+				sample, _ := s.Sampler("rentals").Latest()
+				qt.Check(t, sample.RequestedAt >= since && sample.Position == old, qt.IsFalse)
+			}
+			p.repeatFirst(requester.Begin)
+			repeat := p.before
+			p.before = func(k requester.Kind) []requester.Result {
+				check()
+				return repeat(k)
+			}
+			qt.Assert(t, request(s), qt.Equals, requester.OK)
+			check()
+		})
+	}
+}
+
+// Guards against a primary that is taken for one that lost its log, because the answer to
+// an earlier BEGIN is received again.
+func TestRepeatedBeginAnswerShowsNoLostLog(t *testing.T) {
+	s, p := newRepeater(t)
+	s.Registry = &reporter.Registry{}
+	read := func() requester.Code {
+		return s.Execute("peer", primaryRequest(requester.Read, "READ x")).Result.Code
+	}
+	qt.Assert(t, read(), qt.Equals, requester.OK)
+	for range 3 {
+		p.repeatFirst(requester.Begin)
+		qt.Assert(t, read(), qt.Equals, requester.OK)
+		p.repeatFirst(requester.Begin)
+		qt.Assert(t, s.ConfirmLeader(s.Holder.Catalog().Servers["rentals"][0]), qt.IsNil)
+	}
+	qt.Assert(t, s.Registry.CounterValue(reporter.Series{Name: "primary_logs_lost", Service: "rentals"}), qt.Equals, int64(0))
+}
+
+// Guards against a read of a server that has lost leadership (STALE): a read on the
+// primary counts only if it ran in its transaction.
+func TestReadOutsideItsTransactionIsNotReturned(t *testing.T) {
+	s, p := newRepeater(t)
+	p.answer = func(k requester.Kind, r requester.Result) requester.Result {
+		if k == requester.Read {
+			r.State = requester.Idle
+		}
+		return r
+	}
+	r := s.Execute("peer", primaryRequest(requester.Read, "READ x"))
+	qt.Assert(t, r.Result.Code, qt.Equals, requester.OutcomeUnknown)
+}
