internal/transport/lender, internal/transport/sessioner: no write after an error on its connection

Callers got a promise that nothing was kept for a write that ran (REFUSED), or their write was sent again and ran twice (TWICE), when the error of an earlier statement of the connection was received a second time: nothing names an error.

A connection may carry one error. Writes and the BEGIN of a client's transaction borrow one without (Request.Writes): an idle one with an error is passed over, and closed if its room is needed, so that a borrower that has waited keeps its turn. After a second error, which may be the first one again, the connection is closed. After an error in a client's transaction the connection is closed, which rolls back, in place of a ROLLBACK whose answer could be an earlier one's. A first error cannot be a repeat, since its connection has given no other.

--- a/internal/transport/lender/answers_test.go
+++ b/internal/transport/lender/answers_test.go
@@ -362,3 +362,77 @@
 	s.lender.Return(c)
 	qt.Assert(t, s.last().closed, qt.IsTrue)
 }
+
+// refuse makes the server answer the next statement of the kind with the error.
+func (s *scriptedServer) refuse(k requester.Kind, code requester.Code) {
+	s.answer = func(st requester.Statement, r requester.Result) requester.Result {
+		if st.Kind != k {
+			return r
+		}
+		s.answer = nil
+		return requester.Result{Code: code, State: requester.Idle, Position: r.Position}
+	}
+}
+
+// Guards against the promise that a write has not run (REFUSED): the error of an earlier
+// statement was received again and taken for the answer to the write.
+func TestWriteIsNotSentAfterAnError(t *testing.T) {
+	s := newScriptedServer()
+	s.refuse(requester.Read, requester.Overloaded)
+	c := s.borrow(t)
+	r, err := c.Run(soon(), statement(requester.Read, "x"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, r.Code, qt.Equals, requester.Overloaded)
+	s.lender.Return(c)
+
+	c = s.borrow(t)
+	qt.Assert(t, s.links, qt.HasLen, 1)
+	s.lender.Return(c)
+	req := request("shops")
+	req.Writes = true
+	c, err = s.lender.Borrow(req)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, s.links, qt.HasLen, 2)
+	qt.Assert(t, s.links[0].closed, qt.IsTrue)
+	s.lender.Return(c)
+}
+
+// Guards against answers that are shifted by a repeated error: a second one may be the
+// first one again, so that the answer to its statement is still to come.
+func TestConnectionIsClosedAfterTwoErrors(t *testing.T) {
+	s := newScriptedServer()
+	c := s.borrow(t)
+	for range 2 {
+		s.refuse(requester.Read, requester.Lagging)
+		r, err := c.Run(soon(), statement(requester.Read, "x"))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, r.Code, qt.Equals, requester.Lagging)
+	}
+	s.lender.Return(c)
+	qt.Assert(t, s.last().closed, qt.IsTrue)
+}
+
+// Guards against a borrower that has waited and loses its turn, or gets a connection on
+// which an error was received.
+func TestWaitingWriteGetsAConnectionWithoutErrors(t *testing.T) {
+	s := newScriptedServer()
+	s.refuse(requester.Read, requester.Lagging)
+	c := s.borrow(t)
+	_, err := c.Run(soon(), statement(requester.Read, "x"))
+	qt.Assert(t, err, qt.IsNil)
+	got := make(chan *lender.Conn, 1)
+	go func() {
+		req := request("shops")
+		req.Writes, req.Deadline = true, time.Now().Add(5*time.Second)
+		c, _ := s.lender.Borrow(req)
+		got <- c
+	}()
+	for waiting := 0; waiting < 1; {
+		_, waiting = s.lender.Borrowed("a")
+	}
+	s.lender.Return(c)
+	c = <-got
+	qt.Assert(t, c, qt.IsNotNil)
+	qt.Assert(t, c.Failed(), qt.IsFalse)
+	qt.Assert(t, s.links, qt.HasLen, 2)
+}
--- a/internal/transport/lender/conn.go
+++ b/internal/transport/lender/conn.go
@@ -53,6 +53,7 @@
 	lastName uint64                                 // Number in the last name that was given to a prepared statement.
 	pinned   bool                                   // Lent to a transaction.
 	broken   bool
+	failed   bool // An error was received.
 	stale    bool // To a retired pool; close on return.
 	returned time.Time
 
@@ -107,6 +108,10 @@
 		switch v := c.answers.judge(k, r); v {
 		case expected:
 			c.LastAnswer = time.Now()
+			if r.Code != requester.OK {
+				c.broken = c.broken || c.failed
+				c.failed = true
+			}
 			return r, nil
 		case repeated:
 			c.repeats++
@@ -164,6 +169,13 @@
 	}
 }
 
+// Failed reports whether a statement on the connection was answered with an error.
+// Nothing names an error, so that a further one may be a repeat: it is no reason to
+// say that a write has not run. After a second error the connection is broken.
+func (c *Conn) Failed() bool {
+	return c.failed
+}
+
 // Broken reports whether the connection is unusable.
 func (c *Conn) Broken() bool {
 	return c.broken
--- a/internal/transport/lender/doc.go
+++ b/internal/transport/lender/doc.go
@@ -7,6 +7,10 @@
 // is used up, an idle connection of another workspace is closed to make room for
 // a new one.
 //
+// An answer does not say which statement it belongs to, and a backend server may send
+// one twice. [Conn.Receive] tells answers apart by their signatures and transaction
+// states.
+//
 // Invariants: a connection on which an answer was lost, or that a borrower has
 // marked as broken, is closed and never lent again; a connection is returned
 // without an open transaction.
--- a/internal/transport/lender/lender.go
+++ b/internal/transport/lender/lender.go
@@ -66,6 +66,7 @@
 	Workspace    identifier.WorkspaceName
 	Pinned       bool      // For a transaction, which is idle most of the time and not subject to ConcurrencyLimit.
 	Priority     int       // 0 is the most urgent.
+	Writes       bool      // The caller relies on a refusal: lend no connection on which an error was received.
 	AnyWorkspace bool      // For a query of the proxy itself: accept a connection of any workspace; not subject to ConcurrencyLimit.
 	Settings     Settings  // Preferred, not required.
 	Target       time.Time // When the statement should be answered; zero means at the deadline.
--- a/internal/transport/lender/pool.go
+++ b/internal/transport/lender/pool.go
@@ -86,7 +86,7 @@
 	found := -1
 	for i := len(s.idle) - 1; i >= 0; i-- {
 		c := s.idle[i]
-		if c.Workspace != req.Workspace && !req.AnyWorkspace {
+		if (c.Workspace != req.Workspace && !req.AnyWorkspace) || (c.failed && req.Writes) {
 			continue
 		}
 		if c.settings.Equal(req.Settings) {
--- a/internal/transport/sessioner/open.go
+++ b/internal/transport/sessioner/open.go
@@ -16,7 +16,7 @@
 func (n *session) open(o operation) requester.Result {
 	n.watchPrimary(o)
 	if n.tx.onPrimary {
-		return n.runOnPrimary(o, true, func(c *lender.Conn, p fencer.Permit) (requester.Result, error) {
+		return n.runOnPrimary(o, primaryUse{pinned: true, writes: true}, func(c *lender.Conn, p fencer.Permit) (requester.Result, error) {
 			return n.beginOn(c, p, func(deadline time.Time) (requester.Result, error) {
 				return n.server.beginOnPrimary(c, p, deadline)
 			})
--- a/internal/transport/sessioner/read.go
+++ b/internal/transport/sessioner/read.go
@@ -17,7 +17,7 @@
 // gets a transaction of its own, because a server that has lost leadership would
 // run a plain read as a replica.
 func (n *session) readPrimary(o operation, rs resolvedStatement) requester.Result {
-	return n.runOnPrimary(o, false, func(c *lender.Conn, p fencer.Permit) (requester.Result, error) {
+	return n.runOnPrimary(o, primaryUse{}, func(c *lender.Conn, p fencer.Permit) (requester.Result, error) {
 		return n.runOnConn(c, o, rs, func(c *lender.Conn, rs resolvedStatement) (requester.Result, error) {
 			return n.readFromLeader(c, p, o.deadline, rs.statement)
 		})
--- a/internal/transport/sessioner/repeat_test.go
+++ b/internal/transport/sessioner/repeat_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -159,3 +160,57 @@
 	r := s.Execute("peer", primaryRequest(requester.Read, "READ x"))
 	qt.Assert(t, r.Result.Code, qt.Equals, requester.OutcomeUnknown)
 }
+
+// Guards against a write that runs twice or has run in spite of a promise (TWICE,
+// REFUSED): the refusal of a read was received again and taken for its answer.
+func TestRepeatedRefusalIsNoPromiseForAWrite(t *testing.T) {
+	writes := map[string]func(s *Server) requester.Code{
+		"alone": func(s *Server) requester.Code {
+			return s.Execute("peer", primaryRequest(requester.Write, "WRITE x 1")).Result.Code
+		},
+		"in a transaction": func(s *Server) requester.Code { return s.Execute("peer", openingForward("shops", 1)).Result.Code },
+	}
+	for name, write := range writes {
+		t.Run(name, func(t *testing.T) {
+			s, p := newRepeater(t)
+			refusal := requester.Result{Code: requester.Overloaded, State: requester.Idle}
+			p.answer = func(k requester.Kind, r requester.Result) requester.Result {
+				if k != requester.Read {
+					return r
+				}
+				p.answer = nil
+				return refusal
+			}
+			bounded := primaryRequest(requester.Read, "READ x")
+			bounded.Route.Consistency, bounded.Route.MaxStaleness = cataloger.BoundedStaleness, time.Second
+			s.Execute("peer", bounded)
+			refused := p.dialed
+			p.before = func(k requester.Kind) []requester.Result {
+				if k != requester.Write || p.dialed != refused {
+					return nil
+				}
+				return []requester.Result{refusal}
+			}
+			qt.Assert(t, write(s), qt.Equals, requester.OK)
+			isWrite := func(k requester.Kind) bool { return k == requester.Write }
+			qt.Assert(t, slices.IndexFunc(p.ran, isWrite), qt.Equals, len(p.ran)-1) // It ran once.
+		})
+	}
+}
+
+// Guards against a transaction that stays open after an error in it: the answer to its
+// ROLLBACK may be that to an earlier one.
+func TestConnectionIsClosedAfterAnErrorInATransaction(t *testing.T) {
+	s, p := newRepeater(t)
+	p.answer = func(k requester.Kind, r requester.Result) requester.Result {
+		if k == requester.Write {
+			return requester.Result{Code: requester.Overloaded, State: requester.Failed, Position: r.Position}
+		}
+		return r
+	}
+	p.ran = nil
+	qt.Assert(t, s.Execute("peer", openingForward("shops", 1)).Result.Code, qt.Equals, requester.Overloaded)
+	qt.Assert(t, p.ran, qt.DeepEquals, []requester.Kind{requester.Begin, requester.Write})
+	lent, _ := s.Lender.Borrowed("a")
+	qt.Assert(t, lent, qt.Equals, 0)
+}
--- a/internal/transport/sessioner/run.go
+++ b/internal/transport/sessioner/run.go
@@ -17,7 +17,7 @@
 
 // write runs a write outside a transaction on the primary.
 func (n *session) write(o operation, rs resolvedStatement) requester.Result {
-	return n.runOnPrimary(o, false, func(c *lender.Conn, p fencer.Permit) (requester.Result, error) {
+	return n.runOnPrimary(o, primaryUse{writes: true}, func(c *lender.Conn, p fencer.Permit) (requester.Result, error) {
 		return n.runOnConn(c, o, rs, func(c *lender.Conn, rs resolvedStatement) (requester.Result, error) {
 			sent, sentAt := n.server.Holder.Clock(), time.Now()
 			r, err := c.Run(o.deadline, rs.statement)
@@ -30,12 +30,18 @@
 	})
 }
 
+// primaryUse is what a connection to the primary is borrowed for.
+type primaryUse struct {
+	pinned bool // For a transaction of the client.
+	writes bool // A refusal is passed on as a promise that nothing was written.
+}
+
 // runOnPrimary calls run with a connection to the primary and the permit to use
 // it, and retries as long as the statement is known not to have run. The run
 // function must check the permit after each answer; it returns the
 // connection to the lender, unless it keeps a pinned one. It returns
 // [lender.ErrNotSent] or errReadUnanswered if the call may be repeated.
-func (n *session) runOnPrimary(o operation, pinned bool, run func(*lender.Conn, fencer.Permit) (requester.Result, error)) requester.Result {
+func (n *session) runOnPrimary(o operation, use primaryUse, run func(*lender.Conn, fencer.Permit) (requester.Result, error)) requester.Result {
 	var last requester.Result
 	for first := true; first || time.Now().Before(o.waitDeadline); first = false {
 		b, permit, err := n.server.awaitPrimary(o)
@@ -45,7 +51,7 @@
 		if err != nil {
 			return last
 		}
-		c, err := n.borrowPrimary(o, b, permit, pinned)
+		c, err := n.borrowPrimary(o, b, permit, use)
 		if err != nil {
 			last = n.borrowRefusal(err)
 			if errors.Is(err, lender.ErrNoConnection) || errors.Is(err, lender.ErrNoShare) || !time.Now().Before(o.searchDeadline) {
@@ -143,18 +149,20 @@
 // older than [verifyAfter], it first verifies that the server still answers and
 // leads. A pinned connection needs no such check, because the BEGIN of its
 // transaction has the same effect.
-func (n *session) borrowPrimary(o operation, b cataloger.BackendServer, p fencer.Permit, pinned bool) (*lender.Conn, error) {
+func (n *session) borrowPrimary(o operation, b cataloger.BackendServer, p fencer.Permit, use primaryUse) (*lender.Conn, error) {
 	s := n.server
-	c, err := n.borrow(o, n.connRequest(o, b, pinned, o.waitDeadline))
+	req := n.connRequest(o, b, use.pinned, o.waitDeadline)
+	req.Writes = use.writes
+	c, err := n.borrow(o, req)
 	if err != nil {
 		o.trace.addAttempt(b.ID, requester.Result{}, err, time.Since(o.arrived))
 		isOwnLimit := errors.Is(err, lender.ErrNoConnection) || errors.Is(err, lender.ErrNoShare) || errors.Is(err, errCold) || errors.Is(err, errEvacuated)
-		if errors.Is(err, lender.ErrUnreachable) || (pinned && !isOwnLimit) {
+		if errors.Is(err, lender.ErrUnreachable) || (use.pinned && !isOwnLimit) {
 			s.Balancer.RecordNotLeading(b.Service, b.ID)
 		}
 		return nil, err
 	}
-	if !pinned && time.Since(c.LastAnswer) >= verifyAfter {
+	if !use.pinned && time.Since(c.LastAnswer) >= verifyAfter {
 		err = s.confirmLeader(c)
 	}
 	if err == nil && !p.Allows(b.ID) {
--- a/internal/transport/sessioner/transaction.go
+++ b/internal/transport/sessioner/transaction.go
@@ -196,7 +196,9 @@
 	n.logFinished(id, o, r, took)
 }
 
-// rollBack rolls back the transaction and returns its connection to the lender.
+// rollBack rolls back the transaction and returns its connection to the lender. After
+// an error, which may be that of an earlier statement, it closes the connection: the
+// answer to a ROLLBACK on it would prove nothing.
 func (t *transaction) rollBack(n *session) {
 	if t.remote != nil {
 		n.rollbackRemote(t.remote)
@@ -208,6 +210,9 @@
 	}
 	t.conn = nil
 	defer n.server.Lender.Return(c)
+	if c.Failed() {
+		c.MarkBroken()
+	}
 	if c.Broken() {
 		return
 	}
