internal/transport/sessioner: a connection is closed after its STATUS or STEPDOWN

A replacement could choose a successor, or wait for one, by an old log position: the answer to an earlier STATUS of the same connection, received a second time, was taken for that to a new one. The answer has no signature and its state is always the same, so that nothing tells one from another.

The connection is closed after such a query. Queries are sent in replacements only: one or two to each server, and every 20 ms or 40 ms to one server while a hand-over waits for its log or a promoted server for its lead; each costs a new connection.

Before: TestStatusIsNotThatOfAnEarlierQuery failed with position 1/30 for 1/40. After: it passes.

--- a/internal/transport/sessioner/repeat_test.go
+++ b/internal/transport/sessioner/repeat_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -214,3 +215,38 @@
 	lent, _ := s.Lender.Borrowed("a")
 	qt.Assert(t, lent, qt.Equals, 0)
 }
+
+// Guards against an old log position that counts as a new one, because the answer to an
+// earlier STATUS or STEPDOWN is received again: nothing tells one from another.
+func TestStatusIsNotThatOfAnEarlierQuery(t *testing.T) {
+	s, p := newRepeater(t)
+	s.ParseServerStatus = func(row string) (requester.ServerStatus, error) {
+		received, err := strconv.ParseUint(row, 10, 64)
+		return requester.ServerStatus{Received: identifier.Position{Term: 1, Offset: identifier.LogOffset(received)}}, err
+	}
+	p.answer = func(k requester.Kind, r requester.Result) requester.Result {
+		if k == requester.Status || k == requester.StepDown {
+			r.Rows = []string{strconv.FormatUint(uint64(r.Position.Offset), 10)}
+		}
+		return r
+	}
+	server := s.Holder.Catalog().Servers["rentals"][0]
+	queries := []func() (requester.ServerStatus, error){
+		func() (requester.ServerStatus, error) { return s.Status(server) },
+		func() (requester.ServerStatus, error) { return s.StepDown(server, 2) },
+	}
+	for range 2 {
+		for _, query := range queries {
+			earlier, dialed := slices.Clone(p.given), p.dialed
+			p.before = func(requester.Kind) []requester.Result {
+				if p.dialed != dialed || len(earlier) == 0 || earlier[len(earlier)-1].Rows == nil {
+					return nil
+				}
+				return earlier[len(earlier)-1:]
+			}
+			m, err := query()
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, m.Received, qt.Equals, p.end)
+		}
+	}
+}
--- a/internal/transport/sessioner/status.go
+++ b/internal/transport/sessioner/status.go
@@ -32,7 +32,9 @@
 	return s.queryStatus(b, requester.Statement{Kind: requester.StepDown, Term: term})
 }
 
-// queryStatus runs a statement that a backend server answers with its status.
+// queryStatus runs a statement that a backend server answers with its status. The
+// connection is closed afterwards: nothing would tell the answer from that to the next
+// such statement.
 func (s *Server) queryStatus(b cataloger.BackendServer, st requester.Statement) (requester.ServerStatus, error) {
 	deadline := time.Now().Add(queryTimeout)
 	c, err := s.borrow(lender.Request{Server: b, Workspace: s.anyWorkspace(), AnyWorkspace: true, Deadline: deadline})
@@ -41,6 +43,7 @@
 	}
 	defer s.Lender.Return(c)
 	r, err := c.Run(deadline, st)
+	c.MarkBroken()
 	if err != nil {
 		s.Balancer.Unreachable(b.ID)
 		return requester.ServerStatus{}, err
