internal/transport/sessioner: a server is not ejected for an answer out of step

A primary that sent one answer twice got no statements for 200 ms, and longer each time: the statement without an answer counted as a failure of the server, as if it were silent. It answers on other connections, so that only the connection is given up. lender.Conn.OutOfStep tells the two apart.

Before: TestServerIsNotEjectedForAnAnswerOutOfStep failed (overloaded for ok). After: it passes.

--- a/internal/transport/lender/conn.go
+++ b/internal/transport/lender/conn.go
@@ -54,8 +54,10 @@
 	pinned   bool                                   // Lent to a transaction.
 	broken   bool
 	failed   bool // An error was received.
-	stale    bool // To a retired pool; close on return.
-	returned time.Time
+
+	outOfStep bool // An answer or data arrived that belongs to no outstanding statement.
+	stale     bool // To a retired pool; close on return.
+	returned  time.Time
 
 	unanswered []requester.Kind // Of the statements that were sent, the oldest first.
 	answers    answerLog
@@ -118,11 +120,11 @@
 			c.lender.reportAnswer(c, k, v, r)
 		case outOfStep:
 			c.lender.reportAnswer(c, k, v, r)
-			c.broken = true
+			c.broken, c.outOfStep = true, true
 			return requester.Result{}, errors.Wrapf(ErrNoAnswer, "%s: the answer is to another statement than %s", c.Server.ID, k)
 		}
 	}
-	c.broken = true
+	c.broken, c.outOfStep = true, true
 	return requester.Result{}, errors.Wrapf(ErrNoAnswer, "%s: %d repeated answers", c.Server.ID, maxRepeats)
 }
 
@@ -150,6 +152,7 @@
 		return true
 	}
 	if c.link.Unread != nil && c.link.Unread() {
+		c.outOfStep = true
 		c.lender.reportUnrequested(c)
 	}
 	return false
@@ -176,6 +179,12 @@
 	return c.failed
 }
 
+// OutOfStep reports whether the connection is unusable because of an answer or of data
+// that belongs to no outstanding statement. The server answers on other connections.
+func (c *Conn) OutOfStep() bool {
+	return c.outOfStep
+}
+
 // Broken reports whether the connection is unusable.
 func (c *Conn) Broken() bool {
 	return c.broken
--- a/internal/transport/sessioner/open.go
+++ b/internal/transport/sessioner/open.go
@@ -49,7 +49,7 @@
 		s.Lender.Return(c)
 		return r, errors.Wrap(lender.ErrNotSent, err.Error())
 	case err != nil:
-		s.Balancer.Fail(c.Server.ID)
+		s.recordUnanswered(c)
 		s.Lender.Return(c)
 		return r, errors.Wrap(lender.ErrNotSent, err.Error())
 	}
--- a/internal/transport/sessioner/primary.go
+++ b/internal/transport/sessioner/primary.go
@@ -125,6 +125,16 @@
 	}
 }
 
+// recordUnanswered reports to the balancer a statement that has no answer. A server
+// that sends answers twice is not ejected, since it answers.
+func (s *Server) recordUnanswered(c *lender.Conn) {
+	if c.OutOfStep() {
+		s.Balancer.Finish(c.Server.ID, 0)
+		return
+	}
+	s.Balancer.Fail(c.Server.ID)
+}
+
 // observeLag derives how far a server is behind the primary from the position in
 // its answer, and reports it to the balancer. It also records the position as one that the
 // log of the primary has reached.
@@ -207,6 +217,9 @@
 	}
 	defer s.Lender.Return(c)
 	err = s.confirmLeader(c)
+	if err != nil && c.OutOfStep() {
+		return errors.Wrap(errInDoubt, err.Error())
+	}
 	if err != nil && !errors.Is(err, fencer.ErrNotLeading) && !errors.Is(err, errInDoubt) {
 		s.Balancer.Unreachable(b.ID)
 	}
--- a/internal/transport/sessioner/repeat_test.go
+++ b/internal/transport/sessioner/repeat_test.go
@@ -250,3 +250,19 @@
 		}
 	}
 }
+
+// Guards against a primary that gets no statements for 200 ms and more because an answer
+// did not fit its statement.
+func TestServerIsNotEjectedForAnAnswerOutOfStep(t *testing.T) {
+	s, p := newRepeater(t)
+	p.answer = func(k requester.Kind, r requester.Result) requester.Result {
+		if k == requester.Write {
+			r.Signature = ""
+		}
+		return r
+	}
+	write := primaryRequest(requester.Write, "WRITE x 1")
+	qt.Assert(t, s.Execute("peer", write).Result.Code, qt.Equals, requester.OutcomeUnknown)
+	p.answer = nil
+	qt.Assert(t, s.Execute("peer", write).Result.Code, qt.Equals, requester.OK)
+}
--- a/internal/transport/sessioner/run.go
+++ b/internal/transport/sessioner/run.go
@@ -189,7 +189,7 @@
 	started := time.Now()
 	rs, err := n.prepareConn(c, o.deadline, rs)
 	if err != nil {
-		s.Balancer.Fail(c.Server.ID)
+		s.recordUnanswered(c)
 		o.trace.addAttempt(c.Server.ID, requester.Result{}, err, time.Since(started))
 		return requester.Result{}, err
 	}
@@ -197,7 +197,7 @@
 	o.trace.addAttempt(c.Server.ID, r, err, time.Since(started))
 	if err != nil {
 		c.MarkBroken()
-		s.Balancer.Fail(c.Server.ID)
+		s.recordUnanswered(c)
 		return r, err
 	}
 	s.recordAnswer(c.Server, time.Since(started), r)
--- a/internal/transport/sessioner/status.go
+++ b/internal/transport/sessioner/status.go
@@ -44,8 +44,10 @@
 	defer s.Lender.Return(c)
 	r, err := c.Run(deadline, st)
 	c.MarkBroken()
-	if err != nil {
+	if err != nil && !c.OutOfStep() {
 		s.Balancer.Unreachable(b.ID)
+	}
+	if err != nil {
 		return requester.ServerStatus{}, err
 	}
 	if r.Code != requester.OK || len(r.Rows) != 1 {
--- a/internal/transport/sessioner/transaction.go
+++ b/internal/transport/sessioner/transaction.go
@@ -140,7 +140,7 @@
 	r, err := c.Run(o.deadline, st)
 	o.trace.addAttempt(c.Server.ID, r, err, time.Since(sentAt))
 	if err != nil {
-		s.Balancer.Fail(c.Server.ID)
+		s.recordUnanswered(c)
 		return r, err
 	}
 	s.recordAnswer(c.Server, time.Since(sentAt), r)
