internal/transport/lender: no statement is sent while data is unread

In a transaction, and after settings were applied, nobody looked whether data had arrived before the next statement was sent, so that a statement ran and got the answer to an earlier one, or none (MIXED, outcome unknown).

Conn.Send checks that the connection is open and has no unread data, unless Borrow has just done so or answers are outstanding. Otherwise the statement is not sent: a single statement is repeated on another connection, a transaction is aborted. A connection that the server has closed is found in the same way.

Two tests of repeats changed, because their stand-ins deliver a repeat together with the answer after it: the statement after a repeat that was taken for the answer to BEGIN or SET is now not sent, and a transaction that begins with it is aborted.

--- a/internal/transport/lender/answers_test.go
+++ b/internal/transport/lender/answers_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"oleanderpulley/internal/protocol/requester"
@@ -295,6 +296,11 @@
 				}
 				r, err := c.Run(soon(), st)
 				comment := qt.Commentf("answer to %s again before that to %s", transaction[first].Kind, transaction[next].Kind)
+				if errors.Is(err, lender.ErrNotSent) { // The repeat was taken for the answer to a BEGIN or SET, whose own is unread.
+					qt.Assert(t, i, qt.Equals, next+1, comment)
+					qt.Assert(t, s.last().ran, qt.HasLen, i, comment)
+					break
+				}
 				qt.Assert(t, err, qt.IsNil, comment)
 				if k := st.Kind; k != requester.Begin && k != requester.Set { // Only its place tells a BEGIN from another.
 					qt.Assert(t, r, qt.DeepEquals, s.last().given[i], comment)
@@ -436,3 +442,40 @@
 	qt.Assert(t, c.Failed(), qt.IsFalse)
 	qt.Assert(t, s.links, qt.HasLen, 2)
 }
+
+// Guards against a statement that gets the answer to an earlier one although that had
+// arrived before: in a transaction, and after settings were applied.
+func TestNothingIsSentWhileDataIsUnread(t *testing.T) {
+	t.Run("transaction", func(t *testing.T) {
+		s := newScriptedServer()
+		c := s.borrow(t)
+		_, err := c.Run(soon(), requester.Statement{Kind: requester.Begin})
+		qt.Assert(t, err, qt.IsNil)
+		s.last().unread = slices.Clone(s.last().given)
+		_, err = c.Run(soon(), statement(requester.Write, "x 1"))
+		qt.Assert(t, err, qt.ErrorIs, lender.ErrNotSent)
+		qt.Assert(t, s.last().ran, qt.HasLen, 1)
+		qt.Assert(t, c.Broken(), qt.IsTrue)
+		qt.Assert(t, s.unexpected("unrequested"), qt.Equals, int64(1))
+	})
+	t.Run("settings", func(t *testing.T) {
+		s := newScriptedServer()
+		c := s.borrow(t)
+		_, err := c.ApplySession(soon(), lender.Settings{{Name: "zone", Value: "1"}}, nil)
+		qt.Assert(t, err, qt.IsNil)
+		s.last().unread = slices.Clone(s.last().given)
+		_, err = c.Run(soon(), statement(requester.Write, "x 1"))
+		qt.Assert(t, err, qt.ErrorIs, lender.ErrNotSent)
+		qt.Assert(t, s.last().ran, qt.HasLen, 1)
+	})
+	t.Run("closed by the server", func(t *testing.T) {
+		s := newFakeServer(1)
+		c := s.borrow(t, "shops")
+		_, err := c.Run(soon(), requester.Statement{Kind: requester.Set})
+		qt.Assert(t, err, qt.IsNil)
+		s.dead = true
+		_, err = c.Run(soon(), requester.Statement{Kind: requester.Set})
+		qt.Assert(t, err, qt.ErrorIs, lender.ErrNotSent)
+		qt.Assert(t, s.sent, qt.HasLen, 1)
+	})
+}
--- a/internal/transport/lender/conn.go
+++ b/internal/transport/lender/conn.go
@@ -54,10 +54,11 @@
 	pinned   bool                                   // Lent to a transaction.
 	broken   bool
 	failed   bool // An error was received.
+	stale    bool // To a retired pool; close on return.
+	returned time.Time
 
+	checked   bool // Was open and without unread data; nothing was sent since.
 	outOfStep bool // An answer or data arrived that belongs to no outstanding statement.
-	stale     bool // To a retired pool; close on return.
-	returned  time.Time
 
 	unanswered []requester.Kind // Of the statements that were sent, the oldest first.
 	answers    answerLog
@@ -76,8 +77,14 @@
 }
 
 // Send sends all statements at once. The caller must call [Conn.Receive] once for
-// each.
+// each. It sends nothing if the server has closed the connection, or has sent data on
+// it although every statement was answered.
 func (c *Conn) Send(deadline time.Time, statements ...requester.Statement) error {
+	if len(c.unanswered) == 0 && !c.checked && !c.isOpen() {
+		c.broken = true
+		return errors.Wrapf(ErrNotSent, "%s: the connection is closed or has unread data", c.Server.ID)
+	}
+	c.checked = false
 	err := c.link.Send(deadline, statements...)
 	if err == nil {
 		for _, s := range statements {
@@ -148,7 +155,8 @@
 // isOpen reports whether a statement may be sent on the connection. It reports data
 // that was not requested.
 func (c *Conn) isOpen() bool {
-	if c.link.Open() {
+	c.checked = c.link.Open()
+	if c.checked {
 		return true
 	}
 	if c.link.Unread != nil && c.link.Unread() {
--- a/internal/transport/sessioner/read.go
+++ b/internal/transport/sessioner/read.go
@@ -40,7 +40,9 @@
 	if begun.Code != requester.OK {
 		return begun, nil
 	}
-	if err := c.Send(deadline, read, requester.Statement{Kind: requester.Rollback}); err != nil {
+	if err := c.Send(deadline, read, requester.Statement{Kind: requester.Rollback}); errors.Is(err, lender.ErrNotSent) {
+		return begun, err
+	} else if err != nil {
 		return begun, errors.Wrap(errReadUnanswered, err.Error())
 	}
 	r, err := c.Receive(deadline)
