internal/transport/lender: connections of a server that sends answers twice are lent with care

The late repeat of an error or of an unsigned success, which the next borrower of the connection takes for its own answer, cannot be told from it: a wrong refusal, a BEGIN that has not begun, an old position.

Once a server has sent an answer twice, one out of step, or data that nobody requested, connections on which it gave an answer without a name are not lent again for a minute: idle ones are closed at once, others on return.

Before: TestConnectionsOfARepeatingServerAreNotLentAgain failed in 4 of 4 cases. After: it passes.

--- a/internal/transport/lender/answers_test.go
+++ b/internal/transport/lender/answers_test.go
@@ -369,10 +369,10 @@
 	qt.Assert(t, s.last().closed, qt.IsTrue)
 }
 
-// refuse makes the server answer the next statement of the kind with the error.
-func (s *scriptedServer) refuse(k requester.Kind, code requester.Code) {
+// refuseRead makes the server answer the next read with the error.
+func (s *scriptedServer) refuseRead(code requester.Code) {
 	s.answer = func(st requester.Statement, r requester.Result) requester.Result {
-		if st.Kind != k {
+		if st.Kind != requester.Read {
 			return r
 		}
 		s.answer = nil
@@ -384,7 +384,7 @@
 // statement was received again and taken for the answer to the write.
 func TestWriteIsNotSentAfterAnError(t *testing.T) {
 	s := newScriptedServer()
-	s.refuse(requester.Read, requester.Overloaded)
+	s.refuseRead(requester.Overloaded)
 	c := s.borrow(t)
 	r, err := c.Run(soon(), statement(requester.Read, "x"))
 	qt.Assert(t, err, qt.IsNil)
@@ -409,7 +409,7 @@
 	s := newScriptedServer()
 	c := s.borrow(t)
 	for range 2 {
-		s.refuse(requester.Read, requester.Lagging)
+		s.refuseRead(requester.Lagging)
 		r, err := c.Run(soon(), statement(requester.Read, "x"))
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, r.Code, qt.Equals, requester.Lagging)
@@ -422,7 +422,7 @@
 // which an error was received.
 func TestWaitingWriteGetsAConnectionWithoutErrors(t *testing.T) {
 	s := newScriptedServer()
-	s.refuse(requester.Read, requester.Lagging)
+	s.refuseRead(requester.Lagging)
 	c := s.borrow(t)
 	_, err := c.Run(soon(), statement(requester.Read, "x"))
 	qt.Assert(t, err, qt.IsNil)
@@ -479,3 +479,65 @@
 		qt.Assert(t, s.sent, qt.HasLen, 1)
 	})
 }
+
+// Guards against the late repeat of an answer without a name, which the next borrower would
+// take for the answer to a statement of the same kind.
+func TestConnectionsOfARepeatingServerAreNotLentAgain(t *testing.T) {
+	answered := map[string]func(t *testing.T, s *scriptedServer, c *lender.Conn){
+		"error": func(t *testing.T, s *scriptedServer, c *lender.Conn) {
+			s.refuseRead(requester.Lagging)
+			_, err := c.Run(soon(), statement(requester.Read, "x"))
+			qt.Assert(t, err, qt.IsNil)
+		},
+		"unsigned": func(t *testing.T, _ *scriptedServer, c *lender.Conn) {
+			for _, k := range []requester.Kind{requester.Begin, requester.Rollback} {
+				_, err := c.Run(soon(), requester.Statement{Kind: k})
+				qt.Assert(t, err, qt.IsNil)
+			}
+		},
+	}
+	for name, answer := range answered {
+		for _, returned := range []bool{false, true} {
+			t.Run(name, func(t *testing.T) {
+				s := newScriptedServer()
+				s.lender.Limit = func(cataloger.BackendServer) int { return 3 }
+				signed, unnamed, other := s.borrow(t), s.borrow(t), s.borrow(t)
+				_, err := signed.Run(soon(), statement(requester.Read, "x"))
+				qt.Assert(t, err, qt.IsNil)
+				answer(t, s, unnamed)
+				s.lender.Return(signed)
+				if returned {
+					s.lender.Return(unnamed)
+				}
+				qt.Assert(t, s.links[1].closed, qt.IsFalse)
+
+				_, err = other.Run(soon(), statement(requester.Read, "x"))
+				qt.Assert(t, err, qt.IsNil)
+				s.before = repeatOnce(requester.Read, 0)
+				_, err = other.Run(soon(), statement(requester.Read, "y"))
+				qt.Assert(t, err, qt.IsNil)
+				if !returned {
+					s.lender.Return(unnamed)
+				}
+				s.lender.Return(other)
+				closed := []bool{s.links[0].closed, s.links[1].closed, s.links[2].closed}
+				qt.Assert(t, closed, qt.DeepEquals, []bool{false, true, false})
+			})
+		}
+	}
+}
+
+// Guards against connections that are given up without need, as long as a server sends no
+// answer twice.
+func TestConnectionsOfOtherServersAreLentAgain(t *testing.T) {
+	s := newScriptedServer()
+	for range 5 {
+		c := s.borrow(t)
+		for _, k := range []requester.Kind{requester.Begin, requester.Rollback} {
+			_, err := c.Run(soon(), requester.Statement{Kind: k})
+			qt.Assert(t, err, qt.IsNil)
+		}
+		s.lender.Return(c)
+	}
+	qt.Assert(t, s.links, qt.HasLen, 1)
+}
--- a/internal/transport/lender/conn.go
+++ b/internal/transport/lender/conn.go
@@ -57,6 +57,7 @@
 	stale    bool // To a retired pool; close on return.
 	returned time.Time
 
+	unnamed   bool // An error or an unsigned success was received.
 	checked   bool // Was open and without unread data; nothing was sent since.
 	outOfStep bool // An answer or data arrived that belongs to no outstanding statement.
 
@@ -117,6 +118,7 @@
 		switch v := c.answers.judge(k, r); v {
 		case expected:
 			c.LastAnswer = time.Now()
+			c.unnamed = c.unnamed || r.Code != requester.OK || !needsSignature(k)
 			if r.Code != requester.OK {
 				c.broken = c.broken || c.failed
 				c.failed = true
--- a/internal/transport/lender/lender.go
+++ b/internal/transport/lender/lender.go
@@ -197,7 +197,8 @@
 }
 
 // Return takes back a borrowed connection. It closes the connection if it is
-// broken, stale, in a transaction or over the limit.
+// broken, stale, in a transaction or over the limit, and if the server may send an
+// answer again that nothing tells from another.
 func (l *Lender) Return(c *Conn) {
 	l.mu.Lock()
 	c.pool.finish(c.statement)
@@ -218,7 +219,7 @@
 	s := c.pool
 	s.markReturned(c)
 	c.statement = nil
-	if c.broken || c.stale || c.answers.inTransaction() || s.total() >= l.Limit(c.Server) {
+	if c.broken || c.stale || c.answers.inTransaction() || s.mayRepeat(c) || s.total() >= l.Limit(c.Server) {
 		c.link.Close()
 	} else {
 		c.returned = time.Now()
--- a/internal/transport/lender/pool.go
+++ b/internal/transport/lender/pool.go
@@ -20,7 +20,10 @@
 	queue     scheduler.Queue
 	slots     int // Limit of concurrent statements when the queue was last served.
 	fullUntil time.Time
-	retired   bool // A newer incarnation exists, or the server is gone.
+	// Until then, connections on which the server gave answers without a name are not
+	// lent again.
+	repeatsUntil time.Time
+	retired      bool // A newer incarnation exists, or the server is gone.
 }
 
 // total returns the number of connections, including those being opened.
@@ -39,6 +42,29 @@
 	return len(s.borrowed) + s.dialing - s.pinned
 }
 
+// repeatMemory is the time for which a server that has sent an answer twice is expected
+// to do so again. A repeat may arrive late, and a repeat of an answer without a
+// name is not recognized in every case.
+const repeatMemory = time.Minute
+
+// expectRepeats closes the idle connections on which the server gave answers without a
+// name, and lets those that are lent be closed on return.
+func (s *serverPool) expectRepeats() {
+	s.repeatsUntil = time.Now().Add(repeatMemory)
+	s.idle = slices.DeleteFunc(s.idle, func(c *Conn) bool {
+		if c.unnamed {
+			c.link.Close()
+		}
+		return c.unnamed
+	})
+}
+
+// mayRepeat reports whether the server may send an answer of the connection again that
+// has no name.
+func (s *serverPool) mayRepeat(c *Conn) bool {
+	return c.unnamed && time.Now().Before(s.repeatsUntil)
+}
+
 // grant is what a borrower gets: a connection, or room reserved in the pool for a
 // new one.
 type grant struct {
--- a/internal/transport/lender/report.go
+++ b/internal/transport/lender/report.go
@@ -21,7 +21,7 @@
 	if v == repeated {
 		event, reason = "answer_repeated", reasonRepeated
 	}
-	l.countUnexpected(c, reason)
+	l.recordUnexpected(c, reason)
 	l.Logger.Warn().Str("event", event).Str("server", string(c.Server.ID)).Str("workspace", string(c.Workspace)).
 		Stringer("statement", k).Stringer("code", r.Code).Str("state", string(rune(r.State))).
 		Bool("signed", isSigned(r)).Int("rows", len(r.Rows)).Send()
@@ -30,13 +30,18 @@
 // reportUnrequested counts and logs a connection on which data has arrived though no
 // answer was outstanding.
 func (l *Lender) reportUnrequested(c *Conn) {
-	l.countUnexpected(c, reasonUnrequested)
+	l.recordUnexpected(c, reasonUnrequested)
 	l.Logger.Warn().Str("event", "unrequested_data").Str("server", string(c.Server.ID)).Str("workspace", string(c.Workspace)).
 		Dur("answered_ms", time.Since(c.LastAnswer)).Send()
 }
 
-func (l *Lender) countUnexpected(c *Conn, reason string) {
+// recordUnexpected counts what has arrived on the connection, and expects more of it from
+// the server.
+func (l *Lender) recordUnexpected(c *Conn, reason string) {
 	if l.Registry != nil {
 		l.Registry.Count(reporter.Series{Name: "unexpected_answers", Service: c.Server.Service, Reason: reason}, 1)
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.pool.expectRepeats()
 }
