--- a/internal/transport/lender/answers_test.go
+++ b/internal/transport/lender/answers_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"oleanderpulley/internal/protocol/requester"
@@ -255,3 +256,288 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, r.Signature, qt.Equals, "7.1f3.700")
 }
+
+// unsignedKinds are the kinds of statements whose success a server does not sign.
+var unsignedKinds = []requester.Kind{
+	requester.Begin, requester.BeginReadOnly, requester.Rollback, requester.Set, requester.Prepare, requester.Discard,
+}
+
+// Guards against a success without the signature of the server (MIXED).
+func TestUnsignedSuccessIsNoAnswerToASignedStatement(t *testing.T) {
+	for _, k := range []requester.Kind{requester.Read, requester.Write, requester.Execute, requester.Commit} {
+		t.Run(k.String(), func(t *testing.T) {
+			s := newScriptedServer()
+			c := s.borrow(t)
+			s.answer = func(_ requester.Statement, r requester.Result) requester.Result {
+				r.Signature, r.Rows = "", nil
+				return r
+			}
+			_, err := c.Run(soon(), statement(k, "x"))
+			qt.Assert(t, err, qt.ErrorIs, lender.ErrNoAnswer)
+			qt.Assert(t, c.Broken(), qt.IsTrue)
+		})
+	}
+}
+
+// Guards against an unsigned answer that is received again and taken as the answer to a
+// statement of another kind, or breaks the connection.
+func TestRepeatedUnsignedAnswerIsDropped(t *testing.T) {
+	transaction := []requester.Statement{
+		{Kind: requester.Begin}, {Kind: requester.Set}, statement(requester.Read, "x"), statement(requester.Write, "x 1"),
+		statement(requester.Commit, ""), {Kind: requester.Begin}, {Kind: requester.Rollback}, statement(requester.Read, "y"),
+	}
+	for first := range transaction {
+		for next := first + 1; next < len(transaction); next++ {
+			s := newScriptedServer()
+			c := s.borrow(t)
+			for i, st := range transaction {
+				if i == next {
+					s.before = repeatOnce(st.Kind, first)
+				}
+				r, err := c.Run(soon(), st)
+				comment := qt.Commentf("answer to %s again before that to %s", transaction[first].Kind, transaction[next].Kind)
+				if errors.Is(err, lender.ErrNotSent) { // The repeat was taken for the answer to a BEGIN or SET, whose own is unread.
+					qt.Assert(t, i, qt.Equals, next+1, comment)
+					qt.Assert(t, s.last().ran, qt.HasLen, i, comment)
+					break
+				}
+				qt.Assert(t, err, qt.IsNil, comment)
+				if k := st.Kind; k != requester.Begin && k != requester.Set { // Only its place tells a BEGIN from another.
+					qt.Assert(t, r, qt.DeepEquals, s.last().given[i], comment)
+				}
+			}
+		}
+	}
+}
+
+// Guards against an unsigned success that shows another transaction state than the one
+// that its statement leads to.
+func TestUnsignedSuccessHasTheStateOfItsStatement(t *testing.T) {
+	for _, k := range unsignedKinds {
+		for _, begun := range []bool{false, true} {
+			s := newScriptedServer()
+			c := s.borrow(t)
+			if begun {
+				_, err := c.Run(soon(), requester.Statement{Kind: requester.Begin})
+				qt.Assert(t, err, qt.IsNil)
+			}
+			s.answer = func(_ requester.Statement, r requester.Result) requester.Result {
+				if r.State == requester.Idle {
+					r.State = requester.Failed
+				} else {
+					r.State = requester.Idle
+				}
+				return r
+			}
+			_, err := c.Run(soon(), requester.Statement{Kind: k})
+			qt.Assert(t, err, qt.ErrorIs, lender.ErrNoAnswer, qt.Commentf("%s", k))
+			qt.Assert(t, c.Broken(), qt.IsTrue)
+		}
+	}
+}
+
+// Guards against a server whose answers are refused because it signs statements that need
+// no signature, all alike.
+func TestSignatureOfAnUnsignedStatementSaysNothing(t *testing.T) {
+	s := newScriptedServer()
+	s.answer = func(st requester.Statement, r requester.Result) requester.Result {
+		if slices.Contains(unsignedKinds, st.Kind) {
+			r.Signature = "a.-"
+		}
+		return r
+	}
+	c := s.borrow(t)
+	for range 2 {
+		for _, k := range []requester.Kind{requester.Set, requester.Begin, requester.Read, requester.Rollback} {
+			_, err := c.Run(soon(), statement(k, "x"))
+			qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", k))
+		}
+	}
+	s.before = repeatOnce(requester.Write, 0)
+	r, err := c.Run(soon(), statement(requester.Write, "x 1"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, r.Signature, qt.Equals, "7.1f3.8")
+}
+
+// Guards against a statement that runs in the transaction of an earlier borrower.
+func TestConnectionInATransactionIsNotLentAgain(t *testing.T) {
+	s := newScriptedServer()
+	c := s.borrow(t)
+	_, err := c.Run(soon(), requester.Statement{Kind: requester.Begin})
+	qt.Assert(t, err, qt.IsNil)
+	s.lender.Return(c)
+	qt.Assert(t, s.last().closed, qt.IsTrue)
+}
+
+// refuseRead makes the server answer the next read with the error.
+func (s *scriptedServer) refuseRead(code requester.Code) {
+	s.answer = func(st requester.Statement, r requester.Result) requester.Result {
+		if st.Kind != requester.Read {
+			return r
+		}
+		s.answer = nil
+		return requester.Result{Code: code, State: requester.Idle, Position: r.Position}
+	}
+}
+
+// Guards against the promise that a write has not run (REFUSED): the error of an earlier
+// statement was received again and taken for the answer to the write.
+func TestWriteIsNotSentAfterAnError(t *testing.T) {
+	s := newScriptedServer()
+	s.refuseRead(requester.Overloaded)
+	c := s.borrow(t)
+	r, err := c.Run(soon(), statement(requester.Read, "x"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, r.Code, qt.Equals, requester.Overloaded)
+	s.lender.Return(c)
+
+	c = s.borrow(t)
+	qt.Assert(t, s.links, qt.HasLen, 1)
+	s.lender.Return(c)
+	req := request("shops")
+	req.Writes = true
+	c, err = s.lender.Borrow(req)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, s.links, qt.HasLen, 2)
+	qt.Assert(t, s.links[0].closed, qt.IsTrue)
+	s.lender.Return(c)
+}
+
+// Guards against answers that are shifted by a repeated error: a second one may be the
+// first one again, so that the answer to its statement is still to come.
+func TestConnectionIsClosedAfterTwoErrors(t *testing.T) {
+	s := newScriptedServer()
+	c := s.borrow(t)
+	for range 2 {
+		s.refuseRead(requester.Lagging)
+		r, err := c.Run(soon(), statement(requester.Read, "x"))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, r.Code, qt.Equals, requester.Lagging)
+	}
+	s.lender.Return(c)
+	qt.Assert(t, s.last().closed, qt.IsTrue)
+}
+
+// Guards against a borrower that has waited and loses its turn, or gets a connection on
+// which an error was received.
+func TestWaitingWriteGetsAConnectionWithoutErrors(t *testing.T) {
+	s := newScriptedServer()
+	s.refuseRead(requester.Lagging)
+	c := s.borrow(t)
+	_, err := c.Run(soon(), statement(requester.Read, "x"))
+	qt.Assert(t, err, qt.IsNil)
+	got := make(chan *lender.Conn, 1)
+	go func() {
+		req := request("shops")
+		req.Writes, req.Deadline = true, time.Now().Add(5*time.Second)
+		c, _ := s.lender.Borrow(req)
+		got <- c
+	}()
+	for waiting := 0; waiting < 1; {
+		_, waiting = s.lender.Borrowed("a")
+	}
+	s.lender.Return(c)
+	c = <-got
+	qt.Assert(t, c, qt.IsNotNil)
+	qt.Assert(t, c.Failed(), qt.IsFalse)
+	qt.Assert(t, s.links, qt.HasLen, 2)
+}
+
+// Guards against a statement that gets the answer to an earlier one although that had
+// arrived before: in a transaction, and after settings were applied.
+func TestNothingIsSentWhileDataIsUnread(t *testing.T) {
+	t.Run("transaction", func(t *testing.T) {
+		s := newScriptedServer()
+		c := s.borrow(t)
+		_, err := c.Run(soon(), requester.Statement{Kind: requester.Begin})
+		qt.Assert(t, err, qt.IsNil)
+		s.last().unread = slices.Clone(s.last().given)
+		_, err = c.Run(soon(), statement(requester.Write, "x 1"))
+		qt.Assert(t, err, qt.ErrorIs, lender.ErrNotSent)
+		qt.Assert(t, s.last().ran, qt.HasLen, 1)
+		qt.Assert(t, c.Broken(), qt.IsTrue)
+		qt.Assert(t, s.unexpected("unrequested"), qt.Equals, int64(1))
+	})
+	t.Run("settings", func(t *testing.T) {
+		s := newScriptedServer()
+		c := s.borrow(t)
+		_, err := c.ApplySession(soon(), lender.Settings{{Name: "zone", Value: "1"}}, nil)
+		qt.Assert(t, err, qt.IsNil)
+		s.last().unread = slices.Clone(s.last().given)
+		_, err = c.Run(soon(), statement(requester.Write, "x 1"))
+		qt.Assert(t, err, qt.ErrorIs, lender.ErrNotSent)
+		qt.Assert(t, s.last().ran, qt.HasLen, 1)
+	})
+	t.Run("closed by the server", func(t *testing.T) {
+		s := newFakeServer(1)
+		c := s.borrow(t, "shops")
+		_, err := c.Run(soon(), requester.Statement{Kind: requester.Set})
+		qt.Assert(t, err, qt.IsNil)
+		s.dead = true
+		_, err = c.Run(soon(), requester.Statement{Kind: requester.Set})
+		qt.Assert(t, err, qt.ErrorIs, lender.ErrNotSent)
+		qt.Assert(t, s.sent, qt.HasLen, 1)
+	})
+}
+
+// Guards against the late repeat of an answer without a name, which the next borrower would
+// take for the answer to a statement of the same kind.
+func TestConnectionsOfARepeatingServerAreNotLentAgain(t *testing.T) {
+	answered := map[string]func(t *testing.T, s *scriptedServer, c *lender.Conn){
+		"error": func(t *testing.T, s *scriptedServer, c *lender.Conn) {
+			s.refuseRead(requester.Lagging)
+			_, err := c.Run(soon(), statement(requester.Read, "x"))
+			qt.Assert(t, err, qt.IsNil)
+		},
+		"unsigned": func(t *testing.T, _ *scriptedServer, c *lender.Conn) {
+			for _, k := range []requester.Kind{requester.Begin, requester.Rollback} {
+				_, err := c.Run(soon(), requester.Statement{Kind: k})
+				qt.Assert(t, err, qt.IsNil)
+			}
+		},
+	}
+	for name, answer := range answered {
+		for _, returned := range []bool{false, true} {
+			t.Run(name, func(t *testing.T) {
+				s := newScriptedServer()
+				s.lender.Limit = func(cataloger.BackendServer) int { return 3 }
+				signed, unnamed, other := s.borrow(t), s.borrow(t), s.borrow(t)
+				_, err := signed.Run(soon(), statement(requester.Read, "x"))
+				qt.Assert(t, err, qt.IsNil)
+				answer(t, s, unnamed)
+				s.lender.Return(signed)
+				if returned {
+					s.lender.Return(unnamed)
+				}
+				qt.Assert(t, s.links[1].closed, qt.IsFalse)
+
+				_, err = other.Run(soon(), statement(requester.Read, "x"))
+				qt.Assert(t, err, qt.IsNil)
+				s.before = repeatOnce(requester.Read, 0)
+				_, err = other.Run(soon(), statement(requester.Read, "y"))
+				qt.Assert(t, err, qt.IsNil)
+				if !returned {
+					s.lender.Return(unnamed)
+				}
+				s.lender.Return(other)
+				closed := []bool{s.links[0].closed, s.links[1].closed, s.links[2].closed}
+				qt.Assert(t, closed, qt.DeepEquals, []bool{false, true, false})
+			})
+		}
+	}
+}
+
+// Guards against connections that are given up without need, as long as a server sends no
+// answer twice.
+func TestConnectionsOfOtherServersAreLentAgain(t *testing.T) {
+	s := newScriptedServer()
+	for range 5 {
+		c := s.borrow(t)
+		for _, k := range []requester.Kind{requester.Begin, requester.Rollback} {
+			_, err := c.Run(soon(), requester.Statement{Kind: k})
+			qt.Assert(t, err, qt.IsNil)
+		}
+		s.lender.Return(c)
+	}
+	qt.Assert(t, s.links, qt.HasLen, 1)
+}
