internal/state/cataloger: open promotions of servers whose ids have blanks

An unanswered promotion of a server "a b" was read back as one of the servers "a" and "b", so that a late promotion of "a b" was not awaited before another server was chosen. The set is written with blanks between its entries and was split at every kind of blank, U+0085 and U+00A0 included. Entries end at one 0x20 now, and a blank in an id is written as %20, a percent sign as %25. Sets of other ids are written and read as before; the build before does not recognise a server with a blank in its id, which it did not do before either.

Failed before: TestOpenPromotionsOfServersWithAnyID (7 of 10 ids). Passes after.

--- a/internal/state/cataloger/promotion.go
+++ b/internal/state/cataloger/promotion.go
@@ -9,16 +9,21 @@
 )
 
 // OpenPromotions is a set of promotions, each written as SERVER@TOKEN and separated by
-// blanks, which server ids do not contain. It is a string so that records can be
-// compared. The zero value is the empty set.
+// blanks. It is a string so that records can be compared. The zero value is the empty set.
 type OpenPromotions string
 
-// OpenPromotion identifies a promotion by its server and its fencing token.
+// OpenPromotion identifies a promotion by its server and its fencing token. A blank in
+// the id of the server is written as %20, and a percent sign as %25.
 type OpenPromotion string
 
+var (
+	escapeServerID   = strings.NewReplacer("%", "%25", " ", "%20")
+	unescapeServerID = strings.NewReplacer("%25", "%", "%20", " ")
+)
+
 // NewOpenPromotion returns the promotion of the server with the token.
 func NewOpenPromotion(server identifier.BackendServerID, token uint64) OpenPromotion {
-	return OpenPromotion(string(server) + "@" + strconv.FormatUint(token, 10))
+	return OpenPromotion(escapeServerID.Replace(string(server)) + "@" + strconv.FormatUint(token, 10))
 }
 
 // Server returns the server that is promoted.
@@ -27,7 +32,7 @@
 	if end := strings.LastIndexByte(server, '@'); end >= 0 {
 		server = server[:end]
 	}
-	return identifier.BackendServerID(server)
+	return identifier.BackendServerID(unescapeServerID.Replace(server))
 }
 
 // NewOpenPromotions returns the set of the promotions.
@@ -43,8 +48,10 @@
 // All returns the promotions of the set.
 func (o OpenPromotions) All() []OpenPromotion {
 	var all []OpenPromotion
-	for _, text := range strings.Fields(string(o)) {
-		all = append(all, OpenPromotion(text))
+	for text := range strings.SplitSeq(string(o), " ") {
+		if text != "" {
+			all = append(all, OpenPromotion(text))
+		}
 	}
 	return all
 }
--- a/internal/state/cataloger/promotion_test.go
+++ b/internal/state/cataloger/promotion_test.go
@@ -62,3 +62,13 @@
 	qt.Assert(t, set.Union("c@1"), qt.Equals, cataloger.OpenPromotions("a@12 b@x@3 c@1"))
 	qt.Assert(t, cataloger.OpenPromotions("").Union(""), qt.Equals, cataloger.OpenPromotions(""))
 }
+
+// Guards against an unanswered promotion that is forgotten, or taken for one of another server, because the id has a blank.
+func TestOpenPromotionsOfServersWithAnyID(t *testing.T) {
+	for _, id := range []identifier.BackendServerID{"a b", " ", "a\u00a0b", "a\u0085", "a\tb", "a\nb", "a%20b", "%", "a@1 b@2", "é"} {
+		p := cataloger.NewOpenPromotion(id, 7)
+		qt.Check(t, p.Server(), qt.Equals, id)
+		set := cataloger.NewOpenPromotions([]cataloger.OpenPromotion{p, cataloger.NewOpenPromotion("z", 8)}).Union("c@1")
+		qt.Check(t, set.All(), qt.ContentEquals, []cataloger.OpenPromotion{p, "z@8", "c@1"}, qt.Commentf("id %q", id))
+	}
+}
