internal/transport/acceptor: rows of a statement begin once

What callers saw: rows of a response that the server had sent again without its end came before the rows of the next statement, as one result. After a second CopyInResponse the client was asked for its data again, and the statement waited until its deadline.

Cause: a description of rows or the start of a copy was accepted at any point of the response to a query.

It is now accepted only before the rows or copy data of a statement. Rows that are cut off without a description, as in the extended protocol, are only told by the messages around them.

Evidence: three cases of TestMalformedResponses and TestCopyInResponseTwice failed before and pass after.

--- a/internal/transport/acceptor/answer.go
+++ b/internal/transport/acceptor/answer.go
@@ -59,18 +59,27 @@
 		}
 		return true, (kind == 'T' || kind == 'n') && (e.stmt == nil || e.described)
 	}
+	return e.classifyAnswer(kind, frame)
+}
+
+// classifyAnswer is classifyFrame for the response to a Query or Execute.
+func (e *expectedResponse) classifyAnswer(kind byte, frame []byte) (ends, allowed bool) {
 	switch kind {
 	case 'Z':
 		return true, e.kind == 'Q' && (e.outcomes > 0 || e.failed)
 	case 'C', 'I':
 		allowed = e.mayContinue() && e.fitsOutcome(kind, frame)
-		e.outcomes++
+		e.outcomes, e.begun = e.outcomes+1, false
 		return e.kind == 'E', allowed
 	case 's':
 		return true, e.kind == 'E'
-	case 'T':
-		return false, e.kind == 'Q' && e.mayContinue()
-	case 'D', 'H', 'd', 'c':
+	case 'T', 'H', 'G':
+		// Each of them is the first message of a statement with rows or copy data.
+		allowed = e.mayContinue() && !e.begun && (kind != 'T' || e.kind == 'Q')
+		e.begun = true
+		return false, allowed
+	case 'D', 'd', 'c':
+		e.begun = true
 		return false, e.mayContinue()
 	}
 	return false, false
--- a/internal/transport/acceptor/batch.go
+++ b/internal/transport/acceptor/batch.go
@@ -74,6 +74,7 @@
 	stmt      *preparedStatement // For Parse, Bind and Describe of a statement.
 	answer    answer             // For Query and Execute.
 	outcomes  int                // CommandComplete and EmptyQueryResponse messages received.
+	begun     bool               // Rows or copy data of the current statement have begun.
 	failed    bool               // An ErrorResponse was received.
 	described bool               // The ParameterDescription was received.
 }
--- a/internal/transport/acceptor/relay.go
+++ b/internal/transport/acceptor/relay.go
@@ -202,7 +202,7 @@
 	case 'E':
 		return s.handleErrorResponse(b, e, frame)
 	case 'G':
-		if e.kind != 'Q' && e.kind != 'E' || e.role != roleForward || !e.mayContinue() {
+		if _, allowed := e.classifyFrame(kind, frame); !allowed || e.role != roleForward {
 			return errors.Wrapf(errUnexpectedResponse, "type %q", kind)
 		}
 		return s.copyIn(ctx, b, e)
--- a/internal/transport/acceptor/repeat_test.go
+++ b/internal/transport/acceptor/repeat_test.go
@@ -101,6 +101,8 @@
 	tag := func(text string) []byte { return frame(nil, 'C', text) }
 	ready := func(status byte) []byte { return framer.AppendFrame(nil, 'Z', status) }
 	row := framer.AppendFrame(nil, 'D', 0, 1, 0, 0, 0, 1, 'x')
+	columns := framer.AppendFrame(nil, 'T', append([]byte("\x00\x01v\x00"), 0, 0, 0, 0, 0, 0, 0, 0, 0, 25, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0, 0)...)
+	copyOut, copyDone := framer.AppendFrame(nil, 'H', 0, 0, 0), framer.AppendFrame(nil, 'c')
 	failure := framer.AppendFrame(nil, 'E', []byte("SERROR\x00VERROR\x00C22012\x00Mdivision by zero\x00\x00")...)
 	for name, test := range map[string]struct {
 		sql      string
@@ -111,6 +113,11 @@
 		"own responses":            {"INSERT INTO t VALUES (1); SELECT v FROM t", [][]byte{tag("INSERT 0 1"), row, tag("SELECT 1"), ready('I')}, true},
 		"own error":                {"SELECT 1/0", [][]byte{failure, ready('I')}, true},
 		"notice":                   {"SELECT v FROM t", [][]byte{row, framer.AppendFrame(nil, 'N', 0), tag("SELECT 1"), ready('I')}, true},
+		"own rows twice":           {"SELECT v FROM t; SELECT v FROM t", [][]byte{columns, row, tag("SELECT 1"), columns, row, tag("SELECT 1"), ready('I')}, true},
+		"own copy":                 {"COPY t TO STDOUT", [][]byte{copyOut, copyDone, tag("COPY 0"), ready('I')}, true},
+		"rows cut off":             {"SELECT v FROM t", [][]byte{columns, row, columns, row, tag("SELECT 1"), ready('I')}, false},
+		"description cut off":      {"SELECT v FROM t", [][]byte{columns, columns, row, tag("SELECT 1"), ready('I')}, false},
+		"copy cut off":             {"COPY t TO STDOUT", [][]byte{copyOut, copyOut, copyDone, tag("COPY 0"), ready('I')}, false},
 		"no outcome":               {"INSERT INTO t VALUES (1)", [][]byte{ready('I')}, false},
 		"two outcomes":             {"INSERT INTO t VALUES (1)", [][]byte{tag("INSERT 0 1"), tag("INSERT 0 1"), ready('I')}, false},
 		"row after the outcome":    {"SELECT v FROM t", [][]byte{tag("SELECT 1"), row, ready('I')}, false},
@@ -150,3 +157,19 @@
 	qt.Check(t, got, qt.Not(qt.Contains), "row")
 	qt.Check(t, got, qt.Contains, "ERROR 40003")
 }
+
+// Guards against a second CopyInResponse to one statement, after which the client would
+// have to send its data again.
+func TestCopyInResponseTwice(t *testing.T) {
+	l := startScriptedServer(t, func(sql string) []byte {
+		if strings.HasPrefix(sql, "SET") {
+			return framer.AppendFrame(framer.AppendText(nil, 'C', "SET"), 'Z', 'I')
+		}
+		return framer.AppendFrame(framer.AppendFrame(nil, 'G', 0, 0, 0), 'G', 0, 0, 0)
+	})
+	c := connect(t, serveAcceptor(t, newTestAcceptor(l.Addr().String())), nil)
+	qt.Assert(t, query(t, c, "COPY t FROM STDIN"), qt.Contains, "copy in")
+	sr := &scriptRunner{t: t}
+	sr.runClientCommand(c, "ask", "c")
+	qt.Check(t, sr.out.String(), qt.Contains, "ERROR 40003")
+}
