internal/bench/soaker: transactions execute prepared statements

Transactions had none, so that a prepared name that runs another shape inside of one (PINNED) was not seen. A read and a write of each transaction are executions now, and their shapes are checked.

--- a/internal/bench/soaker/check_answers.go
+++ b/internal/bench/soaker/check_answers.go
@@ -12,7 +12,8 @@
 // statement is a statement that a client sent, and the answer that it received.
 type statement struct {
 	id, text string
-	answered bool // The answer was complete.
+	shape    string // "READ shape" or "WRITE shape" if a prepared statement is executed.
+	answered bool   // The answer was complete.
 	reply    reply
 }
 
@@ -100,12 +101,21 @@
 }
 
 // checkSettings checks that each statement ran with the session values that were
-// acknowledged to its client, and that no prepared name was unknown.
+// acknowledged to its client, and one of a transaction the shape that its client prepared, and
+// that no prepared name was unknown. [history.checkShapes] checks single statements.
 func (h *history) checkSettings(runs []imitator.Execution) []string {
 	byStatement := h.byStatement()
+	shapes := make(map[string]string, len(h.statements))
+	for _, s := range h.statements {
+		shapes[s.id] = s.shape
+	}
 	var broken []string
 	for _, run := range runs {
 		i, known := byStatement[run.ID]
+		if known && h.operations[i].isTransaction && run.Shape != shapes[run.ID] {
+			broken = append(broken, fmt.Sprintf("pinned: statement %s of a transaction ran the shape %q on server %s, its client prepared %q",
+				run.ID, run.Shape, run.Server, shapes[run.ID]))
+		}
 		if known && run.Code == "" && !maps.Equal(run.Settings, h.operations[i].settings) {
 			broken = append(broken, fmt.Sprintf("pinned: statement %s ran with the values %q on server %s, its client set %q",
 				run.ID, run.Settings, run.Server, h.operations[i].settings))
--- a/internal/bench/soaker/check_answers_test.go
+++ b/internal/bench/soaker/check_answers_test.go
@@ -23,13 +23,14 @@
 		},
 		statements: []statement{
 			signed("s", "SET v yl\r", "-"), signed("r", "READ x", "sig.1", "one\r", ""), signed("w", "EXECUTE s2 x y\r", "sig.2"),
-			signed("b", "BEGIN", "-"), signed("t", "WRITE x y\n", "sig.3"), signed("c", "COMMIT", "sig.4"),
+			signed("b", "BEGIN", "-"), signed("t", "EXECUTE s2 x y\n", "sig.3"), signed("c", "COMMIT", "sig.4"),
 		},
 	}
+	h.statements[4].shape = "WRITE q\r"
 	return h, []imitator.Execution{
 		{ID: "r", Text: "AFTER 1.2 READ x", Signature: "sig.1", Rows: []string{"one\r", ""}, Settings: set, Transaction: 4},
 		{ID: "w", Text: "EXECUTE p7 x y\r", Signature: "sig.2", Settings: set},
-		{ID: "t", Text: "WRITE x y\n", Signature: "sig.3", Settings: set, Transaction: 5},
+		{ID: "t", Text: "EXECUTE p8 x y\n", Shape: "WRITE q\r", Signature: "sig.3", Settings: set, Transaction: 5},
 		{ID: "c", Text: "COMMIT", Signature: "sig.4", Settings: set, Transaction: 5},
 	}
 }
@@ -65,6 +66,7 @@
 		}, "unasked"},
 		"value cut":                   {func(_ *history, r []imitator.Execution) { r[1].Settings = map[string]string{"v": "yl"} }, "pinned"},
 		"value of another session":    {func(_ *history, r []imitator.Execution) { r[1].Settings = map[string]string{"v": "yl\r", "w": "1"} }, "pinned"},
+		"shape cut":                   {func(_ *history, r []imitator.Execution) { r[2].Shape = "WRITE q" }, "pinned"},
 		"unknown name":                {func(h *history, _ []imitator.Execution) { h.statements[2].reply.code = "NOSTMT" }, "pinned"},
 		"outside of its transaction":  {func(h *history, r []imitator.Execution) { r[2].Transaction = 0; h.operations[2].outcome = unknown }, "pinned"},
 		"other transaction committed": {func(_ *history, r []imitator.Execution) { r[2].Transaction = 6 }, "pinned"},
@@ -87,7 +89,7 @@
 	h, runs := answersHistory()
 	h.statements[2].reply = reply{code: "BUSY", outcomes: 1}
 	h.statements[1].answered, h.statements[1].reply = false, reply{rows: []string{"on"}}
-	runs = append(runs, imitator.Execution{ID: "t", Text: "WRITE x y\n", Code: "BUSY"})
+	runs = append(runs, imitator.Execution{ID: "t", Text: "EXECUTE p9 x y\n", Shape: "WRITE q\r", Code: "BUSY"})
 	qt.Assert(t, h.checkAllAnswers(runs), qt.HasLen, 0)
 }
 
--- a/internal/bench/soaker/client.go
+++ b/internal/bench/soaker/client.go
@@ -188,6 +188,18 @@
 	return all[c.number%len(all)]
 }
 
+// executedShape returns the shape that the text executes, or "" if it executes none.
+func (c *client) executedShape(text string) string {
+	switch {
+	case strings.HasPrefix(text, "EXECUTE s1 "):
+		return "READ " + c.shapeText()
+	case strings.HasPrefix(text, "EXECUTE s2 "):
+		return "WRITE " + c.shapeText()
+	default:
+		return ""
+	}
+}
+
 // readOrWriteText returns the text of a single read or write, and sets the shape of the
 // operation if it is the execution of a prepared statement.
 func (c *client) readOrWriteText(o *operation) string {
@@ -256,16 +268,16 @@
 // the first error.
 func (c *client) sendTransaction(o *operation) error {
 	o.isTransaction = true
-	for _, text := range []string{"BEGIN", "WRITE item " + c.text("x"), "READ " + c.item(), "WRITE item " + c.text("y")} {
+	for _, text := range []string{"BEGIN", "WRITE item " + c.text("x"), "EXECUTE s1 " + c.item(), "EXECUTE s2 item " + c.text("y")} {
 		id := c.newID()
 		r, err := c.query(id, text)
-		if strings.HasPrefix(text, "WRITE") {
+		if strings.HasPrefix(c.executedShape(text)+text, "WRITE") {
 			o.writeIDs = append(o.writeIDs, id)
 		}
 		if text == "BEGIN" {
 			o.beginID = id
 		}
-		o.id, o.code = id, r.code
+		o.id, o.code, o.shape = id, r.code, c.executedShape(text)
 		o.statementIDs = append(o.statementIDs, id)
 		if err != nil || r.code != "" {
 			o.outcome = refused // No effect, because COMMIT is never sent.
@@ -276,7 +288,7 @@
 		}
 		time.Sleep(time.Duration(c.random.Int64N(int64(maxPause))))
 	}
-	o.id = c.newID()
+	o.id, o.shape = c.newID(), ""
 	return c.sendStatement(o, "COMMIT")
 }
 
@@ -292,7 +304,7 @@
 // query sends a statement, reads its answer and records both.
 func (c *client) query(id, text string) (reply, error) {
 	r, err := c.exchange("QUERY " + id + " " + text)
-	c.history.addStatement(statement{id: id, text: text, answered: err == nil, reply: r})
+	c.history.addStatement(statement{id: id, text: text, shape: c.executedShape(text), answered: err == nil, reply: r})
 	return r, err
 }
 
