--- a/internal/transport/acceptor/texts_test.go
+++ b/internal/transport/acceptor/texts_test.go
@@ -73,3 +73,61 @@
 		})
 	}
 }
+
+// Guards against a startup parameter or a request ID that reaches the backend server
+// with another value.
+func TestSettingsArriveUnchanged(t *testing.T) {
+	f := startFixture(t, nil)
+	for _, text := range oddTexts() {
+		t.Run(strings.ToValidUTF8(text, "?"), func(t *testing.T) {
+			for _, name := range []string{"shop.note", "search_path"} {
+				c := connect(t, f.address, []string{name + "=" + text})
+				c.send(&pgproto3.Query{String: "SHOW " + name})
+				qt.Check(t, lastRow(t, c), qt.Equals, text)
+			}
+			c := connect(t, f.address, nil)
+			c.send(&pgproto3.Query{String: "SET oleanderpulley.request_id = " + quoted(text)})
+			lastRow(t, c)
+			c.send(&pgproto3.Query{String: "SHOW oleanderpulley.request_id"})
+			qt.Check(t, lastRow(t, c), qt.Equals, text)
+			c.send(&pgproto3.Query{String: "UPDATE t SET v = 'x' WHERE id = 1"})
+			lastRow(t, c)
+			c.send(&pgproto3.Query{String: "SELECT request_id FROM oleanderpulley_requests WHERE request_id = " + quoted(text)})
+			qt.Check(t, lastRow(t, c), qt.Equals, text)
+		})
+	}
+}
+
+// Guards against a startup parameter that is taken for the default of the server
+// because it differs in case alone, which matters in quoted names.
+func TestStartupParameterThatDiffersInCase(t *testing.T) {
+	f := startFixture(t, nil)
+	for _, text := range []string{`"$USER", public`, `"$user", public`} {
+		query(t, connect(t, f.address, nil), "SELECT 1") // The server has reported its default.
+		c := connect(t, f.address, []string{"search_path=" + text})
+		c.send(&pgproto3.Query{String: "SHOW search_path"})
+		qt.Check(t, lastRow(t, c), qt.Equals, text)
+	}
+	c := connect(t, f.address, []string{"TimeZone=utc"})
+	query(t, c, "SELECT 1")
+	for _, s := range f.servers {
+		for _, r := range s.Records() {
+			qt.Check(t, r.SQL, qt.Not(qt.Contains), "'TimeZone'") // The session is not pinned needlessly.
+		}
+	}
+}
+
+// Guards against a value that is refused by the classifier and still set, and against
+// DEALLOCATE of one statement that drops all.
+func TestProxyStatementValues(t *testing.T) {
+	c := connect(t, startFixture(t, nil).address, nil)
+	qt.Check(t, query(t, c, `SET oleanderpulley.request_id = E'a\'b' -- comment`), qt.Contains, "done SET")
+	qt.Check(t, query(t, c, "SET oleanderpulley.request_id = 'a' 'b'"), qt.Contains, "ERROR 22023")
+	qt.Check(t, query(t, c, "SHOW oleanderpulley.request_id"), qt.Contains, `["a'b"]`)
+	sr := &scriptRunner{t: t}
+	sr.runClientCommand(c, "ask", "P all SELECT 1; P other SELECT 2; S")
+	qt.Check(t, query(t, c, `DEALLOCATE "all"`), qt.Contains, "done DEALLOCATE")
+	sr.out.Reset()
+	sr.runClientCommand(c, "ask", "B other; E; S")
+	qt.Check(t, sr.out.String(), qt.Contains, `row ["2"]`)
+}
--- a/internal/transport/lender/lender.go
+++ b/internal/transport/lender/lender.go
@@ -42,7 +42,7 @@
 // required. It is safe for concurrent use.
 type Lender struct {
 	// Dial opens a connection to the server for the workspace. Its error is
-	// [ErrServerFull], [ErrWrongServer] or [ErrUnreachable].
+	// [ErrServerFull], [ErrWrongServer], [ErrUnreachable] or [ErrNotEncodable].
 	Dial func(deadline time.Time, s cataloger.BackendServer, w identifier.WorkspaceName) (Link, error)
 	// Limit returns the number of connections that this instance may have to
 	// the server, possibly 0.
@@ -66,6 +66,7 @@
 	Workspace    identifier.WorkspaceName
 	Pinned       bool      // For a transaction, which is idle most of the time and not subject to ConcurrencyLimit.
 	Priority     int       // 0 is the most urgent.
+	Writes       bool      // The caller relies on a refusal: lend no connection on which an error was received.
 	AnyWorkspace bool      // For a query of the proxy itself: accept a connection of any workspace; not subject to ConcurrencyLimit.
 	Settings     Settings  // Preferred, not required.
 	Target       time.Time // When the statement should be answered; zero means at the deadline.
@@ -196,7 +197,8 @@
 }
 
 // Return takes back a borrowed connection. It closes the connection if it is
-// broken, stale or over the limit.
+// broken, stale, in a transaction or over the limit, and if the server may send an
+// answer again that nothing tells from another.
 func (l *Lender) Return(c *Conn) {
 	l.mu.Lock()
 	c.pool.finish(c.statement)
@@ -217,7 +219,7 @@
 	s := c.pool
 	s.markReturned(c)
 	c.statement = nil
-	if c.broken || c.stale || s.total() >= l.Limit(c.Server) {
+	if c.broken || c.stale || c.answers.inTransaction() || s.mayRepeat(c) || s.total() >= l.Limit(c.Server) {
 		c.link.Close()
 	} else {
 		c.returned = time.Now()
--- a/internal/transport/sessioner/status.go
+++ b/internal/transport/sessioner/status.go
@@ -1,6 +1,7 @@
 package sessioner
 
 import (
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -32,7 +33,9 @@
 	return s.queryStatus(b, requester.Statement{Kind: requester.StepDown, Term: term})
 }
 
-// queryStatus runs a statement that a backend server answers with its status.
+// queryStatus runs a statement that a backend server answers with its status. The
+// connection is closed afterwards: nothing would tell the answer from that to the next
+// such statement.
 func (s *Server) queryStatus(b cataloger.BackendServer, st requester.Statement) (requester.ServerStatus, error) {
 	deadline := time.Now().Add(queryTimeout)
 	c, err := s.borrow(lender.Request{Server: b, Workspace: s.anyWorkspace(), AnyWorkspace: true, Deadline: deadline})
@@ -41,8 +44,11 @@
 	}
 	defer s.Lender.Return(c)
 	r, err := c.Run(deadline, st)
-	if err != nil {
+	c.MarkBroken()
+	if err != nil && !c.OutOfStep() {
 		s.Balancer.Unreachable(b.ID)
+	}
+	if err != nil {
 		return requester.ServerStatus{}, err
 	}
 	if r.Code != requester.OK || len(r.Rows) != 1 {
@@ -51,11 +57,15 @@
 	return s.ParseServerStatus(r.Rows[0])
 }
 
-// anyWorkspace returns the first workspace by name. The proxy's own queries
-// belong to no workspace, but a connection requires one.
+// anyWorkspace returns the first workspace by name that a backend server can be
+// told. The proxy's own queries belong to no workspace, but a connection requires
+// one.
 func (s *Server) anyWorkspace() identifier.WorkspaceName {
 	var first identifier.WorkspaceName
 	for name := range s.Holder.Catalog().Configuration.Workspaces {
+		if strings.ContainsAny(string(name), " \r\n") {
+			continue
+		}
 		if first == "" || name < first {
 			first = name
 		}
