internal/transport/lender: rows that may be joined to those of an earlier answer are not returned

A read got rows of an earlier one before its own (MIXED), when a backend server sent an answer a second time and cut it off after some rows: rows have no name, and the signature after them was a new one.

An answer with several rows, of which the first is the first of the last answer with rows and others differ, can't be told from such a joined one. The connection is closed, and a single read is repeated on another one. In a transaction of a client this holds only within a minute after a repeat of the server, since a transaction that reads changed rows again would otherwise be aborted each time. Hashes of the rows are kept, not the rows. The counter unexpected_answers has the reason ambiguous.

What still can't be told: a part of an answer before an answer without rows, or whose rows after it make up the earlier answer.

Before: TestRowsBeforeThoseOfTheAnswerAreNotReturned failed. After: it passes.

--- a/internal/transport/lender/answers.go
+++ b/internal/transport/lender/answers.go
@@ -21,6 +21,8 @@
 
 	state    requester.TransactionState   // In the last expected answer; 0 if there was none.
 	unsigned []requester.TransactionState // The different states in unsigned answers without rows.
+	firstRow uint64                       // Hash of the first row of the last signed answer that had rows.
+	rows     uint64                       // Hash of all its rows; 0 if there was none.
 }
 
 // unnamed is the entry for a signature of a statement that needs none. Such a
@@ -47,14 +49,14 @@
 	l.next = (l.next + 1) % rememberedSignatures
 }
 
-// contentHash returns a hash of the rows and the signature of an answer.
-func contentHash(r requester.Result, signature uint64) uint64 {
+// rowsHash returns a hash of the rows that depends on the seed. It is not 0.
+func rowsHash(seed uint64, rows []string) uint64 {
 	const prime = 0x9e3779b97f4a7c15
-	hash := signature + uint64(len(r.Rows))
-	for _, row := range r.Rows {
+	hash := seed + uint64(len(rows))
+	for _, row := range rows {
 		hash = (hash ^ xxhash.Sum64String(row)) * prime
 	}
-	return max(hash, unnamed+1)
+	return max(hash, 1)
 }
 
 // verdict is what an answer is to the oldest unanswered statement.
@@ -64,6 +66,7 @@
 	expected  verdict = iota // Its answer, as far as can be told.
 	repeated                 // Received before, for an earlier statement.
 	outOfStep                // The answer to another statement.
+	ambiguous                // Its answer, or rows of an earlier answer before its own.
 )
 
 // judge returns what the answer is to a statement of the kind, and remembers it if it
@@ -77,7 +80,7 @@
 	default:
 		v = l.judgeUnsigned(k, r)
 	}
-	if v == expected {
+	if v == expected || v == ambiguous {
 		l.state = r.State
 	}
 	return v
@@ -89,12 +92,12 @@
 		return l.repeatedOr(outOfStep, r)
 	}
 	signature := xxhash.Sum64String(r.Signature)
-	content := contentHash(r, signature)
+	content := rowsHash(signature, r.Rows)
 	known, ok := l.find(signature)
 	switch {
 	case !ok:
 		l.add(signature, content)
-		return expected
+		return l.judgeRows(r.Rows)
 	case known == content:
 		return repeated
 	case known == unnamed:
@@ -104,6 +107,22 @@
 	}
 }
 
+// judgeRows judges the rows of an answer with a new signature, and remembers them. An
+// answer that is sent again may be cut off after some rows, which then come before those
+// of the next answer: the first row is the same, and others differ.
+func (l *answerLog) judgeRows(rows []string) verdict {
+	if len(rows) == 0 {
+		return expected
+	}
+	v := expected
+	first, all := xxhash.Sum64String(rows[0]), rowsHash(0, rows)
+	if len(rows) > 1 && first == l.firstRow && all != l.rows && l.rows != 0 {
+		v = ambiguous
+	}
+	l.firstRow, l.rows = first, all
+	return v
+}
+
 // judgeUnsigned judges the success of a statement that needs no signature. Its
 // transaction state has to be the one that the statement leads to. A signature that
 // no signed answer had says nothing.
@@ -113,7 +132,7 @@
 		switch known, ok := l.find(signature); {
 		case !ok:
 			l.add(signature, unnamed)
-		case known == contentHash(r, signature):
+		case known == rowsHash(signature, r.Rows):
 			return repeated
 		case known != unnamed:
 			return outOfStep
--- a/internal/transport/lender/answers_test.go
+++ b/internal/transport/lender/answers_test.go
@@ -541,3 +541,76 @@
 	}
 	qt.Assert(t, s.links, qt.HasLen, 1)
 }
+
+// cutRepeat makes the server send the first rows of the connection's last answer again,
+// joined to the rows of its next answer.
+func (s *scriptedServer) cutRepeat(c *scriptedLink, rows int) {
+	cut := c.given[len(c.given)-1].Rows[:rows]
+	s.answer = func(st requester.Statement, r requester.Result) requester.Result {
+		s.answer = nil
+		if st.Kind == requester.Read {
+			r.Rows = append(slices.Clone(cut), r.Rows...)
+		}
+		return r
+	}
+}
+
+// Guards against a read with rows of an earlier one (MIXED), whose answer was sent again and
+// cut off before its outcome.
+func TestRowsBeforeThoseOfTheAnswerAreNotReturned(t *testing.T) {
+	for rows := 1; rows <= 3; rows++ {
+		for _, pinned := range []bool{false, true} {
+			s := newScriptedServer()
+			req := request("shops")
+			req.Pinned = pinned
+			c, err := s.lender.Borrow(req)
+			qt.Assert(t, err, qt.IsNil)
+			s.answer = func(_ requester.Statement, r requester.Result) requester.Result {
+				r.Rows = []string{"a", "b", "c"}[:rows]
+				return r
+			}
+			_, err = c.Run(soon(), statement(requester.Read, "x"))
+			qt.Assert(t, err, qt.IsNil)
+			if pinned { // In a transaction only a server that has sent an answer twice is suspected.
+				s.answer, s.before = nil, repeatOnce(requester.Write, 0)
+				_, err = c.Run(soon(), statement(requester.Write, "x 1"))
+				qt.Assert(t, err, qt.IsNil)
+				s.answer = func(_ requester.Statement, r requester.Result) requester.Result {
+					r.Rows = []string{"a", "b", "c"}[:rows]
+					return r
+				}
+				_, err = c.Run(soon(), statement(requester.Read, "x"))
+				qt.Assert(t, err, qt.IsNil)
+			}
+			s.cutRepeat(s.last(), rows)
+			_, err = c.Run(soon(), statement(requester.Read, "y"))
+			qt.Assert(t, err, qt.ErrorIs, lender.ErrNoAnswer)
+			qt.Assert(t, c.OutOfStep(), qt.IsTrue)
+		}
+	}
+}
+
+// Guards against reads that are given up without need: the same rows again, a single row,
+// other rows, and changed rows in a transaction.
+func TestRowsThatCannotBeJoinedAreReturned(t *testing.T) {
+	s := newScriptedServer()
+	var rows []string
+	s.answer = func(_ requester.Statement, r requester.Result) requester.Result {
+		r.Rows = rows
+		return r
+	}
+	c := s.borrow(t)
+	for _, rows = range [][]string{{"a", "b"}, {"a", "b"}, {"a"}, {"b", "a"}, {}, {"a"}, {"b"}} {
+		_, err := c.Run(soon(), statement(requester.Read, "x"))
+		qt.Assert(t, err, qt.IsNil, qt.Commentf("%q", rows))
+	}
+	s.lender.Return(c)
+	req := request("shops")
+	req.Pinned = true
+	c, err := s.lender.Borrow(req)
+	qt.Assert(t, err, qt.IsNil)
+	for _, rows = range [][]string{{"a", "b"}, {"a", "c"}} {
+		_, err := c.Run(soon(), statement(requester.Read, "x"))
+		qt.Assert(t, err, qt.IsNil, qt.Commentf("%q", rows))
+	}
+}
--- a/internal/transport/lender/conn.go
+++ b/internal/transport/lender/conn.go
@@ -115,7 +115,11 @@
 			c.broken = true
 			return r, errors.Wrapf(ErrNoAnswer, "%s: %v", c.Server.ID, err)
 		}
-		switch v := c.answers.judge(k, r); v {
+		v := c.answers.judge(k, r)
+		if v == ambiguous && c.pinned && !c.lender.expectsRepeats(c.pool) {
+			v = expected // A transaction that reads changed rows again would never end.
+		}
+		switch v {
 		case expected:
 			c.LastAnswer = time.Now()
 			c.unnamed = c.unnamed || r.Code != requester.OK || !needsSignature(k)
@@ -127,7 +131,7 @@
 		case repeated:
 			c.repeats++
 			c.lender.reportAnswer(c, k, v, r)
-		case outOfStep:
+		case outOfStep, ambiguous:
 			c.lender.reportAnswer(c, k, v, r)
 			c.broken, c.outOfStep = true, true
 			return requester.Result{}, errors.Wrapf(ErrNoAnswer, "%s: the answer is to another statement than %s", c.Server.ID, k)
--- a/internal/transport/lender/report.go
+++ b/internal/transport/lender/report.go
@@ -11,17 +11,24 @@
 const (
 	reasonRepeated    = "repeated"
 	reasonOutOfStep   = "out_of_step"
+	reasonAmbiguous   = "ambiguous"
 	reasonUnrequested = "unrequested"
 )
 
 // reportAnswer counts and logs an answer that is not the one to the statement that
 // waits for it.
 func (l *Lender) reportAnswer(c *Conn, k requester.Kind, v verdict, r requester.Result) {
-	event, reason := "answer_out_of_step", reasonOutOfStep
-	if v == repeated {
-		event, reason = "answer_repeated", reasonRepeated
+	event := "answer_out_of_step"
+	switch v {
+	case repeated:
+		event = "answer_repeated"
+		l.recordUnexpected(c, reasonRepeated)
+	case ambiguous:
+		event = "answer_ambiguous"
+		l.countUnexpected(c, reasonAmbiguous)
+	default:
+		l.recordUnexpected(c, reasonOutOfStep)
 	}
-	l.recordUnexpected(c, reason)
 	l.Logger.Warn().Str("event", event).Str("server", string(c.Server.ID)).Str("workspace", string(c.Workspace)).
 		Stringer("statement", k).Stringer("code", r.Code).Str("state", string(rune(r.State))).
 		Bool("signed", isSigned(r)).Int("rows", len(r.Rows)).Send()
@@ -38,10 +45,22 @@
 // recordUnexpected counts what has arrived on the connection, and expects more of it from
 // the server.
 func (l *Lender) recordUnexpected(c *Conn, reason string) {
+	l.countUnexpected(c, reason)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.pool.expectRepeats()
+}
+
+func (l *Lender) countUnexpected(c *Conn, reason string) {
 	if l.Registry != nil {
 		l.Registry.Count(reporter.Series{Name: "unexpected_answers", Service: c.Server.Service, Reason: reason}, 1)
 	}
+}
+
+// expectsRepeats reports whether the server of the pool has sent an answer twice of
+// late.
+func (l *Lender) expectsRepeats(s *serverPool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c.pool.expectRepeats()
+	return time.Now().Before(s.repeatsUntil)
 }
