internal/transport/acceptor: the test of a pinned session ends evacuated connections repeatedly

TestPinnedSessionAtEvacuatedServer failed once at a load average of 36 ("closed" after 10 s). It called EndEvacuated once, just after the client had its answer. A session that had looked for evacuations before, and was not idle yet, was then not woken by that call; the owner calls EndEvacuated repeatedly, as its comment asks for.

--- a/internal/transport/acceptor/evacuation_test.go
+++ b/internal/transport/acceptor/evacuation_test.go
@@ -83,8 +83,9 @@
 	c := connect(t, f.address, nil)
 	qt.Assert(t, ask(c, "LISTEN c"), qt.Contains, "ready I")
 	evacuate(false)
-	f.EndEvacuated()
-	qt.Assert(t, strings.Join(c.read(), " "), qt.Equals,
+	answered := make(chan string, 1)
+	go func() { answered <- strings.Join(c.read(), " ") }()
+	qt.Assert(t, awaitAnswer(t, f, answered), qt.Equals,
 		"FATAL 57P03 not run: evacuation: centro-a: data centre is evacuated; the state of the session is lost retry-after: 1s closed")
 }
 
