internal/transport/lender, platform: a malformed answer is told from silence

A primary got no statements for 200 ms, and longer each time, after an answer that could not be read, for instance one that was joined to a part of an earlier one: it counted as silent. Nothing in the metrics told such an answer either.

Link.Receive returns ErrMalformedAnswer, for which only the connection is given up, as for an answer out of step. It is counted (unexpected_answers, reason malformed) and logged (answer_malformed).

--- a/internal/transport/lender/conn.go
+++ b/internal/transport/lender/conn.go
@@ -20,13 +20,17 @@
 // ErrNotSent reports that no part of the statement reached the backend server.
 var ErrNotSent = errors.New("statement was not sent")
 
+// ErrMalformedAnswer reports an answer that does not follow the wire protocol.
+var ErrMalformedAnswer = errors.New("malformed answer")
+
 // Link is an open connection to a backend server, independent of the wire
 // protocol. The package that implements the protocol sets the function fields.
 type Link struct {
 	// Send writes all statements at once. It returns [ErrNotSent] if no byte
 	// was sent, and any other error if some bytes may have been.
 	Send func(deadline time.Time, statements ...requester.Statement) error
-	// Receive reads the answer to the oldest unanswered statement.
+	// Receive reads the answer to the oldest unanswered statement. Its error is
+	// [ErrMalformedAnswer] if one has arrived that cannot be read.
 	Receive func(deadline time.Time) (requester.Result, error)
 	// Open reports whether the backend server has neither closed the idle
 	// connection nor sent data on it.
@@ -113,6 +117,10 @@
 		r, err := c.link.Receive(deadline)
 		if err != nil {
 			c.broken = true
+			if errors.Is(err, ErrMalformedAnswer) {
+				c.outOfStep = true
+				c.lender.reportMalformed(c, k, err)
+			}
 			return r, errors.Wrapf(ErrNoAnswer, "%s: %v", c.Server.ID, err)
 		}
 		v := c.answers.judge(k, r)
--- a/internal/transport/lender/report.go
+++ b/internal/transport/lender/report.go
@@ -10,6 +10,7 @@
 // Reasons in the counter unexpected_answers.
 const (
 	reasonRepeated    = "repeated"
+	reasonMalformed   = "malformed"
 	reasonOutOfStep   = "out_of_step"
 	reasonAmbiguous   = "ambiguous"
 	reasonUnrequested = "unrequested"
@@ -34,6 +35,13 @@
 		Bool("signed", isSigned(r)).Int("rows", len(r.Rows)).Send()
 }
 
+// reportMalformed counts and logs an answer that cannot be read.
+func (l *Lender) reportMalformed(c *Conn, k requester.Kind, err error) {
+	l.recordUnexpected(c, reasonMalformed)
+	l.Logger.Warn().Str("event", "answer_malformed").Str("server", string(c.Server.ID)).Str("workspace", string(c.Workspace)).
+		Stringer("statement", k).Err(err).Send()
+}
+
 // reportUnrequested counts and logs a connection on which data has arrived though no
 // answer was outstanding.
 func (l *Lender) reportUnrequested(c *Conn) {
--- a/internal/transport/sessioner/repeat_test.go
+++ b/internal/transport/sessioner/repeat_test.go
@@ -255,6 +255,23 @@
 	}
 }
 
+// Guards against a primary that gets no statements for 200 ms and more because an answer
+// could not be read.
+func TestServerIsNotEjectedForAMalformedAnswer(t *testing.T) {
+	s, p := newRepeater(t)
+	s.Lender.Dial = func(deadline time.Time, b cataloger.BackendServer, w identifier.WorkspaceName) (lender.Link, error) {
+		link, err := p.dial(deadline, b, w)
+		link.Receive = func(time.Time) (requester.Result, error) {
+			s.Lender.Dial = p.dial
+			return requester.Result{}, lender.ErrMalformedAnswer
+		}
+		return link, err
+	}
+	write := primaryRequest(requester.Write, "WRITE x 1")
+	qt.Assert(t, s.Execute("peer", write).Result.Code, qt.Equals, requester.OutcomeUnknown)
+	qt.Assert(t, s.Execute("peer", write).Result.Code, qt.Equals, requester.OK)
+}
+
 // Guards against a primary that gets no statements for 200 ms and more because an answer
 // did not fit its statement.
 func TestServerIsNotEjectedForAnAnswerOutOfStep(t *testing.T) {
