--- a/internal/transport/lender/answers.go
+++ b/internal/transport/lender/answers.go
@@ -76,7 +76,7 @@
 	switch {
 	case r.Code != requester.OK:
 	case needsSignature(k):
-		v = l.judgeSigned(r)
+		v = l.judgeSigned(k, r)
 	default:
 		v = l.judgeUnsigned(k, r)
 	}
@@ -87,7 +87,7 @@
 }
 
 // judgeSigned judges the success of a statement that has to be signed.
-func (l *answerLog) judgeSigned(r requester.Result) verdict {
+func (l *answerLog) judgeSigned(k requester.Kind, r requester.Result) verdict {
 	if !isSigned(r) {
 		return l.repeatedOr(outOfStep, r)
 	}
@@ -97,7 +97,7 @@
 	switch {
 	case !ok:
 		l.add(signature, content)
-		return l.judgeRows(r.Rows)
+		return l.judgeRows(k, r.Rows)
 	case known == content:
 		return repeated
 	case known == unnamed:
@@ -109,14 +109,19 @@
 
 // judgeRows judges the rows of an answer with a new signature, and remembers them. An
 // answer that is sent again may be cut off after some rows, which then come before those
-// of the next answer: the first row is the same, and others differ.
-func (l *answerLog) judgeRows(rows []string) verdict {
+// of the next answer: the first row is the same, and others differ. WRITE and COMMIT
+// have no rows of their own.
+func (l *answerLog) judgeRows(k requester.Kind, rows []string) verdict {
 	if len(rows) == 0 {
 		return expected
 	}
-	v := expected
 	first, all := xxhash.Sum64String(rows[0]), rowsHash(0, rows)
-	if len(rows) > 1 && first == l.firstRow && all != l.rows && l.rows != 0 {
+	isRepeated := l.rows != 0 && first == l.firstRow
+	v := expected
+	switch {
+	case isRepeated && (k == requester.Write || k == requester.Commit):
+		v = outOfStep
+	case isRepeated && len(rows) > 1 && all != l.rows:
 		v = ambiguous
 	}
 	l.firstRow, l.rows = first, all
--- a/internal/transport/lender/answers_test.go
+++ b/internal/transport/lender/answers_test.go
@@ -614,3 +614,20 @@
 		qt.Assert(t, err, qt.IsNil, qt.Commentf("%q", rows))
 	}
 }
+
+// Guards against a write or a commit with rows of an earlier read (MIXED), whose answer was
+// sent again and cut off before its outcome.
+func TestWriteHasNoRowsOfARead(t *testing.T) {
+	for _, k := range []requester.Kind{requester.Write, requester.Commit} {
+		s := newScriptedServer()
+		c := s.borrow(t)
+		read, err := c.Run(soon(), statement(requester.Read, "x"))
+		qt.Assert(t, err, qt.IsNil)
+		s.answer = func(_ requester.Statement, r requester.Result) requester.Result {
+			r.Rows = read.Rows
+			return r
+		}
+		_, err = c.Run(soon(), statement(k, "x 1"))
+		qt.Assert(t, err, qt.ErrorIs, lender.ErrNoAnswer, qt.Commentf("%s", k))
+	}
+}
