--- a/internal/transport/lender/conn.go
+++ b/internal/transport/lender/conn.go
@@ -24,6 +24,9 @@
 // protocol cannot carry. It fails in the same way on each backend server.
 var ErrNotEncodable = errors.WithMessage(ErrNotSent, "the protocol cannot carry it")
 
+// ErrMalformedAnswer reports an answer that does not follow the wire protocol.
+var ErrMalformedAnswer = errors.New("malformed answer")
+
 // Link is an open connection to a backend server, independent of the wire
 // protocol. The package that implements the protocol sets the function fields.
 type Link struct {
@@ -31,7 +34,8 @@
 	// was sent, [ErrNotEncodable] if that holds for every connection, and any
 	// other error if some bytes may have been.
 	Send func(deadline time.Time, statements ...requester.Statement) error
-	// Receive reads the answer to the oldest unanswered statement.
+	// Receive reads the answer to the oldest unanswered statement. Its error is
+	// [ErrMalformedAnswer] if one has arrived that cannot be read.
 	Receive func(deadline time.Time) (requester.Result, error)
 	// Open reports whether the backend server has neither closed the idle
 	// connection nor sent data on it.
@@ -118,6 +122,10 @@
 		r, err := c.link.Receive(deadline)
 		if err != nil {
 			c.broken = true
+			if errors.Is(err, ErrMalformedAnswer) {
+				c.outOfStep = true
+				c.lender.reportMalformed(c, k, err)
+			}
 			return r, errors.Wrapf(ErrNoAnswer, "%s: %v", c.Server.ID, err)
 		}
 		v := c.answers.judge(k, r)
