internal/transport/acceptor: responses to startup parameters end before a statement

What callers saw: the first statement of a session with startup parameters could get a repeated response to the statement that sets them, and any failure of that statement, such as a lost connection, ended the session as if a parameter were invalid.

Cause: nothing looked for unread data between that statement, or DEALLOCATE ALL, and the batch, and the failures of the connection were not told from the errors of the server.

Run now fails if a response is left after the last one. Only an error of the server is an invalid parameter; after any other failure another connection is tried, as nothing was sent for the client.

A late one was and is told by its type.

--- a/internal/transport/acceptor/execute.go
+++ b/internal/transport/acceptor/execute.go
@@ -137,6 +137,10 @@
 	if err := s.prepareConnection(ctx); err != nil {
 		s.reportOutOfStep(err)
 		s.closeLease(err.Error())
+		var r *refuser.RefusalError
+		if !errors.As(err, &r) {
+			err = errors.Wrap(pooler.ErrConnect, err.Error())
+		}
 		return err
 	}
 	return s.runOnLease(ctx, b)
--- a/internal/transport/acceptor/lease.go
+++ b/internal/transport/acceptor/lease.go
@@ -57,9 +57,14 @@
 	if len(calls) == 0 {
 		return nil
 	}
-	if err := c.Run(ctx, pooler.Statement{SQL: "SELECT " + strings.Join(calls, ", "), Tag: "SELECT"}); err != nil {
+	err := c.Run(ctx, pooler.Statement{SQL: "SELECT " + strings.Join(calls, ", "), Tag: "SELECT"})
+	var serverError *pooler.ServerError
+	if errors.As(err, &serverError) {
 		return asFatal(refuser.New(refuser.InvalidSetting, "startup parameter: "+err.Error()))
 	}
+	if err != nil {
+		return err
+	}
 	s.pinned, s.startupSettings = true, nil
 	return nil
 }
--- a/internal/transport/acceptor/repeat_test.go
+++ b/internal/transport/acceptor/repeat_test.go
@@ -173,3 +173,22 @@
 	sr.runClientCommand(c, "ask", "c")
 	qt.Check(t, sr.out.String(), qt.Contains, "ERROR 40003")
 }
+
+// Guards against a repeated response to the startup parameters that the first
+// statement of the session gets, and that ends the session as if a parameter were
+// invalid.
+func TestRepeatedResponseToStartupParameters(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		f := startFixture(t, nil)
+		for _, s := range f.servers {
+			s.SetFaults(backendserver.Faults{RepeatResponses: 1, RepeatLate: late, RepeatSQL: "set_config"})
+		}
+		c := connect(t, f.address, []string{"shop.note=x"})
+		got := query(t, c, "UPDATE t SET v = 'x' WHERE id = 1")
+		if late {
+			qt.Check(t, got, qt.Contains, "ERROR 40003")
+		} else {
+			qt.Check(t, got, qt.Contains, "done UPDATE 1")
+		}
+	}
+}
--- a/internal/transport/pooler/outofstep.go
+++ b/internal/transport/pooler/outofstep.go
@@ -50,6 +50,15 @@
 	return len(kind) > 0 && isResponse(kind[0])
 }
 
+// hasUnrequested reports whether the connection is closed, or has received a message
+// that is part of a response although none is outstanding.
+func (c *Conn) hasUnrequested() bool {
+	if c.Reader.Buffered() > 0 {
+		return c.hasResponse()
+	}
+	return !c.hasNoInput() && (c.peeked == 0 || isResponse(c.peeked))
+}
+
 // isResponse reports whether a message of this type is part of the response to a
 // statement. Asynchronous messages and the error with which a server ends a connection
 // may arrive at any time.
--- a/internal/transport/pooler/pooler.go
+++ b/internal/transport/pooler/pooler.go
@@ -111,9 +111,6 @@
 			return c, nil
 		}
 		err = p.resetForWorkspace(ctx, c, workspace)
-		if err == nil && !c.HasNoInput() {
-			err = errors.Wrap(ErrUnexpectedResponse, "data after the last response")
-		}
 		if errors.Is(err, ErrUnexpectedResponse) {
 			p.ReportOutOfStep(c, err.Error())
 		}
--- a/internal/transport/pooler/query.go
+++ b/internal/transport/pooler/query.go
@@ -15,6 +15,15 @@
 // that was sent. The connection must be closed.
 var ErrUnexpectedResponse = errors.New("response does not belong to the statement")
 
+// ServerError is the error with which a server responded to a statement of the proxy.
+type ServerError struct {
+	State   string // SQLSTATE.
+	Message string
+}
+
+// Error implements the error interface.
+func (e *ServerError) Error() string { return e.State + " " + e.Message }
+
 // Statement is a statement of the proxy. It runs outside of a transaction.
 type Statement struct {
 	SQL string
@@ -38,7 +47,7 @@
 }
 
 // Run executes statements whose rows, if any, are discarded, and returns the
-// first error of the server. It sends all of them before it reads the responses.
+// first error of the server as a [ServerError]. It sends all of them before it reads the responses.
 func (c *Conn) Run(ctx context.Context, statements ...Statement) error {
 	deadline, ok := ctx.Deadline()
 	if limit := time.Now().Add(connectTimeout); !ok || limit.Before(deadline) {
@@ -48,6 +57,9 @@
 	if err != nil {
 		return err
 	}
+	if c.hasUnrequested() {
+		return errors.Wrap(ErrUnexpectedResponse, "data after the last response")
+	}
 	if firstError != nil {
 		return firstError
 	}
@@ -101,7 +113,7 @@
 		case complete:
 			return nil, errors.Wrapf(ErrUnexpectedResponse, "type %q after the end of %s", kind, tag)
 		case kind == 'E':
-			serverError = errors.Errorf("%s %s", framer.ErrorField(frame, 'C'), framer.ErrorField(frame, 'M'))
+			serverError = &ServerError{State: framer.ErrorField(frame, 'C'), Message: framer.ErrorField(frame, 'M')}
 			if v := framer.ErrorField(frame, 'V'); v == "FATAL" || v == "PANIC" {
 				return nil, serverError
 			}
