internal/transport/acceptor: startup parameters outlive a lost connection

What callers saw: if the first statement of a session with startup parameters lost its connection, the session went on, and all later statements ran without the parameters. A read that was repeated on another connection ran without them, too.

Cause: the parameters are applied to one connection, to which the session is pinned, and were then forgotten. The loss of a connection ends a pinned session only from its second batch on.

If the first batch fails and its connection is lost, the session is unpinned and keeps the parameters for the next connection. It has no other state there that it knows of.

Evidence: TestStartupParametersAfterLostConnection failed before (the setting was unknown to the server) and passes after.

--- a/internal/transport/acceptor/execute.go
+++ b/internal/transport/acceptor/execute.go
@@ -134,6 +134,7 @@
 		return err
 	}
 	s.attachLease(l)
+	startupSettings := s.startupSettings
 	if err := s.prepareConnection(ctx); err != nil {
 		s.reportOutOfStep(err)
 		s.closeLease(err.Error())
@@ -143,7 +144,12 @@
 		}
 		return err
 	}
-	return s.runOnLease(ctx, b)
+	err = s.runOnLease(ctx, b)
+	if err != nil && s.lease == nil {
+		// The next connection needs the startup parameters again.
+		s.pinned, s.startupSettings = false, startupSettings
+	}
+	return err
 }
 
 func (s *session) target(choice Target) pooler.Target {
--- a/internal/transport/acceptor/texts_test.go
+++ b/internal/transport/acceptor/texts_test.go
@@ -7,6 +7,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"oleanderpulley/internal/fake/backendserver"
 )
 
 // oddTexts returns texts with bytes that a layer could trim, split or re-encode.
@@ -131,3 +133,16 @@
 	sr.runClientCommand(c, "ask", "B other; E; S")
 	qt.Check(t, sr.out.String(), qt.Contains, `row ["2"]`)
 }
+
+// Guards against a session that goes on without its startup parameters after its first
+// statement has lost the connection.
+func TestStartupParametersAfterLostConnection(t *testing.T) {
+	f := startFixture(t, nil)
+	c := connect(t, f.address, []string{"shop.note=x"})
+	f.servers[0].SetFaults(backendserver.Faults{LoseCommits: 1})
+	qt.Assert(t, query(t, c, "UPDATE t SET v = 'x' WHERE id = 1"), qt.Contains, "ERROR 40003")
+	f.servers[0].SetFaults(backendserver.Faults{})
+	for range 2 {
+		qt.Check(t, query(t, c, "SHOW shop.note"), qt.Contains, `row ["x"]`)
+	}
+}
