internal/transport/acceptor: extra_float_digits is kept where it changes rows

What callers saw: a session that was started with extra_float_digits=0 got floating-point numbers with all digits, as with the default.

Cause: the parameter was dropped, because drivers send 2 or 3 in each startup message and a parameter pins the session.

It is now dropped only with 1, 2 or 3, which give the same rows since PostgreSQL 12.

Evidence: TestExtraFloatDigits failed before and passes after.

--- a/internal/transport/acceptor/startup.go
+++ b/internal/transport/acceptor/startup.go
@@ -159,7 +159,12 @@
 			continue
 		}
 		switch name {
-		case "user", "database", "extra_float_digits":
+		case "user", "database":
+		case "extra_float_digits":
+			// All values above 0 give the same rows as the default, since PostgreSQL 12.
+			if value != "1" && value != "2" && value != "3" {
+				s.startupSettings = append(s.startupSettings, [2]string{name, value})
+			}
 		case "application_name":
 			s.application = value
 		case "client_encoding":
--- a/internal/transport/acceptor/texts_test.go
+++ b/internal/transport/acceptor/texts_test.go
@@ -182,3 +182,18 @@
 	}
 	sr.runClientCommand(c, "ask", "c; S")
 }
+
+// Guards against a startup parameter that is dropped although it changes rows, and
+// against a session that is pinned by one that does not.
+func TestExtraFloatDigits(t *testing.T) {
+	f := startFixture(t, nil)
+	for _, digits := range []string{"0", "-15"} {
+		c := connect(t, f.address, []string{"extra_float_digits=" + digits})
+		qt.Check(t, query(t, c, "SHOW extra_float_digits"), qt.Contains, `row ["`+digits+`"]`)
+	}
+	logged := len(f.servers[0].Records())
+	query(t, connect(t, f.address, []string{"extra_float_digits=3"}), "UPDATE t SET v = 'x' WHERE id = 1")
+	for _, r := range f.servers[0].Records()[logged:] {
+		qt.Check(t, r.SQL, qt.Not(qt.Contains), "extra_float_digits")
+	}
+}
