internal/transport/pooler: credentials with a zero byte are refused

What callers saw: a user name with a zero byte in the settings logged in as the part before it, with the rest as another startup parameter.

Cause: the texts of a startup message end at a zero byte, which none of them was checked for.

The login now fails before anything is sent. Database names come from startup messages of clients and cannot hold a zero byte.

Evidence: TestZeroByteInCredentials failed before (two of the three logins succeeded) and passes after.

--- a/internal/transport/pooler/connect.go
+++ b/internal/transport/pooler/connect.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"io"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -107,6 +108,11 @@
 	if p.DataCentre != "" {
 		startupParameters = append(startupParameters, "oleanderpulley.data_centre", string(p.DataCentre))
 	}
+	for _, text := range append(startupParameters, p.Password) {
+		if strings.IndexByte(text, 0) >= 0 {
+			return errors.New("startup parameter or password has a zero byte")
+		}
+	}
 	for _, text := range startupParameters {
 		out = append(append(out, text...), 0)
 	}
--- a/internal/transport/pooler/repeat_test.go
+++ b/internal/transport/pooler/repeat_test.go
@@ -128,3 +128,21 @@
 	p.Release(acquire(), true)
 	qt.Assert(t, reported, qt.HasLen, 1) // A closed connection is no repeat.
 }
+
+// Guards against a credential with a zero byte that ends early, after which its rest is
+// read as another parameter.
+func TestZeroByteInCredentials(t *testing.T) {
+	s, target := startServer(t, nil)
+	for _, p := range []*pooler.Pooler{
+		{User: "proxy\x00shop.note\x00x", Password: "secret"},
+		{User: "proxy", Password: "secret\x00x"},
+		{User: "proxy", Password: "secret", DataCentre: "a\x00b"},
+	} {
+		_, err := p.Acquire(testContext(t), target, "shop")
+		qt.Check(t, err, qt.ErrorMatches, ".*zero byte.*")
+		p.Close()
+	}
+	for _, l := range s.Logins() {
+		qt.Check(t, l.Parameters["shop.note"], qt.Equals, "")
+	}
+}
