--- a/internal/transport/acceptor/texts_test.go
+++ b/internal/transport/acceptor/texts_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"oleanderpulley/internal/fake/backendserver"
 )
 
 // oddTexts returns texts with bytes that a layer could trim, split or re-encode.
@@ -131,3 +134,66 @@
 	sr.runClientCommand(c, "ask", "B other; E; S")
 	qt.Check(t, sr.out.String(), qt.Contains, `row ["2"]`)
 }
+
+// Guards against a session that goes on without its startup parameters after its first
+// statement has lost the connection.
+func TestStartupParametersAfterLostConnection(t *testing.T) {
+	f := startFixture(t, nil)
+	c := connect(t, f.address, []string{"shop.note=x"})
+	f.servers[0].SetFaults(backendserver.Faults{LoseCommits: 1})
+	qt.Assert(t, query(t, c, "UPDATE t SET v = 'x' WHERE id = 1"), qt.Contains, "ERROR 40003")
+	f.servers[0].SetFaults(backendserver.Faults{})
+	for range 2 {
+		qt.Check(t, query(t, c, "SHOW shop.note"), qt.Contains, `row ["x"]`)
+	}
+}
+
+// Guards against bytes of rows and copy data that change where they are forwarded in
+// parts, or where a message ends within a buffer.
+func TestLargeTextsArriveUnchanged(t *testing.T) {
+	random := rand.New(rand.NewPCG(60, 2))
+	randomBytes := func(size int) []byte {
+		b := make([]byte, size)
+		for i := range b {
+			b[i] = byte(1 + random.IntN(255))
+		}
+		return b
+	}
+	f := startFixture(t, nil)
+	c := connect(t, f.address, nil)
+	for i, size := range []int{1 << 10, 16<<10 - 7, 16 << 10, 16<<10 + 1, 200 << 10} {
+		text := randomBytes(size)
+		c.send(&pgproto3.Parse{Query: "INSERT INTO t VALUES ($1, $2)"})
+		c.send(&pgproto3.Bind{Parameters: [][]byte{[]byte(strconv.Itoa(10 + i)), text}})
+		c.send(&pgproto3.Execute{})
+		c.send(&pgproto3.Sync{})
+		lastRow(t, c)
+		c.send(&pgproto3.Query{String: "SELECT v FROM t WHERE id = " + strconv.Itoa(10+i)})
+		qt.Check(t, lastRow(t, c) == string(text), qt.IsTrue, qt.Commentf("%d bytes", size))
+	}
+	copied := make(chan string, 20)
+	c = connect(t, serveAcceptor(t, newTestAcceptor(copyServer(t, copied))), nil)
+	sr := &scriptRunner{t: t}
+	sr.runClientCommand(c, "ask", "P - COPY t FROM STDIN; B -; E; S")
+	for _, size := range []int{1, 4 << 10, 40 << 10, 200 << 10} {
+		data := append(randomBytes(size), "\x00\r\n\\.\n"...)
+		c.send(&pgproto3.CopyData{Data: data})
+		qt.Check(t, <-copied == string(data), qt.IsTrue, qt.Commentf("%d bytes", size))
+	}
+	sr.runClientCommand(c, "ask", "c; S")
+}
+
+// Guards against a startup parameter that is dropped although it changes rows, and
+// against a session that is pinned by one that does not.
+func TestExtraFloatDigits(t *testing.T) {
+	f := startFixture(t, nil)
+	for _, digits := range []string{"0", "-15"} {
+		c := connect(t, f.address, []string{"extra_float_digits=" + digits})
+		qt.Check(t, query(t, c, "SHOW extra_float_digits"), qt.Contains, `row ["`+digits+`"]`)
+	}
+	logged := len(f.servers[0].Records())
+	query(t, connect(t, f.address, []string{"extra_float_digits=3"}), "UPDATE t SET v = 'x' WHERE id = 1")
+	for _, r := range f.servers[0].Records()[logged:] {
+		qt.Check(t, r.SQL, qt.Not(qt.Contains), "extra_float_digits")
+	}
+}
