internal/transport/sessioner, internal/command/runner: tests of texts that are not UTF-8 between instances

TestStatementsThatAPeerFailsToHandle shows what callers get when the build before refuses a forwarded statement with such a text: an unknown outcome for a write or a commit, ABORTED in a transaction. TestTextsOfMessagesAreUnchanged covers the messages of the product's own interface as well. Both pass on the code as it is.

--- a/internal/command/runner/format_test.go
+++ b/internal/command/runner/format_test.go
@@ -27,6 +27,13 @@
 	archiver.CheckMessagesAreKnown(t, newEncoder())
 }
 
+// Guards against a text with some bytes that is refused or changed between two instances.
+func TestTextsOfMessagesAreUnchanged(t *testing.T) {
+	for _, text := range []string{"\xff", "a\x00\r\n\r", "\xed\xa0\x80", " \u0085\u00a0\t "} {
+		archiver.CheckMessageTexts(t, newEncoder(), text)
+	}
+}
+
 // FuzzMessage guards against a panic, an error that is not one of the encoder's, and a decoded body that cannot be sent.
 func FuzzMessage(f *testing.F) {
 	archiver.FuzzMessages(f, newEncoder())
--- a/internal/transport/sessioner/forward_test.go
+++ b/internal/transport/sessioner/forward_test.go
@@ -75,3 +75,48 @@
 	qt.Assert(t, s.Execute("peer", openingForward("shops", 0)).Refused, qt.IsTrue)
 	qt.Assert(t, seen, qt.HasLen, 0)
 }
+
+// Guards against a success, or a promise that is not true, for a statement that a peer refused without running it, as the
+// build before does with texts that are not UTF-8.
+func TestStatementsThatAPeerFailsToHandle(t *testing.T) {
+	begin := requester.Statement{Kind: requester.Begin}
+	write := requester.Statement{ID: "w", Kind: requester.Write, Text: "WRITE x \xff"}
+	commit := requester.Statement{Kind: requester.Commit, Text: "COMMIT"}
+	for name, test := range map[string]struct {
+		statements []requester.Statement
+		handled    int // Statements that the peer runs before it fails.
+		want       requester.Code
+	}{
+		"write": {[]requester.Statement{write}, 0, requester.OutcomeUnknown}, "first of a transaction": {[]requester.Statement{begin, write}, 0, requester.Aborted},
+		"second of a transaction": {[]requester.Statement{begin, write, write}, 1, requester.Aborted}, "commit": {[]requester.Statement{begin, write, commit}, 1, requester.OutcomeUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var asked int
+			n, _ := newForwardingSession(nil)
+			n.server.Admit = func(identifier.WorkspaceName, time.Duration) error { return nil }
+			n.server.Forward = func(_ context.Context, _ identifier.InstanceID, f ForwardRequest) (ForwardReply, error) {
+				if f.Statement.Kind == requester.Rollback { // From another goroutine.
+					return ForwardReply{}, nil
+				}
+				asked++
+				if asked > test.handled {
+					return ForwardReply{}, errors.New("peer failed to handle the request")
+				}
+				return ForwardReply{Result: requester.Result{State: requester.InTransaction}}, nil
+			}
+			c := *n.server.Holder.Catalog()
+			c.Configuration = &cataloger.Configuration{
+				Routes: map[string]cataloger.Route{"booking": {Service: "rentals", StatementTimeout: time.Second, TargetLatency: time.Second}},
+				Keys:   map[string]identifier.WorkspaceName{"key-1": "shops"},
+			}
+			n.server.Holder.Replace(&c)
+			n.key = "key-1"
+			var last requester.Result
+			for _, st := range test.statements {
+				last = n.handle(st)
+			}
+			qt.Assert(t, last.Code, qt.Equals, test.want, qt.Commentf("%+v", last))
+			qt.Assert(t, asked, qt.Equals, test.handled+1)
+		})
+	}
+}
