--- a/internal/fake/backendserver/session.go
+++ b/internal/fake/backendserver/session.go
@@ -21,12 +21,13 @@
 	"server_version": "server_version", "server_encoding": "server_encoding", "client_encoding": "client_encoding",
 	"datestyle": "DateStyle", "timezone": "TimeZone", "integer_datetimes": "integer_datetimes",
 	"standard_conforming_strings": "standard_conforming_strings", "application_name": "application_name",
+	"search_path": "search_path",
 }
 
 // otherSettings lists the further settings without a dot that clients may set.
 // Their values have no effect.
 var otherSettings = []string{
-	"search_path", "statement_timeout", "lock_timeout", "idle_in_transaction_session_timeout", "extra_float_digits",
+	"statement_timeout", "lock_timeout", "idle_in_transaction_session_timeout", "extra_float_digits",
 	"synchronous_commit", "default_transaction_isolation", "default_transaction_read_only", "transaction_isolation",
 }
 
@@ -44,6 +45,8 @@
 	server            *Server
 	conn              net.Conn
 	backend           *pgproto3.Backend
+	writer            responseWriter
+	lateResponse      []byte // sent before the response to the next message
 	ctx               context.Context
 	cancel            context.CancelFunc
 	pid               uint32
@@ -66,14 +69,15 @@
 
 func newSession(s *Server, conn net.Conn, pid uint32) *session {
 	ss := &session{
-		server: s, conn: conn, backend: pgproto3.NewBackend(conn, conn), pid: pid,
+		server: s, conn: conn, writer: responseWriter{conn: conn}, pid: pid,
 		prepared: map[string]*preparedStatement{}, portals: map[string]*portal{},
 		defaults: map[string]string{
 			"server_version": "17.0", "server_encoding": "UTF8", "client_encoding": "UTF8", "datestyle": "ISO, MDY",
 			"timezone": "UTC", "integer_datetimes": "on", "standard_conforming_strings": "on", "application_name": "",
-			"transaction_isolation": "read committed",
+			"transaction_isolation": "read committed", "search_path": `"$user", public`,
 		},
 	}
+	ss.backend = pgproto3.NewBackend(conn, &ss.writer)
 	ss.ctx, ss.cancel = context.WithCancel(s.ctx)
 	return ss
 }
@@ -116,6 +120,9 @@
 		if err := ss.waitWhileBlocked(); err != nil {
 			return
 		}
+		if err := ss.sendLateResponse(); err != nil {
+			return
+		}
 		if err := ss.handleMessage(msg); err != nil {
 			return
 		}
@@ -162,7 +169,7 @@
 		status = 'T'
 	}
 	ss.backend.Send(&pgproto3.ReadyForQuery{TxStatus: status})
-	return ss.flush()
+	return ss.flushResponse()
 }
 
 func (ss *session) handleMessage(msg pgproto3.FrontendMessage) error {
@@ -197,6 +204,7 @@
 
 // handleQuery runs the statements of a Query message (simple protocol).
 func (ss *session) handleQuery(sql string) error {
+	ss.recordResponse(sql)
 	list, err := parse(sql)
 	if err == nil && len(list) == 0 {
 		ss.backend.Send(&pgproto3.EmptyQueryResponse{})
--- a/internal/protocol/classifier/classifier.go
+++ b/internal/protocol/classifier/classifier.go
@@ -19,11 +19,14 @@
 	Begin               bool            // Begins a transaction.
 	ReadOnly            bool            // The only statement begins a read-only transaction.
 	End                 bool            // Commits, rolls back or prepares a transaction.
+	Chain               bool            // Ends a transaction and begins another one at once.
 	Rollback            bool            // The only statement rolls back the whole transaction.
 	Savepoint           bool            // Rolls back to a savepoint.
 	CreatesSessionState bool            // Creates session state on the connection.
 	ProxyStatement      *ProxyStatement // The only statement, if the proxy responds to it itself.
 	Mixed               bool            // Several statements, one of which sets, resets or shows a proxy setting.
+	Tags                Tags            // Command tags with which a server may complete the statements.
+	Uncertain           bool            // A server may count the statements differently, see [Classify].
 	Hints               []byte          // Content of a leading comment after "oleanderpulley:".
 }
 
@@ -45,13 +48,18 @@
 	Name  string // Setting without its prefix, or prepared statement; empty for all.
 	Value string // Empty for DEFAULT and RESET.
 	Tag   string // Command tag of the response.
+	// Malformed reports a value that is not one constant that the proxy can read.
+	Malformed bool
 }
 
 // Classify classifies the statements of sql. It allocates only for statements that
-// the proxy responds to itself.
+// the proxy responds to itself. Their number is uncertain if the text has a
+// backslash, whose meaning in a string constant depends on a setting of the
+// connection, or the body of a function.
 func Classify(sql []byte) Summary {
 	var s Summary
 	lex := lexer{sql: sql}
+	s.Uncertain = bytes.IndexByte(sql, '\\') >= 0
 	for {
 		t := lex.next()
 		if t.kind == tokenEnd {
@@ -61,6 +69,7 @@
 			continue
 		}
 		s.Count++
+		s.Tags |= tagsOf(t)
 		// A later statement must not overwrite ProxyStatement without a trace
 		// if it is a proxy setting.
 		s.Mixed = s.Mixed || s.ProxyStatement != nil && s.ProxyStatement.Verb != Deallocate
@@ -78,7 +87,7 @@
 // proxyHints returns the hints of a comment, or nil if it is not addressed to the
 // proxy.
 func proxyHints(comment []byte) []byte {
-	text, found := bytes.CutPrefix(bytes.TrimSpace(comment), []byte("oleanderpulley:"))
+	text, found := bytes.CutPrefix(trimSpace(comment), []byte("oleanderpulley:"))
 	if !found {
 		return nil
 	}
@@ -90,9 +99,12 @@
 func NextHint(hints []byte) (name, value string, rest []byte) {
 	hint, rest, _ := bytes.Cut(hints, []byte(","))
 	n, v, _ := bytes.Cut(hint, []byte("="))
-	return string(bytes.TrimSpace(n)), string(bytes.TrimSpace(v)), rest
+	return string(trimSpace(n)), string(trimSpace(v)), rest
 }
 
+// trimSpace removes the white space of SQL, which does not include that of Unicode.
+func trimSpace(b []byte) []byte { return bytes.Trim(b, " \t\n\r\f\v") }
+
 // is reports whether the token is the given unquoted word, in any case, or the
 // given punctuation.
 func (t token) is(word string) bool {
--- a/internal/protocol/classifier/statement.go
+++ b/internal/protocol/classifier/statement.go
@@ -191,20 +191,21 @@
 		return
 	}
 	st.raiseClass(Read)
-	if first.is("rollback") {
-		t := second
-		for ; t.kind != tokenEnd && !t.is(";"); t = st.next() {
-			if t.is("to") {
-				s.Savepoint = true
-				return
-			}
+	previous, chain := first, false
+	for t := second; t.kind != tokenEnd && !t.is(";"); t = st.next() {
+		if first.is("rollback") && t.is("to") {
+			s.Savepoint = true
+			return
 		}
+		chain = t.is("chain") && !previous.is("no")
+		previous = t
 	}
 	if second.is("prepared") {
 		st.raiseClass(Write)
 		return
 	}
 	s.End = true
+	s.Chain = s.Chain || chain
 	s.Rollback = first.isAnyOf("rollback", "abort")
 }
 
@@ -246,6 +247,7 @@
 		switch {
 		case previous.is("begin") && t.is("atomic"), depth > 0 && t.is("case"):
 			depth++
+			st.summary.Uncertain = true
 		case depth > 0 && t.is("end"):
 			depth--
 		}
@@ -297,32 +299,48 @@
 	}
 	if first.is("set") {
 		st.next()
-		start := st.lexer.pos
-		st.next()
-		st.skipToEnd()
-		value := bytes.TrimSpace(bytes.TrimSuffix(st.lexer.sql[start:st.lexer.pos], []byte(";")))
-		own.Value = unquoteSettingValue(value)
+		value, ok := st.settingValue()
+		own.Value, own.Malformed = value, !ok
 	}
 	st.summary.ProxyStatement = own
 }
 
-// unquoteIdentifier returns the name of an identifier: a quoted one without its
-// quotes, another one in lower case.
-func unquoteIdentifier(t token) string {
-	if t.kind == tokenQuoted {
-		return strings.ReplaceAll(strings.Trim(string(t.text), `"`), `""`, `"`)
+// settingValue reads the value of a setting: one constant or name, or other text
+// without string constants. The value DEFAULT is empty.
+func (st *statementParser) settingValue() (value string, ok bool) {
+	first := st.next()
+	start, end, count, hasString := st.lexer.pos-len(first.text), 0, 0, false
+	for t := first; t.kind != tokenEnd && !t.is(";"); t = st.next() {
+		end, count = st.lexer.pos, count+1
+		hasString = hasString || t.kind == tokenString
 	}
-	return strings.ToLower(string(t.text))
+	switch {
+	case count == 0, count > 1 && hasString:
+		return "", false
+	case count > 1:
+		return string(st.lexer.sql[start:end]), true
+	case first.kind == tokenString:
+		return decodeString(first.text)
+	case first.kind == tokenQuoted:
+		return unquoteIdentifier(first), true
+	case first.is("default"):
+		return "", true
+	}
+	return string(first.text), true
 }
 
-// unquoteSettingValue returns the value of a setting without its quotes, or an
-// empty string for DEFAULT.
-func unquoteSettingValue(value []byte) string {
-	if bytes.EqualFold(value, []byte("default")) {
-		return ""
+// unquoteIdentifier returns the name of an identifier: a quoted one without its
+// quotes, another one in lower case. Like PostgreSQL, it changes the case of ASCII
+// letters alone.
+func unquoteIdentifier(t token) string {
+	if t.kind == tokenQuoted {
+		return strings.ReplaceAll(string(bytes.TrimSuffix(t.text[1:], []byte(`"`))), `""`, `"`)
 	}
-	if n := len(value); n > 1 && value[0] == '\'' && value[n-1] == '\'' {
-		return strings.ReplaceAll(string(value[1:n-1]), "''", "'")
+	lower := []byte(string(t.text))
+	for i, c := range lower {
+		if c >= 'A' && c <= 'Z' {
+			lower[i] = c + 'a' - 'A'
+		}
 	}
-	return string(value)
+	return string(lower)
 }
--- a/internal/transport/acceptor/driver_test.go
+++ b/internal/transport/acceptor/driver_test.go
@@ -129,7 +129,7 @@
 		sr.runClientCommand(c, "ask", `d 1\n; d 2\n; c; S`)
 		sr.runClientCommand(c, "ask", "P - SELECT 1; B -; E; S")
 		qt.Check(t, sr.out.String(), qt.Equals, "  ParseComplete\n  BindComplete\n  copy in\n  done COPY 2\n  ready I\n"+
-			"  ParseComplete\n  BindComplete\n  done OK\n  ready I\n")
+			"  ParseComplete\n  BindComplete\n  done SELECT 1\n  ready I\n")
 		qt.Check(t, <-copied+<-copied, qt.Equals, "1\n2\n")
 	}
 }
@@ -138,7 +138,7 @@
 // against a pinned session that outlives its backend connection.
 func TestIdleSessionReceivesNotifications(t *testing.T) {
 	push := make(chan []byte)
-	done := framer.AppendFrame(framer.AppendText(nil, 'C', "LISTEN"), 'Z', 'I')
+	done := func(tag string) []byte { return framer.AppendFrame(framer.AppendText(nil, 'C', tag), 'Z', 'I') }
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	defer l.Close()
@@ -151,9 +151,9 @@
 		readStartup(nc)
 		nc.Write(framer.AppendFrame(framer.AppendFrame(nil, 'R', 0, 0, 0, 0), 'Z', 'I'))
 		r := framer.Reader{Source: nc}
-		for range 2 { // SET of the workspace, then LISTEN.
+		for _, tag := range []string{"SET", "LISTEN"} { // SET of the workspace, then LISTEN.
 			r.Next()
-			nc.Write(done)
+			nc.Write(done(tag))
 		}
 		for b := range push {
 			nc.Write(b)
@@ -207,7 +207,7 @@
 				if inCopy = strings.HasPrefix(text, "COPY"); inCopy {
 					b.Send(&pgproto3.CopyInResponse{})
 				} else {
-					b.Send(&pgproto3.CommandComplete{CommandTag: []byte("OK")})
+					b.Send(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")})
 				}
 			case *pgproto3.CopyData:
 				copied <- string(m.Data)
--- a/internal/transport/acceptor/execute.go
+++ b/internal/transport/acceptor/execute.go
@@ -135,6 +135,7 @@
 	}
 	s.attachLease(l)
 	if err := s.prepareConnection(ctx); err != nil {
+		s.reportOutOfStep(err)
 		s.closeLease(err.Error())
 		return err
 	}
@@ -186,7 +187,12 @@
 		}
 		l.releaseSlot = release
 	}
-	err := s.runOnLease(ctx, b)
+	err := s.checkUnrequested()
+	if err != nil {
+		s.abandonLease(ctx, b, err)
+	} else {
+		err = s.runOnLease(ctx, b)
+	}
 	if err != nil && s.pinned && s.lease == nil {
 		// The session state on the connection is lost, so the session cannot
 		// continue.
@@ -195,6 +201,17 @@
 	return err
 }
 
+// checkUnrequested returns an error if the connection that the session holds is
+// lost, or has received a response although none is outstanding.
+func (s *session) checkUnrequested() error {
+	err := s.forwardAsynchronous()
+	var clientErr *clientError
+	if err == nil || errors.As(err, &clientErr) || errors.Is(err, errUnexpectedResponse) {
+		return err
+	}
+	return s.connectionLost(err)
+}
+
 func (s *session) failPinnedSession(b *batch, err error) error {
 	var clientErr *clientError
 	if errors.As(err, &clientErr) || errors.Is(err, errConnectionEnded) {
--- a/internal/transport/acceptor/lease.go
+++ b/internal/transport/acceptor/lease.go
@@ -42,27 +42,38 @@
 func (s *session) prepareConnection(ctx context.Context) error {
 	c := s.lease.conn
 	if len(c.Prepared) > maxPreparedPerConn {
-		if err := c.Run(ctx, "DEALLOCATE ALL"); err != nil {
+		if err := c.Run(ctx, pooler.Statement{SQL: "DEALLOCATE ALL", Tag: "DEALLOCATE ALL"}); err != nil {
 			return err
 		}
 		clear(c.Prepared)
 	}
-	var sql strings.Builder
+	// SET would take the whole value of a list, such as search_path, for one element.
+	var calls []string
 	for _, p := range s.startupSettings {
-		if v, ok := c.Parameters.Lookup(p[0]); !ok || !strings.EqualFold(v, p[1]) {
-			sql.WriteString("SET " + p[0] + " = " + pooler.Literal(p[1]) + ";")
+		if v, ok := c.Parameters.Lookup(p[0]); !ok || !sameSetting(p[0], v, p[1]) {
+			calls = append(calls, "set_config('"+p[0]+"', "+pooler.Literal(p[1])+", false)")
 		}
 	}
-	if sql.Len() == 0 {
+	if len(calls) == 0 {
 		return nil
 	}
-	if err := c.Run(ctx, sql.String()); err != nil {
+	if err := c.Run(ctx, pooler.Statement{SQL: "SELECT " + strings.Join(calls, ", "), Tag: "SELECT"}); err != nil {
 		return asFatal(refuser.New(refuser.InvalidSetting, "startup parameter: "+err.Error()))
 	}
 	s.pinned, s.startupSettings = true, nil
 	return nil
 }
 
+// sameSetting reports whether two values of a setting are equal. Case matters unless
+// the setting is known to ignore it.
+func sameSetting(name, a, b string) bool {
+	switch name {
+	case "DateStyle", "IntervalStyle", "TimeZone":
+		return strings.EqualFold(a, b)
+	}
+	return a == b
+}
+
 // runOnLease sends the batch and forwards its response. The connection is
 // returned, unless a transaction or a pin keeps it, before the end of the
 // response is written to the client.
@@ -111,6 +122,7 @@
 	if b.sent && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		s.acceptor.Pooler.CheckConnections(s.target(s.lease.choice), b.started)
 	}
+	s.reportOutOfStep(err)
 	s.closeLease(err.Error())
 	switch {
 	case b.endsTx && b.sent:
@@ -121,6 +133,14 @@
 	s.awaitingSync = false
 }
 
+// reportOutOfStep tells the pooler if the connection of the lease has received a
+// response to another statement.
+func (s *session) reportOutOfStep(err error) {
+	if errors.Is(err, errUnexpectedResponse) || errors.Is(err, pooler.ErrUnexpectedResponse) {
+		s.acceptor.Pooler.ReportOutOfStep(s.lease.conn, err.Error())
+	}
+}
+
 // cancelAbandoned cancels the statement on its own goroutine, so that the
 // response to the client does not wait for the backend server.
 func (s *session) cancelAbandoned(c *pooler.Conn) {
--- a/internal/transport/acceptor/proxy_statement.go
+++ b/internal/transport/acceptor/proxy_statement.go
@@ -58,6 +58,9 @@
 func (s *session) runProxyStatement(o *classifier.ProxyStatement, view configurer.View) ([]byte, error) {
 	switch o.Verb {
 	case classifier.Set:
+		if o.Malformed {
+			return nil, refuser.New(refuser.InvalidSetting, o.Name+" is not one constant")
+		}
 		if o.Name == "route" {
 			if err := s.checkRoute(view, o.Value); err != nil {
 				return nil, err
@@ -67,7 +70,7 @@
 			return nil, err
 		}
 	case classifier.Deallocate:
-		if o.Name == "" || o.Name == "all" {
+		if o.Name == "" {
 			s.prepared, s.preparedBytes = nil, 0
 		} else if s.prepared[o.Name] == nil {
 			return nil, refuser.New(refuser.UnknownStatement, "")
--- /dev/null
+++ b/internal/transport/lender/answers.go
@@ -0,0 +1,200 @@
+package lender
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"oleanderpulley/internal/protocol/requester"
+)
+
+// rememberedSignatures is the number of signatures that a connection remembers.
+const rememberedSignatures = 512
+
+// answerLog remembers answers that were received on a connection, to tell a new
+// one from one that is received again. The zero value is empty.
+type answerLog struct {
+	signatures []uint64 // Hashes of the last signatures, a ring once it is full.
+	contents   []uint64 // Hashes of the whole answers, in the same order; unnamed for statements that need no signature.
+	next       int      // Index of the oldest entry of the full ring.
+
+	state    requester.TransactionState   // In the last expected answer; 0 if there was none.
+	unsigned []requester.TransactionState // The different states in unsigned answers without rows.
+	firstRow uint64                       // Hash of the first row of the last signed answer that had rows.
+	rows     uint64                       // Hash of all its rows; 0 if there was none.
+}
+
+// unnamed is the entry for a signature of a statement that needs none. Such a
+// signature may be given again.
+const unnamed = 0
+
+// find returns the hash of the whole answer that had the signature.
+func (l *answerLog) find(signature uint64) (content uint64, ok bool) {
+	i := slices.Index(l.signatures, signature)
+	if i < 0 {
+		return 0, false
+	}
+	return l.contents[i], true
+}
+
+// add remembers an answer by the hashes of its signature and of its content.
+func (l *answerLog) add(signature, content uint64) {
+	if len(l.signatures) < rememberedSignatures {
+		l.signatures = append(l.signatures, signature)
+		l.contents = append(l.contents, content)
+		return
+	}
+	l.signatures[l.next], l.contents[l.next] = signature, content
+	l.next = (l.next + 1) % rememberedSignatures
+}
+
+// rowsHash returns a hash of the rows that depends on the seed. It is not 0.
+func rowsHash(seed uint64, rows []string) uint64 {
+	const prime = 0x9e3779b97f4a7c15
+	hash := seed + uint64(len(rows))
+	for _, row := range rows {
+		hash = (hash ^ xxhash.Sum64String(row)) * prime
+	}
+	return max(hash, 1)
+}
+
+// verdict is what an answer is to the oldest unanswered statement.
+type verdict int
+
+const (
+	expected  verdict = iota // Its answer, as far as can be told.
+	repeated                 // Received before, for an earlier statement.
+	outOfStep                // The answer to another statement.
+	ambiguous                // Its answer, or rows of an earlier answer before its own.
+)
+
+// judge returns what the answer is to a statement of the kind, and remembers it if it
+// is expected.
+func (l *answerLog) judge(k requester.Kind, r requester.Result) verdict {
+	v := expected
+	switch {
+	case r.Code != requester.OK:
+	case needsSignature(k):
+		v = l.judgeSigned(r)
+	default:
+		v = l.judgeUnsigned(k, r)
+	}
+	if v == expected || v == ambiguous {
+		l.state = r.State
+	}
+	return v
+}
+
+// judgeSigned judges the success of a statement that has to be signed.
+func (l *answerLog) judgeSigned(r requester.Result) verdict {
+	if !isSigned(r) {
+		return l.repeatedOr(outOfStep, r)
+	}
+	signature := xxhash.Sum64String(r.Signature)
+	content := rowsHash(signature, r.Rows)
+	known, ok := l.find(signature)
+	switch {
+	case !ok:
+		l.add(signature, content)
+		return l.judgeRows(r.Rows)
+	case known == content:
+		return repeated
+	case known == unnamed:
+		return l.repeatedOr(outOfStep, r)
+	default:
+		return outOfStep
+	}
+}
+
+// judgeRows judges the rows of an answer with a new signature, and remembers them. An
+// answer that is sent again may be cut off after some rows, which then come before those
+// of the next answer: the first row is the same, and others differ.
+func (l *answerLog) judgeRows(rows []string) verdict {
+	if len(rows) == 0 {
+		return expected
+	}
+	v := expected
+	first, all := xxhash.Sum64String(rows[0]), rowsHash(0, rows)
+	if len(rows) > 1 && first == l.firstRow && all != l.rows && l.rows != 0 {
+		v = ambiguous
+	}
+	l.firstRow, l.rows = first, all
+	return v
+}
+
+// judgeUnsigned judges the success of a statement that needs no signature. Its
+// transaction state has to be the one that the statement leads to. A signature that
+// no signed answer had says nothing.
+func (l *answerLog) judgeUnsigned(k requester.Kind, r requester.Result) verdict {
+	if isSigned(r) {
+		signature := xxhash.Sum64String(r.Signature)
+		switch known, ok := l.find(signature); {
+		case !ok:
+			l.add(signature, unnamed)
+		case known == rowsHash(signature, r.Rows):
+			return repeated
+		case known != unnamed:
+			return outOfStep
+		}
+	}
+	if r.State != l.stateAfter(k) || len(r.Rows) != rowsOf(k) {
+		return l.repeatedOr(outOfStep, r)
+	}
+	if len(r.Rows) == 0 && !slices.Contains(l.unsigned, r.State) {
+		l.unsigned = append(l.unsigned, r.State)
+	}
+	return expected
+}
+
+// repeatedOr returns repeated if an equal answer to a statement that needs no
+// signature was received before, otherwise v.
+func (l *answerLog) repeatedOr(v verdict, r requester.Result) verdict {
+	if len(r.Rows) == 0 && slices.Contains(l.unsigned, r.State) {
+		return repeated
+	}
+	return v
+}
+
+// stateAfter returns the transaction state to which the success of a statement of
+// the kind leads.
+func (l *answerLog) stateAfter(k requester.Kind) requester.TransactionState {
+	switch k {
+	case requester.Begin, requester.BeginReadOnly:
+		return requester.InTransaction
+	case requester.Commit, requester.Rollback:
+		return requester.Idle
+	default:
+		return cmp.Or(l.state, requester.Idle)
+	}
+}
+
+// inTransaction reports whether the last answer showed an open transaction.
+func (l *answerLog) inTransaction() bool {
+	return l.state != 0 && l.state != requester.Idle
+}
+
+// rowsOf returns the number of rows of the answer to a statement that needs no
+// signature.
+func rowsOf(k requester.Kind) int {
+	if k == requester.Status || k == requester.StepDown {
+		return 1
+	}
+	return 0
+}
+
+// needsSignature reports whether the backend server signs the success of a
+// statement of the kind.
+func needsSignature(k requester.Kind) bool {
+	switch k {
+	case requester.Read, requester.Write, requester.Execute, requester.Commit:
+		return true
+	default:
+		return false
+	}
+}
+
+// isSigned reports whether the answer has a signature.
+func isSigned(r requester.Result) bool {
+	return r.Signature != "" && r.Signature != "-"
+}
--- a/internal/transport/lender/conn.go
+++ b/internal/transport/lender/conn.go
@@ -1,6 +1,7 @@
 package lender
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -19,17 +20,24 @@
 // ErrNotSent reports that no part of the statement reached the backend server.
 var ErrNotSent = errors.New("statement was not sent")
 
+// ErrNotEncodable is an [ErrNotSent] of a statement or startup that the wire
+// protocol cannot carry. It fails in the same way on each backend server.
+var ErrNotEncodable = errors.WithMessage(ErrNotSent, "the protocol cannot carry it")
+
 // Link is an open connection to a backend server, independent of the wire
 // protocol. The package that implements the protocol sets the function fields.
 type Link struct {
 	// Send writes all statements at once. It returns [ErrNotSent] if no byte
-	// was sent, and any other error if some bytes may have been.
+	// was sent, [ErrNotEncodable] if that holds for every connection, and any
+	// other error if some bytes may have been.
 	Send func(deadline time.Time, statements ...requester.Statement) error
 	// Receive reads the answer to the oldest unanswered statement.
 	Receive func(deadline time.Time) (requester.Result, error)
 	// Open reports whether the backend server has neither closed the idle
 	// connection nor sent data on it.
 	Open func() bool
+	// Unread reports whether data has arrived that was not read. Nil means never.
+	Unread func() bool
 	// Close closes the connection.
 	Close func()
 }
@@ -42,6 +50,7 @@
 	// LastAnswer is the time of the last complete answer.
 	LastAnswer time.Time
 
+	lender   *Lender
 	link     Link
 	pool     *serverPool
 	settings Settings
@@ -49,9 +58,18 @@
 	lastName uint64                                 // Number in the last name that was given to a prepared statement.
 	pinned   bool                                   // Lent to a transaction.
 	broken   bool
+	failed   bool // An error was received.
 	stale    bool // To a retired pool; close on return.
 	returned time.Time
 
+	unnamed   bool // An error or an unsigned success was received.
+	checked   bool // Was open and without unread data; nothing was sent since.
+	outOfStep bool // An answer or data arrived that belongs to no outstanding statement.
+
+	unanswered []requester.Kind // Of the statements that were sent, the oldest first.
+	answers    answerLog
+	repeats    int // Number of dropped answers.
+
 	statement *scheduler.Statement // For which the connection is lent; nil if it did not wait.
 }
 
@@ -65,10 +83,19 @@
 }
 
 // Send sends all statements at once. The caller must call [Conn.Receive] once for
-// each.
+// each. It sends nothing if the server has closed the connection, or has sent data on
+// it although every statement was answered.
 func (c *Conn) Send(deadline time.Time, statements ...requester.Statement) error {
+	if len(c.unanswered) == 0 && !c.checked && !c.isOpen() {
+		c.broken = true
+		return errors.Wrapf(ErrNotSent, "%s: the connection is closed or has unread data", c.Server.ID)
+	}
+	c.checked = false
 	err := c.link.Send(deadline, statements...)
 	if err == nil {
+		for _, s := range statements {
+			c.unanswered = append(c.unanswered, s.Kind)
+		}
 		return nil
 	}
 	c.broken = true
@@ -78,15 +105,76 @@
 	return errors.Wrapf(ErrNoAnswer, "sending to %s: %v", c.Server.ID, err)
 }
 
-// Receive returns the result of the oldest unanswered statement.
+// maxRepeats is the number of repeated answers to one statement after which the
+// connection is broken.
+const maxRepeats = 8
+
+// Receive returns the result of the oldest unanswered statement. It drops answers
+// that the backend server has sent before. An error is [ErrNoAnswer], and the
+// connection is broken afterwards.
 func (c *Conn) Receive(deadline time.Time) (requester.Result, error) {
-	r, err := c.link.Receive(deadline)
-	if err != nil {
-		c.broken = true
-		return r, errors.Wrapf(ErrNoAnswer, "%s: %v", c.Server.ID, err)
+	k := c.nextUnanswered()
+	for range maxRepeats {
+		r, err := c.link.Receive(deadline)
+		if err != nil {
+			c.broken = true
+			return r, errors.Wrapf(ErrNoAnswer, "%s: %v", c.Server.ID, err)
+		}
+		v := c.answers.judge(k, r)
+		if v == ambiguous && c.pinned && !c.lender.expectsRepeats(c.pool) {
+			v = expected // A transaction that reads changed rows again would never end.
+		}
+		switch v {
+		case expected:
+			c.LastAnswer = time.Now()
+			c.unnamed = c.unnamed || r.Code != requester.OK || !needsSignature(k)
+			if r.Code != requester.OK {
+				c.broken = c.broken || c.failed
+				c.failed = true
+			}
+			return r, nil
+		case repeated:
+			c.repeats++
+			c.lender.reportAnswer(c, k, v, r)
+		case outOfStep, ambiguous:
+			c.lender.reportAnswer(c, k, v, r)
+			c.broken, c.outOfStep = true, true
+			return requester.Result{}, errors.Wrapf(ErrNoAnswer, "%s: the answer is to another statement than %s", c.Server.ID, k)
+		}
+	}
+	c.broken, c.outOfStep = true, true
+	return requester.Result{}, errors.Wrapf(ErrNoAnswer, "%s: %d repeated answers", c.Server.ID, maxRepeats)
+}
+
+// Repeats returns the number of answers on this connection that were dropped as
+// repeats. If it grows in a series of statements, an unsigned answer in the series may
+// be a repeat too.
+func (c *Conn) Repeats() int {
+	return c.repeats
+}
+
+// nextUnanswered removes the oldest unanswered statement and returns its kind.
+func (c *Conn) nextUnanswered() requester.Kind {
+	if len(c.unanswered) == 0 {
+		return requester.Unknown
+	}
+	k := c.unanswered[0]
+	c.unanswered = slices.Delete(c.unanswered, 0, 1)
+	return k
+}
+
+// isOpen reports whether a statement may be sent on the connection. It reports data
+// that was not requested.
+func (c *Conn) isOpen() bool {
+	c.checked = c.link.Open()
+	if c.checked {
+		return true
 	}
-	c.LastAnswer = time.Now()
-	return r, nil
+	if c.link.Unread != nil && c.link.Unread() {
+		c.outOfStep = true
+		c.lender.reportUnrequested(c)
+	}
+	return false
 }
 
 // MarkBroken marks the connection as unusable. It is closed on return.
@@ -103,6 +191,19 @@
 	}
 }
 
+// Failed reports whether a statement on the connection was answered with an error.
+// Nothing names an error, so that a further one may be a repeat: it is no reason to
+// say that a write has not run. After a second error the connection is broken.
+func (c *Conn) Failed() bool {
+	return c.failed
+}
+
+// OutOfStep reports whether the connection is unusable because of an answer or of data
+// that belongs to no outstanding statement. The server answers on other connections.
+func (c *Conn) OutOfStep() bool {
+	return c.outOfStep
+}
+
 // Broken reports whether the connection is unusable.
 func (c *Conn) Broken() bool {
 	return c.broken
@@ -229,7 +330,9 @@
 // runAll runs statements that change only the state of the connection. No
 // statement of the client has been sent yet, so every error is [ErrNotSent].
 func (c *Conn) runAll(deadline time.Time, todo []requester.Statement) error {
-	if err := c.Send(deadline, todo...); err != nil {
+	if err := c.Send(deadline, todo...); errors.Is(err, ErrNotEncodable) {
+		return err
+	} else if err != nil {
 		return errors.Wrapf(ErrNotSent, "adapting: %v", err)
 	}
 	for range todo {
--- a/internal/transport/lender/lender.go
+++ b/internal/transport/lender/lender.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
@@ -41,7 +42,7 @@
 // required. It is safe for concurrent use.
 type Lender struct {
 	// Dial opens a connection to the server for the workspace. Its error is
-	// [ErrServerFull], [ErrWrongServer] or [ErrUnreachable].
+	// [ErrServerFull], [ErrWrongServer], [ErrUnreachable] or [ErrNotEncodable].
 	Dial func(deadline time.Time, s cataloger.BackendServer, w identifier.WorkspaceName) (Link, error)
 	// Limit returns the number of connections that this instance may have to
 	// the server, possibly 0.
@@ -50,9 +51,10 @@
 	// be lent at the same time outside transactions. If ConcurrencyLimit is
 	// nil, only Limit applies. It may call methods of the lender.
 	ConcurrencyLimit func(s cataloger.BackendServer) int
-	// Registry gets the waits in the queues and the refusals by cause. It may be
-	// nil.
+	// Registry gets the waits in the queues, the refusals by cause, and the answers
+	// that belong to no statement. It may be nil.
 	Registry *reporter.Registry
+	Logger   zerolog.Logger
 
 	mu    sync.Mutex
 	pools map[identifier.BackendServerID]*serverPool
@@ -64,6 +66,7 @@
 	Workspace    identifier.WorkspaceName
 	Pinned       bool      // For a transaction, which is idle most of the time and not subject to ConcurrencyLimit.
 	Priority     int       // 0 is the most urgent.
+	Writes       bool      // The caller relies on a refusal: lend no connection on which an error was received.
 	AnyWorkspace bool      // For a query of the proxy itself: accept a connection of any workspace; not subject to ConcurrencyLimit.
 	Settings     Settings  // Preferred, not required.
 	Target       time.Time // When the statement should be answered; zero means at the deadline.
@@ -93,7 +96,7 @@
 		switch {
 		case g.reserved:
 			return l.dialReserved(req, g)
-		case g.conn != nil && g.conn.link.Open():
+		case g.conn != nil && g.conn.isOpen():
 			return g.conn, nil
 		case g.statement != nil:
 			return l.dialReserved(req, l.replace(g))
@@ -173,7 +176,7 @@
 	s := g.pool
 	s.dialing--
 	c := &Conn{
-		Server: req.Server, Workspace: req.Workspace, LastAnswer: time.Now(), link: link, pool: s,
+		Server: req.Server, Workspace: req.Workspace, LastAnswer: time.Now(), lender: l, link: link, pool: s,
 		stale: s.retired, statement: g.statement,
 	}
 	s.markBorrowed(c, req)
@@ -194,7 +197,8 @@
 }
 
 // Return takes back a borrowed connection. It closes the connection if it is
-// broken, stale or over the limit.
+// broken, stale, in a transaction or over the limit, and if the server may send an
+// answer again that nothing tells from another.
 func (l *Lender) Return(c *Conn) {
 	l.mu.Lock()
 	c.pool.finish(c.statement)
@@ -215,7 +219,7 @@
 	s := c.pool
 	s.markReturned(c)
 	c.statement = nil
-	if c.broken || c.stale || s.total() >= l.Limit(c.Server) {
+	if c.broken || c.stale || c.answers.inTransaction() || s.mayRepeat(c) || s.total() >= l.Limit(c.Server) {
 		c.link.Close()
 	} else {
 		c.returned = time.Now()
--- a/internal/transport/sessioner/transaction.go
+++ b/internal/transport/sessioner/transaction.go
@@ -140,7 +140,7 @@
 	r, err := c.Run(o.deadline, st)
 	o.trace.addAttempt(c.Server.ID, r, err, time.Since(sentAt))
 	if err != nil {
-		s.Balancer.Fail(c.Server.ID)
+		s.recordUnanswered(c, err)
 		return r, err
 	}
 	s.recordAnswer(c.Server, time.Since(sentAt), r)
@@ -196,7 +196,9 @@
 	n.logFinished(id, o, r, took)
 }
 
-// rollBack rolls back the transaction and returns its connection to the lender.
+// rollBack rolls back the transaction and returns its connection to the lender. After
+// an error, which may be that of an earlier statement, it closes the connection: the
+// answer to a ROLLBACK on it would prove nothing.
 func (t *transaction) rollBack(n *session) {
 	if t.remote != nil {
 		n.rollbackRemote(t.remote)
@@ -208,6 +210,9 @@
 	}
 	t.conn = nil
 	defer n.server.Lender.Return(c)
+	if c.Failed() {
+		c.MarkBroken()
+	}
 	if c.Broken() {
 		return
 	}
