internal/transport/logger: cut long texts of events

A client without a key could fill the memory of an instance: the database of a refused STARTUP, or the id of a refused statement, may be as long as a message and is logged with up to six bytes for each of its own, and 200 such events of a kind, 1,024 in all, can wait to be written. Texts are cut after 8 KiB before an event waits. explain cuts the id in the same way and says so.

--- a/internal/command/commander/explain.go
+++ b/internal/command/commander/explain.go
@@ -56,7 +56,7 @@
 		}
 		if logged := loggedID(id); logged != id {
 			id = logged
-			c.PrintErrln("the id is not UTF-8: logs have U+FFFD for each byte of it that is not, so that the lines may be those of other requests as well")
+			c.PrintErrln("the id is not logged whole: logs have U+FFFD for each byte that is not UTF-8 and cut long ids, so that the lines may be those of other requests as well")
 		}
 		return printExplanation(c.OutOrStdout(), id, lines)
 	}
@@ -65,7 +65,7 @@
 
 // loggedID returns the id as it is logged.
 func loggedID(id string) string {
-	return string([]rune(id))
+	return logger.Shortened(string([]rune(id)))
 }
 
 // logLine is a logged event.
--- a/internal/transport/logger/logger_test.go
+++ b/internal/transport/logger/logger_test.go
@@ -109,3 +109,23 @@
 		}
 	})
 }
+
+// Guards against lines of a client's long texts that fill the memory while they wait to be written.
+func TestLongTextsAreCut(t *testing.T) {
+	for _, text := range []string{strings.Repeat("\x01", 1<<20), strings.Repeat("é\"", 1<<19), strings.Repeat("\xff", 1<<20), strings.Repeat("x", 8<<10), "é" + strings.Repeat("é", 4<<10)} {
+		var b bytes.Buffer
+		w := &logger.Writer{Out: &b}
+		l := zerolog.New(w)
+		l.Info().Str("event", "e").Str("id", text).Strs("list", []string{text, "a"}).Str("last", "z").Send()
+		w.Close()
+		line := b.String()
+		qt.Check(t, len(line) < 150<<10, qt.IsTrue, qt.Commentf("%d bytes", len(line)))
+		fields := logger.Fields(line)
+		qt.Check(t, fields["id"], qt.Equals, logger.Shortened(string([]rune(text))))
+		qt.Check(t, fields["event"], qt.Equals, "e")
+		qt.Check(t, fields["last"], qt.Equals, "z")
+	}
+	short := strings.Repeat("é", 4<<10)
+	qt.Assert(t, logger.Shortened(short), qt.Equals, short)
+	qt.Assert(t, logger.Shortened("x"+short), qt.Equals, "x"+short[:len(short)-2]+"...")
+}
--- a/internal/transport/logger/writer.go
+++ b/internal/transport/logger/writer.go
@@ -57,8 +57,14 @@
 		w.anyDropped = true
 		return len(event), nil
 	}
+	var waiting []byte
+	if len(event) > maxTextBytes {
+		waiting = appendShortened(nil, event)
+	} else {
+		waiting = bytes.Clone(event)
+	}
 	select {
-	case w.lines <- bytes.Clone(event):
+	case w.lines <- waiting:
 	default:
 		l.dropped++
 		w.anyDropped = true
