internal/command/commander: quote texts of tables that are not printable

The author of a change, which any operator sets, could add rows to the table of "admin history" or control the terminal of the operator who reads it. Texts with characters that are not printable are quoted.

Failed before: TestTextsOfTablesStayInTheirRow (the text "a\nversion 9" was printed as two rows). Passes after.

--- a/internal/command/commander/admin_client.go
+++ b/internal/command/commander/admin_client.go
@@ -12,9 +12,11 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
+	"unicode"
 
 	"github.com/pkg/errors"
 
@@ -140,7 +142,7 @@
 }
 
 // printTable prints each leaf of a JSON value as a line with its dotted path and
-// its value.
+// its value. Texts with characters that are not printable are quoted.
 func printTable(out io.Writer, data []byte) error {
 	var value any
 	decoder := json.NewDecoder(bytes.NewReader(data))
@@ -155,6 +157,10 @@
 	return errors.WithStack(w.Flush())
 }
 
+func isNotPrintable(r rune) bool {
+	return !unicode.IsPrint(r)
+}
+
 type tableRow struct {
 	name  string
 	value any
@@ -185,6 +191,9 @@
 		}
 		return rows
 	default:
+		if text, ok := v.(string); ok && strings.ContainsFunc(text, isNotPrintable) {
+			value = strconv.Quote(text)
+		}
 		return append(rows, tableRow{name, value})
 	}
 }
