internal/bench/soaker: values set in transactions, names prepared again, clients that leave

Prepared names kept one shape for a client, values were set between operations alone, and every transaction was committed. Now names are deallocated and prepared again with another shape, values are set inside of transactions, and some transactions are rolled back or left in the middle. Session values are checked by statement.

--- a/internal/bench/soaker/check_answers.go
+++ b/internal/bench/soaker/check_answers.go
@@ -12,8 +12,9 @@
 // statement is a statement that a client sent, and the answer that it received.
 type statement struct {
 	id, text string
-	shape    string // "READ shape" or "WRITE shape" if a prepared statement is executed.
-	answered bool   // The answer was complete.
+	shape    string            // "READ shape" or "WRITE shape" if a prepared statement is executed.
+	settings map[string]string // Session values that were acknowledged before. Not changed.
+	answered bool              // The answer was complete.
 	reply    reply
 }
 
@@ -71,18 +72,15 @@
 // checkTexts checks that a client sent each statement that ran, with the same text. Only the
 // name of a prepared statement and the prefix AFTER may differ.
 func (h *history) checkTexts(runs []imitator.Execution) []string {
-	sent := make(map[string]string, len(h.statements))
-	for _, s := range h.statements {
-		sent[s.id] = s.text
-	}
+	sent := h.sentStatements()
 	var broken []string
 	for _, run := range runs {
-		text, known := sent[run.ID]
+		s, known := sent[run.ID]
 		switch {
 		case !known:
 			broken = append(broken, fmt.Sprintf("unasked: server %s received %s %q, which no client sent", run.Server, run.ID, run.Text))
-		case comparableText(run.Text) != comparableText(text):
-			broken = append(broken, fmt.Sprintf("unasked: server %s received %s %q, its client sent %q", run.Server, run.ID, run.Text, text))
+		case comparableText(run.Text) != comparableText(s.text):
+			broken = append(broken, fmt.Sprintf("unasked: server %s received %s %q, its client sent %q", run.Server, run.ID, run.Text, s.text))
 		}
 	}
 	return broken
@@ -105,20 +103,18 @@
 // that no prepared name was unknown. [history.checkShapes] checks single statements.
 func (h *history) checkSettings(runs []imitator.Execution) []string {
 	byStatement := h.byStatement()
-	shapes := make(map[string]string, len(h.statements))
-	for _, s := range h.statements {
-		shapes[s.id] = s.shape
-	}
+	sent := h.sentStatements()
 	var broken []string
 	for _, run := range runs {
-		i, known := byStatement[run.ID]
-		if known && h.operations[i].isTransaction && run.Shape != shapes[run.ID] {
+		s, known := sent[run.ID]
+		i, counted := byStatement[run.ID]
+		if known && counted && h.operations[i].isTransaction && run.Shape != s.shape {
 			broken = append(broken, fmt.Sprintf("pinned: statement %s of a transaction ran the shape %q on server %s, its client prepared %q",
-				run.ID, run.Shape, run.Server, shapes[run.ID]))
+				run.ID, run.Shape, run.Server, s.shape))
 		}
-		if known && run.Code == "" && !maps.Equal(run.Settings, h.operations[i].settings) {
+		if known && run.Code == "" && !maps.Equal(run.Settings, s.settings) {
 			broken = append(broken, fmt.Sprintf("pinned: statement %s ran with the values %q on server %s, its client set %q",
-				run.ID, run.Settings, run.Server, h.operations[i].settings))
+				run.ID, run.Settings, run.Server, s.settings))
 		}
 	}
 	for _, s := range h.statements {
@@ -167,6 +163,15 @@
 	return broken
 }
 
+// sentStatements returns the statements by their ids.
+func (h *history) sentStatements() map[string]statement {
+	sent := make(map[string]statement, len(h.statements))
+	for _, s := range h.statements {
+		sent[s.id] = s
+	}
+	return sent
+}
+
 // byStatement returns the index of the operation by the id of each of its statements.
 func (h *history) byStatement() map[string]int {
 	byStatement := map[string]int{}
--- a/internal/bench/soaker/check_answers_test.go
+++ b/internal/bench/soaker/check_answers_test.go
@@ -13,13 +13,13 @@
 func answersHistory() (*history, []imitator.Execution) {
 	set := map[string]string{"v": "yl\r"}
 	signed := func(id, text, signature string, rows ...string) statement {
-		return statement{id: id, text: text, answered: true, reply: reply{signature: signature, rows: rows, outcomes: 1}}
+		return statement{id: id, text: text, settings: set, answered: true, reply: reply{signature: signature, rows: rows, outcomes: 1}}
 	}
 	h := &history{
 		operations: []operation{
-			{id: "r", statementIDs: []string{"r"}, settings: set, outcome: acknowledged},
-			{id: "w", statementIDs: []string{"w"}, settings: set},
-			{id: "c", beginID: "b", isTransaction: true, statementIDs: []string{"b", "t", "c"}, settings: set, outcome: acknowledged},
+			{id: "r", statementIDs: []string{"r"}, outcome: acknowledged},
+			{id: "w", statementIDs: []string{"w"}},
+			{id: "c", beginID: "b", isTransaction: true, statementIDs: []string{"b", "t", "c"}, outcome: acknowledged},
 		},
 		statements: []statement{
 			signed("s", "SET v yl\r", "-"), signed("r", "READ x", "sig.1", "one\r", ""), signed("w", "EXECUTE s2 x y\r", "sig.2"),
--- a/internal/bench/soaker/client.go
+++ b/internal/bench/soaker/client.go
@@ -35,7 +35,7 @@
 const (
 	unknown outcome = iota
 	acknowledged
-	refused // Guaranteed to have had no effect.
+	refused // Guaranteed to have had no effect, or rolled back.
 )
 
 // operation is one statement outside of a transaction, or one transaction. The id
@@ -46,10 +46,9 @@
 	writeIDs                     []string
 	statementIDs                 []string // Statements that were sent.
 	isTransaction                bool
-	beginID                      string            // Of the BEGIN of a transaction.
-	settings                     map[string]string // Session values that were acknowledged before. Not changed.
-	shape                        string            // "READ shape" or "WRITE shape" if a prepared statement was executed.
-	lastWrite                    string            // Statement id of the last acknowledged write of the session.
+	beginID                      string // Of the BEGIN of a transaction.
+	shape                        string // "READ shape" or "WRITE shape" if a prepared statement was executed.
+	lastWrite                    string // Statement id of the last acknowledged write of the session.
 	sent, answered               time.Time
 	outcome                      outcome
 	code                         string
@@ -83,6 +82,7 @@
 	random      *rand.Rand
 	count       int               // Number of ids that newID returned.
 	settings    map[string]string // Acknowledged session values.
+	shape       string            // Of the prepared statements.
 
 	conn   net.Conn
 	reader *bufio.Reader
@@ -127,11 +127,11 @@
 			return
 		case <-time.After(time.Duration(c.random.Int64N(int64(maxPause)))):
 		}
-		if c.random.IntN(setEvery) == 0 && c.setValue() != nil {
+		if err := c.changeSession(); err != nil {
 			return
 		}
 		o := operation{
-			key: credential.key, workspace: credential.workspace, database: database, lastWrite: lastWrite, instance: instance.Name, settings: c.settings,
+			key: credential.key, workspace: credential.workspace, database: database, lastWrite: lastWrite, instance: instance.Name,
 		}
 		if err := c.sendOperation(&o); err != nil {
 			return
@@ -161,8 +161,31 @@
 	"q2c\nQUERY smuggled WRITE item y",
 }
 
-// setEvery is the number of operations before one of which a session value is set.
-const setEvery = 6
+// Numbers of operations, or of transactions, of which one does the following.
+const (
+	setEvery      = 6  // A session value is set before it, or inside of it.
+	prepareEvery  = 15 // The names are prepared again before it.
+	rollBackEvery = 8
+	leaveEvery    = 20 // The client leaves in the middle.
+)
+
+var errLeft = errors.New("client has left")
+
+// changeSession sets a session value, or prepares other shapes under the same names.
+func (c *client) changeSession() error {
+	if c.random.IntN(setEvery) == 0 {
+		return c.setValue()
+	}
+	if c.random.IntN(prepareEvery) > 0 {
+		return nil
+	}
+	for _, name := range []string{"s1", "s2"} {
+		if r, err := c.query(c.newID(), "DEALLOCATE "+name); err != nil || r.code != "" {
+			return errUnexpectedAnswer
+		}
+	}
+	return c.prepareStatements()
+}
 
 // preparedEvery is the number of statement ids of which one is executed as a
 // prepared statement where the operation is a single read or write.
@@ -171,8 +194,10 @@
 // prepareStatements prepares a read as s1 and a write as s2. The names are the same for
 // all clients, the shapes are not.
 func (c *client) prepareStatements() error {
+	all := c.environment.soak.texts(shapeTexts)
+	c.shape = all[c.random.IntN(len(all))]
 	for name, access := range map[string]string{"s1": "READ ", "s2": "WRITE "} {
-		r, err := c.query(c.newID(), "PREPARE "+name+" "+access+c.shapeText())
+		r, err := c.query(c.newID(), "PREPARE "+name+" "+access+c.shape)
 		if err == nil && r.code != "" {
 			err = errors.Wrapf(errUnexpectedAnswer, "PREPARE: %s", r.code)
 		}
@@ -183,18 +208,13 @@
 	return nil
 }
 
-func (c *client) shapeText() string {
-	all := c.environment.soak.texts(shapeTexts)
-	return all[c.number%len(all)]
-}
-
 // executedShape returns the shape that the text executes, or "" if it executes none.
 func (c *client) executedShape(text string) string {
 	switch {
 	case strings.HasPrefix(text, "EXECUTE s1 "):
-		return "READ " + c.shapeText()
+		return "READ " + c.shape
 	case strings.HasPrefix(text, "EXECUTE s2 "):
-		return "WRITE " + c.shapeText()
+		return "WRITE " + c.shape
 	default:
 		return ""
 	}
@@ -206,10 +226,10 @@
 	isPrepared := c.count%preparedEvery == 0
 	switch {
 	case isPrepared && len(o.writeIDs) > 0:
-		o.shape = "WRITE " + c.shapeText()
+		o.shape = "WRITE " + c.shape
 		return "EXECUTE s2 " + c.item() + " " + c.text(o.id)
 	case isPrepared:
-		o.shape = "READ " + c.shapeText()
+		o.shape = "READ " + c.shape
 		return "EXECUTE s1 " + c.item()
 	case len(o.writeIDs) > 0:
 		return "WRITE " + c.item() + " " + c.text(o.id)
@@ -287,6 +307,26 @@
 			return err
 		}
 		time.Sleep(time.Duration(c.random.Int64N(int64(maxPause))))
+		if c.random.IntN(setEvery) == 0 {
+			err = c.setValue()
+		}
+		if err != nil {
+			o.outcome, o.code = refused, "no answer to SET"
+			return err
+		}
+	}
+	return c.endTransaction(o)
+}
+
+func (c *client) endTransaction(o *operation) error {
+	switch {
+	case c.random.IntN(leaveEvery) == 0:
+		o.outcome, o.code = refused, "nothing, as it left"
+		return errLeft
+	case c.random.IntN(rollBackEvery) == 0:
+		o.outcome, o.code = refused, "ROLLBACK"
+		_, err := c.query(c.newID(), "ROLLBACK")
+		return err
 	}
 	o.id, o.shape = c.newID(), ""
 	return c.sendStatement(o, "COMMIT")
@@ -304,7 +344,7 @@
 // query sends a statement, reads its answer and records both.
 func (c *client) query(id, text string) (reply, error) {
 	r, err := c.exchange("QUERY " + id + " " + text)
-	c.history.addStatement(statement{id: id, text: text, shape: c.executedShape(text), answered: err == nil, reply: r})
+	c.history.addStatement(statement{id: id, text: text, shape: c.executedShape(text), settings: c.settings, answered: err == nil, reply: r})
 	return r, err
 }
 
--- a/internal/bench/soaker/fault.go
+++ b/internal/bench/soaker/fault.go
@@ -111,17 +111,7 @@
 		e.members[id].PauseReplication(false)
 	}},
 	{"answers lost", func(e *environment, r *rand.Rand, _ time.Duration) { e.members[e.randomServer(r)].DropAnswers(3) }},
-	{repeatFault, func(e *environment, r *rand.Rand, duration time.Duration) {
-		only, all := e.randomServer(r), r.IntN(2) == 0
-		repeats := e.drawRepeats(rand.New(rand.NewPCG(r.Uint64(), 0)))
-		for id, m := range e.members {
-			if all || id == only {
-				m.SetRepeat(repeats)
-				defer m.SetRepeat(nil)
-			}
-		}
-		time.Sleep(duration)
-	}},
+	{repeatFault, func(e *environment, r *rand.Rand, duration time.Duration) { e.repeatAnswers(r, duration, false) }},
 	{"key withdrawn", func(e *environment, _ *rand.Rand, _ time.Duration) { e.withdrawNextKey() }},
 	{"configuration", func(e *environment, _ *rand.Rand, _ time.Duration) { e.writeConfiguration() }},
 	{"store back from a copy", func(e *environment, _ *rand.Rand, duration time.Duration) { e.restoreStore(duration) }},
@@ -164,9 +154,9 @@
 	}},
 }
 
-// restartFaults are injected only by name, so that the seeds of other runs draw what they
+// namedFaults are injected only by name, so that the seeds of other runs draw what they
 // have drawn before.
-var restartFaults = []fault{
+var namedFaults = []fault{
 	{"replica back empty", func(e *environment, r *rand.Rand, _ time.Duration) {
 		if id := e.randomServer(r); id != e.group.Primary() {
 			e.restartEmpty(id)
@@ -177,6 +167,20 @@
 			e.restartEmpty(id)
 		}
 	}},
+	{"server answers twice and goes on", func(e *environment, r *rand.Rand, duration time.Duration) { e.repeatAnswers(r, duration, true) }},
+}
+
+// repeatAnswers makes one or all servers repeat answers for the duration.
+func (e *environment) repeatAnswers(r *rand.Rand, duration time.Duration, goesOn bool) {
+	only, all := e.randomServer(r), r.IntN(2) == 0
+	repeats := e.drawRepeats(rand.New(rand.NewPCG(r.Uint64(), 0)), goesOn)
+	for id, m := range e.members {
+		if all || id == only {
+			m.SetRepeat(repeats)
+			defer m.SetRepeat(nil)
+		}
+	}
+	time.Sleep(duration)
 }
 
 // repeatFault is not drawn beside an older build: builds up to f789805 take a repeated answer
@@ -196,7 +200,7 @@
 	if s.Fault == "" {
 		return all, nil
 	}
-	all = slices.Concat(all, restartFaults)
+	all = slices.Concat(all, namedFaults)
 	i := slices.IndexFunc(all, func(f fault) bool { return f.name == s.Fault })
 	if i < 0 {
 		return nil, errors.Wrapf(errUnknownFault, "%q", s.Fault)
