internal/transport/lender, platform: malformed answers are out of step

Callers saw no statement served by a healthy backend server for 200 ms and more, after a part of a repeated answer was joined to the next answer. What is read then (two outcomes, a row after the outcome, an outcome without an end) is ErrProtocol of platform, which lender.Conn took for a lost connection: the balancer ejected the server, its primary counted as unreachable, no counter or log line showed the repeat, and the connections of the server were lent again after unsigned answers.

Link.Receive returns ErrMalformedAnswer for it. lender.Conn counts and logs it, sets OutOfStep and expects further repeats of the server, as for any other answer out of step.

TestServerIsNotEjectedForAnAnswerThatCannotBeRead failed before with "overloaded" in place of "ok" for the next write; it passes after.

--- a/internal/transport/lender/conn.go
+++ b/internal/transport/lender/conn.go
@@ -24,6 +24,10 @@
 // protocol cannot carry. It fails in the same way on each backend server.
 var ErrNotEncodable = errors.WithMessage(ErrNotSent, "the protocol cannot carry it")
 
+// ErrMalformedAnswer reports that the backend server has sent what is not an answer to
+// one statement. [Link.Receive] returns it.
+var ErrMalformedAnswer = errors.New("malformed answer of the backend server")
+
 // Link is an open connection to a backend server, independent of the wire
 // protocol. The package that implements the protocol sets the function fields.
 type Link struct {
@@ -31,7 +35,8 @@
 	// was sent, [ErrNotEncodable] if that holds for every connection, and any
 	// other error if some bytes may have been.
 	Send func(deadline time.Time, statements ...requester.Statement) error
-	// Receive reads the answer to the oldest unanswered statement.
+	// Receive reads the answer to the oldest unanswered statement. It returns
+	// [ErrMalformedAnswer] if what has arrived is none.
 	Receive func(deadline time.Time) (requester.Result, error)
 	// Open reports whether the backend server has neither closed the idle
 	// connection nor sent data on it.
@@ -116,6 +121,10 @@
 	k := c.nextUnanswered()
 	for range maxRepeats {
 		r, err := c.link.Receive(deadline)
+		if errors.Is(err, ErrMalformedAnswer) {
+			c.outOfStep = true
+			c.lender.reportMalformed(c, k, err)
+		}
 		if err != nil {
 			c.broken = true
 			return r, errors.Wrapf(ErrNoAnswer, "%s: %v", c.Server.ID, err)
--- a/internal/transport/lender/report.go
+++ b/internal/transport/lender/report.go
@@ -13,6 +13,7 @@
 	reasonOutOfStep   = "out_of_step"
 	reasonAmbiguous   = "ambiguous"
 	reasonUnrequested = "unrequested"
+	reasonMalformed   = "malformed"
 )
 
 // reportAnswer counts and logs an answer that is not the one to the statement that
@@ -42,6 +43,14 @@
 		Dur("answered_ms", time.Since(c.LastAnswer)).Send()
 }
 
+// reportMalformed counts and logs data that is not an answer to one statement. A part of an
+// answer that is sent again makes such data of it and the next answer.
+func (l *Lender) reportMalformed(c *Conn, k requester.Kind, err error) {
+	l.recordUnexpected(c, reasonMalformed)
+	l.Logger.Warn().Str("event", "answer_malformed").Str("server", string(c.Server.ID)).Str("workspace", string(c.Workspace)).
+		Stringer("statement", k).Err(err).Send()
+}
+
 // recordUnexpected counts what has arrived on the connection, and expects more of it from
 // the server.
 func (l *Lender) recordUnexpected(c *Conn, reason string) {
--- a/internal/transport/sessioner/repeat_test.go
+++ b/internal/transport/sessioner/repeat_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 
 	"oleanderpulley/internal/protocol/requester"
 	"oleanderpulley/internal/state/cataloger"
@@ -27,6 +28,8 @@
 	// Answer changes the statement's own answer.
 	answer func(k requester.Kind, r requester.Result) requester.Result
 	ran    []requester.Kind
+	// Receive fails in place of the next answer.
+	receive func() error
 }
 
 func (p *repeater) dial(time.Time, cataloger.BackendServer, identifier.WorkspaceName) (lender.Link, error) {
@@ -52,6 +55,9 @@
 			return nil
 		},
 		Receive: func(time.Time) (requester.Result, error) {
+			if p.receive != nil {
+				return requester.Result{}, p.receive()
+			}
 			if len(pending) == 0 {
 				return requester.Result{}, os.ErrDeadlineExceeded
 			}
@@ -270,3 +276,16 @@
 	p.answer = nil
 	qt.Assert(t, s.Execute("peer", write).Result.Code, qt.Equals, requester.OK)
 }
+
+// Guards against a primary that gets no statements for 200 ms and more because an answer
+// was joined to a part of an earlier one.
+func TestServerIsNotEjectedForAnAnswerThatCannotBeRead(t *testing.T) {
+	s, p := newRepeater(t)
+	p.receive = func() error {
+		p.receive = nil
+		return errors.Wrap(lender.ErrMalformedAnswer, "message after the outcome")
+	}
+	write := primaryRequest(requester.Write, "WRITE x 1")
+	qt.Assert(t, s.Execute("peer", write).Result.Code, qt.Equals, requester.OutcomeUnknown)
+	qt.Assert(t, s.Execute("peer", write).Result.Code, qt.Equals, requester.OK)
+}
