internal/transport/lender: rows of older answers and rows before those of a write are not returned

Callers could get a read with rows of another one, or a write or COMMIT with rows of a read (MIXED), when a repeated answer was cut off after some rows and the next answer followed on the same connection. Only the rows of the last answer were compared, so that a repeat later than the next answer passed, and a single row before the outcome of a write passed always.

The connection remembers the rows of the last 16 answers that had some. The answer to a write, also one that EXECUTE runs, with the first row of a read is out of step: the outcome is unknown. The price is that a read of several rows whose first row is that of one of 16 answers and whose others have changed is repeated on another connection.

Failed before: TestRowsOfAnOlderAnswerAreNotReturned with rows ["x 0" "z 2"], TestRowsOfAReadAreNoneOfAWrite with rows ["x 1"] of a write. Both pass after.

--- a/internal/transport/lender/answers.go
+++ b/internal/transport/lender/answers.go
@@ -21,8 +21,17 @@
 
 	state    requester.TransactionState   // In the last expected answer; 0 if there was none.
 	unsigned []requester.TransactionState // The different states in unsigned answers without rows.
-	firstRow uint64                       // Hash of the first row of the last signed answer that had rows.
-	rows     uint64                       // Hash of all its rows; 0 if there was none.
+	rows     [rememberedRows]rowHashes    // Of the last signed answers with rows, a ring.
+	nextRows int                          // Index of its oldest entry.
+}
+
+// rememberedRows is the number of answers with rows that a connection remembers. Each is
+// a further cause to repeat a read whose rows have changed on another connection.
+const rememberedRows = 16
+
+// rowHashes are hashes of the rows of an answer. The zero value is that of no answer.
+type rowHashes struct {
+	first, all uint64
 }
 
 // unnamed is the entry for a signature of a statement that needs none. Such a
@@ -76,7 +85,7 @@
 	switch {
 	case r.Code != requester.OK:
 	case needsSignature(k):
-		v = l.judgeSigned(r)
+		v = l.judgeSigned(k, r)
 	default:
 		v = l.judgeUnsigned(k, r)
 	}
@@ -87,7 +96,7 @@
 }
 
 // judgeSigned judges the success of a statement that has to be signed.
-func (l *answerLog) judgeSigned(r requester.Result) verdict {
+func (l *answerLog) judgeSigned(k requester.Kind, r requester.Result) verdict {
 	if !isSigned(r) {
 		return l.repeatedOr(outOfStep, r)
 	}
@@ -97,7 +106,7 @@
 	switch {
 	case !ok:
 		l.add(signature, content)
-		return l.judgeRows(r.Rows)
+		return l.judgeRows(k, r.Rows)
 	case known == content:
 		return repeated
 	case known == unnamed:
@@ -109,18 +118,29 @@
 
 // judgeRows judges the rows of an answer with a new signature, and remembers them. An
 // answer that is sent again may be cut off after some rows, which then come before those
-// of the next answer: the first row is the same, and others differ.
-func (l *answerLog) judgeRows(rows []string) verdict {
+// of the next answer: the first row is the same, and others differ. The answer to a write
+// has none of a read.
+func (l *answerLog) judgeRows(k requester.Kind, rows []string) verdict {
 	if len(rows) == 0 {
 		return expected
 	}
-	v := expected
-	first, all := xxhash.Sum64String(rows[0]), rowsHash(0, rows)
-	if len(rows) > 1 && first == l.firstRow && all != l.rows && l.rows != 0 {
-		v = ambiguous
+	h := rowHashes{xxhash.Sum64String(rows[0]), rowsHash(0, rows)}
+	sameFirst := slices.ContainsFunc(l.rows[:], func(other rowHashes) bool { return other.all != 0 && other.first == h.first })
+	if k == requester.Write || k == requester.Commit {
+		if sameFirst {
+			return outOfStep
+		}
+		return expected
 	}
-	l.firstRow, l.rows = first, all
-	return v
+	if slices.Contains(l.rows[:], h) {
+		return expected
+	}
+	l.rows[l.nextRows] = h
+	l.nextRows = (l.nextRows + 1) % rememberedRows
+	if len(rows) > 1 && sameFirst {
+		return ambiguous
+	}
+	return expected
 }
 
 // judgeUnsigned judges the success of a statement that needs no signature. Its
--- a/internal/transport/lender/answers_test.go
+++ b/internal/transport/lender/answers_test.go
@@ -590,6 +590,43 @@
 	}
 }
 
+// Guards against a read with rows of one before the last (MIXED), whose answer was sent
+// again late and cut off before its outcome.
+func TestRowsOfAnOlderAnswerAreNotReturned(t *testing.T) {
+	s := newScriptedServer()
+	c := s.borrow(t)
+	first, err := c.Run(soon(), statement(requester.Read, "x"))
+	qt.Assert(t, err, qt.IsNil)
+	_, err = c.Run(soon(), statement(requester.Read, "y"))
+	qt.Assert(t, err, qt.IsNil)
+	s.answer = func(_ requester.Statement, r requester.Result) requester.Result {
+		r.Rows = append(slices.Clone(first.Rows), r.Rows...)
+		return r
+	}
+	r, err := c.Run(soon(), statement(requester.Read, "z"))
+	qt.Assert(t, err, qt.ErrorIs, lender.ErrNoAnswer, qt.Commentf("rows %q", r.Rows))
+}
+
+// Guards against a write or commit with rows of an earlier read (MIXED), whose answer was
+// sent again and cut off before its outcome.
+func TestRowsOfAReadAreNoneOfAWrite(t *testing.T) {
+	for _, k := range []requester.Kind{requester.Write, requester.Commit, requester.Execute} {
+		s := newScriptedServer()
+		c := s.borrow(t)
+		name, err := c.ApplySession(soon(), nil, &requester.PreparedStatement{Writes: true, Text: "q2c"})
+		qt.Assert(t, err, qt.IsNil)
+		first, err := c.Run(soon(), statement(requester.Read, "x"))
+		qt.Assert(t, err, qt.IsNil)
+		s.answer = func(_ requester.Statement, r requester.Result) requester.Result {
+			r.Rows = slices.Clone(first.Rows)
+			return r
+		}
+		r, err := c.Run(soon(), requester.Statement{ID: "5c0e", Kind: k, Text: "z 1", Name: name})
+		qt.Check(t, err, qt.ErrorIs, lender.ErrNoAnswer, qt.Commentf("%s: rows %q", k, r.Rows))
+		qt.Check(t, c.OutOfStep(), qt.IsTrue)
+	}
+}
+
 // Guards against reads that are given up without need: the same rows again, a single row,
 // other rows, and changed rows in a transaction.
 func TestRowsThatCannotBeJoinedAreReturned(t *testing.T) {
--- a/internal/transport/lender/conn.go
+++ b/internal/transport/lender/conn.go
@@ -99,7 +99,7 @@
 	err := c.link.Send(deadline, statements...)
 	if err == nil {
 		for _, s := range statements {
-			c.unanswered = append(c.unanswered, s.Kind)
+			c.unanswered = append(c.unanswered, c.kindOf(s))
 		}
 		return nil
 	}
@@ -155,6 +155,20 @@
 	return requester.Result{}, errors.Wrapf(ErrNoAnswer, "%s: %d repeated answers", c.Server.ID, maxRepeats)
 }
 
+// kindOf returns the kind of the statement, [requester.Write] for an execution that
+// writes.
+func (c *Conn) kindOf(s requester.Statement) requester.Kind {
+	if s.Kind != requester.Execute {
+		return s.Kind
+	}
+	for shape, name := range c.prepared {
+		if name == s.Name && shape.Writes {
+			return requester.Write
+		}
+	}
+	return s.Kind
+}
+
 // Repeats returns the number of answers on this connection that were dropped as
 // repeats. If it grows in a series of statements, an unsigned answer in the series may
 // be a repeat too.
