--- a/internal/transport/lender/conn.go
+++ b/internal/transport/lender/conn.go
@@ -98,7 +98,7 @@
 	err := c.link.Send(deadline, statements...)
 	if err == nil {
 		for _, s := range statements {
-			c.unanswered = append(c.unanswered, s.Kind)
+			c.unanswered = append(c.unanswered, c.kindOf(s))
 		}
 		return nil
 	}
@@ -129,8 +129,8 @@
 			return r, errors.Wrapf(ErrNoAnswer, "%s: %v", c.Server.ID, err)
 		}
 		v := c.answers.judge(k, r)
-		if v == ambiguous && c.pinned && !c.lender.expectsRepeats(c.pool) {
-			v = expected // A transaction that reads changed rows again would never end.
+		if c.isCredible(v) {
+			v = expected
 		}
 		switch v {
 		case expected:
@@ -144,7 +144,7 @@
 		case repeated:
 			c.repeats++
 			c.lender.reportAnswer(c, k, v, r)
-		case outOfStep, ambiguous:
+		case outOfStep, ambiguous, ambiguousOlder:
 			c.lender.reportAnswer(c, k, v, r)
 			c.broken, c.outOfStep = true, true
 			return requester.Result{}, errors.Wrapf(ErrNoAnswer, "%s: the answer is to another statement than %s", c.Server.ID, k)
@@ -154,6 +154,27 @@
 	return requester.Result{}, errors.Wrapf(ErrNoAnswer, "%s: %d repeated answers", c.Server.ID, maxRepeats)
 }
 
+// isCredible reports whether an ambiguous answer is returned all the same, as long as the
+// server has not sent one twice: a transaction that reads changed rows again would never end,
+// and reads of an item that changes often would close their connections.
+func (c *Conn) isCredible(v verdict) bool {
+	return (v == ambiguousOlder || v == ambiguous && c.pinned) && !c.lender.expectsRepeats(c.pool)
+}
+
+// kindOf returns the kind of the statement, [requester.Write] for an execution that
+// writes.
+func (c *Conn) kindOf(s requester.Statement) requester.Kind {
+	if s.Kind != requester.Execute {
+		return s.Kind
+	}
+	for shape, name := range c.prepared {
+		if name == s.Name && shape.Writes {
+			return requester.Write
+		}
+	}
+	return s.Kind
+}
+
 // Repeats returns the number of answers on this connection that were dropped as
 // repeats. If it grows in a series of statements, an unsigned answer in the series may
 // be a repeat too.
--- a/internal/transport/lender/report.go
+++ b/internal/transport/lender/report.go
@@ -10,10 +10,10 @@
 // Reasons in the counter unexpected_answers.
 const (
 	reasonRepeated    = "repeated"
-	reasonMalformed   = "malformed"
 	reasonOutOfStep   = "out_of_step"
 	reasonAmbiguous   = "ambiguous"
 	reasonUnrequested = "unrequested"
+	reasonMalformed   = "malformed"
 )
 
 // reportAnswer counts and logs an answer that is not the one to the statement that
@@ -24,7 +24,7 @@
 	case repeated:
 		event = "answer_repeated"
 		l.recordUnexpected(c, reasonRepeated)
-	case ambiguous:
+	case ambiguous, ambiguousOlder:
 		event = "answer_ambiguous"
 		l.countUnexpected(c, reasonAmbiguous)
 	default:
