--- a/internal/transport/sessioner/repeat_test.go
+++ b/internal/transport/sessioner/repeat_test.go
@@ -289,3 +289,26 @@
 	qt.Assert(t, s.Execute("peer", write).Result.Code, qt.Equals, requester.OutcomeUnknown)
 	qt.Assert(t, s.Execute("peer", write).Result.Code, qt.Equals, requester.OK)
 }
+
+// Guards against a promise for a write that has run (REFUSED): the answer to an earlier
+// BEGIN stood for the refusal of the new one, which was then taken for that of the write.
+func TestLateRefusalOfABeginIsNoPromiseForAWrite(t *testing.T) {
+	s, p := newRepeater(t)
+	earlier := p.given[0]
+	refusal := requester.Result{Code: requester.Overloaded, State: requester.Idle}
+	p.answer = func(k requester.Kind, r requester.Result) requester.Result {
+		if k == requester.Begin { // The refusal arrives after the write was sent.
+			return earlier
+		}
+		return r
+	}
+	p.before = func(k requester.Kind) []requester.Result {
+		if k == requester.Write {
+			return []requester.Result{refusal}
+		}
+		return nil
+	}
+	p.ran = nil
+	r := s.Execute("peer", openingForward("shops", 1))
+	qt.Assert(t, r.Result.Code, qt.Equals, requester.OutcomeUnknown, qt.Commentf("ran %v", p.ran))
+}
