internal/transport/sessioner: tests of a commit and of reads whose answer is another one

The outcome of a commit whose answer does not fit is unknown, and a read is repeated on another connection, on replicas and on the primary.

--- a/internal/transport/sessioner/repeat_test.go
+++ b/internal/transport/sessioner/repeat_test.go
@@ -287,3 +287,38 @@
 	p.answer = nil
 	qt.Assert(t, s.Execute("peer", write).Result.Code, qt.Equals, requester.OK)
 }
+
+// Guards against a commit that is acknowledged or promised to be undone although nothing
+// tells whether its answer is its own.
+func TestCommitWithAnAnswerOutOfStepHasAnUnknownOutcome(t *testing.T) {
+	s, p := newRepeater(t)
+	qt.Assert(t, s.Execute("peer", openingForward("shops", 1)).Result.Code, qt.Equals, requester.OK)
+	p.answer = func(_ requester.Kind, r requester.Result) requester.Result {
+		r.Signature = ""
+		return r
+	}
+	f := openingForward("shops", 1)
+	f.Begin, f.Writes = requester.Unknown, false
+	f.Statement = requester.Statement{ID: "i2", Kind: requester.Commit, Text: "COMMIT"}
+	qt.Assert(t, s.Execute("peer", f).Result.Code, qt.Equals, requester.OutcomeUnknown)
+}
+
+// Guards against a read that fails although it can be repeated: its answer was that to
+// another statement.
+func TestReadWithAnAnswerOutOfStepIsRepeated(t *testing.T) {
+	for _, consistency := range []cataloger.Consistency{cataloger.PrimaryOnly, cataloger.BoundedStaleness} {
+		s, p := newRepeater(t)
+		p.answer = func(k requester.Kind, r requester.Result) requester.Result {
+			if k == requester.Read {
+				p.answer = nil
+				r.Signature = ""
+			}
+			return r
+		}
+		f := primaryRequest(requester.Read, "READ x")
+		f.Route.Consistency, f.Route.MaxStaleness = consistency, time.Second
+		r := s.Execute("peer", f)
+		qt.Assert(t, r.Result.Code, qt.Equals, requester.OK)
+		qt.Assert(t, r.Result.Signature, qt.Not(qt.Equals), "")
+	}
+}
