--- a/internal/transport/acceptor/execute.go
+++ b/internal/transport/acceptor/execute.go
@@ -134,12 +134,22 @@
 		return err
 	}
 	s.attachLease(l)
+	startupSettings := s.startupSettings
 	if err := s.prepareConnection(ctx); err != nil {
 		s.reportOutOfStep(err)
 		s.closeLease(err.Error())
+		var r *refuser.RefusalError
+		if !errors.As(err, &r) {
+			err = errors.Wrap(pooler.ErrConnect, err.Error())
+		}
 		return err
 	}
-	return s.runOnLease(ctx, b)
+	err = s.runOnLease(ctx, b)
+	if err != nil && s.lease == nil {
+		// The next connection needs the startup parameters again.
+		s.pinned, s.startupSettings = false, startupSettings
+	}
+	return err
 }
 
 func (s *session) target(choice Target) pooler.Target {
--- a/internal/transport/lender/answers.go
+++ b/internal/transport/lender/answers.go
@@ -21,8 +21,17 @@
 
 	state    requester.TransactionState   // In the last expected answer; 0 if there was none.
 	unsigned []requester.TransactionState // The different states in unsigned answers without rows.
-	firstRow uint64                       // Hash of the first row of the last signed answer that had rows.
-	rows     uint64                       // Hash of all its rows; 0 if there was none.
+	rows     []rowHashes                  // Of the last answers with rows, a ring once it is full.
+	nextRows int                          // Index of the oldest entry of the full ring.
+	lastRows rowHashes                    // Of the last answer with rows.
+}
+
+// rememberedRows is the number of answers with rows that a connection remembers.
+const rememberedRows = 16
+
+// rowHashes are hashes of the rows of an answer.
+type rowHashes struct {
+	first, all uint64
 }
 
 // unnamed is the entry for a signature of a statement that needs none. Such a
@@ -63,10 +72,11 @@
 type verdict int
 
 const (
-	expected  verdict = iota // Its answer, as far as can be told.
-	repeated                 // Received before, for an earlier statement.
-	outOfStep                // The answer to another statement.
-	ambiguous                // Its answer, or rows of an earlier answer before its own.
+	expected       verdict = iota // Its answer, as far as can be told.
+	repeated                      // Received before, for an earlier statement.
+	outOfStep                     // The answer to another statement.
+	ambiguous                     // Its answer, or rows of the answer before it and its own.
+	ambiguousOlder                // Its answer, or rows of an older answer and its own.
 )
 
 // judge returns what the answer is to a statement of the kind, and remembers it if it
@@ -76,18 +86,18 @@
 	switch {
 	case r.Code != requester.OK:
 	case needsSignature(k):
-		v = l.judgeSigned(r)
+		v = l.judgeSigned(k, r)
 	default:
 		v = l.judgeUnsigned(k, r)
 	}
-	if v == expected || v == ambiguous {
+	if v == expected || v == ambiguous || v == ambiguousOlder {
 		l.state = r.State
 	}
 	return v
 }
 
 // judgeSigned judges the success of a statement that has to be signed.
-func (l *answerLog) judgeSigned(r requester.Result) verdict {
+func (l *answerLog) judgeSigned(k requester.Kind, r requester.Result) verdict {
 	if !isSigned(r) {
 		return l.repeatedOr(outOfStep, r)
 	}
@@ -97,7 +107,7 @@
 	switch {
 	case !ok:
 		l.add(signature, content)
-		return l.judgeRows(r.Rows)
+		return l.judgeRows(k, r.Rows)
 	case known == content:
 		return repeated
 	case known == unnamed:
@@ -109,18 +119,40 @@
 
 // judgeRows judges the rows of an answer with a new signature, and remembers them. An
 // answer that is sent again may be cut off after some rows, which then come before those
-// of the next answer: the first row is the same, and others differ.
-func (l *answerLog) judgeRows(rows []string) verdict {
+// of the next answer: the first row is the same, and others differ. WRITE and COMMIT
+// have no rows of their own.
+func (l *answerLog) judgeRows(k requester.Kind, rows []string) verdict {
 	if len(rows) == 0 {
 		return expected
 	}
-	v := expected
-	first, all := xxhash.Sum64String(rows[0]), rowsHash(0, rows)
-	if len(rows) > 1 && first == l.firstRow && all != l.rows && l.rows != 0 {
-		v = ambiguous
+	h := rowHashes{xxhash.Sum64String(rows[0]), rowsHash(0, rows)}
+	last := l.lastRows
+	isKnown := slices.ContainsFunc(l.rows, func(other rowHashes) bool { return other.first == h.first })
+	isSame := slices.Contains(l.rows, h)
+	l.addRows(h)
+	switch {
+	case isKnown && (k == requester.Write || k == requester.Commit):
+		return outOfStep
+	case !isKnown || isSame || len(rows) == 1:
+		return expected
+	case last.first == h.first:
+		return ambiguous
+	default:
+		return ambiguousOlder
+	}
+}
+
+// addRows remembers the rows of an answer.
+func (l *answerLog) addRows(h rowHashes) {
+	l.lastRows = h
+	switch {
+	case slices.Contains(l.rows, h):
+	case len(l.rows) < rememberedRows:
+		l.rows = append(l.rows, h)
+	default:
+		l.rows[l.nextRows] = h
+		l.nextRows = (l.nextRows + 1) % rememberedRows
 	}
-	l.firstRow, l.rows = first, all
-	return v
 }
 
 // judgeUnsigned judges the success of a statement that needs no signature. Its
--- a/internal/transport/lender/conn.go
+++ b/internal/transport/lender/conn.go
@@ -24,6 +24,9 @@
 // protocol cannot carry. It fails in the same way on each backend server.
 var ErrNotEncodable = errors.WithMessage(ErrNotSent, "the protocol cannot carry it")
 
+// ErrMalformedAnswer reports an answer that does not follow the wire protocol.
+var ErrMalformedAnswer = errors.New("malformed answer")
+
 // Link is an open connection to a backend server, independent of the wire
 // protocol. The package that implements the protocol sets the function fields.
 type Link struct {
@@ -31,7 +34,8 @@
 	// was sent, [ErrNotEncodable] if that holds for every connection, and any
 	// other error if some bytes may have been.
 	Send func(deadline time.Time, statements ...requester.Statement) error
-	// Receive reads the answer to the oldest unanswered statement.
+	// Receive reads the answer to the oldest unanswered statement. Its error is
+	// [ErrMalformedAnswer] if one has arrived that cannot be read.
 	Receive func(deadline time.Time) (requester.Result, error)
 	// Open reports whether the backend server has neither closed the idle
 	// connection nor sent data on it.
@@ -94,7 +98,7 @@
 	err := c.link.Send(deadline, statements...)
 	if err == nil {
 		for _, s := range statements {
-			c.unanswered = append(c.unanswered, s.Kind)
+			c.unanswered = append(c.unanswered, c.kindOf(s))
 		}
 		return nil
 	}
@@ -118,11 +122,15 @@
 		r, err := c.link.Receive(deadline)
 		if err != nil {
 			c.broken = true
+			if errors.Is(err, ErrMalformedAnswer) {
+				c.outOfStep = true
+				c.lender.reportMalformed(c, k, err)
+			}
 			return r, errors.Wrapf(ErrNoAnswer, "%s: %v", c.Server.ID, err)
 		}
 		v := c.answers.judge(k, r)
-		if v == ambiguous && c.pinned && !c.lender.expectsRepeats(c.pool) {
-			v = expected // A transaction that reads changed rows again would never end.
+		if c.isCredible(v) {
+			v = expected
 		}
 		switch v {
 		case expected:
@@ -136,7 +144,7 @@
 		case repeated:
 			c.repeats++
 			c.lender.reportAnswer(c, k, v, r)
-		case outOfStep, ambiguous:
+		case outOfStep, ambiguous, ambiguousOlder:
 			c.lender.reportAnswer(c, k, v, r)
 			c.broken, c.outOfStep = true, true
 			return requester.Result{}, errors.Wrapf(ErrNoAnswer, "%s: the answer is to another statement than %s", c.Server.ID, k)
@@ -146,6 +154,27 @@
 	return requester.Result{}, errors.Wrapf(ErrNoAnswer, "%s: %d repeated answers", c.Server.ID, maxRepeats)
 }
 
+// isCredible reports whether an ambiguous answer is returned all the same, as long as the
+// server has not sent one twice: a transaction that reads changed rows again would never end,
+// and reads of an item that changes often would close their connections.
+func (c *Conn) isCredible(v verdict) bool {
+	return (v == ambiguousOlder || v == ambiguous && c.pinned) && !c.lender.expectsRepeats(c.pool)
+}
+
+// kindOf returns the kind of the statement, [requester.Write] for an execution that
+// writes.
+func (c *Conn) kindOf(s requester.Statement) requester.Kind {
+	if s.Kind != requester.Execute {
+		return s.Kind
+	}
+	for shape, name := range c.prepared {
+		if name == s.Name && shape.Writes {
+			return requester.Write
+		}
+	}
+	return s.Kind
+}
+
 // Repeats returns the number of answers on this connection that were dropped as
 // repeats. If it grows in a series of statements, an unsigned answer in the series may
 // be a repeat too.
--- a/internal/transport/lender/report.go
+++ b/internal/transport/lender/report.go
@@ -13,6 +13,7 @@
 	reasonOutOfStep   = "out_of_step"
 	reasonAmbiguous   = "ambiguous"
 	reasonUnrequested = "unrequested"
+	reasonMalformed   = "malformed"
 )
 
 // reportAnswer counts and logs an answer that is not the one to the statement that
@@ -23,7 +24,7 @@
 	case repeated:
 		event = "answer_repeated"
 		l.recordUnexpected(c, reasonRepeated)
-	case ambiguous:
+	case ambiguous, ambiguousOlder:
 		event = "answer_ambiguous"
 		l.countUnexpected(c, reasonAmbiguous)
 	default:
@@ -34,6 +35,13 @@
 		Bool("signed", isSigned(r)).Int("rows", len(r.Rows)).Send()
 }
 
+// reportMalformed counts and logs an answer that cannot be read.
+func (l *Lender) reportMalformed(c *Conn, k requester.Kind, err error) {
+	l.recordUnexpected(c, reasonMalformed)
+	l.Logger.Warn().Str("event", "answer_malformed").Str("server", string(c.Server.ID)).Str("workspace", string(c.Workspace)).
+		Stringer("statement", k).Err(err).Send()
+}
+
 // reportUnrequested counts and logs a connection on which data has arrived though no
 // answer was outstanding.
 func (l *Lender) reportUnrequested(c *Conn) {
--- a/internal/transport/sessioner/repeat_test.go
+++ b/internal/transport/sessioner/repeat_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 
 	"oleanderpulley/internal/protocol/requester"
 	"oleanderpulley/internal/state/cataloger"
@@ -27,6 +28,8 @@
 	// Answer changes the statement's own answer.
 	answer func(k requester.Kind, r requester.Result) requester.Result
 	ran    []requester.Kind
+	// Receive fails in place of the next answer.
+	receive func() error
 }
 
 func (p *repeater) dial(time.Time, cataloger.BackendServer, identifier.WorkspaceName) (lender.Link, error) {
@@ -52,6 +55,9 @@
 			return nil
 		},
 		Receive: func(time.Time) (requester.Result, error) {
+			if p.receive != nil {
+				return requester.Result{}, p.receive()
+			}
 			if len(pending) == 0 {
 				return requester.Result{}, os.ErrDeadlineExceeded
 			}
@@ -255,6 +261,23 @@
 	}
 }
 
+// Guards against a primary that gets no statements for 200 ms and more because an answer
+// could not be read.
+func TestServerIsNotEjectedForAMalformedAnswer(t *testing.T) {
+	s, p := newRepeater(t)
+	s.Lender.Dial = func(deadline time.Time, b cataloger.BackendServer, w identifier.WorkspaceName) (lender.Link, error) {
+		link, err := p.dial(deadline, b, w)
+		link.Receive = func(time.Time) (requester.Result, error) {
+			s.Lender.Dial = p.dial
+			return requester.Result{}, lender.ErrMalformedAnswer
+		}
+		return link, err
+	}
+	write := primaryRequest(requester.Write, "WRITE x 1")
+	qt.Assert(t, s.Execute("peer", write).Result.Code, qt.Equals, requester.OutcomeUnknown)
+	qt.Assert(t, s.Execute("peer", write).Result.Code, qt.Equals, requester.OK)
+}
+
 // Guards against a primary that gets no statements for 200 ms and more because an answer
 // did not fit its statement.
 func TestServerIsNotEjectedForAnAnswerOutOfStep(t *testing.T) {
@@ -270,3 +293,16 @@
 	p.answer = nil
 	qt.Assert(t, s.Execute("peer", write).Result.Code, qt.Equals, requester.OK)
 }
+
+// Guards against a primary that gets no statements for 200 ms and more because an answer
+// was joined to a part of an earlier one.
+func TestServerIsNotEjectedForAnAnswerThatCannotBeRead(t *testing.T) {
+	s, p := newRepeater(t)
+	p.receive = func() error {
+		p.receive = nil
+		return errors.Wrap(lender.ErrMalformedAnswer, "message after the outcome")
+	}
+	write := primaryRequest(requester.Write, "WRITE x 1")
+	qt.Assert(t, s.Execute("peer", write).Result.Code, qt.Equals, requester.OutcomeUnknown)
+	qt.Assert(t, s.Execute("peer", write).Result.Code, qt.Equals, requester.OK)
+}
