internal/transport/sessioner: an old position and an old lead are told from repeats of a whole series

A read could run on a log without an acknowledged commit (STALE), and a former primary could count as the primary. Whether a server leads, and its position, come from a BEGIN and a ROLLBACK that are sent together. If the answers to both of an earlier pair are received again after the next pair was sent, each fits its statement, and no answer was dropped: the old position was recorded as a new sample, also where the real BEGIN was refused.

Such answers have a position that the connection has given before. If a BEGIN shows no newer one than an earlier BEGIN on the connection, a second pair is sent. In the case of a repeat its answers are those to the first pair, which are later than the request. The price is a round trip for each question on a connection that was asked before while the primary has no commits; BEGIN and ROLLBACK take no slot. What remains: two whole pairs that are received again in order.

Failed before: TestRepeatedSeriesIsNoSample (sample 1/10, the log was at 1/40) and TestRepeatedSeriesIsNoLeader (no error). Both pass after, and TestSamplesOfAPrimaryWithoutCommits passes before and after.

--- a/internal/transport/lender/conn.go
+++ b/internal/transport/lender/conn.go
@@ -74,6 +74,8 @@
 	unanswered []requester.Kind // Of the statements that were sent, the oldest first.
 	answers    answerLog
 	repeats    int // Number of dropped answers.
+	hasBegun   bool
+	begunAt    identifier.Position // The newest in the answers to a BEGIN.
 
 	statement *scheduler.Statement // For which the connection is lent; nil if it did not wait.
 }
@@ -136,6 +138,7 @@
 		switch v {
 		case expected:
 			c.LastAnswer = time.Now()
+			c.recordBegin(k, r)
 			c.unnamed = c.unnamed || r.Code != requester.OK || !needsSignature(k)
 			if r.Code != requester.OK {
 				c.broken = c.broken || c.failed
@@ -176,6 +179,21 @@
 	return c.repeats
 }
 
+func (c *Conn) recordBegin(k requester.Kind, r requester.Result) {
+	if (k == requester.Begin || k == requester.BeginReadOnly) && r.Code == requester.OK {
+		if !c.hasBegun || c.begunAt.Compare(r.Position) < 0 {
+			c.begunAt = r.Position
+		}
+		c.hasBegun = true
+	}
+}
+
+// BegunAt returns the newest position in the answers to a BEGIN on the connection, or false
+// if there was none. An answer with a newer one is no repeat.
+func (c *Conn) BegunAt() (identifier.Position, bool) {
+	return c.begunAt, c.hasBegun
+}
+
 // nextUnanswered removes the oldest unanswered statement and returns its kind.
 func (c *Conn) nextUnanswered() requester.Kind {
 	if len(c.unanswered) == 0 {
--- a/internal/transport/sessioner/primary.go
+++ b/internal/transport/sessioner/primary.go
@@ -163,18 +163,16 @@
 	permit, permitted := s.Fencer.Permit(c.Server.Service)
 	sent, repeats := s.Holder.Clock(), c.Repeats()
 	deadline := time.Now().Add(queryTimeout)
-	begin := requester.Statement{Kind: requester.Begin}
-	rollback := requester.Statement{Kind: requester.Rollback}
-	if err := c.Send(deadline, begin, rollback); err != nil {
-		return err
-	}
-	r, err := c.Receive(deadline)
+	earlier, hasEarlier := c.BegunAt()
+	r, ended, err := beginAndRollBack(c, deadline)
 	if err != nil {
 		return err
 	}
-	ended, err := c.Receive(deadline)
-	if err != nil {
-		return err
+	if hasEarlier && r.Code == requester.OK && r.Position.Compare(earlier) <= 0 {
+		// Both may be sent for earlier statements. The next two are then the answers to these.
+		if r, ended, err = beginAndRollBack(c, deadline); err != nil {
+			return err
+		}
 	}
 	if c.Repeats() != repeats || (r.Code == requester.OK && ended.Code != requester.OK) {
 		c.MarkBroken()
@@ -199,6 +197,18 @@
 	return nil
 }
 
+// beginAndRollBack opens a transaction and rolls it back, and returns both answers.
+func beginAndRollBack(c *lender.Conn, deadline time.Time) (begun, ended requester.Result, err error) {
+	if err = c.Send(deadline, requester.Statement{Kind: requester.Begin}, requester.Statement{Kind: requester.Rollback}); err != nil {
+		return begun, ended, err
+	}
+	if begun, err = c.Receive(deadline); err != nil {
+		return begun, ended, err
+	}
+	ended, err = c.Receive(deadline)
+	return begun, ended, err
+}
+
 // confirmAttempts is the number of connections on which a server is asked whether it
 // leads while its answers are in doubt.
 const confirmAttempts = 2
--- a/internal/transport/sessioner/repeat_test.go
+++ b/internal/transport/sessioner/repeat_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
 
+	"oleanderpulley/internal/coordination/fencer"
 	"oleanderpulley/internal/protocol/requester"
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
@@ -312,3 +313,71 @@
 	r := s.Execute("peer", openingForward("shops", 1))
 	qt.Assert(t, r.Result.Code, qt.Equals, requester.OutcomeUnknown, qt.Commentf("ran %v", p.ran))
 }
+
+// Guards against an old position that counts as a new one (STALE), because the answers to
+// an earlier BEGIN and its ROLLBACK are both received again.
+func TestRepeatedSeriesIsNoSample(t *testing.T) {
+	s, p := newRepeater(t)
+	old := p.given[0].Position
+	clock := setClock(s)
+	clock.advance(time.Second)
+	s.Holder.SetProof(clock.now())
+	since := s.Holder.Clock()
+	earlier := slices.Clone(p.given)
+	p.before = func(k requester.Kind) []requester.Result {
+		if k != requester.Begin {
+			return nil
+		}
+		p.before = nil
+		return earlier
+	}
+	qt.Assert(t, s.ConfirmLeader(s.Holder.Catalog().Servers["rentals"][0]), qt.IsNil)
+	sample, _ := s.Sampler("rentals").Latest()
+	qt.Assert(t, sample.RequestedAt >= since && sample.Position == old, qt.IsFalse, qt.Commentf("sample %v of %v", sample.Position, p.end))
+}
+
+// Guards against a former primary that counts as the primary, because the answers to an
+// earlier BEGIN and its ROLLBACK are both received again after it was replaced.
+func TestRepeatedSeriesIsNoLeader(t *testing.T) {
+	s, p := newRepeater(t)
+	earlier := slices.Clone(p.given)
+	var late []requester.Result
+	p.before = func(k requester.Kind) []requester.Result {
+		if k != requester.Begin {
+			return nil
+		}
+		defer func() { late = nil }()
+		return late
+	}
+	p.answer = func(_ requester.Kind, r requester.Result) requester.Result {
+		refusal := requester.Result{Code: requester.ReadOnly, State: requester.Idle, Position: r.Position}
+		if len(earlier) == 0 {
+			return refusal
+		}
+		repeat := earlier[0]
+		earlier, late = earlier[1:], append(late, refusal)
+		return repeat
+	}
+	err := s.ConfirmLeader(s.Holder.Catalog().Servers["rentals"][0])
+	qt.Assert(t, err, qt.ErrorIs, fencer.ErrNotLeading)
+}
+
+// Guards against samples that a primary without commits does not give.
+func TestSamplesOfAPrimaryWithoutCommits(t *testing.T) {
+	s, p := newRepeater(t)
+	clock := setClock(s)
+	position := p.given[0].Position
+	p.answer = func(_ requester.Kind, r requester.Result) requester.Result {
+		r.Position = position
+		return r
+	}
+	for range 3 {
+		clock.advance(time.Second)
+		s.Holder.SetProof(clock.now())
+		since := s.Holder.Clock()
+		qt.Assert(t, s.ConfirmLeader(s.Holder.Catalog().Servers["rentals"][0]), qt.IsNil)
+		sample, _ := s.Sampler("rentals").Latest()
+		qt.Assert(t, sample.RequestedAt, qt.Equals, since)
+	}
+	qt.Assert(t, p.dialed, qt.Equals, 1)
+}
