--- a/internal/transport/lender/answers.go
+++ b/internal/transport/lender/answers.go
@@ -21,15 +21,15 @@
 
 	state    requester.TransactionState   // In the last expected answer; 0 if there was none.
 	unsigned []requester.TransactionState // The different states in unsigned answers without rows.
-	rows     [rememberedRows]rowHashes    // Of the last signed answers with rows, a ring.
-	nextRows int                          // Index of its oldest entry.
+	rows     []rowHashes                  // Of the last answers with rows, a ring once it is full.
+	nextRows int                          // Index of the oldest entry of the full ring.
+	lastRows rowHashes                    // Of the last answer with rows.
 }
 
-// rememberedRows is the number of answers with rows that a connection remembers. Each is
-// a further cause to repeat a read whose rows have changed on another connection.
+// rememberedRows is the number of answers with rows that a connection remembers.
 const rememberedRows = 16
 
-// rowHashes are hashes of the rows of an answer. The zero value is that of no answer.
+// rowHashes are hashes of the rows of an answer.
 type rowHashes struct {
 	first, all uint64
 }
@@ -72,10 +72,11 @@
 type verdict int
 
 const (
-	expected  verdict = iota // Its answer, as far as can be told.
-	repeated                 // Received before, for an earlier statement.
-	outOfStep                // The answer to another statement.
-	ambiguous                // Its answer, or rows of an earlier answer before its own.
+	expected       verdict = iota // Its answer, as far as can be told.
+	repeated                      // Received before, for an earlier statement.
+	outOfStep                     // The answer to another statement.
+	ambiguous                     // Its answer, or rows of the answer before it and its own.
+	ambiguousOlder                // Its answer, or rows of an older answer and its own.
 )
 
 // judge returns what the answer is to a statement of the kind, and remembers it if it
@@ -89,7 +90,7 @@
 	default:
 		v = l.judgeUnsigned(k, r)
 	}
-	if v == expected || v == ambiguous {
+	if v == expected || v == ambiguous || v == ambiguousOlder {
 		l.state = r.State
 	}
 	return v
@@ -118,29 +119,40 @@
 
 // judgeRows judges the rows of an answer with a new signature, and remembers them. An
 // answer that is sent again may be cut off after some rows, which then come before those
-// of the next answer: the first row is the same, and others differ. The answer to a write
-// has none of a read.
+// of the next answer: the first row is the same, and others differ. WRITE and COMMIT
+// have no rows of their own.
 func (l *answerLog) judgeRows(k requester.Kind, rows []string) verdict {
 	if len(rows) == 0 {
 		return expected
 	}
 	h := rowHashes{xxhash.Sum64String(rows[0]), rowsHash(0, rows)}
-	sameFirst := slices.ContainsFunc(l.rows[:], func(other rowHashes) bool { return other.all != 0 && other.first == h.first })
-	if k == requester.Write || k == requester.Commit {
-		if sameFirst {
-			return outOfStep
-		}
-		return expected
-	}
-	if slices.Contains(l.rows[:], h) {
+	last := l.lastRows
+	isKnown := slices.ContainsFunc(l.rows, func(other rowHashes) bool { return other.first == h.first })
+	isSame := slices.Contains(l.rows, h)
+	l.addRows(h)
+	switch {
+	case isKnown && (k == requester.Write || k == requester.Commit):
+		return outOfStep
+	case !isKnown || isSame || len(rows) == 1:
 		return expected
-	}
-	l.rows[l.nextRows] = h
-	l.nextRows = (l.nextRows + 1) % rememberedRows
-	if len(rows) > 1 && sameFirst {
+	case last.first == h.first:
 		return ambiguous
+	default:
+		return ambiguousOlder
+	}
+}
+
+// addRows remembers the rows of an answer.
+func (l *answerLog) addRows(h rowHashes) {
+	l.lastRows = h
+	switch {
+	case slices.Contains(l.rows, h):
+	case len(l.rows) < rememberedRows:
+		l.rows = append(l.rows, h)
+	default:
+		l.rows[l.nextRows] = h
+		l.nextRows = (l.nextRows + 1) % rememberedRows
 	}
-	return expected
 }
 
 // judgeUnsigned judges the success of a statement that needs no signature. Its
--- a/internal/transport/lender/answers_test.go
+++ b/internal/transport/lender/answers_test.go
@@ -591,12 +591,13 @@
 }
 
 // Guards against a read with rows of one before the last (MIXED), whose answer was sent
-// again late and cut off before its outcome.
+// again late and cut off before its outcome, at a server that has sent another one twice.
 func TestRowsOfAnOlderAnswerAreNotReturned(t *testing.T) {
 	s := newScriptedServer()
 	c := s.borrow(t)
 	first, err := c.Run(soon(), statement(requester.Read, "x"))
 	qt.Assert(t, err, qt.IsNil)
+	s.before = repeatOnce(requester.Read, 0)
 	_, err = c.Run(soon(), statement(requester.Read, "y"))
 	qt.Assert(t, err, qt.IsNil)
 	s.answer = func(_ requester.Statement, r requester.Result) requester.Result {
@@ -607,6 +608,24 @@
 	qt.Assert(t, err, qt.ErrorIs, lender.ErrNoAnswer, qt.Commentf("rows %q", r.Rows))
 }
 
+// Guards against reads of a changed item that close their connection each time, at a server
+// that has sent nothing twice.
+func TestChangedRowsOfAnOlderAnswerAreReturned(t *testing.T) {
+	s := newScriptedServer()
+	c := s.borrow(t)
+	first, err := c.Run(soon(), statement(requester.Read, "x"))
+	qt.Assert(t, err, qt.IsNil)
+	_, err = c.Run(soon(), statement(requester.Read, "y"))
+	qt.Assert(t, err, qt.IsNil)
+	s.answer = func(_ requester.Statement, r requester.Result) requester.Result {
+		r.Rows = append(slices.Clone(first.Rows), r.Rows...)
+		return r
+	}
+	_, err = c.Run(soon(), statement(requester.Read, "x"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, c.Broken(), qt.IsFalse)
+}
+
 // Guards against a write or commit with rows of an earlier read (MIXED), whose answer was
 // sent again and cut off before its outcome.
 func TestRowsOfAReadAreNoneOfAWrite(t *testing.T) {
@@ -651,3 +670,20 @@
 		qt.Assert(t, err, qt.IsNil, qt.Commentf("%q", rows))
 	}
 }
+
+// Guards against a write or a commit with rows of an earlier read (MIXED), whose answer was
+// sent again and cut off before its outcome.
+func TestWriteHasNoRowsOfARead(t *testing.T) {
+	for _, k := range []requester.Kind{requester.Write, requester.Commit} {
+		s := newScriptedServer()
+		c := s.borrow(t)
+		read, err := c.Run(soon(), statement(requester.Read, "x"))
+		qt.Assert(t, err, qt.IsNil)
+		s.answer = func(_ requester.Statement, r requester.Result) requester.Result {
+			r.Rows = read.Rows
+			return r
+		}
+		_, err = c.Run(soon(), statement(k, "x 1"))
+		qt.Assert(t, err, qt.ErrorIs, lender.ErrNoAnswer, qt.Commentf("%s", k))
+	}
+}
--- a/internal/transport/lender/conn.go
+++ b/internal/transport/lender/conn.go
@@ -24,9 +24,8 @@
 // protocol cannot carry. It fails in the same way on each backend server.
 var ErrNotEncodable = errors.WithMessage(ErrNotSent, "the protocol cannot carry it")
 
-// ErrMalformedAnswer reports that the backend server has sent what is not an answer to
-// one statement. [Link.Receive] returns it.
-var ErrMalformedAnswer = errors.New("malformed answer of the backend server")
+// ErrMalformedAnswer reports an answer that does not follow the wire protocol.
+var ErrMalformedAnswer = errors.New("malformed answer")
 
 // Link is an open connection to a backend server, independent of the wire
 // protocol. The package that implements the protocol sets the function fields.
@@ -35,8 +34,8 @@
 	// was sent, [ErrNotEncodable] if that holds for every connection, and any
 	// other error if some bytes may have been.
 	Send func(deadline time.Time, statements ...requester.Statement) error
-	// Receive reads the answer to the oldest unanswered statement. It returns
-	// [ErrMalformedAnswer] if what has arrived is none.
+	// Receive reads the answer to the oldest unanswered statement. Its error is
+	// [ErrMalformedAnswer] if one has arrived that cannot be read.
 	Receive func(deadline time.Time) (requester.Result, error)
 	// Open reports whether the backend server has neither closed the idle
 	// connection nor sent data on it.
@@ -123,17 +122,17 @@
 	k := c.nextUnanswered()
 	for range maxRepeats {
 		r, err := c.link.Receive(deadline)
-		if errors.Is(err, ErrMalformedAnswer) {
-			c.outOfStep = true
-			c.lender.reportMalformed(c, k, err)
-		}
 		if err != nil {
 			c.broken = true
+			if errors.Is(err, ErrMalformedAnswer) {
+				c.outOfStep = true
+				c.lender.reportMalformed(c, k, err)
+			}
 			return r, errors.Wrapf(ErrNoAnswer, "%s: %v", c.Server.ID, err)
 		}
 		v := c.answers.judge(k, r)
-		if v == ambiguous && c.pinned && !c.lender.expectsRepeats(c.pool) {
-			v = expected // A transaction that reads changed rows again would never end.
+		if c.isCredible(v) {
+			v = expected
 		}
 		switch v {
 		case expected:
@@ -148,7 +147,7 @@
 		case repeated:
 			c.repeats++
 			c.lender.reportAnswer(c, k, v, r)
-		case outOfStep, ambiguous:
+		case outOfStep, ambiguous, ambiguousOlder:
 			c.lender.reportAnswer(c, k, v, r)
 			c.broken, c.outOfStep = true, true
 			return requester.Result{}, errors.Wrapf(ErrNoAnswer, "%s: the answer is to another statement than %s", c.Server.ID, k)
@@ -158,6 +157,13 @@
 	return requester.Result{}, errors.Wrapf(ErrNoAnswer, "%s: %d repeated answers", c.Server.ID, maxRepeats)
 }
 
+// isCredible reports whether an ambiguous answer is returned all the same, as long as the
+// server has not sent one twice: a transaction that reads changed rows again would never end,
+// and reads of an item that changes often would close their connections.
+func (c *Conn) isCredible(v verdict) bool {
+	return (v == ambiguousOlder || v == ambiguous && c.pinned) && !c.lender.expectsRepeats(c.pool)
+}
+
 // kindOf returns the kind of the statement, [requester.Write] for an execution that
 // writes.
 func (c *Conn) kindOf(s requester.Statement) requester.Kind {
--- a/internal/transport/lender/report.go
+++ b/internal/transport/lender/report.go
@@ -24,7 +24,7 @@
 	case repeated:
 		event = "answer_repeated"
 		l.recordUnexpected(c, reasonRepeated)
-	case ambiguous:
+	case ambiguous, ambiguousOlder:
 		event = "answer_ambiguous"
 		l.countUnexpected(c, reasonAmbiguous)
 	default:
@@ -35,6 +35,13 @@
 		Bool("signed", isSigned(r)).Int("rows", len(r.Rows)).Send()
 }
 
+// reportMalformed counts and logs an answer that cannot be read.
+func (l *Lender) reportMalformed(c *Conn, k requester.Kind, err error) {
+	l.recordUnexpected(c, reasonMalformed)
+	l.Logger.Warn().Str("event", "answer_malformed").Str("server", string(c.Server.ID)).Str("workspace", string(c.Workspace)).
+		Stringer("statement", k).Err(err).Send()
+}
+
 // reportUnrequested counts and logs a connection on which data has arrived though no
 // answer was outstanding.
 func (l *Lender) reportUnrequested(c *Conn) {
@@ -43,14 +50,6 @@
 		Dur("answered_ms", time.Since(c.LastAnswer)).Send()
 }
 
-// reportMalformed counts and logs data that is not an answer to one statement. A part of an
-// answer that is sent again makes such data of it and the next answer.
-func (l *Lender) reportMalformed(c *Conn, k requester.Kind, err error) {
-	l.recordUnexpected(c, reasonMalformed)
-	l.Logger.Warn().Str("event", "answer_malformed").Str("server", string(c.Server.ID)).Str("workspace", string(c.Workspace)).
-		Stringer("statement", k).Err(err).Send()
-}
-
 // recordUnexpected counts what has arrived on the connection, and expects more of it from
 // the server.
 func (l *Lender) recordUnexpected(c *Conn, reason string) {
