--- a/internal/protocol/framer/append.go
+++ b/internal/protocol/framer/append.go
@@ -53,3 +53,10 @@
 	}
 	return ""
 }
+
+// IsFatal reports whether the server ends the connection after an ErrorResponse
+// frame.
+func IsFatal(frame []byte) bool {
+	severity := ErrorField(frame, 'V')
+	return severity == "FATAL" || severity == "PANIC"
+}
--- a/internal/transport/acceptor/notice.go
+++ b/internal/transport/acceptor/notice.go
@@ -75,7 +75,7 @@
 		switch {
 		case err != nil:
 			return errors.Wrap(err, "read without a statement")
-		case kind == 'E' && isFatal(frame):
+		case kind == 'E' && framer.IsFatal(frame):
 			return errors.Errorf("backend server ended the connection: %s", framer.ErrorField(frame, 'C'))
 		case kind != 'A' && kind != 'N' && kind != 'S':
 			return errors.Wrapf(errUnexpectedResponse, "type %q without a statement", kind)
--- a/internal/transport/acceptor/relay.go
+++ b/internal/transport/acceptor/relay.go
@@ -235,7 +235,7 @@
 // handleErrorResponse handles an ErrorResponse from the server.
 func (s *session) handleErrorResponse(b *batch, e *expectedResponse, frame []byte) error {
 	state := framer.ErrorField(frame, 'C')
-	if isFatal(frame) {
+	if framer.IsFatal(frame) {
 		return errors.Errorf("backend server ended the connection: %s", state)
 	}
 	if state == sqlStateReadOnly && !b.onPrimary && !b.forwarded && s.txStatus == 'I' && s.openRoute == "" && !s.awaitingSync && b.isIdempotent() {
@@ -269,12 +269,6 @@
 	return nil
 }
 
-// isFatal reports whether the server ends the connection after an ErrorResponse.
-func isFatal(frame []byte) bool {
-	v := framer.ErrorField(frame, 'V')
-	return v == "FATAL" || v == "PANIC"
-}
-
 const (
 	sqlStateReadOnly        = "25006"
 	sqlStateUniqueViolation = "23505"
--- a/internal/transport/pooler/query.go
+++ b/internal/transport/pooler/query.go
@@ -114,7 +114,7 @@
 			return nil, errors.Wrapf(ErrUnexpectedResponse, "type %q after the end of %s", kind, tag)
 		case kind == 'E':
 			serverError = &ServerError{State: framer.ErrorField(frame, 'C'), Message: framer.ErrorField(frame, 'M')}
-			if v := framer.ErrorField(frame, 'V'); v == "FATAL" || v == "PANIC" {
+			if framer.IsFatal(frame) {
 				return nil, serverError
 			}
 			complete = true
