internal/..., platform: comments are wrapped, and two are corrected

The number that the prober keeps is that of the next query, and repeatsUntil ends the time in which connections aren't lent again. Comments alone are changed.

--- a/internal/bench/soaker/odd_texts.go
+++ b/internal/bench/soaker/odd_texts.go
@@ -82,8 +82,8 @@
 )
 
 // drawRepeats returns a function that draws which answers are repeated, when, and whether
-// the repeats are cut off. With goesOn, each is cut off at the end of a line, and the server does not
-// close the connection.
+// the repeats are cut off. With goesOn, each is cut off at the end of a line, and the
+// server does not close the connection.
 func (e *environment) drawRepeats(r *rand.Rand, goesOn bool) func(id, text string) (imitator.Repeat, bool) {
 	return func(string, string) (imitator.Repeat, bool) {
 		if r.IntN(repeatEvery) > 0 {
--- a/internal/command/commander/explain.go
+++ b/internal/command/commander/explain.go
@@ -63,7 +63,8 @@
 	return c
 }
 
-// loggedID returns the id as it is logged.
+// loggedID returns the id as it is logged: with U+FFFD for each byte that is not UTF-8,
+// and cut if it is long.
 func loggedID(id string) string {
 	return logger.Shortened(string([]rune(id)))
 }
--- a/internal/transport/lender/pool.go
+++ b/internal/transport/lender/pool.go
@@ -20,8 +20,8 @@
 	queue     scheduler.Queue
 	slots     int // Limit of concurrent statements when the queue was last served.
 	fullUntil time.Time
-	// Until then, connections on which the server gave answers without a name are not
-	// lent again.
+	// repeatsUntil is when connections on which the server gave answers without a name
+	// may be lent again.
 	repeatsUntil time.Time
 	retired      bool // A newer incarnation exists, or the server is gone.
 }
--- a/internal/transport/lender/report.go
+++ b/internal/transport/lender/report.go
@@ -65,8 +65,8 @@
 	}
 }
 
-// expectsRepeats reports whether the server of the pool has sent an answer twice of
-// late.
+// expectsRepeats reports whether the server of the pool has sent an answer twice within
+// the last [repeatMemory].
 func (l *Lender) expectsRepeats(s *serverPool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/transport/pooler/query.go
+++ b/internal/transport/pooler/query.go
@@ -47,7 +47,8 @@
 }
 
 // Run executes statements whose rows, if any, are discarded, and returns the
-// first error of the server as a [ServerError]. It sends all of them before it reads the responses.
+// first error of the server as a [ServerError]. It sends all of them before it
+// reads the responses.
 func (c *Conn) Run(ctx context.Context, statements ...Statement) error {
 	deadline, ok := ctx.Deadline()
 	if limit := time.Now().Add(connectTimeout); !ok || limit.Before(deadline) {
--- a/internal/transport/prober/statement.go
+++ b/internal/transport/prober/statement.go
@@ -105,13 +105,14 @@
 const (
 	keyQueried  = "asked"
 	keyPrepared = "prepared"
-	keyNumber   = "number" // uint64, of the last numbered query.
+	keyNumber   = "number" // uint64, of the next numbered query.
 )
 
 // executeStatusQuery runs the status query. From the second query on a connection
-// it uses a prepared statement with a number, so that the answer does not repeat the
-// column descriptions. They are two thirds of the bytes of an answer, and status queries
-// are the largest part of an instance's control traffic.
+// it uses a prepared statement, so that the answer does not repeat the column
+// descriptions: they are two thirds of the bytes of an answer, and status queries are
+// the largest part of an instance's control traffic. Each of these queries has a number,
+// which its answer must contain.
 func executeStatusQuery(ctx context.Context, conn *pgconn.PgConn) (*pgconn.Result, error) {
 	connectionData := conn.CustomData()
 	if _, queried := connectionData[keyQueried]; !queried {
--- a/internal/transport/reporter/registry.go
+++ b/internal/transport/reporter/registry.go
@@ -195,7 +195,8 @@
 // metrics if one has another escape.
 var labelEscapes = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
 
-// escapeLabel returns the value of a label in the text exposition format, which is UTF-8.
+// escapeLabel returns the value of a label in the text exposition format, which is
+// UTF-8: each byte of the value that is not becomes U+FFFD.
 func escapeLabel(value string) string {
 	return labelEscapes.Replace(string([]rune(value)))
 }
--- a/internal/transport/sessioner/admit.go
+++ b/internal/transport/sessioner/admit.go
@@ -51,7 +51,7 @@
 	o.workspace = owner
 	inRegions := n.limitRegions(&o, c.Configuration.Workspaces[owner])
 	switch {
-	case known && owner == "": // Without a key, statements run under no name.
+	case known && owner == "": // The empty name is that of clients without a key.
 		return o, n.refusal(requester.Malformed, "the workspace of the key has no name")
 	case !inRegions:
 		return o, n.refusal(requester.Overloaded, errOutsideRegions.Error())
--- a/internal/transport/sessioner/primary.go
+++ b/internal/transport/sessioner/primary.go
@@ -93,8 +93,8 @@
 // recordLeader records that the server was the leader when it answered, and its
 // position as a sample. The answer must be one to a write, or one from a
 // transaction that only a leader opens, to a request that was sent after the clock
-// reading sent, and no repeat of an earlier answer. It returns errFenced if the permit is no longer held, or errLogLost:
-// the answer then proves nothing.
+// reading sent, and no repeat of an earlier answer. It returns errFenced if the
+// permit is no longer held, or errLogLost: the answer then proves nothing.
 func (s *Server) recordLeader(c *lender.Conn, p fencer.Permit, r requester.Result, sent time.Duration) error {
 	if err := s.checkPermit(c, p); err != nil {
 		return err
