internal/transport/lender: names and terms of the package's answers

find, add, rowsOf and isCredible did not say of what. The constant unnamed had the name of a field of Conn with another meaning. Only names and comments are changed; the tests pass with -race.

--- a/internal/transport/lender/answers.go
+++ b/internal/transport/lender/answers.go
@@ -9,14 +9,16 @@
 	"oleanderpulley/internal/protocol/requester"
 )
 
-// rememberedSignatures is the number of signatures that a connection remembers.
-const rememberedSignatures = 512
+const (
+	rememberedSignatures = 512 // Number of signatures that a connection remembers.
+	rememberedRows       = 16  // Number of answers with rows that a connection remembers.
+)
 
 // answerLog remembers answers that were received on a connection, to tell a new
 // one from one that is received again. The zero value is empty.
 type answerLog struct {
 	signatures []uint64 // Hashes of the last signatures, a ring once it is full.
-	contents   []uint64 // Hashes of the whole answers, in the same order; unnamed for statements that need no signature.
+	contents   []uint64 // Hashes of the whole answers, in the same order; noContent for statements that need no signature.
 	next       int      // Index of the oldest entry of the full ring.
 
 	state    requester.TransactionState   // In the last expected answer; 0 if there was none.
@@ -26,20 +28,17 @@
 	lastRows rowHashes                    // Of the last answer with rows.
 }
 
-// rememberedRows is the number of answers with rows that a connection remembers.
-const rememberedRows = 16
-
 // rowHashes are hashes of the rows of an answer.
 type rowHashes struct {
 	first, all uint64
 }
 
-// unnamed is the entry for a signature of a statement that needs none. Such a
+// noContent is the entry for a signature of a statement that needs none. Such a
 // signature may be given again.
-const unnamed = 0
+const noContent = 0
 
-// find returns the hash of the whole answer that had the signature.
-func (l *answerLog) find(signature uint64) (content uint64, ok bool) {
+// findSignature returns the hash of the whole answer that had the signature.
+func (l *answerLog) findSignature(signature uint64) (content uint64, ok bool) {
 	i := slices.Index(l.signatures, signature)
 	if i < 0 {
 		return 0, false
@@ -47,8 +46,8 @@
 	return l.contents[i], true
 }
 
-// add remembers an answer by the hashes of its signature and of its content.
-func (l *answerLog) add(signature, content uint64) {
+// addSignature remembers an answer by the hashes of its signature and of its content.
+func (l *answerLog) addSignature(signature, content uint64) {
 	if len(l.signatures) < rememberedSignatures {
 		l.signatures = append(l.signatures, signature)
 		l.contents = append(l.contents, content)
@@ -103,14 +102,14 @@
 	}
 	signature := xxhash.Sum64String(r.Signature)
 	content := rowsHash(signature, r.Rows)
-	known, ok := l.find(signature)
+	known, ok := l.findSignature(signature)
 	switch {
 	case !ok:
-		l.add(signature, content)
+		l.addSignature(signature, content)
 		return l.judgeRows(k, r.Rows)
 	case known == content:
 		return repeated
-	case known == unnamed:
+	case known == noContent:
 		return l.repeatedOr(outOfStep, r)
 	default:
 		return outOfStep
@@ -161,16 +160,16 @@
 func (l *answerLog) judgeUnsigned(k requester.Kind, r requester.Result) verdict {
 	if isSigned(r) {
 		signature := xxhash.Sum64String(r.Signature)
-		switch known, ok := l.find(signature); {
+		switch known, ok := l.findSignature(signature); {
 		case !ok:
-			l.add(signature, unnamed)
+			l.addSignature(signature, noContent)
 		case known == rowsHash(signature, r.Rows):
 			return repeated
-		case known != unnamed:
+		case known != noContent:
 			return outOfStep
 		}
 	}
-	if r.State != l.stateAfter(k) || len(r.Rows) != rowsOf(k) {
+	if r.State != l.stateAfter(k) || len(r.Rows) != unsignedRowCount(k) {
 		return l.repeatedOr(outOfStep, r)
 	}
 	if len(r.Rows) == 0 && !slices.Contains(l.unsigned, r.State) {
@@ -206,9 +205,9 @@
 	return l.state != 0 && l.state != requester.Idle
 }
 
-// rowsOf returns the number of rows of the answer to a statement that needs no
+// unsignedRowCount returns the number of rows of the answer to a statement that needs no
 // signature.
-func rowsOf(k requester.Kind) int {
+func unsignedRowCount(k requester.Kind) int {
 	if k == requester.Status || k == requester.StepDown {
 		return 1
 	}
--- a/internal/transport/lender/conn.go
+++ b/internal/transport/lender/conn.go
@@ -129,7 +129,7 @@
 			return r, errors.Wrapf(ErrNoAnswer, "%s: %v", c.Server.ID, err)
 		}
 		v := c.answers.judge(k, r)
-		if c.isCredible(v) {
+		if c.acceptsAmbiguous(v) {
 			v = expected
 		}
 		switch v {
@@ -154,10 +154,11 @@
 	return requester.Result{}, errors.Wrapf(ErrNoAnswer, "%s: %d repeated answers", c.Server.ID, maxRepeats)
 }
 
-// isCredible reports whether an ambiguous answer is returned all the same, as long as the
-// server has not sent one twice: a transaction that reads changed rows again would never end,
-// and reads of an item that changes often would close their connections.
-func (c *Conn) isCredible(v verdict) bool {
+// acceptsAmbiguous reports whether v is ambiguous and the answer is nevertheless returned,
+// because the server is not expected to repeat answers: if none were, a transaction that
+// reads changed rows again would never end, and reads of an item that changes often would
+// close their connections.
+func (c *Conn) acceptsAmbiguous(v verdict) bool {
 	return (v == ambiguousOlder || v == ambiguous && c.pinned) && !c.lender.expectsRepeats(c.pool)
 }
 
--- a/internal/transport/lender/doc.go
+++ b/internal/transport/lender/doc.go
@@ -8,10 +8,20 @@
 // a new one.
 //
 // An answer does not say which statement it belongs to, and a backend server may send
-// one twice. [Conn.Receive] tells answers apart by their signatures and transaction
+// one twice. [Conn.Receive] tells answers apart by their signatures, rows and transaction
 // states.
 //
-// Invariants: a connection on which an answer was lost, or that a borrower has
-// marked as broken, is closed and never lent again; a connection is returned
-// without an open transaction.
+// Terms:
+//   - A repeated answer was received before on the same connection. It is dropped.
+//   - A connection is out of step when it has received an answer or data that belongs to
+//     no outstanding statement.
+//   - An ambiguous answer is that to its statement, or begins with rows of an earlier one.
+//   - An answer without a name is an error or an unsigned success: nothing tells it from a
+//     repeat of an equal one.
+//
+// Invariants: a connection on which an answer was lost, that is out of step, or that a
+// borrower has marked as broken, is closed and never lent again; neither is, for a while
+// after its server has sent an unexpected answer, one with answers without a name; one on
+// which an error was received is not lent for a write; a connection with an open
+// transaction is closed on return.
 package lender
--- a/internal/transport/lender/report.go
+++ b/internal/transport/lender/report.go
@@ -65,8 +65,8 @@
 	}
 }
 
-// expectsRepeats reports whether the server of the pool has sent an answer twice within
-// the last [repeatMemory].
+// expectsRepeats reports whether the server of the pool has sent an answer twice, or
+// data that belongs to no statement, within the last [repeatMemory].
 func (l *Lender) expectsRepeats(s *serverPool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
