--- a/internal/protocol/splitter/doc.go
+++ b/internal/protocol/splitter/doc.go
@@ -2,7 +2,8 @@
 // that one part that cannot be decoded does not hide the others.
 //
 // encoding/json refuses a document as a whole if one value in it is nested more
-// than 10,000 deep or has another type than expected. A splitter only follows the
+// than 10,000 deep or has another type than expected. It also changes texts that are
+// not UTF-8 without an error, see [HasExactTexts]. A splitter only follows the
 // delimiters: brackets, commas, colons and quotation marks. It does not recurse, and
 // it needs one bit for each level of nesting. Scalars and the contents of strings are
 // not verified; whoever decodes a part does that.
--- a/internal/transport/acceptor/doc.go
+++ b/internal/transport/acceptor/doc.go
@@ -16,11 +16,13 @@
 //     of a term.
 //   - A proxy statement is a statement that the proxy answers itself.
 //   - A refusal is an error that the proxy generates.
+//   - An unexpected response has a message that cannot be part of the response to the
+//     statement that was sent, or arrives while no response is outstanding.
 //
 // Invariants: the write right is checked before a batch is sent to a primary,
 // again before the first byte of its response is forwarded, and again after the
 // response to a write or commit is complete and before its end is forwarded.
 // Once a byte of a batch that may write has been sent, the client receives
-// either the result or "outcome unknown". The key is checked again at the start
-// of each batch.
+// either the result or "outcome unknown". A connection with an unexpected response
+// is closed. The key is checked again at the start of each batch.
 package acceptor
--- a/internal/transport/prober/doc.go
+++ b/internal/transport/prober/doc.go
@@ -14,5 +14,6 @@
 //
 // Invariants: the time recorded with a status is not later than the moment its
 // query was sent; a member has at most one status query in flight, or two while
-// an unanswered one is repeated.
+// an unanswered one is repeated; a status is never taken for the answer to a later
+// query on its connection, even if the member sends it twice.
 package prober
