internal/transport/sessioner: a pause between connections that are out of step

A write or a read on the primary opened connections without a pause, until its wait ended, to a server that sends data on each of them before the first statement: 4172 in 50 ms to a scripted server without a network. Such a server is not ejected since, because it answers, and the ejection was what made the next attempt wait.

From the second call that ended without effect on, the next one waits for retryPause, as after a refusal. The first repetition stays immediate, so that one connection with unread data costs no time.

TestConnectionsWithUnreadDataAreNotOpenedWithoutAPause failed before with 4172 connections in 50 ms, and passes after.

--- a/internal/transport/sessioner/repeat_test.go
+++ b/internal/transport/sessioner/repeat_test.go
@@ -433,3 +433,20 @@
 	}
 	qt.Assert(t, p.dialed, qt.Equals, 1)
 }
+
+// Guards against a statement that opens connections without a pause to a server that sends
+// data on each of them before the first statement.
+func TestConnectionsWithUnreadDataAreNotOpenedWithoutAPause(t *testing.T) {
+	s, p := newRepeater(t)
+	s.Lender.Close()
+	s.Lender.Dial = func(deadline time.Time, b cataloger.BackendServer, w identifier.WorkspaceName) (lender.Link, error) {
+		link, err := p.dial(deadline, b, w)
+		link.Open, link.Unread = func() bool { return false }, func() bool { return true }
+		return link, err
+	}
+	p.dialed = 0
+	began := time.Now()
+	r := s.Execute("peer", primaryRequest(requester.Write, "WRITE x 1"))
+	qt.Assert(t, r.Result.Code, qt.Equals, requester.Overloaded)
+	qt.Assert(t, p.dialed <= 3+int(time.Since(began)/retryPause), qt.IsTrue, qt.Commentf("%d connections", p.dialed))
+}
--- a/internal/transport/sessioner/run.go
+++ b/internal/transport/sessioner/run.go
@@ -43,6 +43,7 @@
 // [lender.ErrNotSent] or errReadUnanswered if the call may be repeated.
 func (n *session) runOnPrimary(o operation, use primaryUse, run func(*lender.Conn, fencer.Permit) (requester.Result, error)) requester.Result {
 	var last requester.Result
+	notSent := 0 // Connections on which the call ended without effect.
 	for first := true; first || time.Now().Before(o.waitDeadline); first = false {
 		b, permit, err := n.server.awaitPrimary(o)
 		if err != nil && first {
@@ -69,6 +70,9 @@
 			if !time.Now().Before(o.deadline) {
 				return last
 			}
+			if notSent++; notSent > 1 {
+				waitWithin(nil, retryPause, o.waitDeadline)
+			}
 		case err != nil:
 			return n.refusal(requester.OutcomeUnknown, err.Error())
 		case r.Code == requester.ReadOnly:
