internal/transport/sessioner: no promise for a write whose success shows no transaction

A write in a transaction that the server answers with success and the state I was answered with ABORTED, a promise that nothing is kept. The state says that the write ran without the transaction, so that it may be kept (REFUSED). Its outcome is INDOUBT now, as for a refusal in state I; a client repeats its transaction in both cases, since no COMMIT was sent.

TestSuccessOutsideTheTransactionIsNoPromise failed before with "aborted" in place of "outcome_unknown", and passes after.

--- a/internal/transport/sessioner/repeat_test.go
+++ b/internal/transport/sessioner/repeat_test.go
@@ -450,3 +450,16 @@
 	qt.Assert(t, r.Result.Code, qt.Equals, requester.Overloaded)
 	qt.Assert(t, p.dialed <= 3+int(time.Since(began)/retryPause), qt.IsTrue, qt.Commentf("%d connections", p.dialed))
 }
+
+// Guards against a promise for a write that has run without its transaction (REFUSED), as the
+// state in its answer shows.
+func TestSuccessOutsideTheTransactionIsNoPromise(t *testing.T) {
+	s, p := newRepeater(t)
+	p.answer = func(k requester.Kind, r requester.Result) requester.Result {
+		if k == requester.Write {
+			r.State = requester.Idle
+		}
+		return r
+	}
+	qt.Assert(t, s.Execute("peer", openingForward("shops", 1)).Result.Code, qt.Equals, requester.OutcomeUnknown)
+}
--- a/internal/transport/sessioner/transaction.go
+++ b/internal/transport/sessioner/transaction.go
@@ -102,7 +102,7 @@
 		return n.fail(rs.statement.ID, n.refusal(requester.Aborted, err.Error()))
 	}
 	n.tx.wrote = n.tx.wrote || rs.writes
-	if rs.writes && r.Code.NotRun() && r.State == requester.Idle {
+	if rs.writes && (r.Code.NotRun() || r.Code == requester.OK) && r.State == requester.Idle {
 		// The answer may be that to the BEGIN, and the write may have run without a transaction.
 		return n.fail(rs.statement.ID, n.refusal(requester.OutcomeUnknown, "the backend server shows no transaction"))
 	}
