internal/command/starter: requestEach yields the replies of the peers that answer

Its five callers each counted replies and skipped those without a body, three of them with the same lines. The requests still start at the call, and a caller sees each reply when it arrives. The tests of the package pass with -race.

--- a/internal/command/starter/era.go
+++ b/internal/command/starter/era.go
@@ -93,13 +93,9 @@
 		asked = asked[:min(len(asked), eraSample)] // Maps are iterated in random order.
 	}
 	replies := requestEach[eraReply](ctx, s, asked, eraRequest{Era: era})
-	silent, settled := 0, false
-	for range asked {
-		r := <-replies
-		if r.body == nil {
-			silent++
-			continue
-		}
+	silent, settled := len(asked), false
+	for r := range replies {
+		silent--
 		answered[r.peer] = true
 		settled = settled || r.body.Age >= replacer.TakeoverTimeout
 		for service, l := range r.body.Records {
@@ -126,8 +122,8 @@
 	asked := s.randomPeers(samplePeers, s.Settings.InstanceID)
 	replies := requestEach[follower.CatalogReply](ctx, s, asked, follower.CatalogRequest{Fetch: true})
 	var catalogs []*cataloger.Catalog
-	for range asked {
-		if r := <-replies; r.body != nil && r.body.Update != nil && r.body.Update.Catalog != nil {
+	for r := range replies {
+		if r.body.Update != nil && r.body.Update.Catalog != nil {
 			catalogs = append(catalogs, r.body.Update.Catalog)
 		}
 	}
--- a/internal/command/starter/peer_requests.go
+++ b/internal/command/starter/peer_requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"iter"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -9,30 +10,37 @@
 	"oleanderpulley/internal/state/identifier"
 )
 
-// peerReply is the outcome of a request to a peer.
+// peerReply is the answer of a peer to a request.
 type peerReply[T any] struct {
 	peer identifier.InstanceID
 	sent time.Duration // Clock reading before the request was sent.
-	body *T            // Nil if the peer did not answer.
+	body T
 }
 
-// requestEach sends a request to every given peer. The channel receives one
-// reply per peer.
-func requestEach[T any](ctx context.Context, s *Starter, peers []identifier.InstanceID, request any) <-chan peerReply[T] {
-	replies := make(chan peerReply[T], len(peers))
+// requestEach sends a request to every given peer at once. The sequence yields the
+// replies as they arrive and leaves out the peers that do not answer. It can be
+// iterated over once, and need not be iterated to its end.
+func requestEach[T any](ctx context.Context, s *Starter, peers []identifier.InstanceID, request any) iter.Seq[peerReply[T]] {
+	replies := make(chan *peerReply[T], len(peers)) // Nil from a peer that did not answer.
 	for _, id := range peers {
 		go func() {
-			r := peerReply[T]{peer: id, sent: s.holder.Clock()}
+			sent := s.holder.Clock()
 			reply, err := s.peers.Request(ctx, id, request)
 			if body, ok := reply.(T); err == nil && ok {
-				r.body = &body
-			} else {
-				s.Logger.Debug().Str("event", "peer_silent").Str("peer", string(id)).Type("question", request).Err(err).Send()
+				replies <- &peerReply[T]{peer: id, sent: sent, body: body}
+				return
 			}
-			replies <- r
+			s.Logger.Debug().Str("event", "peer_silent").Str("peer", string(id)).Type("question", request).Err(err).Send()
+			replies <- nil
 		}()
 	}
-	return replies
+	return func(yield func(peerReply[T]) bool) {
+		for range peers {
+			if r := <-replies; r != nil && !yield(*r) {
+				return
+			}
+		}
+	}
 }
 
 // randomPeers returns up to limit peers other than excluded, in random order.
--- a/internal/command/starter/peers.go
+++ b/internal/command/starter/peers.go
@@ -138,8 +138,8 @@
 	defer cancel()
 	peers := s.usersOf(service, samplePeers)
 	replies := requestEach[sampleReply](ctx, s, peers, sampleAsk{Service: service})
-	for range peers {
-		if s.recordPeerSample(service, <-replies, since) {
+	for r := range replies {
+		if s.recordPeerSample(service, r, since) {
 			return
 		}
 	}
@@ -148,7 +148,7 @@
 // recordPeerSample records a peer's sample and reports whether it was taken at
 // since or later. An older one may do for another read.
 func (s *Starter) recordPeerSample(service identifier.ServiceName, r peerReply[sampleReply], since time.Duration) bool {
-	if r.body == nil || r.body.Position.IsZero() || r.body.Age < 0 {
+	if r.body.Position.IsZero() || r.body.Age < 0 {
 		return false
 	}
 	sample := sampler.Sample{Position: r.body.Position, RequestedAt: r.sent - r.body.Age}
--- a/internal/command/starter/reachability.go
+++ b/internal/command/starter/reachability.go
@@ -52,11 +52,7 @@
 	peers := s.randomPeers(reachabilityPeers, id)
 	replies := requestEach[reachReply](ctx, s, peers, reachAsk{Instance: id})
 	result := reaper.Answers{Asked: len(peers)}
-	for range peers {
-		r := <-replies
-		if r.body == nil {
-			continue
-		}
+	for r := range replies {
 		result.Answered++
 		if r.body.Reached {
 			result.Reached++
--- a/internal/command/starter/replacer.go
+++ b/internal/command/starter/replacer.go
@@ -65,11 +65,7 @@
 	peers := s.usersOf(service, primarySeenPeers)
 	replies := requestEach[sampleReply](ctx, s, peers, sampleAsk{Service: service})
 	result := replacer.PeerSightings{Asked: len(peers)}
-	for range peers {
-		r := <-replies
-		if r.body == nil {
-			continue
-		}
+	for r := range replies {
 		result.Answered++
 		sample := sampler.Sample{Position: r.body.Position, RequestedAt: r.sent - r.body.Age}
 		if !sample.Position.IsZero() && s.holder.Time(sample.RequestedAt).After(since) && !s.sessions.ShowsLostLog(service, sample) {
