internal/coordination/scheduler: one heap for statements and accounts

Both had the same methods of heap.Interface and differed in the order alone. The heap of flows stays as it is: a flow has a position in one heap per kind.

--- a/internal/coordination/scheduler/account.go
+++ b/internal/coordination/scheduler/account.go
@@ -58,37 +58,13 @@
 	return true
 }
 
-// backlog is a heap of the accounts with waiting statements, the one furthest
-// over its share first, and of equal ones the one with the least urgent statement.
-// It implements heap.Interface.
-type backlog []*account
-
-func (h backlog) Len() int { return len(h) }
-
-func (h backlog) Less(i, j int) bool {
-	if a, b := h[i].excess(0), h[j].excess(0); a != b {
-		return a > b
+// isBefore orders the accounts of the backlog: the one furthest over its share first,
+// and of equal ones the one with the least urgent statement.
+func (a *account) isBefore(other *account) bool {
+	if mine, others := a.excess(0), other.excess(0); mine != others {
+		return mine > others
 	}
-	return h[i].lowest > h[j].lowest
-}
-
-func (h backlog) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
+	return a.lowest > other.lowest
 }
 
-// Push implements heap.Interface.
-func (h *backlog) Push(x any) {
-	a := x.(*account)
-	a.index = len(*h)
-	*h = append(*h, a)
-}
-
-// Pop implements heap.Interface.
-func (h *backlog) Pop() any {
-	old := *h
-	a := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return a
-}
+func (a *account) setIndex(i int) { a.index = i }
--- a/internal/coordination/scheduler/flow.go
+++ b/internal/coordination/scheduler/flow.go
@@ -23,7 +23,7 @@
 type flow struct {
 	class   *class
 	account *account
-	waiting [kindCount]statementHeap
+	waiting [kindCount]indexedHeap[*Statement]
 	index   [kindCount]int // Positions in the heaps of the class.
 
 	startTag  float64 // Virtual start time of the next statement, in seconds of service.
--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -26,10 +26,10 @@
 	Weight func(w identifier.WorkspaceName) float64
 
 	accounts map[identifier.WorkspaceName]*account
-	backlog  backlog
-	classes  []*class       // The most urgent first.
-	exempt   []*Statement   // Queries of the proxy itself, in order of arrival.
-	waiting  [kindCount]int // Without the exempt ones.
+	backlog  indexedHeap[*account] // With waiting statements.
+	classes  []*class              // The most urgent first.
+	exempt   []*Statement          // Queries of the proxy itself, in order of arrival.
+	waiting  [kindCount]int        // Without the exempt ones.
 	sequence uint64
 	retryAt  time.Time // Earliest time to come back for the next workspace of which a statement is refused.
 	rates    [kindCount]rate
--- a/internal/coordination/scheduler/statement.go
+++ b/internal/coordination/scheduler/statement.go
@@ -67,29 +67,4 @@
 	return slotted
 }
 
-// statementHeap orders the statements of a flow. It implements heap.Interface.
-type statementHeap []*Statement
-
-func (h statementHeap) Len() int           { return len(h) }
-func (h statementHeap) Less(i, j int) bool { return h[i].isBefore(h[j]) }
-
-func (h statementHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-
-// Push implements heap.Interface.
-func (h *statementHeap) Push(x any) {
-	s := x.(*Statement)
-	s.index = len(*h)
-	*h = append(*h, s)
-}
-
-// Pop implements heap.Interface.
-func (h *statementHeap) Pop() any {
-	old := *h
-	s := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return s
-}
+func (s *Statement) setIndex(i int) { s.index = i }
