internal/protocol/framer: one list of the asynchronous messages

The types NoticeResponse, ParameterStatus and NotificationResponse stood in four places of the acceptor and the pooler. The tests of both packages pass with -race.

--- a/internal/protocol/framer/append.go
+++ b/internal/protocol/framer/append.go
@@ -60,3 +60,9 @@
 	severity := ErrorField(frame, 'V')
 	return severity == "FATAL" || severity == "PANIC"
 }
+
+// IsAsynchronous reports whether a server may send messages of this type at any time:
+// NoticeResponse, ParameterStatus and NotificationResponse.
+func IsAsynchronous(kind byte) bool {
+	return kind == 'N' || kind == 'S' || kind == 'A'
+}
--- a/internal/transport/acceptor/notice.go
+++ b/internal/transport/acceptor/notice.go
@@ -77,7 +77,7 @@
 			return errors.Wrap(err, "read without a statement")
 		case kind == 'E' && framer.IsFatal(frame):
 			return errors.Errorf("backend server ended the connection: %s", framer.ErrorField(frame, 'C'))
-		case kind != 'A' && kind != 'N' && kind != 'S':
+		case !framer.IsAsynchronous(kind):
 			return errors.Wrapf(errUnexpectedResponse, "type %q without a statement", kind)
 		}
 		if err := s.writeToClient(frame); err != nil {
--- a/internal/transport/acceptor/relay.go
+++ b/internal/transport/acceptor/relay.go
@@ -196,12 +196,12 @@
 		}
 		c.Status = frame[framer.HeaderSize]
 	}
-	switch kind {
-	case 'N', 'S', 'A':
+	switch {
+	case framer.IsAsynchronous(kind):
 		return nil
-	case 'E':
+	case kind == 'E':
 		return s.handleErrorResponse(b, e, frame)
-	case 'G':
+	case kind == 'G':
 		if _, allowed := e.classifyFrame(kind, frame); !allowed || e.role != roleForward {
 			return errors.Wrapf(errUnexpectedResponse, "type %q", kind)
 		}
--- a/internal/transport/pooler/outofstep.go
+++ b/internal/transport/pooler/outofstep.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"oleanderpulley/internal/protocol/framer"
 	"oleanderpulley/internal/state/identifier"
 )
 
@@ -60,12 +61,8 @@
 }
 
 // isResponse reports whether a message of this type is part of the response to a
-// statement. Asynchronous messages and the error with which a server ends a connection
-// may arrive at any time.
+// statement. The error with which a server ends a connection may arrive at any time. The
+// zero value is no type.
 func isResponse(kind byte) bool {
-	switch kind {
-	case 0, 'N', 'S', 'A', 'E':
-		return false
-	}
-	return true
+	return kind != 0 && kind != 'E' && !framer.IsAsynchronous(kind)
 }
--- a/internal/transport/pooler/query.go
+++ b/internal/transport/pooler/query.go
@@ -106,7 +106,7 @@
 		}
 		body := frame[framer.HeaderSize:]
 		switch {
-		case kind == 'N', kind == 'S', kind == 'A':
+		case framer.IsAsynchronous(kind):
 		case kind == 'Z' && complete && len(body) == 1 && body[0] == 'I':
 			c.Status = body[0]
 			c.Reader.Consume()
