--- a/internal/bench/soaker/check_answers.go
+++ b/internal/bench/soaker/check_answers.go
@@ -99,15 +99,16 @@
 }
 
 // checkSettings checks that each statement ran with the session values that were
-// acknowledged to its client, and one of a transaction the shape that its client prepared, and
-// that no prepared name was unknown. [history.checkShapes] checks single statements.
+// acknowledged to its client, that each statement of a transaction ran the shape that its
+// client prepared, and that no prepared name was unknown. [history.checkShapes] checks the
+// shapes of single statements.
 func (h *history) checkSettings(runs []imitator.Execution) []string {
-	byStatement := h.byStatement()
+	indexes := h.operationIndexes()
 	sent := h.sentStatements()
 	var broken []string
 	for _, run := range runs {
 		s, known := sent[run.ID]
-		i, counted := byStatement[run.ID]
+		i, counted := indexes[run.ID]
 		if known && counted && h.operations[i].isTransaction && run.Shape != s.shape {
 			broken = append(broken, fmt.Sprintf("pinned: statement %s of a transaction ran the shape %q on server %s, its client prepared %q",
 				run.ID, run.Shape, run.Server, s.shape))
@@ -130,12 +131,12 @@
 // its statements ran in the one that was committed. The proxy may run a single read in a
 // transaction of its own.
 func (h *history) checkTransactions(runs []imitator.Execution) []string {
-	byStatement := h.byStatement()
+	indexes := h.operationIndexes()
 	owners := map[int]int{} // Operation by transaction.
 	ran := map[string][]int{}
 	var broken []string
 	for _, run := range runs {
-		i, known := byStatement[run.ID]
+		i, known := indexes[run.ID]
 		if !known || run.Code != "" {
 			continue
 		}
@@ -172,15 +173,15 @@
 	return sent
 }
 
-// byStatement returns the index of the operation by the id of each of its statements.
-func (h *history) byStatement() map[string]int {
-	byStatement := map[string]int{}
+// operationIndexes returns the index of the operation by the id of each of its statements.
+func (h *history) operationIndexes() map[string]int {
+	indexes := map[string]int{}
 	for i, o := range h.operations {
 		for _, id := range o.statementIDs {
-			byStatement[id] = i
+			indexes[id] = i
 		}
 	}
-	return byStatement
+	return indexes
 }
 
 // checkKeysAccepted checks that no client was refused that had a key and a database of the
--- a/internal/coordination/router/router.go
+++ b/internal/coordination/router/router.go
@@ -120,7 +120,7 @@
 	if !ok {
 		return Choice{}, errors.WithStack(ErrNoPrimary)
 	}
-	if since, draining := r.draining(server); draining && r.now().Sub(since) > r.drainingGrace() {
+	if since, draining := r.draining(server); draining && r.now().Sub(since) > r.leavingGrace() {
 		return Choice{}, r.leavingError(server)
 	}
 	if !r.HasWriteRight(service, term) {
@@ -182,7 +182,7 @@
 	return DefaultWriteWait
 }
 
-func (r *Router) drainingGrace() time.Duration {
+func (r *Router) leavingGrace() time.Duration {
 	if r.LeavingGrace > 0 {
 		return r.LeavingGrace
 	}
--- a/internal/transport/acceptor/build.go
+++ b/internal/transport/acceptor/build.go
@@ -147,15 +147,15 @@
 		b.expected = append(b.expected, expectedResponse{kind: 'Q', role: rolePrelude, answer: settingAnswer})
 	}
 	if b.recordRequest {
-		shape := recordAnswer
+		recorded := recordAnswer
 		sql := "INSERT INTO oleanderpulley_requests (workspace, request_id, digest) VALUES (" +
 			pooler.Literal(string(s.workspace)) + ", " + pooler.Literal(string(b.settings.requestID)) + ", '" +
 			strconv.FormatUint(s.requestDigest(b), 16) + "')"
 		if b.wrapInTx {
-			sql, shape = "BEGIN; "+sql, wrappedRecordAnswer
+			sql, recorded = "BEGIN; "+sql, wrappedRecordAnswer
 		}
 		b.request = framer.AppendText(b.request, 'Q', sql)
-		b.expected = append(b.expected, expectedResponse{kind: 'Q', role: rolePrelude, answer: shape})
+		b.expected = append(b.expected, expectedResponse{kind: 'Q', role: rolePrelude, answer: recorded})
 	}
 }
 
--- a/internal/transport/logger/writer.go
+++ b/internal/transport/logger/writer.go
@@ -57,14 +57,14 @@
 		w.anyDropped = true
 		return len(event), nil
 	}
-	var waiting []byte
+	var queued []byte
 	if len(event) > maxTextBytes {
-		waiting = appendShortened(nil, event)
+		queued = appendShortened(nil, event)
 	} else {
-		waiting = bytes.Clone(event)
+		queued = bytes.Clone(event)
 	}
 	select {
-	case w.lines <- waiting:
+	case w.lines <- queued:
 	default:
 		l.dropped++
 		w.anyDropped = true
