--- a/internal/bench/soaker/check_answers_test.go
+++ b/internal/bench/soaker/check_answers_test.go
@@ -41,7 +41,8 @@
 	return append(broken, h.checkTransactions(runs)...)
 }
 
-// Guards against a check that cannot fail, and one that reports a promise that was kept: each change of the history breaks one.
+// Guards against a check that cannot fail, and one that reports a promise that was kept:
+// each change of the history breaks one.
 func TestAnswerChecksReportBrokenPromises(t *testing.T) {
 	h, runs := answersHistory()
 	qt.Assert(t, h.checkAllAnswers(runs), qt.HasLen, 0)
@@ -84,7 +85,8 @@
 	}
 }
 
-// Guards against false reports: an error, a missing answer and a run that was refused break nothing.
+// Guards against false reports: an error, a missing answer and a run that was refused
+// break nothing.
 func TestAnswerChecksAcceptErrors(t *testing.T) {
 	h, runs := answersHistory()
 	h.statements[2].reply = reply{code: "BUSY", outcomes: 1}
@@ -93,7 +95,8 @@
 	qt.Assert(t, h.checkAllAnswers(runs), qt.HasLen, 0)
 }
 
-// Guards against texts that a message cannot hold, which would break promises by themselves, and against texts beside an older build that it changes.
+// Guards against texts that a message cannot hold, which would break promises by
+// themselves, and against texts beside an older build that it changes.
 func TestOddTexts(t *testing.T) {
 	for _, text := range oddTexts {
 		text = strings.ReplaceAll(text, "WORD", "w")
--- a/internal/bench/soaker/fault_test.go
+++ b/internal/bench/soaker/fault_test.go
@@ -50,7 +50,8 @@
 	}
 }
 
-// Guards against a run beside an older build that reports the promises which that one breaks, and a run of this build alone without the fault.
+// Guards against a run beside an older build that reports the promises which that one
+// breaks, and a run of this build alone without the fault.
 func TestRepeatedAnswersBesideAnOlderBuild(t *testing.T) {
 	for _, test := range []struct {
 		soak Soak
--- a/internal/command/commander/admin_table_test.go
+++ b/internal/command/commander/admin_table_test.go
@@ -7,7 +7,8 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// Guards against a text, such as the author of a change, that looks like further rows or controls the terminal.
+// Guards against a text, such as the author of a change, that looks like further rows or
+// controls the terminal.
 func TestTextsOfTablesStayInTheirRow(t *testing.T) {
 	var out bytes.Buffer
 	err := printTable(&out, []byte(`{"author":"a\nversion  9","b":"\u001b[2J","c":"x\ty","d":"ana maría","e":"\u0085","f":7}`))
--- a/internal/command/commander/admin_token_test.go
+++ b/internal/command/commander/admin_token_test.go
@@ -11,7 +11,8 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// Guards against a token of which more than the line end of its file is cut, so that the hash of another one is compared.
+// Guards against a token of which more than the line end of its file is cut, so that the
+// hash of another one is compared.
 func TestTokensAreSentUnchangedOrNotAtAll(t *testing.T) {
 	var received []string
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/command/starter/format_test.go
+++ b/internal/command/starter/format_test.go
@@ -34,7 +34,8 @@
 // catalogMessages have the entries of the store, whose texts are UTF-8.
 var catalogMessages = []string{"catalog"}
 
-// Guards against a statement, a row or a name with some bytes that is refused or changed between two instances.
+// Guards against a statement, a row or a name with some bytes that is refused or changed
+// between two instances.
 func TestTextsOfMessagesAreUnchanged(t *testing.T) {
 	for _, text := range []string{"\xff", "a\x00\r\n\r", "\xed\xa0\x80", " \u0085\u00a0\t "} {
 		archiver.CheckMessageTexts(t, newEncoder(), text, catalogMessages...)
@@ -45,7 +46,8 @@
 	})
 }
 
-// BenchmarkForwardMessages encodes and decodes the message that forwards a statement, and its reply.
+// BenchmarkForwardMessages encodes and decodes the message that forwards a statement, and
+// its reply.
 func BenchmarkForwardMessages(b *testing.B) {
 	e := newEncoder()
 	for _, body := range []any{
--- a/internal/command/starter/names_test.go
+++ b/internal/command/starter/names_test.go
@@ -7,8 +7,8 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// Guards against a workspace without a name that runs as nobody's and without a rate limit, and against a client without a
-// key that runs as the workspace with an empty key.
+// Guards against a workspace without a name that runs as nobody's and without a rate
+// limit, and against a client without a key that runs as the workspace with an empty key.
 func TestEmptyNamesAndKeysOpenNoWorkspace(t *testing.T) {
 	p := newTestPlatform(t)
 	p.tenants = append(p.tenants, tenantSpec("", "key-nameless"), tenantSpec("keyless", ""))
--- a/internal/protocol/encoder/encoder_test.go
+++ b/internal/protocol/encoder/encoder_test.go
@@ -74,7 +74,8 @@
 	}
 }
 
-// Guards against a text that makes a build which accepts UTF-8 alone end the connection, in place of refusing the message.
+// Guards against a text that makes a build which accepts UTF-8 alone end the connection,
+// in place of refusing the message.
 func TestBuildBeforeRefusesOnlyTheBody(t *testing.T) {
 	var e encoder.Encoder
 	e.Register("group_notice", notice{})
--- a/internal/protocol/splitter/text_test.go
+++ b/internal/protocol/splitter/text_test.go
@@ -10,7 +10,8 @@
 	"oleanderpulley/internal/protocol/splitter"
 )
 
-// FuzzHasExactTexts guards against a string that decoding changes and that counts as exact, and the reverse.
+// FuzzHasExactTexts guards against a string that decoding changes and that counts as
+// exact, and the reverse.
 func FuzzHasExactTexts(f *testing.F) {
 	for _, text := range []string{`a`, "\xff", "\ufffd", `\ufffd`, `\ud800`, `\ud83d\ude00`, `\ude00\ud83d`, `\\ud800`, `\\\ud800`, `\ud83d\ud83d\ude00`, `\ud83d\\ude00`} {
 		f.Add([]byte(text))
--- a/internal/state/cataloger/promotion_test.go
+++ b/internal/state/cataloger/promotion_test.go
@@ -63,7 +63,8 @@
 	qt.Assert(t, cataloger.OpenPromotions("").Union(""), qt.Equals, cataloger.OpenPromotions(""))
 }
 
-// Guards against an unanswered promotion that is forgotten, or taken for one of another server, because the id has a blank.
+// Guards against an unanswered promotion that is forgotten, or taken for one of another
+// server, because the id has a blank.
 func TestOpenPromotionsOfServersWithAnyID(t *testing.T) {
 	for _, id := range []identifier.BackendServerID{"a b", " ", "a\u00a0b", "a\u0085", "a\tb", "a\nb", "a%20b", "%", "a@1 b@2", "é"} {
 		p := cataloger.NewOpenPromotion(id, 7)
--- a/internal/transport/logger/logger_test.go
+++ b/internal/transport/logger/logger_test.go
@@ -95,7 +95,8 @@
 	})
 }
 
-// Guards against a text of a client that ends a log line, becomes a field of its own, or is cut when the line is read back.
+// Guards against a text of a client that ends a log line, becomes a field of its own, or
+// is cut when the line is read back.
 func TestTextsOfLinesAreReadBackUnchanged(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		text := rapid.OneOf(rapid.String(), rapid.StringOf(rapid.SampledFrom([]rune(" =\"\\\r\n\t\x00\x7f\u0085\u00a0\u2028{}[],:aé\ufffd")))).Draw(r, "text")
--- a/internal/transport/messenger/bytes_test.go
+++ b/internal/transport/messenger/bytes_test.go
@@ -8,7 +8,8 @@
 	"oleanderpulley/internal/transport/messenger"
 )
 
-// Guards against texts of clients and servers that are refused between instances because they are not UTF-8.
+// Guards against texts of clients and servers that are refused between instances because
+// they are not UTF-8.
 func TestTextsOfAnyBytesPassUnchanged(t *testing.T) {
 	_, peer := start(t, "b", echo)
 	a, _ := start(t, "a", echo)
--- a/internal/transport/reporter/label_test.go
+++ b/internal/transport/reporter/label_test.go
@@ -10,7 +10,8 @@
 	"oleanderpulley/internal/transport/reporter"
 )
 
-// Guards against one name that makes a collector refuse all metrics, since the format has the escapes \\, \" and \n alone.
+// Guards against one name that makes a collector refuse all metrics, since the format has
+// the escapes \\, \" and \n alone.
 func TestLabelsHaveOnlyTheEscapesOfTheFormat(t *testing.T) {
 	for name, label := range map[string]string{
 		"a": "a", `a"b`: `a\"b`, `a\b`: `a\\b`, "a\nb": `a\nb`, "a\tb\r\x00": "a\tb\r\x00", "a\u00a0\u0085\u2028": "a\u00a0\u0085\u2028",
--- a/internal/transport/sessioner/forward_test.go
+++ b/internal/transport/sessioner/forward_test.go
@@ -76,8 +76,8 @@
 	qt.Assert(t, seen, qt.HasLen, 0)
 }
 
-// Guards against a success, or a promise that is not true, for a statement that a peer refused without running it, as the
-// build before does with texts that are not UTF-8.
+// Guards against a success, or a promise that is not true, for a statement that a peer
+// refused without running it, as the build before does with texts that are not UTF-8.
 func TestStatementsThatAPeerFailsToHandle(t *testing.T) {
 	begin := requester.Statement{Kind: requester.Begin}
 	write := requester.Statement{ID: "w", Kind: requester.Write, Text: "WRITE x \xff"}
--- a/internal/transport/sessioner/not_encodable_test.go
+++ b/internal/transport/sessioner/not_encodable_test.go
@@ -14,7 +14,8 @@
 	"oleanderpulley/internal/transport/lender"
 )
 
-// Guards against a statement that no server can be sent being tried until its deadline, and the servers being set aside for it.
+// Guards against a statement that no server can be sent being tried until its deadline,
+// and the servers being set aside for it.
 func TestStatementThatCannotBeSentIsRefusedAtOnce(t *testing.T) {
 	errTooLong := errors.Wrap(lender.ErrNotEncodable, "message of 1048580 bytes")
 	for name, test := range map[string]struct {
@@ -75,7 +76,8 @@
 	}
 }
 
-// Guards against the status of all servers being unknown because the workspace that comes first has a name with a blank.
+// Guards against the status of all servers being unknown because the workspace that comes
+// first has a name with a blank.
 func TestOwnQueriesNeedAWorkspaceThatCanBeSent(t *testing.T) {
 	s, seen := newTestServer()
 	c := *s.Holder.Catalog()
