internal/bench/soaker: unsigned answers alone are repeated in a third of the faults

A signature that was given before shows soon that a server repeats, after which the proxy takes care. An unsigned answer (BEGIN, SET, PREPARE, ROLLBACK, DISCARD, STATUS) is named by its order alone, and was seldom the only one repeated.

--- a/internal/bench/soaker/odd_texts.go
+++ b/internal/bench/soaker/odd_texts.go
@@ -85,8 +85,9 @@
 // the repeats are cut off. With goesOn, each is cut off, and the server does not close the
 // connection.
 func (e *environment) drawRepeats(r *rand.Rand, goesOn bool) func(id, text string) (imitator.Repeat, bool) {
-	return func(string, string) (imitator.Repeat, bool) {
-		if r.IntN(repeatEvery) > 0 {
+	unsignedOnly := r.IntN(3) == 0 // Nothing but their order names these answers.
+	return func(_, text string) (imitator.Repeat, bool) {
+		if r.IntN(repeatEvery) > 0 || (unsignedOnly && isSigned(comparableText(text))) {
 			return imitator.Repeat{}, false
 		}
 		e.repeats.Add(1)
