internal/transport/pooler, acceptor: a name and comments for the status after a batch

isOutOfStep told of the server's other connections as well. Only names and comments are changed; the tests of both packages pass with -race.

--- a/internal/transport/acceptor/answer.go
+++ b/internal/transport/acceptor/answer.go
@@ -16,7 +16,8 @@
 	counted    bool // statements is the number of outcomes that the server sends.
 }
 
-// Answers to the statements of the proxy.
+// Answers to the statements of the proxy. Their texts need only have the first words of
+// the statements that are sent.
 var (
 	settingAnswer       = answerToText("SET x = y")
 	recordAnswer        = answerToText("INSERT INTO x")
@@ -120,7 +121,9 @@
 }
 
 // fitsStatus reports whether the batch can lead from one transaction status to
-// another.
+// another. A batch without transaction statements keeps the status, except that an
+// error fails an open transaction. A portal that an earlier batch bound may be that of
+// any statement.
 func (b *batch) fitsStatus(before, after byte) bool {
 	if !strings.ContainsRune("ITE", rune(after)) {
 		return false
--- a/internal/transport/pooler/outofstep.go
+++ b/internal/transport/pooler/outofstep.go
@@ -29,10 +29,10 @@
 	}
 }
 
-// isOutOfStep reports whether a connection that is released must not be reused,
+// isReusePaused reports whether a connection that is released must not be reused,
 // because it or another one of its server has received data that belongs to no
 // statement.
-func (p *Pooler) isOutOfStep(c *Conn) bool {
+func (p *Pooler) isReusePaused(c *Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	until, ok := p.notReusedUntil[c.target.Server]
--- a/internal/transport/pooler/pooler.go
+++ b/internal/transport/pooler/pooler.go
@@ -210,7 +210,7 @@
 		if !reusable && c.Status == 'I' && c.hasResponse() {
 			p.ReportOutOfStep(c, "data after the last response")
 		}
-		reusable = reusable && !p.isOutOfStep(c)
+		reusable = reusable && !p.isReusePaused(c)
 	}
 	if !reusable {
 		c.close()
