fake/backendserver: tests wait until pgx has closed its connections

The test of faults ends at once, its group closes, and a listener that closes can drop the SYN that arrives meanwhile (the trace stood in connect). The next SYN is sent a second later, and goleak waits for less.

The tests now wait for the connections that pgx closes, and goleak checks after that as before. Not reproduced here in 60 runs of twelve processes; 480 runs with the change had no leak.

--- a/internal/fake/backendserver/client_test.go
+++ b/internal/fake/backendserver/client_test.go
@@ -6,6 +6,7 @@
 	"database/sql"
 	"errors"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -18,7 +19,21 @@
 	"oleanderpulley/internal/fake/backendserver"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+// closing counts the connections that pgx still closes in the background.
+var closing sync.WaitGroup
+
+// closingMain waits for pgx after the tests. A statement that timed out is cancelled over a
+// new connection, and a listener that closes at that moment can drop its SYN: it is sent
+// again after a second, longer than goleak waits.
+type closingMain struct{ m *testing.M }
+
+func (c closingMain) Run() int {
+	code := c.m.Run()
+	closing.Wait()
+	return code
+}
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(closingMain{m}) }
 
 func testContext(t *testing.T) context.Context {
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
@@ -44,6 +59,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 		defer cancel()
 		_ = c.Close(ctx)
+		closing.Go(func() { <-c.PgConn().CleanupDone() })
 	})
 	return c
 }
