fake/backendserver: discarded commits of an earlier primary are no receipts

When the next replacement comes before it has followed, the test took its log for a receipt. A promotion that it took no part in has discarded these commits.

--- a/internal/fake/backendserver/history_test.go
+++ b/internal/fake/backendserver/history_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"regexp"
 	"sync"
@@ -95,7 +96,9 @@
 		st := s.Status()
 		tr.history.Add(historian.Receipt{
 			Service: "m", Server: identifier.BackendServerID(s.ID), Survived: true,
-			Position: identifier.Position{Term: identifier.Term(st.Term), Offset: identifier.LogOffset(st.Received)},
+			Position: identifier.Position{
+				Term: identifier.Term(st.Term), Offset: identifier.LogOffset(min(st.Received, termEnd(old.Status().History, st.Term))),
+			},
 		})
 		best := st
 		if next >= 0 {
@@ -120,6 +123,18 @@
 	qt.Assert(t, old.Follow(term, address), qt.IsNil)
 }
 
+// termEnd returns the offset at which the next term after the given one begins. An earlier
+// primary that has not followed the present one yet still has the commits that it made after
+// that offset. Its replacement discarded them.
+func termEnd(history []backendserver.TermStart, term uint64) uint64 {
+	for _, h := range history {
+		if h.Term > term {
+			return h.Offset
+		}
+	}
+	return math.MaxUint64
+}
+
 // Guards against replication that loses received commits, keeps discarded ones
 // or leaves members with different data, when the primary is replaced several
 // times under writes. A fixed seed decides whether each replacement is a kill
