--- a/internal/transport/platformclient/client.go
+++ b/internal/transport/platformclient/client.go
@@ -61,8 +61,8 @@
 	// InstanceID identifies the caller to the platform.
 	InstanceID string
 	// HTTP sends the requests. If nil, the client uses a transport of its own
-	// without HTTP proxies. It uses HTTP/1.1, in which a call that exceeds its
-	// deadline closes its connection, so that the next call does not reuse it.
+	// without HTTP proxies. Each of its calls has a connection of its own: a response
+	// that is received again on a kept one would be taken for that of the next call.
 	HTTP *http.Client
 	// Timeout limits the duration of a call; 0 selects 2 s.
 	Timeout time.Duration
@@ -165,7 +165,7 @@
 		return c.HTTP
 	}
 	c.once.Do(func() {
-		c.ownClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second}}
+		c.ownClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	})
 	return c.ownClient
 }
