internal/coordination/ratelimiter: callers of a small rate return one token apart

Cause: a retry schedule gives one caller at most 1/32 of the time up to maxRetryAfter, so its times are never more than 94 ms apart. An owner of a rate of 3/s yields a token for a refused caller each 667 to 833 ms. The owners are drained by the same burst, so that their short series coincide, and most callers return before there is a token. A trace of 295/3: owners that expect a token at 1.30 s promise 1.30, 1.35 and 1.40 s.

--- a/internal/coordination/ratelimiter/refusal.go
+++ b/internal/coordination/ratelimiter/refusal.go
@@ -159,8 +159,9 @@
 
 // retryCompression is the part of the time up to maxRetryAfter that one caller
 // takes at most. The times of many callers so come ever closer to maxRetryAfter,
-// in the order of the refusals.
-const retryCompression = 32
+// in the order of the refusals. With a smaller part, the callers of a small rate
+// return in less time than its owners need for one token.
+const retryCompression = 16
 
 // next returns the time for one more caller: after first, and after the
 // previous caller's time by the interval.
