--- a/internal/coordination/ratelimiter/refusal.go
+++ b/internal/coordination/ratelimiter/refusal.go
@@ -157,17 +157,23 @@
 	last time.Time
 }
 
-// retryCompression is the part of the time up to maxRetryAfter that one caller
-// takes at most. The times of many callers so come ever closer to maxRetryAfter,
-// in the order of the refusals. With a smaller part, the callers of a small rate
-// return in less time than its owners need for one token.
-const retryCompression = 16
+// Bounds of the part of the time up to maxRetryAfter that one caller takes. The
+// times of many callers so come ever closer to maxRetryAfter, in the order of the
+// refusals.
+const (
+	retryCompression = 32
+	// slowRetryCompression applies in proportion as the interval approaches
+	// maxRetryAfter. Without it, the callers of a small rate return in less time
+	// than an owner needs for one token, and those of several owners together.
+	slowRetryCompression = 3
+)
 
 // next returns the time for one more caller: after first, and after the
 // previous caller's time by the interval.
 func (r *retrySchedule) next(now time.Time, first, interval time.Duration) time.Time {
 	room := now.Add(maxRetryAfter).Sub(r.last)
-	at := r.last.Add(min(interval, room/retryCompression))
+	part := max(1.0/retryCompression, interval.Seconds()/maxRetryAfter.Seconds()/slowRetryCompression)
+	at := r.last.Add(min(interval, time.Duration(part*float64(room))))
 	if soonest := now.Add(min(first, maxRetryAfter/2)); soonest.After(at) {
 		at = soonest
 	}
