--- a/internal/coordination/sharer/grant.go
+++ b/internal/coordination/sharer/grant.go
@@ -22,15 +22,6 @@
 	// buckets may hold too few tokens to admit a request, so such a limit is
 	// kept by fewer holders, which lend tokens for single requests.
 	minUsefulCapacity = 4
-	// spreadHolders is the number of instances among which a limit stays divided
-	// although only one has demand. The fraction of an instance that dies is
-	// missing until its proof has expired and the fraction is issued again, and the
-	// other three quarters of the rate cover nearly all of a usual demand.
-	spreadHolders = 4
-	// minSpreadCapacity is the smallest bucket capacity into which a limit is
-	// divided for that reason. With smaller buckets, the tokens for a request are
-	// too often at an instance that was not asked.
-	minSpreadCapacity = 16
 	// wholeShareDemandRatio is how many times the grantor's own demand the
 	// requester's demand must be for the grantor to transfer a share that is
 	// too small to divide.
@@ -109,8 +100,7 @@
 // in proportion to the demands, as long as both parts remain useful. It grants
 // the whole share when this instance is draining, when the share is too small to
 // be useful and the requester holds more, or when the sum is too small to divide
-// and the requester's demand is much higher. Otherwise the requester gets no more
-// than maxRequesterFraction.
+// and the requester's demand is much higher.
 func (h *holding) chooseShare(limit limiter.Limit, r ShareRequest, now time.Time) limiter.Share {
 	held := h.bucket.Held(limit)
 	tooSmall := held.Fraction.Of(limit.Burst) < minUsefulCapacity && r.Held > held.Fraction
@@ -129,9 +119,6 @@
 	}
 	total := held.Fraction + r.Held
 	keep := limiter.Fraction(float64(total) * (own / (own + theirs)))
-	if most := maxRequesterFraction(limit, h.sharer.peers.count()); total > most {
-		keep = max(keep, total-most)
-	}
 	if keep >= held.Fraction || float64(held.Fraction-keep) < minBalanceChange*float64(held.Fraction) {
 		return limiter.Share{}
 	}
@@ -146,15 +133,6 @@
 	return limiter.Share{Fraction: moved, Tokens: held.Tokens * float64(moved) / float64(held.Fraction)}
 }
 
-// maxRequesterFraction returns the largest fraction that a grant leaves a requester
-// with among the given number of instances. The rest stays with other instances,
-// which lend it.
-func maxRequesterFraction(limit limiter.Limit, instances int) limiter.Fraction {
-	spread := limiter.Whole / limiter.Fraction(max(1, min(spreadHolders, instances)))
-	smallest := limiter.FractionOf(minSpreadCapacity/limit.Burst) + 1 // Rounded up.
-	return min(max(spread, smallest), limiter.Whole)
-}
-
 // lend lends tokens that the grantor does not need at once, and returns how
 // many. The caller holds h.mu.
 func (h *holding) lend(limit limiter.Limit, wanted float64, now time.Time) float64 {
--- a/internal/coordination/sharer/peer_selection.go
+++ b/internal/coordination/sharer/peer_selection.go
@@ -180,13 +180,6 @@
 	return c.dataCentres[id]
 }
 
-// count returns the number of instances, including this one.
-func (c *peerCache) count() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.all)
-}
-
 func (c *peerCache) contains(id identifier.InstanceID) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
