--- a/internal/state/cataloger/leadership.go
+++ b/internal/state/cataloger/leadership.go
@@ -48,17 +48,6 @@
 	return Leadership{Holder: unreadableHolder, Revision: revision}
 }
 
-// IsUnreadable reports whether the record cannot be read.
-func (l Leadership) IsUnreadable() bool {
-	return l.Holder == unreadableHolder
-}
-
-// IsReplacing reports whether a replacement of the primary is under way. Until
-// it ends, no server may be used as the primary.
-func (l Leadership) IsReplacing() bool {
-	return l.Holder != ""
-}
-
 // Supersedes reports whether l is newer than the other record of the service.
 // A carried record supersedes the restored one. The end of a replacement
 // supersedes the replacement itself, which its holder may announce before the
