--- a/internal/coordination/fencer/fencer.go
+++ b/internal/coordination/fencer/fencer.go
@@ -1,7 +1,6 @@
 package fencer
 
 import (
-	"cmp"
 	"maps"
 	"sync"
 	"sync/atomic"
@@ -143,14 +142,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	known := f.Record(service)
-	switch {
-	case cataloger.Era(r.Revision) < cataloger.Era(known.Revision):
-		r = mergeRecord(r, known)
-	case r.Supersedes(known):
-		r = mergeRecord(known, r)
-	default:
-		return known
-	}
+	r = known.Merge(r)
 	if r == known {
 		return known
 	}
@@ -166,52 +158,6 @@
 	return r
 }
 
-// mergeRecord returns the record that follows from an earlier one and a later one.
-// A store that came back from an older copy returns records from before known
-// replacements: a term that has ended does not return, and a replacement that
-// was announced goes on until its holder ends it or another takes it over.
-func mergeRecord(earlier, later cataloger.Leadership) cataloger.Leadership {
-	if later.IsUnreadable() {
-		return mergeUnreadable(earlier, later)
-	}
-	if earlier.IsUnreadable() {
-		earlier.Holder, earlier.Successor = "", "" // The later record can be read.
-	}
-	merged := later
-	restored := cataloger.Era(later.Revision) > cataloger.Era(earlier.Revision)
-	switch {
-	case later.Term < earlier.Term && restored:
-		merged = earlier
-		merged.Carried = true
-	case later.Term < earlier.Term:
-		merged.Term, merged.Server, merged.TermStarts = earlier.Term, earlier.Server, earlier.TermStarts
-	case later.Term == earlier.Term && restored && earlier.IsReplacing() && !later.IsReplacing():
-		merged = earlier
-		merged.Carried = true
-	case later.Term == earlier.Term && restored && later.Successor == "" && earlier.Successor != "":
-		merged.Successor = earlier.Successor
-		merged.Carried = true
-	}
-	if restored {
-		merged.OpenPromotions = earlier.OpenPromotions.Union(later.OpenPromotions)
-	}
-	if merged.TermStarts == "" {
-		merged.TermStarts = earlier.TermStarts // An instance of an earlier release does not keep it.
-	}
-	merged.Revision = later.Revision
-	return merged
-}
-
-// mergeUnreadable returns a later record that cannot be read, with what the earlier one
-// tells of the term and of the successor that was chosen.
-func mergeUnreadable(earlier, later cataloger.Leadership) cataloger.Leadership {
-	if earlier.Term > later.Term {
-		later.Term, later.Server, later.TermStarts = earlier.Term, earlier.Server, earlier.TermStarts
-	}
-	later.Successor = cmp.Or(later.Successor, earlier.Successor)
-	return later
-}
-
 // Records returns all known records.
 func (f *Fencer) Records() map[identifier.ServiceName]cataloger.Leadership {
 	if records := f.records.Load(); records != nil {
--- a/internal/state/cataloger/leadership.go
+++ b/internal/state/cataloger/leadership.go
@@ -47,19 +47,3 @@
 func UnreadableLeadership(revision uint64) Leadership {
 	return Leadership{Holder: unreadableHolder, Revision: revision}
 }
-
-// Supersedes reports whether l is newer than the other record of the service.
-// A carried record supersedes the restored one. The end of a replacement
-// supersedes the replacement itself, which its holder may announce before the
-// store has taken the record.
-func (l Leadership) Supersedes(o Leadership) bool {
-	switch {
-	case l.Revision != o.Revision:
-		return l.Revision > o.Revision
-	case l.Carried != o.Carried:
-		return l.Carried
-	case l.Term != o.Term:
-		return l.Term > o.Term
-	}
-	return o.IsReplacing() && !l.IsReplacing()
-}
