coordination/replacer: transitions of the record in place of its fields

announce, promoteAndGrant, endReplacement, restoreRecord, observeHolder and isAvailable set and compared fields of the record. They call the transitions of cataloger.Leadership now and return their errors; none of these preconditions failed before, as the holder of a replacement is always the instance that calls them.

Measured: the tests of the package, with the model, pass unchanged (go test ./internal/coordination/replacer, 49 s).

--- a/internal/coordination/replacer/check.go
+++ b/internal/coordination/replacer/check.go
@@ -142,8 +142,7 @@
 // older copy. It reports whether it has tried.
 func (r *Replacer) restoreRecord(ctx context.Context, service identifier.ServiceName, w *serviceWatch) bool {
 	known, stored := r.Record(service), r.Catalog().Leaderships[service]
-	isOwnAnnouncement := stored.IsReplacing() && stored.Holder == r.Self
-	if known.Term <= stored.Term && !isOwnAnnouncement {
+	if known.Term <= stored.Term && !stored.IsHeldBy(r.Self) {
 		w.lackingSince = time.Time{}
 		return false
 	}
@@ -157,11 +156,13 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	w.open.observe(stored, r.Clock(), r.LateLimit)
-	known.OpenPromotions = w.open.set(r.Clock())
-	known.Revision = stored.Revision
-	l, err := r.WriteRecord(ctx, service, known)
+	restored, err := stored.Restore(known)
 	if err == nil {
-		r.Adopt(service, l)
+		restored.OpenPromotions = w.open.set(r.Clock())
+		restored, err = r.WriteRecord(ctx, service, restored)
+	}
+	if err == nil {
+		r.Adopt(service, restored)
 	}
 	r.Logger.Info().Str("event", "record_restored").Str("service", string(service)).Uint64("term", uint64(known.Term)).Err(err).Send()
 	return true
--- a/internal/coordination/replacer/decide.go
+++ b/internal/coordination/replacer/decide.go
@@ -69,5 +69,5 @@
 // the one that the record announces. unchangedFor is the time since the instance
 // first saw this revision of the record.
 func isAvailable(l cataloger.Leadership, self identifier.InstanceID, unchangedFor time.Duration) bool {
-	return !l.IsReplacing() || l.Holder == self || unchangedFor >= TakeoverTimeout
+	return !l.IsReplacing() || l.IsHeldBy(self) || unchangedFor >= TakeoverTimeout
 }
--- a/internal/coordination/replacer/late.go
+++ b/internal/coordination/replacer/late.go
@@ -80,11 +80,12 @@
 // and that this process does not know. The holder requests none after
 // [promotionWindow]. unchangedFor is the time since this instance first knew the record.
 func (r *Replacer) observeHolder(w *serviceWatch, l cataloger.Leadership, unchangedFor time.Duration) {
-	isOwn := l.Holder == r.Self && l.Revision == w.open.written
-	if r.LateLimit == 0 || l.Successor == "" || isOwn {
+	requested, ok := l.RequestedPromotion()
+	isOwn := l.IsHeldBy(r.Self) && l.Revision == w.open.written
+	if r.LateLimit == 0 || !ok || isOwn {
 		return
 	}
-	w.open.add(cataloger.NewOpenPromotion(l.Successor, l.Revision), r.Clock()-unchangedFor+promotionWindow+r.LateLimit)
+	w.open.add(requested, r.Clock()-unchangedFor+promotionWindow+r.LateLimit)
 }
 
 // addUnanswered records that the promotion of the server under the present record was
--- a/internal/coordination/replacer/promote.go
+++ b/internal/coordination/replacer/promote.go
@@ -20,8 +20,10 @@
 	}
 	p.steps.begin("promotion")
 	otherRequested := p.requested && p.record.Successor != b.ID
-	next := p.record
-	next.Successor = b.ID
+	next, err := p.record.ChooseSuccessor(r.Self, b.ID)
+	if err != nil {
+		return err
+	}
 	if err := r.write(ctx, p, next); err != nil {
 		return err
 	}
@@ -36,9 +38,11 @@
 		return err
 	}
 	p.steps.begin("grant")
-	r.grant(ctx, p, cataloger.Leadership{
-		Term: m.Term, Server: b.ID, TermStarts: termStarts(p.record, m), Revision: p.record.Revision,
-	})
+	finished, err := p.record.Finish(r.Self, b.ID, m.Term, termStarts(p.record, m))
+	if err != nil {
+		return err
+	}
+	r.grant(ctx, p, finished)
 	return nil
 }
 
@@ -71,9 +75,12 @@
 	if err == nil || p.requested || p.reinstated || errors.Is(err, ErrRecordChanged) {
 		return
 	}
-	r.grant(ctx, p, cataloger.Leadership{
-		Term: p.record.Term, Server: p.record.Server, TermStarts: p.record.TermStarts, Revision: p.record.Revision,
-	})
+	givenUp, err := p.record.GiveUp(r.Self)
+	if err != nil {
+		r.Logger.Warn().Str("event", "replacement_not_given_up").Str("service", string(p.service)).Err(err).Send()
+		return
+	}
+	r.grant(ctx, p, givenUp)
 }
 
 // promote repeats the promotion until it is answered, at most
--- a/internal/coordination/replacer/replace.go
+++ b/internal/coordination/replacer/replace.go
@@ -1,7 +1,6 @@
 package replacer
 
 import (
-	"cmp"
 	"context"
 	"time"
 
@@ -93,28 +92,27 @@
 	if max(l.Term, known.Term) > basis.Term || known.IsReplacing() != basis.IsReplacing() {
 		return errors.Wrapf(ErrRecordChanged, "server %s leads term %d", l.Server, l.Term)
 	}
-	next := l
 	if known.Term > l.Term || known.IsReplacing() {
-		// The store may have come back from a copy that lacks the known record.
-		next = known
 		w.open.observe(known, r.Clock(), r.LateLimit)
 		if known.IsReplacing() && known.Revision != l.Revision {
 			r.observeHolder(w, known, 0)
 		}
 	}
-	if l.Successor != "" {
-		next.Successor = l.Successor
-	}
 	// The holder of a lost announcement may have requested a promotion.
 	p.requested = known.IsReplacing() && !l.IsReplacing()
 	w.open.observe(l, r.Clock(), r.LateLimit)
 	if l.IsReplacing() {
 		r.observeHolder(w, l, w.unchangedFor(l))
 	}
-	// An instance of an earlier release does not keep the starts that this one knows.
-	next.TermStarts = cmp.Or(next.TermStarts, l.TermStarts, known.TermStarts)
-	next.Holder, next.Revision = r.Self, l.Revision
-	p.resumed = next.Successor != ""
+	begin := l.Announce
+	if l.IsReplacing() || known.IsReplacing() {
+		begin = l.TakeOver
+	}
+	next, err := begin(r.Self, known)
+	if err != nil {
+		return err
+	}
+	p.resumed = next.State() == cataloger.SuccessorChosen
 	if err := r.write(ctx, p, next); err != nil {
 		return err
 	}
