sessioner, starter: questions about a replacement are asked of the record

Whether a promotion may have been requested, and whether a peer knows the same replacement, were comparisons of fields. They are RequestedPromotion and IsSameReplacement of the record. An unreadable record that is not known to have a successor counts as before.

--- a/internal/command/starter/leadership.go
+++ b/internal/command/starter/leadership.go
@@ -97,7 +97,7 @@
 		s.Logger.Info().Str("event", "revocation_unconfirmed").Str("service", string(service)).Str("peer", string(id)).Err(err).Send()
 		return false
 	}
-	return r.Record.Revision == l.Revision && r.Record.Holder == l.Holder
+	return r.Record.IsSameReplacement(l)
 }
 
 // announceRecord sends a record, the successor or the end of a replacement, to
--- a/internal/transport/sessioner/primary.go
+++ b/internal/transport/sessioner/primary.go
@@ -184,7 +184,8 @@
 	}
 	// Without a proof, or once a successor is chosen, a promotion may have discarded a part of the log.
 	record := s.Fencer.Record(c.Server.Service)
-	if permitted || (s.Fencer.IsProven() && record.IsReplacing() && record.Successor == "") {
+	_, requested := record.RequestedPromotion()
+	if permitted || (s.Fencer.IsProven() && record.IsReplacing() && !requested) {
 		if err := s.checkLog(c, permit, r.Position, sent); err != nil {
 			return errors.Wrap(fencer.ErrNotLeading, err.Error())
 		}
