state/cataloger: a carried replacement is not ended by a record from before it

Callers could be served by the old primary after a store came back from an older copy, while a promotion of its successor was open. The first primary (term 2) was known from before the copy, and a second replacement was announced after it. An instance that knew the announcement carried it into the new era; another one that had not heard of it carried the record of term 2 under the same revision and told it in its answer to the era request. Supersedes took that for the end of the replacement, so that the first instance gave permits again.

A carried record has the revision of the restored one, so that its own order is lost. Of two such records the one that is further in the replacement counts now. The end of a carried replacement never has its revision: its holder tells it with the revision of the earlier era, and whoever takes over writes a new one.

--- a/internal/state/cataloger/merge.go
+++ b/internal/state/cataloger/merge.go
@@ -18,7 +18,8 @@
 // Supersedes reports whether l is newer than the other record of the service.
 // A carried record supersedes the restored one. The end of a replacement
 // supersedes the replacement itself, which its holder may announce before the
-// store has taken the record.
+// store has taken the record. Carried records have lost their own revisions, so that one
+// without a replacement may be from before it: the one that is further in it supersedes.
 func (l Leadership) Supersedes(o Leadership) bool {
 	switch {
 	case l.Revision != o.Revision:
@@ -27,6 +28,8 @@
 		return l.Carried
 	case l.Term != o.Term:
 		return l.Term > o.Term
+	case l.Carried:
+		return l.State() > o.State()
 	}
 	return o.IsReplacing() && !l.IsReplacing()
 }
