state/cataloger: a replacement is known after an unreadable record and a restore

Callers could be served by the old primary while a promotion of its successor was open: the holder had chosen a successor, the record could not be read after that, and then the store came back from a copy from before the replacement. An unreadable record keeps the successor of the one before it, and without the unreadable record the replacement is carried into the new era; the merge of a restored record dropped it because the restored record can be read. That says nothing of the replacement.

The replacement is carried with the successor and a holder whose id no instance has. Another instance takes it over after the usual 6 s and requests the same promotion. Instances of the build before that receive the record see a holder that they do not know and do the same. A record that operators write within the era ends the replacement, as before. An announcement without a successor is still forgotten in this case: the unreadable record does not keep it.

Found by the rapid property TestMergeNeverBringsBackAnEarlierState.

--- a/internal/state/cataloger/leadership.go
+++ b/internal/state/cataloger/leadership.go
@@ -41,6 +41,11 @@
 // id. Earlier releases that receive it with a catalog see a replacement under way.
 const unreadableHolder identifier.InstanceID = "(unreadable record)"
 
+// unknownHolder is the holder of a replacement whose record could not be read when the
+// store came back from an older copy. No instance has this id, so that another one takes
+// the replacement over, also one of an earlier release that receives the record.
+const unknownHolder identifier.InstanceID = "(unknown holder)"
+
 // UnreadableLeadership returns what is known of a record that cannot be read. It is
 // never the same as no record: no server may be used as the primary, and none promoted,
 // until the record can be read again or is removed.
--- a/internal/state/cataloger/merge.go
+++ b/internal/state/cataloger/merge.go
@@ -42,11 +42,13 @@
 	if later.IsUnreadable() {
 		return mergeUnreadable(earlier, later)
 	}
-	if earlier.IsUnreadable() {
+	restored := Era(later.Revision) > Era(earlier.Revision)
+	if _, requested := earlier.RequestedPromotion(); earlier.IsUnreadable() && restored && requested {
+		earlier.Holder = unknownHolder // Nothing tells that the replacement has ended.
+	} else if earlier.IsUnreadable() {
 		earlier.Holder, earlier.Successor = "", "" // The later record can be read.
 	}
 	merged := later
-	restored := Era(later.Revision) > Era(earlier.Revision)
 	switch {
 	case later.Term < earlier.Term && restored:
 		merged = earlier
--- a/internal/state/cataloger/merge_test.go
+++ b/internal/state/cataloger/merge_test.go
@@ -141,6 +141,40 @@
 	})
 }
 
+// Guards against the return of an earlier term, of a replacement that has ended, and of a primary whose replacement had a
+// successor when the store came back without it.
+func TestMergeNeverBringsBackAnEarlierState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var known cataloger.Leadership
+		requested := false // A promotion may have been requested, and no record that ends its replacement is known.
+		for _, l := range drawTold(t, drawHistory(t)) {
+			before := known
+			known = known.Merge(l)
+			sameEra := cataloger.Era(l.Revision) == cataloger.Era(before.Revision)
+			ended := known != before && !l.IsReplacing() && (l.Term > before.Term || sameEra)
+			_, chosen := known.RequestedPromotion()
+			requested = (requested && !ended) || chosen
+			fail := func(why string) {
+				t.Fatalf("%s:\nknown %+v\ntold %+v\nmerged %+v", why, before, l, known)
+			}
+			switch {
+			case known.Term < before.Term:
+				fail("an earlier term")
+			case known.Term == before.Term && known.Server != before.Server:
+				fail("another server of the term")
+			case known.Revision < before.Revision:
+				fail("an earlier revision")
+			case !before.IsReplacing() && known.IsReplacing() && sameEra && l.Revision <= before.Revision:
+				fail("a replacement that has ended")
+			case !before.IsReplacing() && known.IsReplacing() && l.Term < before.Term && !l.IsUnreadable() && cataloger.Era(l.Revision) < cataloger.Era(before.Revision):
+				fail("a replacement of an earlier term")
+			case requested && !known.IsReplacing():
+				fail("a primary whose successor may have been promoted")
+			}
+		}
+	})
+}
+
 // Guards against the use of the old primary because another instance tells a record from before its replacement was announced.
 func TestCarriedReplacementIsNotEndedByARecordFromBeforeIt(t *testing.T) {
 	finished := cataloger.Leadership{Term: 2, Server: "b", Revision: 5}
@@ -157,3 +191,23 @@
 		other = known // The one that is further in the replacement counts.
 	}
 }
+
+// Guards against the use of the old primary because the record could not be read before the store came back without the
+// replacement, and against a service that stays blocked although the record in the store can be read.
+func TestReplacementIsKnownAfterAnUnreadableRecordAndARestore(t *testing.T) {
+	known := cataloger.Leadership{Term: 2, Server: "b", Holder: "one", Successor: "c", Revision: 6}.Merge(cataloger.UnreadableLeadership(7))
+	for _, restored := range []cataloger.Leadership{
+		{Term: 2, Server: "b", Revision: cataloger.Revision(1, 5)},
+		{Term: 1, Server: "a", Revision: cataloger.Revision(1, 4)},
+		{Term: 2, Server: "b", Holder: "one", Revision: cataloger.Revision(1, 5)},
+	} {
+		l := known.Merge(restored)
+		qt.Check(t, l.State(), qt.Equals, cataloger.SuccessorChosen)
+		qt.Check(t, restored.Merge(known), qt.Equals, l)
+		next, err := restored.TakeOver("two", l)
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, next, qt.Equals, cataloger.Leadership{Term: 2, Server: "b", Holder: "two", Successor: "c", Revision: restored.Revision, Carried: true})
+	}
+	rewritten := cataloger.Leadership{Term: 2, Server: "b", Revision: 8}
+	qt.Check(t, known.Merge(rewritten), qt.Equals, rewritten) // By the operators.
+}
