coordination/replacer: a stopped takeover leaves the replacement under way

An instance that took over a replacement whose successor was chosen, and was stopped while it waited for the others to confirm, gave the replacement up: it told all instances that the old primary may be used again. The store kept the record of the replacement, whose end cannot be written any more by a process that stops. The earlier holder may have requested the promotion, so that writes at the old primary could be acknowledged while the successor is made the primary, and are lost with it.

Cause: endReplacement asked whether this instance had requested a promotion, not whether the record says that one may have been. GiveUp requires the state announced now and returns ErrSuccessorChosen otherwise; the record stays, and another instance takes the replacement over. Found by writing down the precondition of GiveUp.

Before the fix TestTakeoverThatIsStoppedKeepsTheReplacement failed: the known record was not replacing after the stop (go test -run TestTakeoverThatIsStopped ./internal/coordination/replacer). After it: passes.

--- a/internal/coordination/replacer/replacer_test.go
+++ b/internal/coordination/replacer/replacer_test.go
@@ -551,3 +551,25 @@
 	qt.Assert(t, calls[0], qt.Equals, "announce 11 ")
 	qt.Assert(t, calls[len(calls)-1], qt.Equals, "grant c in term 2")
 }
+
+// Guards against permits for the old primary while a promotion that an earlier holder requested may be executed.
+func TestTakeoverThatIsStoppedKeepsTheReplacement(t *testing.T) {
+	s := newFakeService()
+	s.silent["two"] = true
+	s.stored = cataloger.Leadership{Term: 1, Server: "a", Holder: "two", Successor: "b", Revision: 5}
+	s.known = s.stored
+	w := &serviceWatch{announcement: 5, announcedSince: time.Now().Add(-TakeoverTimeout - maxRankDelay)}
+	r := s.replacer()
+	ctx, cancel := context.WithCancel(context.Background())
+	r.Revoke = func(context.Context, identifier.InstanceID, identifier.ServiceName, cataloger.Leadership) bool {
+		cancel() // The process is stopped while it waits for the others.
+		return false
+	}
+	var announced []cataloger.Leadership
+	r.Announce = func(_ identifier.ServiceName, l cataloger.Leadership) { announced = append(announced, l) }
+	r.checkService(ctx, "rentals", w)
+	qt.Assert(t, s.calls[0], qt.Equals, "announce 11 b")
+	qt.Assert(t, s.known.IsReplacing(), qt.IsTrue)
+	qt.Assert(t, s.stored.Successor, qt.Equals, identifier.BackendServerID("b"))
+	qt.Assert(t, announced, qt.HasLen, 0)
+}
--- a/internal/state/cataloger/replacement.go
+++ b/internal/state/cataloger/replacement.go
@@ -51,6 +51,8 @@
 	ErrUnreadable = errors.New("leadership record cannot be read")
 	// ErrNotHolder reports that another instance holds the replacement.
 	ErrNotHolder = errors.New("another instance holds the replacement")
+	// ErrSuccessorChosen reports that the promotion of a successor may have been requested.
+	ErrSuccessorChosen = errors.New("the promotion of a successor may have been requested")
 	// ErrNotSuccessor reports that the server is not the successor of the record.
 	ErrNotSuccessor = errors.New("server is not the successor of the record")
 )
@@ -170,12 +172,16 @@
 }
 
 // GiveUp returns the record by which the holder ends a replacement without a new
-// primary, so that the one from before may be used again. No promotion of another server may have
-// been requested. It returns the errors of [Leadership.ChooseSuccessor].
+// primary, so that the one from before may be used again. It returns [ErrSuccessorChosen] if
+// a promotion may have been requested, also by an earlier holder, or the errors of
+// [Leadership.ChooseSuccessor].
 func (l Leadership) GiveUp(holder identifier.InstanceID) (Leadership, error) {
 	if err := l.checkHolder(holder); err != nil {
 		return Leadership{}, err
 	}
+	if l.State() == SuccessorChosen {
+		return Leadership{}, errors.Wrapf(ErrSuccessorChosen, "successor %s", l.Successor)
+	}
 	return Leadership{Term: l.Term, Server: l.Server, TermStarts: l.TermStarts, Revision: l.Revision}, nil
 }
 
--- a/internal/state/cataloger/replacement_test.go
+++ b/internal/state/cataloger/replacement_test.go
@@ -101,7 +101,7 @@
 		{"finish unreadable", finish, unreadable, cataloger.Leadership{}, cataloger.ErrUnreadable},
 		{"give up none", giveUp, idle, cataloger.Leadership{}, cataloger.ErrNotReplacing},
 		{"give up announced", giveUp, announced, givenUp, nil},
-		{"give up chosen", giveUp, chosen, givenUp, nil},
+		{"give up chosen", giveUp, chosen, cataloger.Leadership{}, cataloger.ErrSuccessorChosen},
 		{"give up of another holder", giveUp, held(""), cataloger.Leadership{}, cataloger.ErrNotHolder},
 		{"give up unreadable", giveUp, unreadable, cataloger.Leadership{}, cataloger.ErrUnreadable},
 		{"restore none", restore, idle, restored, nil},
