--- a/internal/state/cataloger/merge_test.go
+++ b/internal/state/cataloger/merge_test.go
@@ -126,8 +126,10 @@
 func TestMergeWithinAnEraKeepsTheNewestRecord(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var readable []cataloger.Leadership
-		for _, l := range drawHistory(t).told {
-			if cataloger.Era(l.Revision) == 0 && !l.IsUnreadable() {
+		h := drawHistory(t)
+		era := rapid.Uint64Range(0, h.era).Draw(t, "era")
+		for _, l := range h.told {
+			if cataloger.Era(l.Revision) == era && !l.IsUnreadable() {
 				readable = append(readable, l)
 			}
 		}
--- a/internal/state/cataloger/replacement_test.go
+++ b/internal/state/cataloger/replacement_test.go
@@ -47,6 +47,30 @@
 	qt.Assert(t, unreadable.IsReplacing() && unreadable.IsUnreadable(), qt.IsTrue)
 	p, requested := chosen.RequestedPromotion()
 	qt.Assert(t, requested && p == "b@5", qt.IsTrue)
+	_, requested = unreadable.RequestedPromotion()
+	qt.Assert(t, requested, qt.IsFalse)
+	p, requested = chosen.Merge(cataloger.UnreadableLeadership(6)).RequestedPromotion()
+	qt.Assert(t, requested && p == "b@6", qt.IsTrue)
+}
+
+// Guards against a confirmation of another replacement, or of the end of this one, that is taken for one of the announcement.
+func TestConfirmationIsOfTheSameReplacement(t *testing.T) {
+	other, later := announced, announced
+	other.Holder, later.Revision = "two", 6
+	qt.Assert(t, announced.IsSameReplacement(announced), qt.IsTrue)
+	for _, l := range []cataloger.Leadership{idle, unreadable, other, later} {
+		qt.Check(t, l.IsSameReplacement(announced), qt.IsFalse, qt.Commentf("%+v", l))
+	}
+}
+
+// Guards against a late announcement that ends a replacement or gives permits; it may only begin one that was given up again.
+func TestLateAnnouncementOfAnEarlierEra(t *testing.T) {
+	givenUp := cataloger.Leadership{Term: 2, Server: "a", Revision: cataloger.Revision(1, 8)}
+	finished := cataloger.Leadership{Term: 3, Server: "b", Revision: cataloger.Revision(1, 8)}
+	qt.Assert(t, givenUp.Merge(announced).State(), qt.Equals, cataloger.Announced)
+	qt.Assert(t, finished.Merge(announced).State(), qt.Equals, cataloger.NotReplacing)
+	taken := cataloger.Leadership{Term: 2, Server: "a", Holder: "two", Successor: "c", Revision: cataloger.Revision(1, 8)}
+	qt.Assert(t, taken.Merge(announced).State(), qt.Equals, cataloger.SuccessorChosen)
 }
 
 // Guards against a transition from a state that does not allow it, and one that loses a field of the record.
