internal/transport/sessioner: requests that have arrived are answered in the second half of the grace period

What callers saw: after half of the grace period of a planned stop, the instance closed sessions whose requests had already arrived, pipelined ones included, without an answer. Cause: EndTransactions marks a session to close at once, and canClose then did not look at unread requests. Change: a marked session closes only when nothing is unread. Requests that keep arriving are served until the drain ends.

--- a/internal/transport/sessioner/server.go
+++ b/internal/transport/sessioner/server.go
@@ -191,7 +191,8 @@
 	return len(s.sessions)
 }
 
-// EndTransactions makes every session close, even with an open transaction.
+// EndTransactions makes every session close as soon as it has no outstanding request,
+// even with an open transaction.
 func (s *Server) EndTransactions() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/transport/sessioner/session.go
+++ b/internal/transport/sessioner/session.go
@@ -45,7 +45,7 @@
 	forwarded bool
 
 	closeWhenIdle atomic.Bool // Close once no transaction and no request is open.
-	closeNow      atomic.Bool // Close even if a transaction is open.
+	closeNow      atomic.Bool // Close once no request is open, even if a transaction is.
 }
 
 // start reads the startup message and replies to it. It reports whether the
@@ -123,19 +123,18 @@
 		default:
 			return
 		}
-		if n.closeWhenIdle.Load() && n.canClose() {
+		if n.canClose() {
 			return
 		}
 	}
 }
 
 // canClose reports whether the session is marked to close and may do so now:
-// at once, or without interrupting a transaction or request.
+// without leaving a request unanswered that has arrived, and without ending a
+// transaction unless it is marked to close at once.
 func (n *session) canClose() bool {
-	if n.closeNow.Load() {
-		return true
-	}
-	return n.closeWhenIdle.Load() && n.tx == nil && !n.client.Pending()
+	isMarked := n.closeNow.Load() || n.closeWhenIdle.Load() && n.tx == nil
+	return isMarked && !n.client.Pending()
 }
 
 // idleDeadline returns the time at which the open transaction is rolled back if
