--- a/internal/bench/stager/process.go
+++ b/internal/bench/stager/process.go
@@ -12,9 +12,9 @@
 	"syscall"
 	"time"
 
-	"oleanderpulley/internal/fake/allocator"
-
 	"github.com/pkg/errors"
+
+	"oleanderpulley/internal/fake/allocator"
 )
 
 // ErrNotReady is returned if instances are not ready within the start timeout.
--- a/internal/command/commander/script_test.go
+++ b/internal/command/commander/script_test.go
@@ -15,11 +15,11 @@
 	"testing"
 	"time"
 
-	"oleanderpulley/internal/fake/allocator"
-
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"oleanderpulley/internal/fake/allocator"
 )
 
 var update = flag.Bool("update", false, "rewrite the expected parts of the scripts")
--- a/internal/fake/backendserver/server.go
+++ b/internal/fake/backendserver/server.go
@@ -7,9 +7,9 @@
 	"sync"
 	"time"
 
-	"oleanderpulley/internal/fake/allocator"
-
 	"github.com/pkg/errors"
+
+	"oleanderpulley/internal/fake/allocator"
 )
 
 // Server is one member of a database group. Set the exported fields before
