internal/coordination/reaper: remove the instances of a lost data centre in seconds

Callers saw nothing of this by itself. An instance that is lost stays registered, owns fractions of rates and is a home until it is removed.

Cause: each instance monitored the two that follow it in the order of ids, and the ids of a data centre are adjacent. Its instances therefore monitored each other, and the running ones before them removed two each timeout of 8 s. Besides, the three peers that are queried were chosen from all instances: one that was cut off with its data centre queried mostly peers of its own data centre in a quarter of the tries, which cannot reach the others either, and removed running instances.

Change: two successors in the order of a hash are monitored besides the two by id, and as many further ones as nearer ones are unreachable, up to 16. The queried peers are in different data centres, at most one in each as long as there are three, up to 7. The two by id stay: builds run side by side, and TestDecisionsOfAdjacentBuilds keeps that order.

--- a/internal/command/starter/reachability.go
+++ b/internal/command/starter/reachability.go
@@ -10,9 +10,6 @@
 )
 
 const (
-	// reachabilityPeers is the number of peers that are asked whether they
-	// reach an instance.
-	reachabilityPeers = 3
 	// reachabilityTimeout limits the request, connectWait the connection
 	// attempt of the peer that was asked.
 	reachabilityTimeout = 900 * time.Millisecond
@@ -45,11 +42,10 @@
 	}
 }
 
-// askReachability asks some peers whether they reach the instance.
-func (s *Starter) askReachability(ctx context.Context, id identifier.InstanceID) reaper.Answers {
+// askReachability asks the peers whether they reach the instance.
+func (s *Starter) askReachability(ctx context.Context, id identifier.InstanceID, peers []identifier.InstanceID) reaper.Answers {
 	ctx, cancel := context.WithTimeout(ctx, reachabilityTimeout)
 	defer cancel()
-	peers := s.randomPeers(reachabilityPeers, id)
 	replies := requestEach[reachReply](ctx, s, peers, reachAsk{Instance: id})
 	result := reaper.Answers{Asked: len(peers)}
 	for r := range replies {
--- /dev/null
+++ b/internal/coordination/reaper/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package reaper_test
+
+const raceEnabled = true
--- a/internal/coordination/reaper/reaper_test.go
+++ b/internal/coordination/reaper/reaper_test.go
@@ -18,6 +18,11 @@
 	// Output: [d a]
 }
 
+func ExampleHashSuccessors() {
+	fmt.Println(reaper.HashSuccessors("c", []identifier.InstanceID{"d", "a", "c", "b"}, 2))
+	// Output: [a d]
+}
+
 // Guards against the removal of an instance that restarts, that peers can reach,
 // or that cannot be reached because the monitoring instance is partitioned, and
 // against a failed instance that keeps its fractions of rate limits.
@@ -44,7 +49,9 @@
 				Connected: func(id identifier.InstanceID) bool {
 					return id != "b" || now.Sub(start) >= test.downFor
 				},
-				Ask: func(context.Context, identifier.InstanceID) reaper.Answers { return test.answers },
+				Ask: func(context.Context, identifier.InstanceID, []identifier.InstanceID) reaper.Answers {
+					return test.answers
+				},
 				Remove: func(_ context.Context, m cataloger.Instance) error {
 					removed = append(removed, m.ID)
 					return nil
