internal/command/starter: a home that refuses statements is avoided

What callers saw: a single write was answered with INDOUBT although no server had run it, when its home was stopped as planned. Cause: a draining home refuses each statement that peers send, and they sent the next one to it again, until its process ended between a statement and the refusal. The link then ends without an answer, which may mean anything. Change: for 5 s after a refusal other homes come first. An accepted new statement ends that; statements of transactions that are open at a draining home do not. TestHomeThatRefusesIsAvoided failed before.

--- a/internal/command/starter/forward.go
+++ b/internal/command/starter/forward.go
@@ -25,6 +25,11 @@
 // reaches an instance with a recent proof has found it by then.
 const unprovenDuration = time.Second
 
+// refusedDuration is the time for which other homes are preferred to a home that
+// refuses new statements. It is longer than most drains, after which a statement that
+// was sent has an unknown outcome.
+const refusedDuration = 5 * time.Second
+
 // homeConnectWait is the time for which a statement waits for the connection to
 // its home.
 const homeConnectWait = 150 * time.Millisecond
@@ -44,6 +49,9 @@
 	// unprovenUntil holds the homes that are avoided for statements that need the
 	// primary.
 	unprovenUntil map[identifier.InstanceID]time.Time
+	// refusedUntil holds the homes that refused to run a statement, as they do during
+	// a drain.
+	refusedUntil map[identifier.InstanceID]time.Time
 }
 
 // servicePlan holds the plan of a service and the orders of its homes that were
@@ -140,11 +148,20 @@
 	p.avoidedUntil[id] = time.Now().Add(avoidDuration)
 }
 
-// observeReply records whether the home could use a primary for the statement.
+// observeReply records whether the home accepts statements, and whether it could use a
+// primary for this one.
 func (p *homePlans) observeReply(id identifier.InstanceID, f sessioner.ForwardRequest, r sessioner.ForwardReply) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if f.IsNew() && !r.Refused {
+		delete(p.refusedUntil, id)
+	}
 	switch {
+	case r.Refused:
+		if p.refusedUntil == nil {
+			p.refusedUntil = map[identifier.InstanceID]time.Time{}
+		}
+		p.refusedUntil[id] = time.Now().Add(refusedDuration)
 	case r.Unproven:
 		if p.unprovenUntil == nil {
 			p.unprovenUntil = map[identifier.InstanceID]time.Time{}
@@ -162,7 +179,7 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	isAvoided := func(i cataloger.Instance) bool {
-		return now.Before(p.avoidedUntil[i.ID]) || primary && now.Before(p.unprovenUntil[i.ID])
+		return now.Before(p.avoidedUntil[i.ID]) || now.Before(p.refusedUntil[i.ID]) || primary && now.Before(p.unprovenUntil[i.ID])
 	}
 	if !slices.ContainsFunc(instances, isAvoided) {
 		return instances
--- a/internal/command/starter/forward_test.go
+++ b/internal/command/starter/forward_test.go
@@ -37,6 +37,25 @@
 	qt.Assert(t, first(true), qt.Equals, identifier.InstanceID("one"))
 }
 
+// Guards against writes of unknown outcome that are sent to a draining home just before its process ends.
+func TestHomeThatRefusesIsAvoided(t *testing.T) {
+	var p homePlans
+	isFirst := func(primary bool) bool {
+		homes := p.avoidedLast([]cataloger.Instance{{ID: "one"}, {ID: "two"}}, primary)
+		return homes[0].ID == "one"
+	}
+	write := sessioner.ForwardRequest{Writes: true}
+	p.observeReply("one", write, sessioner.ForwardReply{Refused: true})
+	qt.Assert(t, isFirst(true), qt.IsFalse)
+	qt.Assert(t, isFirst(false), qt.IsFalse)
+	inOpenTransaction := sessioner.ForwardRequest{Writes: true, Transaction: 7}
+	p.observeReply("one", inOpenTransaction, sessioner.ForwardReply{})
+	qt.Assert(t, isFirst(false), qt.IsFalse)
+	p.observeReply("one", write, sessioner.ForwardReply{})
+	qt.Assert(t, isFirst(true), qt.IsTrue)
+	qt.Assert(t, isFirst(false), qt.IsTrue)
+}
+
 // Guards against a home that refuses what only the primary can run because its
 // proof is too old, although another home may have a recent one.
 func TestHomeWithoutARecentProofForwards(t *testing.T) {
--- a/internal/transport/sessioner/forward.go
+++ b/internal/transport/sessioner/forward.go
@@ -58,6 +58,12 @@
 	return f.Transaction == 0 && !f.Writes
 }
 
+// IsNew reports whether the statement is not one of a transaction that is open at the
+// peer. A peer that drains refuses it.
+func (f ForwardRequest) IsNew() bool {
+	return f.Transaction == 0 || f.Begin != requester.Unknown
+}
+
 // ForwardedRoute is a [cataloger.Route] with shorter keys.
 type ForwardedRoute struct {
 	Service          identifier.ServiceName `cbor:"1,keyasint"`
