internal/bench/soaker: faults that only slow instances down, and a check for work given up too early

With them an INDOUBT before the timeout of a single statement is reported unless the instance was frozen beyond it.

--- a/internal/bench/soaker/check.go
+++ b/internal/bench/soaker/check.go
@@ -46,6 +46,9 @@
 	r.Broken = append(r.Broken, h.checkReads(runs, commits)...)
 	r.Broken = append(r.Broken, h.checkRates(runs)...)
 	r.Broken = append(r.Broken, h.checkRecovery()...)
+	if e.soak.slowsInstances() {
+		r.Broken = append(r.Broken, h.checkGivenUp(e.freezes)...)
+	}
 	return r
 }
 
--- a/internal/bench/soaker/environment.go
+++ b/internal/bench/soaker/environment.go
@@ -36,7 +36,8 @@
 
 	mu            sync.Mutex
 	configVersion int
-	restarts      map[string]int       // Number of restarts without a log, by backend server.
+	restarts      map[string]int // Number of restarts without a log, by backend server.
+	freezes       []freeze
 	withdrawn     map[string]time.Time // Time at which the store acknowledged the withdrawal, by key.
 }
 
@@ -71,6 +72,9 @@
 
 const dataCentres = 2
 
+// statementTimeout is that of the routes.
+const statementTimeout = 800 * time.Millisecond
+
 // Bounds of the time until a promotion takes effect.
 const (
 	minPromotionDelay = 200 * time.Millisecond
@@ -170,7 +174,7 @@
 	for _, kind := range routeKinds {
 		for _, host := range e.soak.hosts(kind) {
 			routes = append(routes, map[string]any{
-				"host": host, "type": kind, "service": "rentals", "timeoutMs": 800, "targetLatencyMs": 400,
+				"host": host, "type": kind, "service": "rentals", "timeoutMs": statementTimeout.Milliseconds(), "targetLatencyMs": 400,
 				"maxStalenessMs": maxStaleness.Milliseconds(), "priority": 1,
 			})
 		}
--- a/internal/bench/soaker/fault.go
+++ b/internal/bench/soaker/fault.go
@@ -200,7 +200,7 @@
 	if s.Fault == "" {
 		return all, nil
 	}
-	all = slices.Concat(all, namedFaults)
+	all = slices.Concat(all, namedFaults, slownessFaults)
 	i := slices.IndexFunc(all, func(f fault) bool { return f.name == s.Fault })
 	if i < 0 {
 		return nil, errors.Wrapf(errUnknownFault, "%q", s.Fault)
