internal/bench/soaker: the last window ends with the load, and an idle one is followed by another

Seen: "end: 0 of 0 operations were served after the faults" in five runs of the soak at load averages of 40 to 77, each of which passed when run again.

Cause: checkRecovery counted the operations sent in the two seconds before the last answer. Answers arrive up to two seconds after the end of the load, the clients' time limit. One operation that was sent at the end and got no answer moved the window to a time at which nothing was sent, however many operations had been served before.

The window is now the last two seconds of the load. Operations without an answer are in it, and so are sessions that could not be opened, which the check left out.

A window with at least one attempt of which less than half is served fails at once, as before. If it does not and clients made fewer than 10 attempts, the load goes on for another window, until 30 s after the faults; then the run fails with the rule "idle". Reports name each idle window and what the clients waited for.

--- a/internal/bench/soaker/check.go
+++ b/internal/bench/soaker/check.go
@@ -45,7 +45,6 @@
 	r.Broken = append(r.Broken, h.checkKeysAccepted()...)
 	r.Broken = append(r.Broken, h.checkReads(runs, commits)...)
 	r.Broken = append(r.Broken, h.checkRates(runs)...)
-	r.Broken = append(r.Broken, h.checkRecovery()...)
 	return r
 }
 
@@ -305,26 +304,3 @@
 	rate := float64(workspaceRates[workspace])
 	return int((rate*rateWindow.Seconds()+rate)*rateTolerance + rateSlack)
 }
-
-// checkRecovery checks that clients are served again after the faults have ended. It
-// leaves out withdrawable keys and the workspace desks, which exceeds its rate.
-func (h *history) checkRecovery() []string {
-	if len(h.operations) == 0 {
-		return []string{"end: no operation was sent"}
-	}
-	last := h.operations[len(h.operations)-1].answered.Add(-recoveryTime / 3)
-	served, all := 0, 0
-	for _, o := range h.operations {
-		if o.sent.Before(last) || strings.HasPrefix(o.key, withdrawableKeyPrefix) || o.workspace == "desks" {
-			continue
-		}
-		all++
-		if o.outcome == acknowledged {
-			served++
-		}
-	}
-	if float64(served) < minServedShare*float64(all) || all == 0 {
-		return []string{fmt.Sprintf("end: %d of %d operations were served after the faults", served, all)}
-	}
-	return nil
-}
--- a/internal/bench/soaker/client.go
+++ b/internal/bench/soaker/client.go
@@ -2,15 +2,18 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"oleanderpulley/internal/bench/stager"
 	"oleanderpulley/platform/imitator"
 )
 
@@ -59,6 +62,7 @@
 	mu             sync.Mutex
 	operations     []operation
 	statements     []statement
+	failedSessions []failedSession
 	wronglyRefused []string // Refused sessions with a key and a database that are always valid.
 }
 
@@ -68,6 +72,12 @@
 	h.operations = append(h.operations, o)
 }
 
+func (h *history) addFailedSession(s failedSession) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.failedSessions = append(h.failedSessions, s)
+}
+
 func (h *history) addStatement(s statement) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -84,8 +94,11 @@
 	settings    map[string]string // Acknowledged session values.
 	shape       string            // Of the prepared statements.
 
-	conn   net.Conn
-	reader *bufio.Reader
+	instance string // Name of the instance of the session.
+	conn     net.Conn
+	reader   *bufio.Reader
+
+	waiting atomic.Pointer[wait] // What run waits for; nil before its first call.
 }
 
 func (c *client) run(stop <-chan struct{}) {
@@ -93,12 +106,22 @@
 		select {
 		case <-stop:
 			return
-		case <-time.After(time.Duration(c.random.Int64N(int64(maxPause)))):
+		case <-c.pause():
 		}
 		c.runSession(stop)
 	}
 }
 
+// pause returns a channel that receives after a random time of at most maxPause.
+func (c *client) pause() <-chan time.Time {
+	c.waitFor("in a pause")
+	return time.After(time.Duration(c.random.Int64N(int64(maxPause))))
+}
+
+func (c *client) waitFor(what string) {
+	c.waiting.Store(&wait{what, time.Now()})
+}
+
 // runSession opens a session and sends operations until one returns an error, stop
 // is closed or the session has sent maxSessionOperations.
 func (c *client) runSession(stop <-chan struct{}) {
@@ -107,25 +130,18 @@
 	hosts := c.environment.soak.hosts(database)
 	host := hosts[c.random.IntN(len(hosts))]
 	instance := c.environment.randomInstance(c.random)
-	conn, err := net.DialTimeout("tcp4", instance.Address, time.Second)
-	if err != nil {
-		return
-	}
-	defer func() { _ = conn.Close() }()
-	c.conn, c.reader, c.settings = conn, bufio.NewReader(conn), map[string]string{}
-	if r, err := c.exchange("STARTUP " + host + " " + credential.key); err != nil || r.code != "" {
-		c.recordRefusal(host, credential.key, r)
-		return
-	}
-	if err := c.prepareStatements(); err != nil {
+	began := time.Now()
+	if err := c.openSession(instance, host, credential.key); err != nil {
+		c.history.addFailedSession(failedSession{credential.key, credential.workspace, began})
 		return
 	}
+	defer func() { _ = c.conn.Close() }()
 	lastWrite := ""
 	for range maxSessionOperations {
 		select {
 		case <-stop:
 			return
-		case <-time.After(time.Duration(c.random.Int64N(int64(maxPause)))):
+		case <-c.pause():
 		}
 		if err := c.changeSession(); err != nil {
 			return
@@ -142,6 +158,29 @@
 	}
 }
 
+// openSession connects to the instance, sends STARTUP and prepares the statements. The
+// connection is closed if it fails.
+func (c *client) openSession(instance *stager.Process, host, key string) error {
+	c.instance = instance.Name
+	c.waitFor("for a connection to " + c.instance)
+	conn, err := net.DialTimeout("tcp4", instance.Address, time.Second)
+	if err != nil {
+		return err
+	}
+	c.conn, c.reader, c.settings = conn, bufio.NewReader(conn), map[string]string{}
+	r, err := c.exchange("STARTUP " + host + " " + key)
+	if err != nil || r.code != "" {
+		c.recordRefusal(host, key, r)
+		err = cmp.Or(err, errUnexpectedAnswer)
+	} else {
+		err = c.prepareStatements()
+	}
+	if err != nil {
+		_ = conn.Close()
+	}
+	return err
+}
+
 // recordRefusal records that a session was refused as if its key or its database were not
 // configured, unless the key may have been withdrawn.
 func (c *client) recordRefusal(host, key string, r reply) {
@@ -306,7 +345,7 @@
 			}
 			return err
 		}
-		time.Sleep(time.Duration(c.random.Int64N(int64(maxPause))))
+		<-c.pause()
 		if c.random.IntN(setEvery) == 0 {
 			err = c.setValue()
 		}
@@ -354,6 +393,7 @@
 	if c.reader.Buffered() > 0 {
 		r.outcomes++ // Of an answer that nothing asked for.
 	}
+	c.waitFor("for an answer of " + c.instance)
 	if err := c.conn.SetDeadline(time.Now().Add(answerTimeout)); err != nil {
 		return r, err
 	}
--- a/internal/bench/soaker/soaker.go
+++ b/internal/bench/soaker/soaker.go
@@ -16,15 +16,8 @@
 	"github.com/pkg/errors"
 )
 
-const (
-	// recoveryTime is the time without faults at the end of a run, after which
-	// clients must be served again.
-	recoveryTime = 6 * time.Second
-	// minServedShare is the share of the last operations that must be served.
-	minServedShare = 0.5
-	// maxListedBroken is the number of broken promises of each rule that a report lists.
-	maxListedBroken = 4
-)
+// maxListedBroken is the number of broken promises of each rule that a report lists.
+const maxListedBroken = 4
 
 // Soak configures a run of the soak test.
 type Soak struct {
@@ -59,7 +52,10 @@
 	Repeats    int      // Answers that backend servers sent again.
 	Faults     []string // Start time in seconds and name of each fault.
 	Upgrades   []string // Time in seconds, instance and build of each change of a build.
-	Broken     []string // Broken promises, one line each, that begin with the rule.
+	// IdleWindows are the windows after the faults in which clients attempted too little to
+	// tell whether they were served again.
+	IdleWindows []string
+	Broken      []string // Broken promises, one line each, that begin with the rule.
 }
 
 // OK reports whether every promise was kept.
@@ -76,6 +72,9 @@
 	if len(r.Upgrades) > 0 {
 		fmt.Fprintf(&b, ", %d changes of a build", len(r.Upgrades))
 	}
+	for _, line := range r.IdleWindows {
+		b.WriteString("\n  idle window: " + line)
+	}
 	listed := map[string]int{}
 	for _, line := range r.Broken {
 		rule := brokenRule(line)
@@ -146,14 +145,15 @@
 // reports the promises that were broken.
 func (e *environment) play(ctx context.Context, drawn []fault, plan upgradePlan) (Report, error) {
 	s, h := e.soak, &history{}
-	stop := make(chan struct{})
-	var clients sync.WaitGroup
+	l := &load{history: h}
 	for i := range s.Clients {
-		c := &client{environment: e, history: h, number: i, random: rand.New(rand.NewPCG(s.Seed, uint64(i)+100))}
-		clients.Go(func() { c.run(stop) })
+		l.clients = append(l.clients, &client{environment: e, history: h, number: i, random: rand.New(rand.NewPCG(s.Seed, uint64(i)+100))})
 	}
+	l.start()
+	stop := make(chan struct{})
+	var oddEntries sync.WaitGroup
 	if s.OddEntries {
-		clients.Go(func() { e.putOddEntries(rand.New(rand.NewPCG(s.Seed, 3)), stop) })
+		oddEntries.Go(func() { e.putOddEntries(rand.New(rand.NewPCG(s.Seed, 3)), stop) })
 	}
 	var upgrades []string
 	upgraded := make(chan struct{})
@@ -163,19 +163,21 @@
 	}()
 	faults := e.injectFaults(ctx, drawn, rand.New(rand.NewPCG(s.Seed, 1)), s.Length, upgraded)
 	<-upgraded
+	faultsEnded := time.Now()
 	sleep(ctx, recoveryTime)
 	var notReady []string
 	if s.OddEntries {
 		notReady = e.checkReady()
 	}
+	idle, notServed := l.endRecovered(ctx, faultsEnded)
 	close(stop)
-	clients.Wait()
+	oddEntries.Wait()
 	if ctx.Err() != nil {
 		return Report{}, ctx.Err()
 	}
 	r := h.check(e)
-	r.Broken = slices.Concat(r.Broken, notReady, e.checkExits(), e.checkBuilds(plan))
-	r.Seed, r.Faults, r.Upgrades = s.Seed, faults, upgrades
+	r.Broken = slices.Concat(r.Broken, notServed, notReady, e.checkExits(), e.checkBuilds(plan))
+	r.Seed, r.Faults, r.Upgrades, r.IdleWindows = s.Seed, faults, upgrades, idle
 	return r, nil
 }
 
