internal/transport/prober: the intervals of samples are tested by a simulated clock

Cause: the test measured intervals of the prober in real time, and the process does not run in time on a loaded machine. The prober was right: it sent the sample when it ran again.

The test now runs in a testing/synctest bubble, in which no time passes while a goroutine runs, and reaches the backend server through pipes. It is stricter: samples in use must be exactly 400 ms apart (before: 350 to 600), those on demand exactly 10 ms (before: at least).

--- a/internal/fake/backendserver/server.go
+++ b/internal/fake/backendserver/server.go
@@ -46,6 +46,8 @@
 	// it is reached, the older half is dropped, so that the first sequence
 	// number is above 1.
 	MaxRecords int
+	// Listen opens the listener of an address; nil selects TCP.
+	Listen func(address string) (net.Listener, error)
 
 	mu               sync.Mutex
 	stateChanged     chan struct{} // closed and replaced whenever the state changes
@@ -96,7 +98,11 @@
 // listen binds the address and starts a new incarnation. The caller must hold
 // s.mu.
 func (s *Server) listen() error {
-	ln, err := net.Listen("tcp", s.address)
+	listen := s.Listen
+	if listen == nil {
+		listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
+	ln, err := listen(s.address)
 	if err != nil {
 		return errors.Wrapf(err, "backend server %s: listen", s.ID)
 	}
--- a/internal/transport/prober/prober_test.go
+++ b/internal/transport/prober/prober_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"net"
+	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -72,34 +75,97 @@
 // Guards against load from groups that are not in use, against too long intervals
 // between the samples of a group in use, and against too short ones on demand.
 func TestSamplingFollowsUse(t *testing.T) {
-	p, _, answers, _ := start(t)
-	select {
-	case <-answers:
-		t.Fatal("an unused group was sampled")
-	case <-time.After(600 * time.Millisecond):
+	synctest.Test(t, func(t *testing.T) {
+		p, answers := startOnPipes(t)
+		select {
+		case <-answers:
+			t.Fatal("an unused group was sampled")
+		case <-time.After(600 * time.Millisecond):
+		}
+		qt.Assert(t, p.Counts(), qt.Equals, prober.Counts{})
+
+		p.KeepSampled("s")
+		last := receive(t, "first sample", answers, time.Second)
+		for range 3 {
+			a := receive(t, "sample in use", answers, time.Second)
+			qt.Assert(t, a.sent.Sub(last.sent), qt.Equals, 400*time.Millisecond)
+			last = a
+		}
+		for range 5 {
+			requestedAt := time.Now()
+			p.RequestSample("s")
+			a := receive(t, "sample on demand", answers, time.Second)
+			qt.Assert(t, a.sent.Before(requestedAt), qt.IsFalse)
+			qt.Assert(t, a.sent.Sub(last.sent), qt.Equals, 10*time.Millisecond)
+			last = a
+		}
+		c := p.Counts()
+		qt.Assert(t, c.Connections, qt.Equals, uint64(1))
+		qt.Assert(t, c.Queries, qt.Equals, uint64(9))
+		t.Logf("%d bytes sent and %d received by %d queries", c.Sent, c.Received, c.Queries)
+	})
+}
+
+// startOnPipes returns a prober for a group of one member, which it reaches through pipes,
+// and a channel that receives its observations. It is called in a synctest bubble, where no
+// time passes while a goroutine runs.
+func startOnPipes(t *testing.T) (*prober.Prober, chan observation) {
+	l := &pipeListener{accepted: make(chan net.Conn), closed: make(chan struct{})}
+	s := &backendserver.Server{ID: "b-1", Listen: func(string) (net.Listener, error) { return l, nil }}
+	address, err := s.Start("127.0.0.1:1")
+	qt.Assert(t, err, qt.IsNil)
+	answers := make(chan observation, 1000)
+	p := &prober.Prober{
+		OnStatus: func(_ identifier.ServiceName, st tracker.MemberStatus, sent, received time.Time) {
+			answers <- observation{st, sent, received}
+		},
+		Dial: l.dial,
 	}
-	qt.Assert(t, p.Counts(), qt.Equals, prober.Counts{})
+	p.SetGroup("s", []prober.Member{{Server: "b-1", Address: address}})
+	t.Cleanup(func() {
+		p.Close()
+		qt.Check(t, s.Close(), qt.IsNil)
+	})
+	return p, answers
+}
 
-	p.KeepSampled("s")
-	last := receive(t, "first sample", answers, time.Second)
-	for range 3 {
-		a := receive(t, "sample in use", answers, time.Second)
-		between := a.sent.Sub(last.sent)
-		qt.Assert(t, between > 350*time.Millisecond && between < 600*time.Millisecond, qt.IsTrue, qt.Commentf("%s", between))
-		last = a
+// pipeListener is a [net.Listener] whose connections are pipes that dial opens.
+type pipeListener struct {
+	accepted chan net.Conn
+	closed   chan struct{}
+}
+
+func (l *pipeListener) dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	near, far := net.Pipe()
+	select {
+	case l.accepted <- far:
+		return near, nil
+	case <-l.closed:
+		return nil, syscall.ECONNREFUSED
+	case <-ctx.Done():
+		return nil, ctx.Err()
 	}
-	for range 5 {
-		requestedAt := time.Now()
-		p.RequestSample("s")
-		a := receive(t, "sample on demand", answers, time.Second)
-		qt.Assert(t, a.sent.Before(requestedAt), qt.IsFalse)
-		qt.Assert(t, a.sent.Sub(last.sent) >= 10*time.Millisecond, qt.IsTrue)
-		last = a
+}
+
+// Accept implements [net.Listener].
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.accepted:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
 	}
-	c := p.Counts()
-	qt.Assert(t, c.Connections, qt.Equals, uint64(1))
-	qt.Assert(t, c.Queries, qt.Equals, uint64(9))
-	t.Logf("%d bytes sent and %d received by %d queries", c.Sent, c.Received, c.Queries)
+}
+
+// Close implements [net.Listener].
+func (l *pipeListener) Close() error {
+	close(l.closed)
+	return nil
+}
+
+// Addr implements [net.Listener].
+func (l *pipeListener) Addr() net.Addr {
+	return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1}
 }
 
 // Guards against suspecting a member only because one connection is unresponsive,
