internal/coordination/promoter: failover gaps and a slow primary are tested by a simulated clock

Run again with -race -count=20 at load averages of 30 to 70: /silent failed once (gap 9.1 s, detection 4.4 s), /refused and /slow passed 20 of 20. 60 more runs of TestFailoverGap (120 subtests) at load averages of 20 to 38 passed.

Cause: the tests measured the machine. Without a stall, /silent takes 4.2 s of the 5 s allowed, 2.0 s of which are the time limit of one answer, and the slow primary answers 1.9 s after the query, where the prober waits for 2 s: stalls of 0.8 s and of 0.1 s fail them.

Both tests now run in a testing/synctest bubble. The group, the platform and the instances are connected by pipes of the new package fake/connector. The bounds are unchanged. They fail with a time limit of 3 s (gap 5.215 s) and of 1.8 s (/slow) in the prober. Other tests of the package still use sockets. A failure prints what each instance suspected and did.

With -race, two goroutines of a bubble that find expired timers at the same time crash the process (Go 1.26.8; seen in 2 of 61 processes here, and at once in a test of 20 lines with time.NewTimer(0)).

--- a/internal/coordination/promoter/failover_test.go
+++ b/internal/coordination/promoter/failover_test.go
@@ -4,8 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
+	"runtime"
+	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -16,6 +20,7 @@
 	"oleanderpulley/internal/coordination/promoter"
 	"oleanderpulley/internal/fake/allocator"
 	"oleanderpulley/internal/fake/backendserver"
+	"oleanderpulley/internal/fake/connector"
 	"oleanderpulley/internal/fake/platformserver"
 	"oleanderpulley/internal/state/identifier"
 	"oleanderpulley/internal/state/tracker"
@@ -33,6 +38,34 @@
 	platform  platformclient.Client
 	draining  sync.Map
 	events    chan promoter.Event
+	steps     stepLog
+}
+
+// stepLog collects what an instance observed, one line each.
+type stepLog struct {
+	mu    sync.Mutex
+	lines strings.Builder
+}
+
+func (l *stepLog) add(format string, values ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	fmt.Fprintf(&l.lines, "%s %s\n", time.Now().Format("05.000"), fmt.Sprintf(format, values...))
+}
+
+func (l *stepLog) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lines.String()
+}
+
+// steps returns what the instances observed, for the report of a failed test.
+func (c *cluster) steps() string {
+	var b strings.Builder
+	for _, ti := range c.instances {
+		fmt.Fprintf(&b, "%s:\n%s", ti.promoter.Instance, ti.steps.String())
+	}
+	return b.String()
 }
 
 // cluster is a group of fake backend servers, a fake platform, and the instances.
@@ -40,20 +73,35 @@
 	backends  *backendserver.Group
 	platform  *platformserver.Server
 	instances []*testInstance
+	// network connects the members of the cluster; nil connects them with sockets.
+	network *connector.Network
 }
 
 func newCluster(t *testing.T, instances int, configure func(*backendserver.Server)) *cluster {
+	return (&cluster{}).start(t, instances, configure)
+}
+
+// newSimulatedCluster is like newCluster, for a test in a synctest bubble.
+func newSimulatedCluster(t *testing.T, instances int) *cluster {
+	c := &cluster{network: &connector.Network{}}
+	return c.start(t, instances, func(s *backendserver.Server) { s.Listen = c.network.Listen })
+}
+
+func (c *cluster) start(t *testing.T, instances int, configure func(*backendserver.Server)) *cluster {
 	backends, err := backendserver.StartGroup("b", 3, configure)
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { qt.Check(t, backends.Close(), qt.IsNil) })
 	platform := &platformserver.Server{}
+	if c.network != nil {
+		platform.Listen = c.network.Listen
+	}
 	address, err := allocator.FreeAddress()
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { allocator.Release(address) })
 	_, err = platform.Start(address)
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { qt.Check(t, platform.Close(), qt.IsNil) })
-	c := &cluster{backends: backends, platform: platform}
+	c.backends, c.platform = backends, platform
 	var ids []identifier.InstanceID
 	for n := range instances {
 		ids = append(ids, identifier.InstanceID(fmt.Sprintf("i%d", n)))
@@ -84,10 +132,15 @@
 			ti.promoter.Check(service)
 		},
 		OnConnectionLost: func(_ identifier.ServiceName, server identifier.BackendServerID) { ti.group.Forget(server) },
-		OnSuspected: func(_ identifier.ServiceName, server identifier.BackendServerID, _ error, since time.Time) {
+		OnSuspected: func(_ identifier.ServiceName, server identifier.BackendServerID, cause error, since time.Time) {
+			ti.steps.add("suspects %s, last answered query sent at %s: %v", server, since.Format("05.000"), cause)
 			ti.promoter.Suspect(service, server, since)
 		},
 	}
+	if c.network != nil {
+		ti.prober.Dial = c.network.Dial
+		ti.platform.HTTP = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: c.network.Dial}}
+	}
 	ti.promoter = promoter.Promoter{
 		Instance: id,
 		Group:    func(identifier.ServiceName) *tracker.Group { return &ti.group },
@@ -112,7 +165,10 @@
 			return ti.platform.Put(ctx, "group", string(s), rec, v)
 		},
 		Leaving: func(s identifier.BackendServerID) bool { _, ok := ti.draining.Load(s); return ok },
-		OnStep:  func(e promoter.Event) { ti.events <- e },
+		OnStep: func(e promoter.Event) {
+			ti.steps.add("%+v", e)
+			ti.events <- e
+		},
 	}
 	return ti
 }
@@ -235,6 +291,14 @@
 	return promoter.Event{}
 }
 
+// inBubble runs the test in a synctest bubble, on one processor: with Go 1.26.8 and the
+// race detector, two goroutines of a bubble that find expired timers at the same time
+// crash the process.
+func inBubble(t *testing.T, test func(*testing.T)) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	synctest.Test(t, test)
+}
+
 // Guards against a failover that takes more than the target of 5 s, if the
 // primary refuses connections and if it does not answer.
 func TestFailoverGap(t *testing.T) {
@@ -243,26 +307,28 @@
 		"silent":  func(s *backendserver.Server) { s.SetFaults(backendserver.Faults{Paused: true}) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			c := newCluster(t, 3, nil)
-			c.awaitReady(t)
-			former := c.primary(c.instances[0])
-			began := time.Now()
-			fail(former)
-			for _, ti := range c.instances {
-				ti.await(t, "a write right in the next term", 18*time.Second, func() bool { return ti.writable(2) })
-			}
-			gap := time.Since(began)
-			e := c.awaitOpened(t, 5*time.Second)
-			t.Logf("gap %s: %+v", gap, e.Gap)
-			qt.Assert(t, gap < 5*time.Second, qt.IsTrue, qt.Commentf("%s", gap))
+			inBubble(t, func(t *testing.T) {
+				c := newSimulatedCluster(t, 3)
+				c.awaitReady(t)
+				former := c.primary(c.instances[0])
+				began := time.Now()
+				fail(former)
+				for _, ti := range c.instances {
+					ti.await(t, "a write right in the next term", 18*time.Second, func() bool { return ti.writable(2) })
+				}
+				gap := time.Since(began)
+				e := c.awaitOpened(t, 5*time.Second)
+				t.Logf("gap %s: %+v", gap, e.Gap)
+				qt.Assert(t, gap < 5*time.Second, qt.IsTrue, qt.Commentf("%s\n%s", gap, c.steps()))
 
-			former.SetFaults(backendserver.Faults{})
-			if name == "refused" {
-				qt.Assert(t, former.Restart(), qt.IsNil)
-			}
-			c.instances[0].await(t, "the former primary follows", 10*time.Second, func() bool {
-				st, _, ok := c.instances[0].group.Status(identifier.BackendServerID(former.ID))
-				return ok && st.Role == tracker.Replica && st.Term == 2
+				former.SetFaults(backendserver.Faults{})
+				if name == "refused" {
+					qt.Assert(t, former.Restart(), qt.IsNil)
+				}
+				c.instances[0].await(t, "the former primary follows", 10*time.Second, func() bool {
+					st, _, ok := c.instances[0].group.Status(identifier.BackendServerID(former.ID))
+					return ok && st.Role == tracker.Replica && st.Term == 2
+				})
 			})
 		})
 	}
@@ -276,24 +342,26 @@
 		"silent connection": func(s *backendserver.Server) { s.HangOpenConnections() },
 	} {
 		t.Run(name, func(t *testing.T) {
-			c := newCluster(t, 2, nil)
-			c.awaitReady(t)
-			former := c.primary(c.instances[0])
-			disturb(former)
-			began := time.Now()
-			for _, ti := range c.instances {
-				for range 2 { // Each answer arrives late or on a new connection.
-					since := time.Now()
-					ti.await(t, "an answer of the primary", 6*time.Second, func() bool { return ti.group.AnsweredAsPrimary(1, since) })
+			inBubble(t, func(t *testing.T) {
+				c := newSimulatedCluster(t, 2)
+				c.awaitReady(t)
+				former := c.primary(c.instances[0])
+				disturb(former)
+				began := time.Now()
+				for _, ti := range c.instances {
+					for range 2 { // Each answer arrives late or on a new connection.
+						since := time.Now()
+						ti.await(t, "an answer of the primary", 6*time.Second, func() bool { return ti.group.AnsweredAsPrimary(1, since) })
+					}
 				}
-			}
-			former.SetFaults(backendserver.Faults{})
-			for _, ti := range c.instances {
-				ti.await(t, "a write right after the disturbance", 6*time.Second, func() bool { return ti.writable(1) })
-				_, term, _ := ti.group.Primary()
-				qt.Assert(t, term, qt.Equals, identifier.Term(1))
-			}
-			t.Logf("writable again after %s", time.Since(began))
+				former.SetFaults(backendserver.Faults{})
+				for _, ti := range c.instances {
+					ti.await(t, "a write right after the disturbance", 6*time.Second, func() bool { return ti.writable(1) })
+					_, term, _ := ti.group.Primary()
+					qt.Assert(t, term, qt.Equals, identifier.Term(1))
+				}
+				t.Logf("writable again after %s", time.Since(began))
+			})
 		})
 	}
 }
--- a/internal/fake/platformserver/server.go
+++ b/internal/fake/platformserver/server.go
@@ -35,6 +35,8 @@
 type Server struct {
 	// ListLag is the delay until a change of the instance list is visible.
 	ListLag time.Duration
+	// Listen opens the listener of an address; nil selects TCP.
+	Listen func(address string) (net.Listener, error)
 
 	store         store
 	mu            sync.Mutex
@@ -62,7 +64,11 @@
 // listen opens the listener and serves it. SetFaults calls it with the former
 // address to accept connections again. The caller holds s.mu.
 func (s *Server) listen(address string) (string, error) {
-	ln, err := net.Listen("tcp", address)
+	open := s.Listen
+	if open == nil {
+		open = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
+	ln, err := open(address)
 	if err != nil {
 		return "", errors.Wrap(err, "platform server")
 	}
--- a/internal/transport/prober/prober_test.go
+++ b/internal/transport/prober/prober_test.go
@@ -2,8 +2,7 @@
 
 import (
 	"context"
-	"net"
-	"syscall"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +14,7 @@
 	"oleanderpulley/internal/coordination/promoter"
 	"oleanderpulley/internal/fake/allocator"
 	"oleanderpulley/internal/fake/backendserver"
+	"oleanderpulley/internal/fake/connector"
 	"oleanderpulley/internal/state/identifier"
 	"oleanderpulley/internal/state/tracker"
 	"oleanderpulley/internal/transport/prober"
@@ -75,6 +75,9 @@
 // Guards against load from groups that are not in use, against too long intervals
 // between the samples of a group in use, and against too short ones on demand.
 func TestSamplingFollowsUse(t *testing.T) {
+	// With Go 1.26.8 and the race detector, two goroutines of a bubble that find expired
+	// timers at the same time crash the process.
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	synctest.Test(t, func(t *testing.T) {
 		p, answers := startOnPipes(t)
 		select {
@@ -110,8 +113,8 @@
 // and a channel that receives its observations. It is called in a synctest bubble, where no
 // time passes while a goroutine runs.
 func startOnPipes(t *testing.T) (*prober.Prober, chan observation) {
-	l := &pipeListener{accepted: make(chan net.Conn), closed: make(chan struct{})}
-	s := &backendserver.Server{ID: "b-1", Listen: func(string) (net.Listener, error) { return l, nil }}
+	network := &connector.Network{}
+	s := &backendserver.Server{ID: "b-1", Listen: network.Listen}
 	address, err := s.Start("127.0.0.1:1")
 	qt.Assert(t, err, qt.IsNil)
 	answers := make(chan observation, 1000)
@@ -119,7 +122,7 @@
 		OnStatus: func(_ identifier.ServiceName, st tracker.MemberStatus, sent, received time.Time) {
 			answers <- observation{st, sent, received}
 		},
-		Dial: l.dial,
+		Dial: network.Dial,
 	}
 	p.SetGroup("s", []prober.Member{{Server: "b-1", Address: address}})
 	t.Cleanup(func() {
@@ -129,45 +132,6 @@
 	return p, answers
 }
 
-// pipeListener is a [net.Listener] whose connections are pipes that dial opens.
-type pipeListener struct {
-	accepted chan net.Conn
-	closed   chan struct{}
-}
-
-func (l *pipeListener) dial(ctx context.Context, _, _ string) (net.Conn, error) {
-	near, far := net.Pipe()
-	select {
-	case l.accepted <- far:
-		return near, nil
-	case <-l.closed:
-		return nil, syscall.ECONNREFUSED
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
-// Accept implements [net.Listener].
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case conn := <-l.accepted:
-		return conn, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-// Close implements [net.Listener].
-func (l *pipeListener) Close() error {
-	close(l.closed)
-	return nil
-}
-
-// Addr implements [net.Listener].
-func (l *pipeListener) Addr() net.Addr {
-	return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1}
-}
-
 // Guards against suspecting a member only because one connection is unresponsive,
 // and against failing to suspect a member that is unresponsive or has stopped.
 func TestSuspicion(t *testing.T) {
