--- a/internal/bench/soaker/restart_test.go
+++ b/internal/bench/soaker/restart_test.go
@@ -50,8 +50,7 @@
 	restartBound = 20 * time.Second
 )
 
-// Guards against requests that a planned stop loses or runs twice: on open sessions, in
-// transactions, pipelined, and forwarded to a home that stops as well.
+// Guards against requests that a planned stop loses or runs twice, on open sessions and forwarded to a home that stops as well.
 func TestPlannedRestartsLoseNoRequest(t *testing.T) {
 	directory := *restartLogs
 	if directory == "" {
