--- a/internal/coordination/replacer/replacer_test.go
+++ b/internal/coordination/replacer/replacer_test.go
@@ -568,6 +568,8 @@
 	var announced []cataloger.Leadership
 	r.Announce = func(_ identifier.ServiceName, l cataloger.Leadership) { announced = append(announced, l) }
 	r.checkService(ctx, "rentals", w)
+	s.mu.Lock() // The step-down may still be recorded.
+	defer s.mu.Unlock()
 	qt.Assert(t, s.calls[0], qt.Equals, "announce 11 b")
 	qt.Assert(t, s.known.IsReplacing(), qt.IsTrue)
 	qt.Assert(t, s.stored.Successor, qt.Equals, identifier.BackendServerID("b"))
