coordination/replacer: a stopped takeover may announce its successor

TestTakeoverThatIsStoppedKeepsTheReplacement failed in 6 of 1,200 runs with the race detector: if the step-down is confirmed before the check notices that the process stops, the replacement goes on for one more step and announces the record in which the successor is chosen. That gives no permits for the old primary. The test required that nothing is announced; it now requires that no announced record is in another state.

--- a/internal/coordination/replacer/replacer_test.go
+++ b/internal/coordination/replacer/replacer_test.go
@@ -573,5 +573,7 @@
 	qt.Assert(t, s.calls[0], qt.Equals, "announce 11 b")
 	qt.Assert(t, s.known.IsReplacing(), qt.IsTrue)
 	qt.Assert(t, s.stored.Successor, qt.Equals, identifier.BackendServerID("b"))
-	qt.Assert(t, announced, qt.HasLen, 0)
+	for _, l := range announced { // It is chosen again if the step-down was confirmed first.
+		qt.Assert(t, l.State(), qt.Equals, cataloger.SuccessorChosen)
+	}
 }
