coordination/replacer: scenarios of late promotions are played 48 times

Each scenario is now played 48 times, with and without the wait, so that the test without faults sees more plays too.

--- a/internal/coordination/replacer/model_late_test.go
+++ b/internal/coordination/replacer/model_late_test.go
@@ -59,13 +59,17 @@
 	},
 }
 
+// lateScenarioSeeds is the number of plays of each scenario. Not each play breaks a rule without the wait for
+// unanswered promotions: of 12 plays of "reinstated primary" none did in 5 of 50 runs.
+const lateScenarioSeeds = 48
+
 // Guards against a late promotion that replaces a primary promoted meanwhile, where tokens are not checked (ONE).
 func TestLatePromotionDoesNotReplaceALaterPrimary(t *testing.T) {
 	for name, faults := range latePromotionScenarios {
 		t.Run(name, func(t *testing.T) {
 			for _, fenced := range []bool{false, true} {
 				broken, first, promoted := 0, "", 0
-				for seed := range uint64(12) {
+				for seed := range uint64(lateScenarioSeeds) {
 					m := playModel(t, seed, fenced, noDefect, faults)
 					if broken == 0 && len(m.broken) > 0 {
 						first = m.broken[0]
@@ -74,7 +78,7 @@
 					promoted += m.promoted
 				}
 				qt.Check(t, broken, qt.Equals, 0, qt.Commentf("fenced %t, first: %s", fenced, first))
-				qt.Check(t, promoted >= 12, qt.IsTrue)
+				qt.Check(t, promoted >= lateScenarioSeeds, qt.IsTrue)
 			}
 		})
 	}
@@ -84,12 +88,12 @@
 func TestLatePromotionScenariosNeedOpenPromotions(t *testing.T) {
 	for name, faults := range latePromotionScenarios {
 		t.Run(name, func(t *testing.T) {
-			broken := 0
-			for seed := range uint64(12) {
-				broken += len(playModel(t, seed, false, noOpenPromotions, faults).broken)
+			for seed := range uint64(lateScenarioSeeds) {
+				if len(playModel(t, seed, false, noOpenPromotions, faults).broken) > 0 {
+					return
+				}
 			}
-			t.Logf("%d broken", broken)
-			qt.Assert(t, broken > 0, qt.IsTrue)
+			t.Fatal("no play broke a rule")
 		})
 	}
 }
