--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 # if it held, and with 2 if the case could not run. TROUBLE=0 plays it without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-stage ] && [ -x target/oleanderpulley ] || exit 2
-exec target/review-stage route-move review/9
+exec target/review-stage drain review/9
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -16,10 +16,11 @@
 
 // cases are the scripted cases by name. Each reports whether its rule was broken.
 var cases = map[string]func(*world) (broken bool, err error){
-	"route-move": routeMove,
-	"drain":      drain,
-	"sync-lost":  syncLost,
-	"reborn":     reborn,
+	"route-move":   routeMove,
+	"drain":        drain,
+	"sync-lost":    syncLost,
+	"reborn":       reborn,
+	"reborn-count": rebornCount,
 }
 
 func main() {
