--- a/internal/transport/sessioner/log.go
+++ b/internal/transport/sessioner/log.go
@@ -109,6 +109,22 @@
 	}
 }
 
+// logMovedRoute logs, once in a transaction, that the route of the session has changed
+// its service since the BEGIN, with the servers on which the transaction may go on.
+func (n *session) logMovedRoute(o operation, to identifier.ServiceName) {
+	if n.tx.moved {
+		return
+	}
+	n.tx.moved = true
+	servers := make([]string, len(o.servers))
+	for i, b := range o.servers {
+		servers[i] = string(b.ID)
+	}
+	n.server.Logger.Info().Str("event", "transaction_route_moved").Str("database", n.database).Str("workspace", string(o.workspace)).
+		Str("service", string(o.route.Service)).Str("route_service", string(to)).Strs("servers", servers).
+		Uint64("config_version", uint64(n.server.Holder.Catalog().Configuration.Version)).Send()
+}
+
 // logForwardedFailure logs a statement forwarded by a peer if it failed.
 func (n *session) logForwardedFailure(from identifier.InstanceID, id requester.StatementID, o operation, r requester.Result) {
 	if r.Code == requester.OK {
--- a/internal/transport/sessioner/transaction.go
+++ b/internal/transport/sessioner/transaction.go
@@ -23,6 +23,7 @@
 	wrote     bool
 	failed    bool
 	expired   bool // Failed because it was idle for too long.
+	moved     bool // The route of the session has another service than at the BEGIN; logged.
 }
 
 // begin admits a transaction. It is opened at a backend server only with its
@@ -61,6 +62,9 @@
 		refusal = n.refusal(requester.NoAccess, "the key has changed its owner")
 	}
 	o.servers = now.servers // A server may have left since the transaction began.
+	if refusal.Code == requester.OK && now.route.Service != o.route.Service {
+		n.logMovedRoute(o, now.route.Service)
+	}
 	o.arrived = time.Now()
 	o.deadline = o.arrived.Add(o.route.StatementTimeout)
 	o.waitDeadline = o.arrived.Add(maxWait(o.route))
