internal/transport/sessioner: a transaction goes on at the service of its BEGIN

Cause: statementOperation replaced the servers of the transaction's operation by those of the route as it is now, so that a server that has left gets nothing. The service of the operation, and with it the log position that the read must have reached, stayed that of the BEGIN. A position says nothing about the log of another service, so that any replica may pass.

Change: the servers of an operation are set in one place, setServers, from the service and the regions of its own route, both at admission and for each statement of a transaction. What a transaction may use thus follows the newest list of its own service, and a moved route counts from the next transaction on, as the protocol says. Nothing is remembered across processes: a transaction ends with the process that holds it, and a peer that it is forwarded to takes the service from each message.

--- a/internal/transport/sessioner/admit.go
+++ b/internal/transport/sessioner/admit.go
@@ -16,7 +16,7 @@
 type operation struct {
 	route          cataloger.Route
 	workspace      identifier.WorkspaceName
-	servers        []cataloger.BackendServer
+	servers        []cataloger.BackendServer // Of the route's service, see setServers.
 	arrived        time.Time
 	deadline       time.Time // When the statement times out.
 	waitDeadline   time.Time // Until when the statement may wait to run.
@@ -40,7 +40,6 @@
 	}
 	o := operation{
 		route:          route,
-		servers:        c.Servers[route.Service],
 		arrived:        now,
 		deadline:       now.Add(route.StatementTimeout),
 		waitDeadline:   now.Add(maxWait(route)),
@@ -49,7 +48,7 @@
 	}
 	owner, known := c.Owner(n.key)
 	o.workspace = owner
-	inRegions := n.limitRegions(&o, c.Configuration.Workspaces[owner])
+	inRegions := n.setServers(&o, c)
 	switch {
 	case known && owner == "": // The empty name is that of clients without a key.
 		return o, n.refusal(requester.Malformed, "the workspace of the key has no name")
--- a/internal/transport/sessioner/region.go
+++ b/internal/transport/sessioner/region.go
@@ -29,6 +29,15 @@
 	return allowed, true
 }
 
+// setServers sets the servers of the operation to those of its route's service, in
+// the regions that its route and its workspace allow. It reports whether the regions
+// allow any. No servers come from elsewhere: the log positions that a statement may
+// need are of the same service.
+func (n *session) setServers(o *operation, c *cataloger.Catalog) bool {
+	o.servers = c.Servers[o.route.Service]
+	return n.limitRegions(o, c.Configuration.Workspaces[o.workspace])
+}
+
 // limitRegions limits the route of the operation to the regions that the workspace
 // allows as well, and the servers of the operation to those regions. It reports
 // whether there are any.
--- a/internal/transport/sessioner/transaction.go
+++ b/internal/transport/sessioner/transaction.go
@@ -51,7 +51,9 @@
 }
 
 // statementOperation returns the operation of the transaction's next statement,
-// after authorizing the session again unless the sender has done so.
+// after authorizing the session again unless the sender has done so. The
+// transaction goes on at the service of its BEGIN, also if the route of the session
+// has another one now.
 func (n *session) statementOperation() (operation, requester.Result) {
 	o := n.tx.operation
 	if n.forwarded {
@@ -61,15 +63,20 @@
 	if refusal.Code == requester.OK && now.workspace != o.workspace {
 		refusal = n.refusal(requester.NoAccess, "the key has changed its owner")
 	}
-	o.servers = now.servers // A server may have left since the transaction began.
-	if refusal.Code == requester.OK && now.route.Service != o.route.Service {
+	if refusal.Code != requester.OK {
+		return o, refusal
+	}
+	if !n.setServers(&o, n.server.Holder.Catalog()) { // A server may have left since the transaction began.
+		return o, n.refusal(requester.Overloaded, errOutsideRegions.Error())
+	}
+	if now.route.Service != o.route.Service {
 		n.logMovedRoute(o, now.route.Service)
 	}
 	o.arrived = time.Now()
 	o.deadline = o.arrived.Add(o.route.StatementTimeout)
 	o.waitDeadline = o.arrived.Add(maxWait(o.route))
 	o.searchDeadline = o.waitDeadline
-	return o, refusal
+	return o, requester.Result{}
 }
 
 // executeInTransaction runs a statement of the open transaction, on a peer or on
