internal/transport/sessioner: a session's newest commit counts at its service alone

After a move away and back the position of the service between counts.

Cause: a position has no service, and the session kept one newest commit for all of them. It was sent to peers in the same form.

The test failed before, in three of its five rows:

no_commit_at_the_service: got: "2/9" want: "1/1" lower_commit_at_the_service: got: "2/9" want: "1/5" back_at_the_first_service: got: "2/9" want: "1/5"

Change: the session keeps its newest commit at each service, which also holds after a move back, and sends a peer that at the service of the message. The form of the message is the same.

After it all rows pass, on this instance and forwarded to a peer, and so do the tests of the package.

--- a/internal/transport/sessioner/commit.go
+++ b/internal/transport/sessioner/commit.go
@@ -62,7 +62,7 @@
 	t.conn = nil
 	defer n.server.Lender.Return(c)
 	if r.Code == requester.OK && t.wrote {
-		n.recordCommit(r.Position, sentAt) // Also if the permit has ended since.
+		n.commits.record(ownCommit{o.route.Service, r.Position, sentAt}) // Also if the permit has ended since.
 	}
 	if err != nil {
 		c.MarkBroken()
--- a/internal/transport/sessioner/floor.go
+++ b/internal/transport/sessioner/floor.go
@@ -102,25 +102,16 @@
 }
 
 // withOwnWrites returns the floor from the shared sample, raised to the session's
-// newest commit on routes that read their own writes. A commit of an older term
-// than the shared sample is either included in the sample's position or was
-// discarded by the promotion.
+// newest commit at the service on routes that read their own writes. A commit of an
+// older term than the shared sample is either included in the sample's position or
+// was discarded by the promotion.
 func (n *session) withOwnWrites(o operation, shared floor) floor {
-	if o.route.Consistency != cataloger.ReadOwnWrites || n.lastCommit.Term < shared.position.Term {
+	own := n.commits.at(o.route.Service)
+	if o.route.Consistency != cataloger.ReadOwnWrites || own.position.Term < shared.position.Term {
 		return shared
 	}
-	if n.lastCommit.Compare(shared.position) > 0 {
-		return floor{n.lastCommit, o.arrived.Sub(n.lastCommitAt), fromOwnCommit}
+	if own.position.Compare(shared.position) > 0 {
+		return floor{own.position, o.arrived.Sub(own.sentAt), fromOwnCommit}
 	}
 	return shared
 }
-
-// recordCommit records a commit of the session, of which a primary reported the
-// position in answer to a request that was sent at the time. The newest commit is
-// never replaced by an earlier one, or by none: what a peer knows of the session, or
-// whether a promotion has discarded the commit, does not show here.
-func (n *session) recordCommit(p identifier.Position, sentAt time.Time) {
-	if p.Compare(n.lastCommit) > 0 {
-		n.lastCommit, n.lastCommitAt = p, sentAt
-	}
-}
--- a/internal/transport/sessioner/floor_test.go
+++ b/internal/transport/sessioner/floor_test.go
@@ -39,10 +39,10 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			n, _ := newForwardingSession(func(identifier.InstanceID) (ForwardReply, error) { return reply, nil })
-			n.lastCommit = own
-			_, err := n.sendForward("peer", time.Now().Add(time.Second), ForwardRequest{LastCommit: own})
+			n.commits.record(ownCommit{"rentals", own, time.Now()})
+			_, err := n.sendForward("peer", time.Now().Add(time.Second), ForwardRequest{Route: ForwardedRoute{Service: "rentals"}, LastCommit: own})
 			qt.Assert(t, err, qt.IsNil)
-			f := n.withOwnWrites(operation{route: cataloger.Route{Consistency: cataloger.ReadOwnWrites}}, floor{position: identifier.Position{Term: 2, Offset: 1}})
+			f := n.withOwnWrites(operation{route: cataloger.Route{Service: "rentals", Consistency: cataloger.ReadOwnWrites}}, floor{position: identifier.Position{Term: 2, Offset: 1}})
 			qt.Assert(t, f.position.Offset >= own.Offset, qt.IsTrue, qt.Commentf("%v", f.position))
 		})
 	}
--- a/internal/transport/sessioner/forward.go
+++ b/internal/transport/sessioner/forward.go
@@ -45,7 +45,7 @@
 	Route         ForwardedRoute               `cbor:"5,keyasint"`
 	Elapsed       time.Duration                `cbor:"6,keyasint"` // Time since the statement arrived at the sender.
 	Settings      lender.Settings              `cbor:"7,keyasint,omitempty"`
-	LastCommit    identifier.Position          `cbor:"8,keyasint"`
+	LastCommit    identifier.Position          `cbor:"8,keyasint"` // The session's newest at the route's service; builds up to 1e02fda send that of any service.
 	LastCommitAge time.Duration                `cbor:"9,keyasint,omitempty"`
 	Statement     requester.Statement          `cbor:"10,keyasint"`
 	Shape         *requester.PreparedStatement `cbor:"11,keyasint,omitempty"`
@@ -80,7 +80,7 @@
 type ForwardReply struct {
 	Refused       bool                `cbor:"1,keyasint,omitempty"` // The peer has not run the statement and accepts no new ones.
 	Result        requester.Result    `cbor:"2,keyasint"`
-	LastCommit    identifier.Position `cbor:"3,keyasint"`
+	LastCommit    identifier.Position `cbor:"3,keyasint"` // The session's newest at the service of the request.
 	LastCommitAge time.Duration       `cbor:"4,keyasint,omitempty"`
 	// Unproven means that the peer has not run the statement, and that the proof of
 	// its configuration is too old to use a primary.
@@ -154,25 +154,22 @@
 
 // newForward returns the message that forwards a statement.
 func (n *session) newForward(o operation, rs resolvedStatement) ForwardRequest {
-	f := ForwardRequest{
+	own := n.commits.at(o.route.Service)
+	return ForwardRequest{
 		Workspace: o.workspace, Database: n.database, Route: ForwardedRoute(o.route), Elapsed: time.Since(o.arrived),
-		Settings: n.settings, LastCommit: n.lastCommit, Statement: rs.statement, Shape: rs.shape, Writes: rs.writes,
+		Settings: n.settings, LastCommit: own.position, LastCommitAge: own.age(), Statement: rs.statement, Shape: rs.shape, Writes: rs.writes,
 	}
-	if !n.lastCommit.IsZero() {
-		f.LastCommitAge = time.Since(n.lastCommitAt)
-	}
-	return f
 }
 
-// sendForward sends the message and updates the session's newest commit from the
-// reply.
+// sendForward sends the message and updates the session's newest commit at the
+// service of the message from the reply.
 func (n *session) sendForward(peer identifier.InstanceID, limit time.Time, f ForwardRequest) (ForwardReply, error) {
 	ctx, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
 	sentAt := time.Now()
 	reply, err := n.server.Forward(ctx, peer, f)
 	if err == nil {
-		n.recordCommit(reply.LastCommit, sentAt.Add(-reply.LastCommitAge))
+		n.commits.record(ownCommit{f.Route.Service, reply.LastCommit, sentAt.Add(-reply.LastCommitAge)})
 	}
 	return reply, err
 }
--- a/internal/transport/sessioner/forwarded.go
+++ b/internal/transport/sessioner/forwarded.go
@@ -56,7 +56,7 @@
 		n.observeWaits(o.trace)
 	}
 	n.logForwardedFailure(from, f.Statement.ID, o, r)
-	return n.reply(r)
+	return n.reply(f, r)
 }
 
 // refusesForwarded reports whether a peer has to send the statement elsewhere,
@@ -83,8 +83,7 @@
 // restoreState sets the session state from the message.
 func (n *session) restoreState(f ForwardRequest) {
 	n.settings = f.Settings
-	n.lastCommit = f.LastCommit
-	n.lastCommitAt = time.Now().Add(-f.LastCommitAge)
+	n.commits.record(ownCommit{f.Route.Service, f.LastCommit, time.Now().Add(-f.LastCommitAge)})
 }
 
 // forwardedOperation returns the operation of a forwarded statement, with its
@@ -105,12 +104,12 @@
 }
 
 // reply returns the reply to a forwarded statement with the given result.
-func (n *session) reply(r requester.Result) ForwardReply {
-	reply := ForwardReply{Result: r, LastCommit: n.lastCommit, Unproven: r.Unreached && !n.server.Fencer.IsProven()}
-	if !n.lastCommit.IsZero() {
-		reply.LastCommitAge = time.Since(n.lastCommitAt)
+func (n *session) reply(f ForwardRequest, r requester.Result) ForwardReply {
+	own := n.commits.at(f.Route.Service)
+	return ForwardReply{
+		Result: r, LastCommit: own.position, LastCommitAge: own.age(),
+		Unproven: r.Unreached && !n.server.Fencer.IsProven(),
 	}
-	return reply
 }
 
 // executeInForwarded runs a statement of a forwarded transaction.
@@ -126,7 +125,7 @@
 	defer t.mu.Unlock()
 	n := t.session
 	if t.ended {
-		return n.reply(requester.Result{Code: requester.Aborted, State: requester.Failed, Text: "the transaction was idle for too long"})
+		return n.reply(f, requester.Result{Code: requester.Aborted, State: requester.Failed, Text: "the transaction was idle for too long"})
 	}
 	n.restoreState(f)
 	if f.Route.Service != "" {
@@ -144,7 +143,7 @@
 		t.ended = true
 		s.forwarded.remove(key)
 	}
-	return n.reply(r)
+	return n.reply(f, r)
 }
 
 // forwardedTransaction returns the transaction with the key, or opens it if the
--- a/internal/transport/sessioner/run.go
+++ b/internal/transport/sessioner/run.go
@@ -24,7 +24,7 @@
 			if err != nil || r.Code != requester.OK {
 				return r, err
 			}
-			n.recordCommit(r.Position, sentAt)
+			n.commits.record(ownCommit{o.route.Service, r.Position, sentAt})
 			return r, n.server.recordLeader(c, p, r, sent)
 		})
 	})
--- a/internal/transport/sessioner/session.go
+++ b/internal/transport/sessioner/session.go
@@ -9,7 +9,6 @@
 
 	"oleanderpulley/internal/protocol/requester"
 	"oleanderpulley/internal/state/cataloger"
-	"oleanderpulley/internal/state/identifier"
 	"oleanderpulley/internal/transport/lender"
 )
 
@@ -34,11 +33,10 @@
 	database string
 	key      string
 
-	settings     lender.Settings
-	prepared     map[string]requester.PreparedStatement
-	lastCommit   identifier.Position // Log position of the session's newest commit.
-	lastCommitAt time.Time
-	tx           *transaction // Nil if no transaction is open.
+	settings lender.Settings
+	prepared map[string]requester.PreparedStatement
+	commits  ownCommits
+	tx       *transaction // Nil if no transaction is open.
 
 	// forwarded is true for the session of a peer's client. The peer has
 	// already authorized its statements.
