--- a/internal/coordination/replacer/candidate.go
+++ b/internal/coordination/replacer/candidate.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"oleanderpulley/internal/protocol/requester"
 	"oleanderpulley/internal/state/cataloger"
@@ -108,7 +109,7 @@
 		eligible = candidates
 		next, ok = ChooseSuccessor(eligible, keepsAll)
 	}
-	r.logCandidates(p, candidates, next)
+	r.logCandidates(p, group, candidates, next)
 	switch {
 	case !ok && len(eligible) < len(candidates):
 		return Candidate{}, errors.Wrapf(errCommitsDiscarded, "%d of %d servers, terms %q", len(candidates)-len(eligible), len(candidates), p.record.TermStarts)
@@ -123,14 +124,28 @@
 	return next, nil
 }
 
-// logCandidates logs what the choice of a successor was based on.
-func (r *Replacer) logCandidates(p *replacement, candidates []Candidate, chosen Candidate) {
+// logCandidates logs what the choice of a successor was based on. Of a service with
+// synchronous replication that includes which servers may have acknowledged commits.
+func (r *Replacer) logCandidates(p *replacement, group replicaGroup, candidates []Candidate, chosen Candidate) {
 	described := make([]string, len(candidates))
 	for i, c := range candidates {
 		described[i] = c.String()
 	}
 	r.Logger.Info().Str("event", "successor_chosen").Str("service", string(p.service)).Uint64("token", p.record.Revision).
-		Str("successor", string(chosen.Server.ID)).Strs("candidates", described).Send()
+		Str("successor", string(chosen.Server.ID)).Strs("candidates", described).
+		Func(func(e *zerolog.Event) {
+			if group.syncReplicas > 0 {
+				e.Int("sync_replicas", group.syncReplicas).Str("primary", string(group.primary)).Strs("replicas", textsOf(group.replicas))
+			}
+		}).Send()
+}
+
+func textsOf(ids []identifier.BackendServerID) []string {
+	texts := make([]string, len(ids))
+	for i, id := range ids {
+		texts[i] = string(id)
+	}
+	return texts
 }
 
 // stillLeads reports whether the candidate is the primary that is being replaced
