internal/coordination/replacer: the store knows which servers may have acknowledged commits

Cause: a promotion needs so many answers that one of them has each commit, counted among the servers of the group. Who belongs to the group was what is registered, and what the process remembered. Registrations lapse three heartbeats after a crash. An instance that started later, or that had not checked the service for 30 s, took the servers that were left for all. One that ran throughout forgot a server 5 s after its registration while the primary led, also if the others had not received what that one had.

Evidence: successor_chosen of the instances that ran had replicas=["i-a2","i-a3"] and withheld; that of the one that had started later had primary="" replicas=["i-a2"] and promoted i-a2.

Change: an object of kind groups in the store, one for each service with syncReplicas, lists the servers that may have commits and, until the first replacement, who leads. Instances that use the service add servers as they register. One leaves the object only if another has its address and so its log, or if it has been without a registration for 5 s, does not answer, and as many of the others as each commit needs have received all that the primary has. Whoever replaces a primary reads the object first, and withholds the replacement if the store does not answer or the object cannot be read. If there is no object and nobody has seen the primary lead, as when all instances have just started on this build, the registered servers count as all after a minute. Why it holds: what decides is no longer in any process; the condition of each write keeps two instances from undoing each other's additions, and a copy from before an addition is brought up to date in the new era by those that remember, or by the registrations.

The price: a replacement stays withheld while servers that may alone have commits are away. Services without syncReplicas make no new call.

--- a/internal/command/starter/replacer.go
+++ b/internal/command/starter/replacer.go
@@ -37,6 +37,8 @@
 	r.Adopt = func(service identifier.ServiceName, l cataloger.Leadership) { s.fencer.Observe(service, l) }
 	r.ReadRecord = s.store.ReadLeadership
 	r.WriteRecord = s.store.WriteLeadership
+	r.ReadGroup = s.store.ReadGroup
+	r.WriteGroup = s.store.WriteGroup
 	r.Members = s.store.ReadMembers
 	r.Revoke = s.revoke
 	r.Announce = s.announceRecord
--- a/internal/coordination/replacer/candidate.go
+++ b/internal/coordination/replacer/candidate.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"time"
 
@@ -91,8 +92,11 @@
 // chooseSuccessor returns the server to promote. The log of a draining primary is
 // handed over to it afterwards; the successor of a failed one must have every
 // acknowledged commit of a service with synchronous replication.
-func (r *Replacer) chooseSuccessor(p *replacement) (Candidate, error) {
-	group := r.replicaGroup(p)
+func (r *Replacer) chooseSuccessor(ctx context.Context, p *replacement) (Candidate, error) {
+	group, err := r.replicaGroup(ctx, p)
+	if err != nil {
+		return Candidate{}, err
+	}
 	candidates := r.collectCandidates(r.Catalog().Servers[p.service], p.draining, group.includesAcknowledgedCommits)
 	for _, candidate := range candidates {
 		if p.draining == nil && !p.requested && r.stillLeads(p, candidate) {
--- a/internal/coordination/replacer/check.go
+++ b/internal/coordination/replacer/check.go
@@ -63,7 +63,7 @@
 		w.lastLeader = p.id
 	}
 	if c.Configuration.Services[service].SyncReplicas > 0 {
-		w.members.observe(c.Servers[service], p.leads(), time.Now())
+		w.observeMembers(c.Servers[service], r.newGroupUpdate(c, service, p), r.Era(), r.rankDelay(service))
 	}
 	return p
 }
--- a/internal/coordination/replacer/doc.go
+++ b/internal/coordination/replacer/doc.go
@@ -23,7 +23,10 @@
 // registration of the primary has lapsed. If the service replicates synchronously,
 // the successor must have every acknowledged commit, so that a server that drains or
 // is evacuated is promoted if it alone has them; it hands over like any primary that
-// leaves. A draining primary first steps down,
+// leaves. Which servers may have commits is kept in the store, since registrations lapse
+// soon after a failure and an instance may have started after it. A server leaves that
+// group only if it does not answer and enough others have all commits of the primary, or
+// if another one has its address and log. A draining primary first steps down,
 // and its successor must have received all of its log, so that no acknowledged
 // commit is lost. So does the primary in an evacuated data centre while it
 // answers; one that does not is replaced like a failed one.
--- a/internal/coordination/replacer/durability.go
+++ b/internal/coordination/replacer/durability.go
@@ -1,10 +1,13 @@
 package replacer
 
 import (
-	"maps"
+	"cmp"
+	"context"
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/state/identifier"
 )
@@ -46,29 +49,41 @@
 	})
 }
 
-// replicaGroup returns the group whose primary is to be replaced.
-func (r *Replacer) replicaGroup(p *replacement) replicaGroup {
+// replicaGroup returns the group whose failed primary is to be replaced. Its servers are
+// those of the group in the store, which this instance may have begun to follow after
+// their registrations had lapsed, and those that it knows besides.
+func (r *Replacer) replicaGroup(ctx context.Context, p *replacement) (replicaGroup, error) {
 	c := r.Catalog()
 	servers := c.Servers[p.service]
 	g := replicaGroup{
 		primary: p.record.Server, term: p.record.Term,
 		syncReplicas: c.Configuration.Services[p.service].SyncReplicas,
 	}
-	if g.primary == "" {
-		g.primary = p.lastLeader
+	if g.syncReplicas == 0 || p.draining != nil {
+		return replicaGroup{}, nil
+	}
+	if err := r.readGroup(ctx, p.service, p.members); err != nil {
+		return g, errors.Wrap(errCommitsUnknown, err.Error())
 	}
-	if g.primary == "" {
-		g.primary = onlyClaimant(servers)
+	stored := p.members.storedGroup()
+	g.primary = cmp.Or(g.primary, p.lastLeader, stored.Primary, onlyClaimant(servers))
+	if stored.Revision == 0 && g.primary == "" && p.silentFor < unknownGroupLimit {
+		return g, errors.Wrap(errCommitsUnknown, errGroupNotRecorded.Error())
 	}
-	members := slices.Clone(p.remembered)
+	members := p.members.members()
 	for _, s := range servers {
 		members = append(members, s.ID)
 	}
 	slices.Sort(members)
 	g.replicas = slices.DeleteFunc(slices.Compact(members), func(id identifier.BackendServerID) bool { return id == g.primary })
-	return g
+	return g, nil
 }
 
+// unknownGroupLimit is the time without a primary after which the registered servers
+// count as all of a group that was never recorded. A server that has crashed is back
+// within seconds.
+const unknownGroupLimit = time.Minute
+
 // onlyClaimant returns the server that declares itself the primary, or "" if
 // several do: the registration of a replaced primary may not have changed yet.
 func onlyClaimant(servers []cataloger.BackendServer) identifier.BackendServerID {
@@ -84,53 +99,3 @@
 	}
 	return only
 }
-
-const (
-	// departureGrace is the time for which a server that is no longer registered
-	// counts as a replica while the primary leads. By then a replica that follows
-	// the primary has what the departed one had received.
-	departureGrace = 5 * time.Second
-	// memberMemory is the time without a check of the service after which its
-	// remembered servers are too old to count. It is longer than a replacement.
-	memberMemory = 30 * time.Second
-)
-
-// memberHistory remembers the servers of a service that may have received commits
-// of its primary. A replica that fails together with the primary loses its
-// registration within seconds, but may alone have the last acknowledged commits. The
-// zero value remembers none.
-type memberHistory struct {
-	sightings map[identifier.BackendServerID]memberSighting
-	observed  time.Time
-}
-
-// memberSighting is where a server was registered, and when it last was.
-type memberSighting struct {
-	address string
-	at      time.Time
-}
-
-// observe records the registered servers. It forgets a server whose address another
-// one has, which got its log, and while the primary leads, one that has not been
-// registered for [departureGrace].
-func (h *memberHistory) observe(servers []cataloger.BackendServer, leads bool, now time.Time) {
-	if h.sightings == nil || now.Sub(h.observed) > memberMemory {
-		h.sightings = map[identifier.BackendServerID]memberSighting{}
-	}
-	h.observed = now
-	for _, s := range servers {
-		h.sightings[s.ID] = memberSighting{s.Address, now}
-	}
-	for id, sighting := range h.sightings {
-		hasDeparted := sighting.at != now
-		isReplaced := slices.ContainsFunc(servers, func(s cataloger.BackendServer) bool { return s.Address == sighting.address })
-		if hasDeparted && (isReplaced || (leads && now.Sub(sighting.at) > departureGrace)) {
-			delete(h.sightings, id)
-		}
-	}
-}
-
-// members returns the servers that are remembered, in no particular order.
-func (h *memberHistory) members() []identifier.BackendServerID {
-	return slices.Collect(maps.Keys(h.sightings))
-}
--- a/internal/coordination/replacer/durability_test.go
+++ b/internal/coordination/replacer/durability_test.go
@@ -1,6 +1,7 @@
 package replacer
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -23,11 +24,17 @@
 		s.catalog.Servers["rentals"][i].Address = "at-" + string(b.ID)
 	}
 	s.lastLed = time.Now()
+	return s, s.syncReplacer()
+}
+
+// syncReplacer returns the replacer of an instance that has just started.
+func (s *fakeService) syncReplacer() *Replacer {
 	r := s.replacer()
+	r.Watchers = func(identifier.ServiceName) []identifier.InstanceID { return []identifier.InstanceID{"one"} }
 	r.LastLed = func(identifier.ServiceName) (identifier.BackendServerID, identifier.Term, time.Time) {
 		return s.leader, s.term, s.lastLed // The id of a primary that does not lead any more is not known.
 	}
-	return s, r
+	return r
 }
 
 // removeEntry makes a server fail and removes its registration.
@@ -94,50 +101,122 @@
 
 // Guards against the loss of acknowledged commits when the replica that alone has them
 // fails together with the primary, and its registration expires first: the servers
-// that were left were taken for all of the group.
+// that were left were taken for all of the group, also by an instance that started
+// later or had not used the service (review/8).
 func TestReplicaThatFailedWithThePrimaryIsWaitedFor(t *testing.T) {
-	s, r := newSyncService()
-	w := &serviceWatch{}
-	s.check(r, w)
-	entries := s.catalog.Servers["rentals"]
-	s.removeEntry("c")
-	qt.Assert(t, s.failPrimary(r, w), qt.DeepEquals, []string{"announce 11 ", "two confirms 11", "grant  in term 0"})
-	s.removeEntry("a")
-	w.pausedUntil = time.Time{}
-	qt.Assert(t, s.check(r, w), qt.DeepEquals, []string{"announce 13 ", "two confirms 13", "grant  in term 0"})
-	s.catalog.Servers["rentals"], s.down["c"] = entries, false
-	w.pausedUntil = time.Time{}
-	s.check(r, w)
-	qt.Assert(t, s.leader, qt.Equals, identifier.BackendServerID("c"))
-}
-
-// Guards against a service without a primary because a replica is waited for that
-// has left for good while the primary led: a new server has its address and log, or
-// the others have received what it had.
-func TestReplicaThatLeftBeforeIsNotWaitedFor(t *testing.T) {
-	for name, leave := range map[string]func(*fakeService, *serviceWatch){
-		"replaced at its address": func(s *fakeService, _ *serviceWatch) {
-			s.catalog.Servers["rentals"] = append(s.catalog.Servers["rentals"], cataloger.BackendServer{ID: "d", Service: "rentals", Address: "at-c"})
-			s.received["d"] = s.received["c"]
+	type instance = func(*fakeService, *Replacer, *serviceWatch) (*Replacer, *serviceWatch)
+	restarted := func(s *fakeService, _ *Replacer, _ *serviceWatch) (*Replacer, *serviceWatch) {
+		s.lastLed = time.Time{}
+		return s.syncReplacer(), &serviceWatch{}
+	}
+	for name, decides := range map[string]instance{
+		"instance that ran throughout": func(_ *fakeService, r *Replacer, w *serviceWatch) (*Replacer, *serviceWatch) { return r, w },
+		"instance that started later":  restarted,
+		"instance that did not use the service": func(_ *fakeService, r *Replacer, w *serviceWatch) (*Replacer, *serviceWatch) {
+			w.members.observed = w.members.observed.Add(-memberMemory - time.Second)
+			return r, w
 		},
-		"gone for long": func(s *fakeService, w *serviceWatch) {
-			w.members.sightings["c"] = memberSighting{address: "at-c", at: time.Now().Add(-departureGrace - time.Second)}
-			s.lastLed = time.Now()
+		"store from an older copy": func(s *fakeService, r *Replacer, w *serviceWatch) (*Replacer, *serviceWatch) {
+			s.group = cataloger.DatabaseGroup{Members: s.group.Members[:2], Revision: cataloger.Revision(1, 1)}
+			r.Era = func() uint64 { return 1 }
+			s.revision = cataloger.Revision(1, s.revision)
+			return r, w
+		},
+		"group that was never recorded": func(s *fakeService, r *Replacer, w *serviceWatch) (*Replacer, *serviceWatch) {
+			s.group = cataloger.DatabaseGroup{}
+			return restarted(s, r, w)
+		},
+		"group that cannot be read": func(s *fakeService, r *Replacer, w *serviceWatch) (*Replacer, *serviceWatch) {
+			s.groupErr = ErrGroupUnreadable
+			return restarted(s, r, w)
+		},
+		"store that does not answer": func(s *fakeService, r *Replacer, w *serviceWatch) (*Replacer, *serviceWatch) {
+			s.groupErr = errDown
+			return restarted(s, r, w)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s, r := newSyncService()
 			w := &serviceWatch{}
 			s.check(r, w)
+			group, entries := s.group, s.catalog.Servers["rentals"]
+			withheld := func(check func(*Replacer, *serviceWatch) []string) {
+				revision := s.revision + 1
+				qt.Assert(t, check(r, w), qt.DeepEquals, []string{
+					fmt.Sprintf("announce %d ", revision), fmt.Sprintf("two confirms %d", revision), "grant  in term 0",
+				})
+			}
 			s.removeEntry("c")
-			leave(s, w)
+			withheld(s.failPrimary)
+			s.removeEntry("a")
+			r, w = decides(s, r, w)
+			w.silentSince, w.pausedUntil = silentLongEnough(), time.Time{}
+			withheld(s.check)
+			s.catalog.Servers["rentals"], s.down["c"] = entries, false
+			if s.groupErr != nil {
+				s.group, s.groupErr = group, nil
+			}
+			w.pausedUntil, w.silentSince = time.Time{}, silentLongEnough()
 			s.check(r, w)
-			s.failPrimary(r, w)
-			qt.Assert(t, s.leader, qt.Not(qt.Equals), identifier.BackendServerID(""))
+			qt.Assert(t, s.leader, qt.Equals, identifier.BackendServerID("c"))
 		})
 	}
 }
 
+// Guards against a service without a primary because a replica is waited for that
+// has left for good while the primary led, and against one that is not waited for although
+// it may alone have commits: it is cut off from the store alone, or the others are behind.
+func TestReplicaThatLeftIsWaitedForWhileItIsNeeded(t *testing.T) {
+	leave := func(s *fakeService, w *serviceWatch) {
+		s.removeEntry("c")
+		sighting := w.members.sightings["c"]
+		sighting.at = sighting.at.Add(-departureGrace - time.Second)
+		w.members.sightings["c"] = sighting
+		s.lastLed = time.Now()
+	}
+	for _, test := range []struct {
+		name    string
+		leave   func(*fakeService, *serviceWatch)
+		updates int // Attempts to update the group before the primary fails.
+		waited  bool
+	}{
+		{"replaced at its address", func(s *fakeService, _ *serviceWatch) {
+			s.removeEntry("c")
+			s.catalog.Servers["rentals"] = append(s.catalog.Servers["rentals"], cataloger.BackendServer{ID: "d", Service: "rentals", Address: "at-c"})
+			s.received["d"] = s.received["c"]
+		}, 1, false},
+		{"gone, the other one has all commits", leave, 3, false},
+		{"gone just now", func(s *fakeService, _ *serviceWatch) { s.removeEntry("c") }, 3, true},
+		{"gone, the other one is behind", func(s *fakeService, w *serviceWatch) {
+			leave(s, w)
+			s.lagging = true
+		}, 3, true},
+		{"cut off from the store alone", func(s *fakeService, w *serviceWatch) {
+			leave(s, w)
+			s.down["c"] = false
+		}, 3, true},
+	} {
+		for name, restarts := range map[string]bool{"": false, ", instance that started later": true} {
+			t.Run(test.name+name, func(t *testing.T) {
+				s, r := newSyncService()
+				w := &serviceWatch{}
+				s.check(r, w)
+				test.leave(s, w)
+				for range test.updates {
+					w.members.triedAt = time.Time{}
+					s.check(r, w)
+				}
+				if restarts {
+					r, w = s.syncReplacer(), &serviceWatch{}
+				}
+				s.down["c"] = true
+				s.failPrimary(r, w)
+				qt.Assert(t, s.leader == "", qt.Equals, test.waited)
+			})
+		}
+	}
+}
+
 // Guards against a service that is not served although its failed primary is back
 // and has every commit, like a primary that has stepped down for a hand-over that
 // nobody has completed.
@@ -191,12 +270,15 @@
 	servers  []drawnServer // The first one is the primary.
 	required int           // Replicas that receive a commit before it is acknowledged.
 	acked    uint64        // Number of the last acknowledged commit.
+	restarts bool          // The instance that decides has started after the primary had failed.
 }
 
 type drawnServer struct {
-	ID                  identifier.BackendServerID
-	Received            uint64
-	State               string // "answers", "silent" or "lapsed": silent, and its registration has expired.
+	ID       identifier.BackendServerID
+	Received uint64
+	// State is "answers", "silent", "lapsed": silent, and its registration has expired, or
+	// "left": the same, for long before the primary failed.
+	State               string
 	Draining, Evacuated bool
 	Claims              bool // Its registration says that it is the primary, maybe an older one.
 }
@@ -207,10 +289,13 @@
 	for i := range rapid.IntRange(3, 5).Draw(rt, "servers") {
 		s := drawnServer{
 			ID:       identifier.BackendServerID(rune('a' + i)),
-			State:    rapid.SampledFrom([]string{"answers", "answers", "silent", "lapsed"}).Draw(rt, "state"),
+			State:    rapid.SampledFrom([]string{"answers", "answers", "silent", "lapsed", "left"}).Draw(rt, "state"),
 			Draining: rapid.IntRange(0, 3).Draw(rt, "draining") == 3, Evacuated: rapid.IntRange(0, 3).Draw(rt, "evacuated") == 3,
 			Claims: i == 0 || rapid.IntRange(0, 3).Draw(rt, "claims") == 3,
 		}
+		if i == 0 && s.State == "left" {
+			s.State = "lapsed"
+		}
 		if i > 0 {
 			s.Received = rapid.Uint64Range(1, 9).Draw(rt, "received")
 			received = append(received, s.Received)
@@ -222,6 +307,7 @@
 	g.required = rapid.IntRange(1, 2).Draw(rt, "required")
 	g.acked = received[g.required-1]
 	g.servers[0].Received = received[0]
+	g.restarts = rapid.Bool().Draw(rt, "restarts")
 	return g
 }
 
@@ -251,10 +337,26 @@
 	s.lagging = true // What the replicas have received is as drawn.
 	w := &serviceWatch{}
 	s.check(r, w)
+	for _, d := range g.servers {
+		if d.State == "left" {
+			s.removeEntry(d.ID)
+		}
+	}
+	for range 4 {
+		time.Sleep(groupUpdatePause)
+		s.lastLed = time.Now()
+		s.check(r, w)
+	}
+	if g.restarts {
+		r, w = s.syncReplacer(), &serviceWatch{}
+	}
 	for i, d := range g.servers {
 		all[i].Draining, all[i].Evacuated, all[i].ClaimsPrimary = d.Draining, d.Evacuated, d.Claims
 		s.down[d.ID] = d.State != "answers"
-		if d.State == "lapsed" {
+	}
+	s.catalog.Servers["rentals"] = slices.Clone(all)
+	for _, d := range g.servers {
+		if d.State == "lapsed" || d.State == "left" {
 			s.removeEntry(d.ID)
 		}
 	}
@@ -270,7 +372,8 @@
 
 // Guards against the loss of acknowledged commits of a service with synchronous
 // replication when its primary fails, whichever replicas drain, are evacuated, are
-// silent, still claim to be the primary or have lost their registration, and against a service that is not served
+// silent, still claim to be the primary, have lost their registration or have left before, at an instance that ran
+// throughout and at one that started later, and against a service that is not served
 // although the servers that answer have all commits.
 func TestPromotedServerHasAcknowledgedCommits(t *testing.T) {
 	promoted := 0
--- a/internal/coordination/replacer/replace.go
+++ b/internal/coordination/replacer/replace.go
@@ -18,12 +18,12 @@
 	// lastLeader is the server that this instance last saw leading the service. It
 	// is empty if it has seen none.
 	lastLeader identifier.BackendServerID
-	remembered []identifier.BackendServerID // Servers that count as members of the service, also if no longer registered.
-	silentFor  time.Duration                // For which the primary was not reached when the replacement began.
-	record     cataloger.Leadership         // As last written by this instance.
-	written    time.Duration                // Clock before record was written.
-	acked      time.Duration                // Clock after the announcement was acknowledged.
-	resumed    bool                         // An earlier holder may have requested the promotion of record.Successor.
+	members    *memberHistory       // Servers that may have commits, also if no longer registered.
+	silentFor  time.Duration        // For which the primary was not reached when the replacement began.
+	record     cataloger.Leadership // As last written by this instance.
+	written    time.Duration        // Clock before record was written.
+	acked      time.Duration        // Clock after the announcement was acknowledged.
+	resumed    bool                 // An earlier holder may have requested the promotion of record.Successor.
 	// requested is set once a promotion of another server may have been or may
 	// be executed. The old primary must not be used again after that.
 	requested  bool
@@ -40,7 +40,7 @@
 ) {
 	started := time.Now()
 	p := &replacement{
-		service: service, draining: draining, lastLeader: w.lastLeader, remembered: w.members.members(), silentFor: w.silentFor(),
+		service: service, draining: draining, lastLeader: w.lastLeader, members: &w.members, silentFor: w.silentFor(),
 		open: &w.open,
 	}
 	p.steps.begin("announce")
@@ -152,7 +152,7 @@
 		}
 	}
 	p.steps.begin("positions")
-	next, err := r.chooseSuccessor(p)
+	next, err := r.chooseSuccessor(ctx, p)
 	if err != nil {
 		return err
 	}
--- a/internal/coordination/replacer/replacer.go
+++ b/internal/coordination/replacer/replacer.go
@@ -96,6 +96,12 @@
 	// stored one has the revision of the given one.
 	ReadRecord  func(ctx context.Context, service identifier.ServiceName) (cataloger.Leadership, error)
 	WriteRecord func(ctx context.Context, service identifier.ServiceName, l cataloger.Leadership) (cataloger.Leadership, error)
+	// ReadGroup reads the database group of a service from the store. It returns
+	// [ErrNoGroup], or [ErrGroupUnreadable] with the revision of the object. WriteGroup
+	// replaces it if the stored one has the revision of the given one. Both are called
+	// for services with synchronous replication alone.
+	ReadGroup  func(ctx context.Context, service identifier.ServiceName) (cataloger.DatabaseGroup, error)
+	WriteGroup func(ctx context.Context, service identifier.ServiceName, g cataloger.DatabaseGroup) (cataloger.DatabaseGroup, error)
 	// Members reads the registered instances from the store.
 	Members func(ctx context.Context) (map[identifier.InstanceID]cataloger.Instance, error)
 	// Revoke makes an instance observe an announcement, and reports whether it
@@ -162,8 +168,12 @@
 				continue
 			}
 			tasks.Go(func() {
-				defer r.endCheck(w)
 				r.checkService(ctx, service, w)
+				update := w.takeGroupUpdate()
+				r.endCheck(w)
+				if update != nil { // Beside further checks, which it must not delay.
+					r.updateGroup(ctx, service, &w.members, *update)
+				}
 			})
 		}
 	}
--- a/internal/coordination/replacer/replacer_test.go
+++ b/internal/coordination/replacer/replacer_test.go
@@ -38,6 +38,8 @@
 	calls    []string
 	promote  func(id identifier.BackendServerID) error
 	lastLed  time.Time
+	group    cataloger.DatabaseGroup // In the store; not there if it has no members.
+	groupErr error                   // Of reading the group.
 }
 
 func newFakeService() *fakeService {
@@ -163,6 +165,20 @@
 				return nil
 			})
 		},
+		ReadGroup: func(context.Context, identifier.ServiceName) (cataloger.DatabaseGroup, error) {
+			if s.groupErr == nil && len(s.group.Members) == 0 {
+				return cataloger.DatabaseGroup{}, ErrNoGroup
+			}
+			return s.group, s.groupErr
+		},
+		WriteGroup: func(_ context.Context, _ identifier.ServiceName, g cataloger.DatabaseGroup) (cataloger.DatabaseGroup, error) {
+			if g.Revision != s.group.Revision {
+				return g, ErrRecordChanged
+			}
+			g.Revision++
+			s.group, s.groupErr = g, nil
+			return g, nil
+		},
 		Members: func(context.Context) (map[identifier.InstanceID]cataloger.Instance, error) {
 			return s.catalog.Instances, nil
 		},
@@ -192,6 +208,9 @@
 func (s *fakeService) check(r *Replacer, w *serviceWatch) []string {
 	s.calls = nil
 	r.checkService(context.Background(), "rentals", w)
+	if u := w.takeGroupUpdate(); u != nil {
+		r.updateGroup(context.Background(), "rentals", &w.members, *u)
+	}
 	return s.calls
 }
 
--- a/internal/coordination/replacer/watch.go
+++ b/internal/coordination/replacer/watch.go
@@ -15,6 +15,7 @@
 	term           identifier.Term            // Of the record under which silentSince was set.
 	lastLeader     identifier.BackendServerID // The server that this instance last saw leading; kept when it does not any more.
 	members        memberHistory              // Of a service with synchronous replication.
+	groupUpdate    *groupUpdate               // That is due after the check, nil if none is.
 	announcement   uint64                     // Revision of the newest known announcement of another instance.
 	announcedSince time.Time                  // When this instance first knew that announcement.
 	leaving        identifier.BackendServerID // The primary that was last seen to drain or to be evacuated.
@@ -65,3 +66,21 @@
 	}
 	return time.Since(w.leavingSince)
 }
+
+// observeMembers records the registered servers of a service with synchronous
+// replication, and whether this instance is to update its group in the store after the
+// check.
+func (w *serviceWatch) observeMembers(servers []cataloger.BackendServer, u groupUpdate, era uint64, delay time.Duration) {
+	now := time.Now()
+	w.members.observe(servers, now)
+	if w.members.beginUpdate(u, era, delay, now) {
+		w.groupUpdate = &u
+	}
+}
+
+// takeGroupUpdate returns the update of the group that is due, or nil, and forgets it.
+func (w *serviceWatch) takeGroupUpdate() *groupUpdate {
+	u := w.groupUpdate
+	w.groupUpdate = nil
+	return u
+}
