--- a/internal/command/starter/drain.go
+++ b/internal/command/starter/drain.go
@@ -35,7 +35,8 @@
 			s.sessions.ExpireForwarded(0)
 		}
 		if (remaining == 0 && elapsed > announcePeriod) || elapsed > grace-drainReserve {
-			s.Logger.Info().Str("event", "drain_ended").Int("sessions", remaining).Send()
+			s.Logger.Info().Str("event", "drain_ended").Int("sessions", s.sessions.Sessions()).
+				Int("open_requests", s.sessions.OpenRequests()).Int("forwarded_transactions", s.sessions.ForwardedTransactions()).Send()
 			return
 		}
 		select {
--- a/internal/transport/sessioner/session.go
+++ b/internal/transport/sessioner/session.go
@@ -42,6 +42,8 @@
 	// already authorized its statements.
 	forwarded bool
 
+	request atomic.Pointer[openRequest] // Nil between an answer and the next message.
+
 	closeWhenIdle atomic.Bool // Close once no transaction and no request is open.
 	closeNow      atomic.Bool // Close once no request is open, even if a transaction is.
 }
@@ -104,12 +106,13 @@
 		st, err := n.client.Next(n.idleDeadline())
 		switch {
 		case err == nil:
-			if n.client.Reply(n.handle(st)) != nil {
+			n.beginRequest(st.ID)
+			if n.answer(n.handle(st)) != nil {
 				return
 			}
 		case errors.Is(err, ErrMalformed):
-			reply := requester.Result{Code: requester.Malformed, Text: "message is not a statement", State: n.state()}
-			if n.client.Reply(reply) != nil {
+			n.beginRequest("")
+			if n.answer(n.refusal(requester.Malformed, "message is not a statement")) != nil {
 				return
 			}
 		case errors.Is(err, os.ErrDeadlineExceeded):
