--- a/internal/transport/sessioner/drain_test.go
+++ b/internal/transport/sessioner/drain_test.go
@@ -50,6 +50,7 @@
 			c := &drainedClient{arrived: test.arrived}
 			n := &session{server: s, client: c.client(), tx: test.tx}
 			s.add(n)
+			n.started.Store(true)
 			s.EndTransactions()
 			n.serveStatements()
 			qt.Assert(t, c.replies, qt.HasLen, len(test.arrived))
@@ -63,6 +64,7 @@
 	c := &drainedClient{}
 	n := &session{server: s, client: c.client(), tx: &transaction{}}
 	s.add(n)
+	n.started.Store(true)
 	s.EndTransactions()
 	n.serveStatements()
 	qt.Assert(t, n.tx, qt.IsNil)
--- a/internal/transport/sessioner/forwarded.go
+++ b/internal/transport/sessioner/forwarded.go
@@ -49,6 +49,8 @@
 	if s.refusesForwarded(f) {
 		return ForwardReply{Refused: true}
 	}
+	s.forwardedRunning.Add(1)
+	defer s.forwardedRunning.Add(-1)
 	n := s.newForwardedSession(f)
 	o := n.forwardedOperation(f)
 	r := n.runLocally(o, f.resolvedStatement())
@@ -132,9 +134,13 @@
 		n.tx.operation = n.forwardedOperation(f)
 	}
 	var r requester.Result
-	if f.Statement.Kind == requester.Commit || f.Statement.Kind == requester.Rollback {
+	isEnd := f.Statement.Kind == requester.Commit || f.Statement.Kind == requester.Rollback
+	switch {
+	case s.stopping.Load() && f.Statement.Kind != requester.Rollback:
+		r = n.fail(f.Statement.ID, n.refusal(requester.Aborted, stoppingText))
+	case isEnd:
 		r = n.endTransaction(f.Statement)
-	} else {
+	default:
 		r = n.executeInTransaction(f.resolvedStatement())
 	}
 	t.lastUsed = time.Now()
@@ -199,6 +205,12 @@
 	return len(s.forwarded.all)
 }
 
+// OpenForwarded returns the number of transactions that peers have open on this instance
+// and of their other statements that run.
+func (s *Server) OpenForwarded() int {
+	return s.ForwardedTransactions() + int(s.forwardedRunning.Load())
+}
+
 // ExpireForwarded rolls back the transactions of peers in which no statement
 // ran for longer than the limit.
 func (s *Server) ExpireForwarded(limit time.Duration) {
--- a/internal/transport/sessioner/server.go
+++ b/internal/transport/sessioner/server.go
@@ -100,7 +100,11 @@
 	// Activity counts the statements of this server's sessions.
 	Activity Activity
 
-	forwarded forwardedTransactions
+	stopping atomic.Bool // See EndReading.
+	ended    atomic.Bool // See AnswerOpenRequests.
+
+	forwarded        forwardedTransactions
+	forwardedRunning atomic.Int64 // Statements of peers outside transactions that run.
 
 	mu       sync.Mutex
 	sessions map[*session]struct{}
@@ -129,7 +133,7 @@
 	return samples
 }
 
-// Sessions returns the number of open sessions.
+// Sessions returns the number of open sessions, including those that begin or end.
 func (s *Server) Sessions() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -139,14 +143,15 @@
 // Serve serves the session of a client until the session ends. A panic ends this
 // session alone.
 func (s *Server) Serve(c Client) {
+	n := &session{server: s, client: c}
+	isAdded := s.add(n)
+	defer s.remove(n) // After Close, so that no connection is open once there are no sessions.
 	defer c.Close()
 	defer s.recoverSession()
-	n := &session{server: s, client: c}
-	if !n.start() {
+	if !isAdded || !n.start() {
 		return
 	}
-	s.add(n)
-	defer s.remove(n)
+	n.started.Store(true)
 	n.serveStatements()
 }
 
@@ -158,13 +163,18 @@
 	}
 }
 
-func (s *Server) add(n *session) {
+// add adds a session and reports whether it may begin.
+func (s *Server) add(n *session) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.stopping.Load() {
+		return false
+	}
 	if s.sessions == nil {
 		s.sessions = map[*session]struct{}{}
 	}
 	s.sessions[n] = struct{}{}
+	return true
 }
 
 func (s *Server) remove(n *session) {
@@ -183,7 +193,7 @@
 		if most <= 0 {
 			break
 		}
-		if !n.closeWhenIdle.Swap(true) {
+		if n.started.Load() && !n.closeWhenIdle.Swap(true) {
 			most--
 			n.client.Interrupt()
 		}
@@ -197,6 +207,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for n := range s.sessions {
+		if !n.started.Load() {
+			continue // Its startup message is answered first.
+		}
 		n.closeNow.Store(true)
 		n.client.Interrupt()
 	}
--- a/internal/transport/sessioner/session.go
+++ b/internal/transport/sessioner/session.go
@@ -42,6 +42,7 @@
 	// already authorized its statements.
 	forwarded bool
 
+	started atomic.Bool                 // The startup message was answered.
 	request atomic.Pointer[openRequest] // Nil between an answer and the next message.
 
 	closeWhenIdle atomic.Bool // Close once no transaction and no request is open.
@@ -134,6 +135,9 @@
 // without leaving a request unanswered that has arrived, and without ending a
 // transaction unless it is marked to close at once.
 func (n *session) canClose() bool {
+	if n.server.ended.Load() {
+		return true
+	}
 	isMarked := n.closeNow.Load() || n.closeWhenIdle.Load() && n.tx == nil
 	return isMarked && !n.client.Pending()
 }
@@ -169,6 +173,11 @@
 	if n.tx != nil && n.tx.failed && st.Kind != requester.Commit && st.Kind != requester.Rollback {
 		return n.refuseFailed()
 	}
+	if n.server.stopping.Load() {
+		if r, refused := n.refuseStopping(st); refused {
+			return r
+		}
+	}
 	switch st.Kind {
 	case requester.Set:
 		n.settings = n.settings.With(st.Name, st.Value)
