internal/transport/acceptor: a drain answers every statement that was read

Until that moment statements were read in transactions.

Drain waited for the open transactions until its time was over, and the caller then closed all connections.

The session drain_end.txtar, recorded on the code before, with a server that does not answer and a drain of 400 ms:

a read closed b read closed

Change: in the last second of the time, at most a half of it, no statement is read any more; sessions in a transaction end with 57P01, as idle ones did before. When the time is over, the connections to the backend servers of statements that still run are closed, and their clients get 40003, an unknown outcome, before the connections of clients are closed.

a read FATAL 57P01 not run: instance is stopping, reconnect retry-after: 1ms b read ERROR 40003 outcome unknown: the statement may have run: backend connection lost

After it the tests of the package pass, TestSessions 5 times with the race detector.

--- a/internal/transport/acceptor/acceptor.go
+++ b/internal/transport/acceptor/acceptor.go
@@ -60,6 +60,7 @@
 	listeners     map[net.Listener]struct{}
 	sessions      map[uint32]*session // Keyed by the process ID in the cancel key.
 	draining      bool
+	ending        bool // See endReading.
 	closed        bool
 	done          chan struct{}
 	goroutines    sync.WaitGroup
@@ -197,8 +198,10 @@
 }
 
 // Drain stops accepting connections and ends idle sessions with SQLSTATE 57P01.
-// Open transactions may finish until ctx is done. It returns the number of
-// sessions that were still open then.
+// Open transactions may finish until shortly before ctx is done. Then no further
+// statement is read, sessions in a transaction end with 57P01 too, and what still runs
+// when ctx is done ends with an error, so that every statement that was read is
+// answered. It returns the number of sessions whose transaction or statement it ended.
 func (a *Acceptor) Drain(ctx context.Context) int {
 	a.mu.Lock()
 	a.draining = true
@@ -209,17 +212,60 @@
 	for _, s := range a.listSessions() {
 		s.wake()
 	}
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		a.awaitSessions(ctx)
-	}()
-	<-ended
-	interrupted := len(a.listSessions())
-	a.Log.Info().Str("event", "drained").Int("interrupted", interrupted).Send()
+	readCtx, cancel := untilAnswerPeriod(ctx)
+	a.awaitSessions(readCtx)
+	cancel()
+	interrupted := a.endReading()
+	a.awaitSessions(ctx)
+	running := a.listSessions()
+	for _, s := range running {
+		s.closeActiveConn()
+	}
+	lastCtx, cancel := context.WithTimeout(context.Background(), lastAnswerTimeout)
+	defer cancel()
+	a.awaitSessions(lastCtx)
+	a.Log.Info().Str("event", "drained").Int("interrupted", interrupted).Int("statements_ended", len(running)).Send()
 	return interrupted
 }
 
+const (
+	// answerPeriod is the last part of a drain, in which the statements that were read
+	// are answered.
+	answerPeriod = time.Second
+	// lastAnswerTimeout limits the answers to statements that are ended after it.
+	lastAnswerTimeout = 250 * time.Millisecond
+)
+
+// untilAnswerPeriod returns a context that is done [answerPeriod] before the deadline of
+// ctx, and after half of the time if that is less.
+func untilAnswerPeriod(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, deadline.Add(-min(answerPeriod, time.Until(deadline)/2)))
+}
+
+// endReading makes every session end as soon as no statement runs in it. It returns the
+// number of sessions that were open.
+func (a *Acceptor) endReading() int {
+	a.mu.Lock()
+	a.ending = true
+	a.mu.Unlock()
+	sessions := a.listSessions()
+	for _, s := range sessions {
+		s.wake()
+	}
+	return len(sessions)
+}
+
+// isEnding reports whether sessions end although a transaction is open.
+func (a *Acceptor) isEnding() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.ending
+}
+
 func (a *Acceptor) awaitSessions(ctx context.Context) {
 	tick := time.NewTicker(10 * time.Millisecond)
 	defer tick.Stop()
--- a/internal/transport/acceptor/session.go
+++ b/internal/transport/acceptor/session.go
@@ -178,13 +178,14 @@
 }
 
 // checkTermination returns a refusal that ends the session if its key was
-// withdrawn, or if the instance is draining and no transaction is open.
+// withdrawn, or if the instance is draining and no transaction is open or the drain
+// is about to end.
 func (s *session) checkTermination() error {
 	if v, err := s.acceptor.View(); err == nil && s.accessRevoked(v) {
 		s.acceptor.Log.Info().Str("event", "key_withdrawn").Str("workspace", string(s.workspace)).Send()
 		return refuser.New(refuser.KeyWithdrawn, "")
 	}
-	if s.txStatus == 'I' && s.acceptor.isDraining() {
+	if s.acceptor.isEnding() || s.txStatus == 'I' && s.acceptor.isDraining() {
 		return refuser.New(refuser.Draining, "")
 	}
 	return nil
--- a/internal/transport/acceptor/session_test.go
+++ b/internal/transport/acceptor/session_test.go
@@ -1,6 +1,7 @@
 package acceptor_test
 
 import (
+	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -132,7 +133,17 @@
 		f.document.Routes["catalogue"] = configurer.Route{}
 	case "drain":
 		sr.drained = make(chan int, 1)
-		go func() { sr.drained <- f.Drain(timeLimit(sr.t)) }()
+		ctx := timeLimit(sr.t)
+		if limit, err := time.ParseDuration(args); err == nil {
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithTimeout(ctx, limit)
+			sr.t.Cleanup(cancel)
+		}
+		go func() { sr.drained <- f.Drain(ctx) }()
+	case "stop":
+		f.mu.Unlock()
+		defer f.mu.Lock()
+		f.Close()
 	case "drained":
 		f.mu.Unlock()
 		defer f.mu.Lock()
