internal/coordination/replacer: a continued replacement knows who has whose log

What callers would see: a service with syncReplicas stays without a primary longer than needed. An instance that continues the replacement of another one had not observed the registered servers, since only checks of a primary do. It counted a server of the group in the store although another one has its address and log.

The test failed before: got ["b" "c" "d"], want ["b" "d"]. The registered servers are observed before the group is read now.

--- a/internal/coordination/replacer/durability.go
+++ b/internal/coordination/replacer/durability.go
@@ -62,6 +62,7 @@
 	if g.syncReplicas == 0 || p.draining != nil {
 		return replicaGroup{}, nil
 	}
+	p.members.observe(servers, time.Now()) // The check of a replacement that is continued does not.
 	if err := r.readGroup(ctx, p.service, p.members); err != nil {
 		return g, errors.Wrap(errCommitsUnknown, err.Error())
 	}
--- a/internal/coordination/replacer/durability_test.go
+++ b/internal/coordination/replacer/durability_test.go
@@ -217,6 +217,20 @@
 	}
 }
 
+// Guards against a service without a primary because an instance that continues a replacement waits for a server whose
+// address and log another one has.
+func TestContinuedReplacementKnowsWhoHasWhoseLog(t *testing.T) {
+	s, r := newSyncService()
+	s.check(r, &serviceWatch{})
+	s.removeEntry("c")
+	s.catalog.Servers["rentals"] = append(s.catalog.Servers["rentals"], cataloger.BackendServer{ID: "d", Service: "rentals", Address: "at-c"})
+	p := &replacement{service: "rentals", record: cataloger.Leadership{Holder: "one", Revision: 11}, members: &memberHistory{}}
+	g, err := s.syncReplacer().replicaGroup(t.Context(), p)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, g.replicas, qt.DeepEquals, []identifier.BackendServerID{"b", "d"})
+	qt.Assert(t, g.primary, qt.Equals, identifier.BackendServerID("a"))
+}
+
 // Guards against a service that is not served although its failed primary is back
 // and has every commit, like a primary that has stepped down for a hand-over that
 // nobody has completed.
