internal/coordination/replacer: an instance that has just started waits for permits

What callers would see (ONE, STALE): an instance was removed from the list by mistake and still holds a permit for the old primary. Another instance starts, and replaces the primary within 1.5 s. It does not know of the removal, is confirmed by all that are registered, and promotes at once. The removed instance goes on using the old primary until its permit ends.

Which instances were removed is remembered by the process alone, and what is registered was taken for all.

The test failed before: replacementTime() >= testValidity, got false.

Change: until an instance has had a catalog for as long as a permit is valid, it counts the instances that may hold one as incomplete. It then waits, as it does when the list cannot be read, until the permits have expired or the old primary has stepped down: at most 1.5 s, and only in the first 1.5 s after its start. The log field members_read of replacement_waits is members_known now.

After it the tests of the package pass.

--- a/internal/coordination/replacer/fence.go
+++ b/internal/coordination/replacer/fence.go
@@ -40,7 +40,7 @@
 		}
 		if round == 0 {
 			r.Logger.Warn().Str("event", "replacement_waits").Str("service", string(p.service)).Uint64("token", p.record.Revision).
-				Int("instances", total).Int("unconfirmed", len(unconfirmed)).Bool("members_read", complete).Send()
+				Int("instances", total).Int("unconfirmed", len(unconfirmed)).Bool("members_known", complete).Send()
 			steppedDown = r.stepDownPrimary(p)
 		}
 		retry := time.NewTimer(revokeInterval - time.Since(started))
@@ -62,7 +62,8 @@
 // instancesToRevoke returns the instances that may hold a permit: those that are
 // registered after the announcement, those that this instance knew before, and those
 // whose registration was removed so recently that their permits are still valid. It
-// reports false if the registrations could not be read.
+// reports false if there may be others: the registrations could not be read, or this
+// instance has started too recently to know of all removals.
 func (r *Replacer) instancesToRevoke(ctx context.Context) ([]identifier.InstanceID, bool) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -73,11 +74,12 @@
 	r.observeInstances()
 	all := maps.Clone(r.Catalog().Instances)
 	maps.Copy(all, registered)
-	for _, id := range r.recentlyRemoved() {
+	removed, knowsRemovals := r.recentlyRemoved()
+	for _, id := range removed {
 		all[id] = cataloger.Instance{ID: id}
 	}
 	delete(all, r.Self)
-	return slices.Collect(maps.Keys(all)), err == nil
+	return slices.Collect(maps.Keys(all)), err == nil && knowsRemovals
 }
 
 // revoke asks the instances to confirm the announcement and returns those that
--- a/internal/coordination/replacer/removal.go
+++ b/internal/coordination/replacer/removal.go
@@ -13,6 +13,7 @@
 // that had it. The zero value remembers none.
 type removalHistory struct {
 	last    *cataloger.Catalog
+	since   time.Duration                           // Clock reading at which the first catalog was observed.
 	removed map[identifier.InstanceID]time.Duration // Clock reading at which it was first missing.
 }
 
@@ -21,7 +22,9 @@
 	if c == h.last || c == nil {
 		return
 	}
-	if h.last != nil {
+	if h.last == nil {
+		h.since = now
+	} else {
 		h.addMissing(h.last.Instances, c.Instances, now)
 	}
 	h.last = c
@@ -44,6 +47,12 @@
 	}
 }
 
+// covers reports whether every removal of the last period is known: an instance that has
+// started since then knows of none that was before its first catalog.
+func (h *removalHistory) covers(period, now time.Duration) bool {
+	return h.last != nil && now-h.since >= period
+}
+
 // recent returns the instances that have been missing for less than the limit, and
 // forgets the others.
 func (h *removalHistory) recent(limit, now time.Duration) []identifier.InstanceID {
@@ -66,9 +75,10 @@
 }
 
 // recentlyRemoved returns the instances that may still hold a permit although they
-// are not registered any more.
-func (r *Replacer) recentlyRemoved() []identifier.InstanceID {
+// are not registered any more. It reports false if there may be others.
+func (r *Replacer) recentlyRemoved() (ids []identifier.InstanceID, complete bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.removals.recent(r.Validity+expiryMargin, r.Clock())
+	period, now := r.Validity+expiryMargin, r.Clock()
+	return r.removals.recent(period, now), r.removals.covers(period, now)
 }
--- a/internal/coordination/replacer/replacer_test.go
+++ b/internal/coordination/replacer/replacer_test.go
@@ -88,7 +88,15 @@
 	}
 }
 
+// replacer returns the replacer of an instance that has run for long.
 func (s *fakeService) replacer() *Replacer {
+	r := s.startedReplacer()
+	r.removals = removalHistory{last: s.catalog, since: -time.Hour}
+	return r
+}
+
+// startedReplacer returns the replacer of an instance that has just started.
+func (s *fakeService) startedReplacer() *Replacer {
 	locked := func(f func() error) error {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -549,6 +557,10 @@
 	}
 	qt.Assert(t, replacementTime() >= testValidity, qt.IsTrue)
 	qt.Assert(t, replacementTime() < testValidity, qt.IsTrue) // Its permit has ended.
+
+	r = s.startedReplacer() // It does not know of the removal.
+	qt.Assert(t, replacementTime() >= testValidity, qt.IsTrue)
+	qt.Assert(t, replacementTime() < testValidity, qt.IsTrue)
 }
 
 // Guards against a promotion while the record cannot be read, and the use of an old primary after the record was removed.
