--- a/internal/transport/sessioner/commit_test.go
+++ b/internal/transport/sessioner/commit_test.go
@@ -111,25 +111,12 @@
 	}
 	s.Holder.Replace(&c)
 	s.Lender.Dial = func(_ time.Time, b cataloger.BackendServer, _ identifier.WorkspaceName) (lender.Link, error) {
-		var pending []requester.Result
 		var answers fakeAnswers
-		return lender.Link{
-			Send: func(_ time.Time, statements ...requester.Statement) error {
-				for _, st := range statements {
-					r := answers.answer(st.Kind, ends[b.Service])
-					r.Text = st.After.String()
-					pending = append(pending, r)
-				}
-				return nil
-			},
-			Receive: func(time.Time) (requester.Result, error) {
-				r := pending[0]
-				pending = pending[1:]
-				return r, nil
-			},
-			Open:  func() bool { return true },
-			Close: func() {},
-		}, nil
+		return answeringLink(func(st requester.Statement) requester.Result {
+			r := answers.answer(st.Kind, ends[b.Service])
+			r.Text = st.After.String()
+			return r
+		}), nil
 	}
 	return s
 }
--- a/internal/transport/sessioner/fake_answers_test.go
+++ b/internal/transport/sessioner/fake_answers_test.go
@@ -2,11 +2,33 @@
 
 import (
 	"strconv"
+	"time"
 
 	"oleanderpulley/internal/protocol/requester"
 	"oleanderpulley/internal/state/identifier"
+	"oleanderpulley/internal/transport/lender"
 )
 
+// answeringLink returns a connection on which each statement gets its answer at once.
+func answeringLink(answer func(requester.Statement) requester.Result) lender.Link {
+	var pending []requester.Result
+	return lender.Link{
+		Send: func(_ time.Time, statements ...requester.Statement) error {
+			for _, st := range statements {
+				pending = append(pending, answer(st))
+			}
+			return nil
+		},
+		Receive: func(time.Time) (requester.Result, error) {
+			r := pending[0]
+			pending = pending[1:]
+			return r, nil
+		},
+		Open:  func() bool { return true },
+		Close: func() {},
+	}
+}
+
 // fakeAnswers gives the successful answers of a connection to a backend server. The zero
 // value is a new connection.
 type fakeAnswers struct {
--- a/internal/transport/sessioner/forwarded_test.go
+++ b/internal/transport/sessioner/forwarded_test.go
@@ -29,24 +29,11 @@
 	})
 	s.Lender.Limit = func(cataloger.BackendServer) int { return 4 }
 	s.Lender.Dial = func(_ time.Time, _ cataloger.BackendServer, w identifier.WorkspaceName) (lender.Link, error) {
-		var pending []requester.Result
 		var answers fakeAnswers
-		return lender.Link{
-			Send: func(_ time.Time, statements ...requester.Statement) error {
-				for _, st := range statements {
-					seen[w] = append(seen[w], st.Kind)
-					pending = append(pending, answers.answer(st.Kind, identifier.Position{Term: 1, Offset: 1}))
-				}
-				return nil
-			},
-			Receive: func(time.Time) (requester.Result, error) {
-				r := pending[0]
-				pending = pending[1:]
-				return r, nil
-			},
-			Open:  func() bool { return true },
-			Close: func() {},
-		}, nil
+		return answeringLink(func(st requester.Statement) requester.Result {
+			seen[w] = append(seen[w], st.Kind)
+			return answers.answer(st.Kind, identifier.Position{Term: 1, Offset: 1})
+		}), nil
 	}
 	return s, seen
 }
