internal/bench/soaker: servers lost while instances start, and stops without lost answers

The fault "servers lost while instances start" is played by name: the service has syncReplicas 1, the primary and the replica with its last commits crash, some or all instances start after the registrations have lapsed, and the servers come back in either order. No acknowledged commit may be discarded. The fault "stop", played alone, lets statements take 60 ms and checks that each one that ran is answered.

--- a/internal/bench/soaker/check.go
+++ b/internal/bench/soaker/check.go
@@ -45,6 +45,12 @@
 	r.Broken = append(r.Broken, h.checkKeysAccepted()...)
 	r.Broken = append(r.Broken, h.checkReads(runs, commits)...)
 	r.Broken = append(r.Broken, h.checkRates(runs)...)
+	if e.soak.syncReplicas() > 0 {
+		r.Broken = append(r.Broken, h.checkDiscarded(commits)...)
+	}
+	if e.soak.Fault == stopFault {
+		r.Broken = append(r.Broken, h.checkUnanswered(runs)...)
+	}
 	if e.soak.slowsInstances() {
 		r.Broken = append(r.Broken, h.checkGivenUp(e.freezes)...)
 	}
--- a/internal/bench/soaker/check_answers.go
+++ b/internal/bench/soaker/check_answers.go
@@ -193,3 +193,18 @@
 	}
 	return broken
 }
+
+// checkUnanswered checks that each statement that ran was answered.
+func (h *history) checkUnanswered(runs []imitator.Execution) []string {
+	ran := map[string]string{}
+	for _, run := range runs {
+		ran[run.ID] = run.Server
+	}
+	var broken []string
+	for _, st := range h.statements {
+		if server, hasRun := ran[st.id]; hasRun && !st.answered {
+			broken = append(broken, fmt.Sprintf("unanswered: statement %s ran at server %s", st.id, server))
+		}
+	}
+	return broken
+}
--- a/internal/bench/soaker/check_test.go
+++ b/internal/bench/soaker/check_test.go
@@ -74,6 +74,10 @@
 			history: []operation{write("w", acknowledged)},
 			commits: []imitator.Commit{{IDs: []string{"w"}, Number: 4, Replaced: true}}, want: "one",
 		},
+		"discarded": {
+			history: []operation{write("w", acknowledged)},
+			commits: []imitator.Commit{{IDs: []string{"w"}, Number: 4, Discarded: true}}, want: "discarded",
+		},
 		"rate": {history: floodOperations(300), runs: floodRuns(300), want: "rate"},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -84,6 +88,7 @@
 			broken = append(broken, h.checkShapes(test.runs)...)
 			broken = append(broken, h.checkReads(test.runs, test.commits)...)
 			broken = append(broken, h.checkRates(test.runs)...)
+			broken = append(broken, h.checkDiscarded(test.commits)...)
 			qt.Assert(t, broken, qt.HasLen, 1)
 			qt.Assert(t, strings.HasPrefix(broken[0], test.want+":"), qt.IsTrue, qt.Commentf("%s", broken[0]))
 		})
--- a/internal/bench/soaker/environment.go
+++ b/internal/bench/soaker/environment.go
@@ -36,7 +36,8 @@
 
 	mu            sync.Mutex
 	configVersion int
-	restarts      map[string]int // Number of restarts without a log, by backend server.
+	away          map[string]bool // Backend servers whose registration has lapsed.
+	restarts      map[string]int  // Number of restarts without a log, by backend server.
 	freezes       []freeze
 	withdrawn     map[string]time.Time // Time at which the store acknowledged the withdrawal, by key.
 }
@@ -84,13 +85,16 @@
 func newEnvironment(s Soak, directory string) (*environment, error) {
 	e := &environment{
 		soak: s, directory: directory, members: map[string]*imitator.Member{}, proxies: map[string]*stager.Proxy{},
-		withdrawn: map[string]time.Time{}, restarts: map[string]int{}, keys: plainKeys,
+		withdrawn: map[string]time.Time{}, restarts: map[string]int{}, away: map[string]bool{}, keys: plainKeys,
 	}
 	if s.OldProgram == "" { // Builds up to f789805 split keys.
 		e.keys = slices.Concat(plainKeys, oddKeys)
 	}
 	e.group.Rows = s.drawRows()
 	e.group.Service = "rentals"
+	if s.Fault == stopFault { // Statements must run for long enough to be open when an instance ends.
+		e.group.Capacity = imitator.Capacity{Slots: 12, QueueLimit: 64, StatementTime: 60 * time.Millisecond}
+	}
 	e.group.Unfenced, e.store.Unfenced = s.Unfenced, s.Unfenced
 	e.promotionDelay = minPromotionDelay + time.Duration(rand.New(rand.NewPCG(s.Seed, 2)).Int64N(int64(maxPromotionDelay-minPromotionDelay)))
 	e.store.Promote = e.promote
@@ -131,6 +135,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for id := range e.members {
+		if e.away[id] {
+			continue
+		}
 		role := "replica"
 		if id == primary {
 			role = "primary"
@@ -181,7 +188,7 @@
 	}
 	e.store.Put("config", "main", map[string]any{
 		"version": e.configVersion, "routes": routes, "tenants": tenants,
-		"services": []any{map[string]any{"name": "rentals", "maxConnections": 60}},
+		"services": []any{map[string]any{"name": "rentals", "maxConnections": 60, "syncReplicas": e.soak.syncReplicas()}},
 		"limits":   map[string]any{"txIdleMs": 3000},
 	})
 }
--- a/internal/bench/soaker/fault.go
+++ b/internal/bench/soaker/fault.go
@@ -40,7 +40,7 @@
 
 var commonFaults = []fault{
 	{"kill", func(e *environment, r *rand.Rand, _ time.Duration) { e.restart(e.randomInstance(r), syscall.SIGKILL) }},
-	{"stop", func(e *environment, r *rand.Rand, _ time.Duration) { e.restart(e.randomInstance(r), syscall.SIGTERM) }},
+	{stopFault, func(e *environment, r *rand.Rand, _ time.Duration) { e.restart(e.randomInstance(r), syscall.SIGTERM) }},
 	{"pause", func(e *environment, r *rand.Rand, duration time.Duration) {
 		p := e.randomInstance(r)
 		p.Signal(syscall.SIGSTOP)
@@ -167,6 +167,7 @@
 			e.restartEmpty(id)
 		}
 	}},
+	{lapseFault, func(e *environment, r *rand.Rand, _ time.Duration) { e.loseServers(r) }},
 	{"server answers twice and goes on", func(e *environment, r *rand.Rand, duration time.Duration) { e.repeatAnswers(r, duration, true) }},
 }
 
@@ -183,6 +184,10 @@
 	time.Sleep(duration)
 }
 
+// stopFault, injected alone, must leave no statement without an answer: clients go on opening
+// sessions at an instance that stops, as a load balancer with too few others lets them.
+const stopFault = "stop"
+
 // repeatFault is not drawn beside an older build: builds up to f789805 take a repeated answer
 // for that of another statement.
 const repeatFault = "server answers twice"
