--- a/review/stage-3/main.go
+++ b/review/stage-3/main.go
@@ -20,6 +20,7 @@
 
 // cases are the cases by name.
 var cases = map[string]func(r *record, trouble bool) (int, error){
+	"large":    playLarge,
 	"memory":   playMemory,
 	"prepared": playPrepared,
 	"revision": playRevision,
