--- a/review/stage-3/client.go
+++ b/review/stage-3/client.go
@@ -23,14 +23,17 @@
 	rows, bytes                      int
 }
 
+// startupWait is the time after which a client gives up a session that isn't ready.
+const startupWait = 2 * time.Second
+
 // dial opens a session.
-func dial(address, database string, wait time.Duration) (*session, error) {
-	conn, err := net.DialTimeout("tcp4", address, wait)
+func dial(address, database string) (*session, error) {
+	conn, err := net.DialTimeout("tcp4", address, startupWait)
 	if err != nil {
 		return nil, err
 	}
 	s := &session{conn: conn, reader: bufio.NewReader(conn)}
-	a, err := s.exchange("STARTUP "+database+" "+clientKey, wait)
+	a, err := s.exchange("STARTUP "+database+" "+clientKey, startupWait)
 	if err == nil && a.code != "" {
 		err = fmt.Errorf("refused: %s", a.code)
 	}
--- a/review/stage-3/large.go
+++ b/review/stage-3/large.go
@@ -64,7 +64,7 @@
 
 // readOnce opens a session at the instance, reads once and closes the session.
 func readOnce(r *record, n *instance, round int) {
-	s, err := dial(n.front(), "bounded_staleness", 2*time.Second)
+	s, err := dial(n.front(), "bounded_staleness")
 	if err != nil {
 		r.add("round %d: the client of %s has no session: %v", round, n.name, err)
 		return
--- a/review/stage-3/memory.go
+++ b/review/stage-3/memory.go
@@ -69,7 +69,7 @@
 // them stay open until the last one has read, or close at once if stay is false.
 func readInTurn(r *record, n *instance, round, clients int, stay bool) {
 	for i := range clients {
-		s, err := dial(n.front(), "bounded_staleness", 2*time.Second)
+		s, err := dial(n.front(), "bounded_staleness")
 		if err != nil {
 			r.add("round %d: client %d of %s has no session: %v", round, i, n.name, err)
 			return
--- a/review/stage-3/prepared.go
+++ b/review/stage-3/prepared.go
@@ -67,7 +67,7 @@
 			return
 		default:
 		}
-		s, err := dial(n.front(), "read_own_writes", 2*time.Second)
+		s, err := dial(n.front(), "read_own_writes")
 		if err != nil {
 			time.Sleep(100 * time.Millisecond)
 			continue
--- a/review/stage-3/revision.go
+++ b/review/stage-3/revision.go
@@ -57,7 +57,7 @@
 		for _, n := range f.instances {
 			id := fmt.Sprintf("s%d-%s", second, n.ip)
 			sent++
-			s, err := dial(n.front(), "primary", 2*time.Second)
+			s, err := dial(n.front(), "primary")
 			if err != nil {
 				r.add("%s: ready %t; STARTUP primary -> %v", n.name, n.isReady(), err)
 				continue
