--- a/review/stage-3/client.go
+++ b/review/stage-3/client.go
@@ -21,6 +21,7 @@
 type answer struct {
 	code, signature, state, position string // An empty code is a success.
 	rows, bytes                      int
+	row                              string // The last one.
 }
 
 // startupWait is the time after which a client gives up a session that isn't ready.
@@ -28,7 +29,7 @@
 
 // dial opens a session.
 func dial(address, database string) (*session, error) {
-	conn, err := net.DialTimeout("tcp4", address, startupWait)
+	conn, err := net.DialTimeout("tcp4", address, startupWait) //nolint:gosec // A loopback address.
 	if err != nil {
 		return nil, err
 	}
@@ -67,6 +68,7 @@
 		case "DATAROW":
 			a.rows++
 			a.bytes += len(rest)
+			a.row = rest
 		case "COMPLETE":
 			a.signature = rest
 		case "ERROR":
--- a/review/stage-3/fleet.go
+++ b/review/stage-3/fleet.go
@@ -27,6 +27,7 @@
 	service   = "rentas-core"
 	tenant    = "shops"
 	clientKey = "key-shops"
+	usualRate = 400
 	frontPort = "8465"
 	readyPort = "8460"
 )
@@ -54,14 +55,21 @@
 	overs   atomic.Int64 // Ends because of memory over the limit.
 }
 
+// load is what the backends can do and what the tenant may ask of them.
+type load struct {
+	rate     int // Operations a second of the tenant.
+	capacity imitator.Capacity
+	rows     func(id, item string) []string // Of the answer to a read; nil for the name of the item.
+}
+
 // newFleet starts the backends and fills the store.
-func newFleet(r *record, rows func(id, item string) []string) (*fleet, error) {
+func newFleet(r *record, l load) (*fleet, error) {
 	directory, err := os.MkdirTemp("", "review-3-")
 	if err != nil {
 		return nil, err
 	}
 	f := &fleet{record: r, directory: directory}
-	f.group.Service, f.group.Rows = service, rows
+	f.group.Service, f.group.Rows, f.group.Capacity = service, l.rows, l.capacity
 	f.store.Promote = func(_, id string) bool { return f.group.Promote(id) }
 	for _, id := range []string{"i-a", "i-b", "i-c"} {
 		m, err := f.group.Add(id)
@@ -71,7 +79,7 @@
 		f.members = append(f.members, m)
 	}
 	f.register()
-	f.configure(1)
+	f.configure(l.rate)
 	return f, nil
 }
 
@@ -93,7 +101,7 @@
 }
 
 // configure writes the configuration.
-func (f *fleet) configure(version int) {
+func (f *fleet) configure(rate int) {
 	var routes []any
 	for _, kind := range []string{"primary", "bounded_staleness", "read_own_writes"} {
 		routes = append(routes, map[string]any{
@@ -101,10 +109,10 @@
 		})
 	}
 	f.store.Put("config", "main", map[string]any{
-		"version": version, "routes": routes,
+		"version": 1, "routes": routes,
 		"services": []any{map[string]any{"name": service, "maxConnections": 47, "syncReplicas": 0}},
 		"limits":   map[string]any{"txIdleMs": 5000},
-		"tenants":  []any{map[string]any{"name": tenant, "apiKeys": []string{clientKey}, "ratePerS": 400, "burst": 400}},
+		"tenants":  []any{map[string]any{"name": tenant, "apiKeys": []string{clientKey}, "ratePerS": rate, "burst": rate}},
 	})
 }
 
--- a/review/stage-3/large.go
+++ b/review/stage-3/large.go
@@ -21,7 +21,7 @@
 	for i := range rows {
 		rows[i] = strconv.Itoa(i) + row
 	}
-	f, err := newFleet(r, func(string, string) []string { return rows })
+	f, err := newFleet(r, load{rate: usualRate, rows: func(string, string) []string { return rows }})
 	if err != nil {
 		return notRun, err
 	}
--- a/review/stage-3/main.go
+++ b/review/stage-3/main.go
@@ -21,6 +21,7 @@
 // cases are the cases by name.
 var cases = map[string]func(r *record, trouble bool) (int, error){
 	"large":    playLarge,
+	"late":     playLate,
 	"memory":   playMemory,
 	"prepared": playPrepared,
 	"revision": playRevision,
--- a/review/stage-3/memory.go
+++ b/review/stage-3/memory.go
@@ -15,13 +15,13 @@
 	const rowsPerAnswer = 12
 	const clients = 19 // 292 sessions on 15 machines.
 	row := strings.Repeat("x", 1<<20-64)
-	f, err := newFleet(r, func(string, string) []string {
+	f, err := newFleet(r, load{rate: usualRate, rows: func(string, string) []string {
 		rows := make([]string, rowsPerAnswer)
 		for i := range rows {
 			rows[i] = strconv.Itoa(i) + row
 		}
 		return rows
-	})
+	}})
 	if err != nil {
 		return notRun, err
 	}
--- a/review/stage-3/prepared.go
+++ b/review/stage-3/prepared.go
@@ -16,7 +16,7 @@
 // statement at a time. It ends each process that exceeds the memory of its machine, as the
 // platform does.
 func playPrepared(r *record, trouble bool) (int, error) {
-	f, err := newFleet(r, nil)
+	f, err := newFleet(r, load{rate: usualRate})
 	if err != nil {
 		return notRun, err
 	}
--- a/review/stage-3/revision.go
+++ b/review/stage-3/revision.go
@@ -23,7 +23,7 @@
 // playRevision starts a small deployment with a store whose revisions begin at a Unix time
 // in milliseconds, and lets clients write at each instance, once a second.
 func playRevision(r *record, trouble bool) (int, error) {
-	f, err := newFleet(r, nil)
+	f, err := newFleet(r, load{rate: usualRate})
 	if err != nil {
 		return notRun, err
 	}
