internal/coordination/follower: a store that was never reached is logged

Its log had no line that says why: store_lost was written only if the store had been reached before, so that the one hint was directory_not_read, at info.

A line is now written at the first failed round, also from the start on, and each time that the failures in a row have doubled, since the cause may have changed by then.

TestStoreThatWasNeverReachedIsLogged fails before (no line) and passes after (4 lines for 9 failures).

--- a/internal/coordination/follower/follower_test.go
+++ b/internal/coordination/follower/follower_test.go
@@ -1,14 +1,17 @@
 package follower_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"maps"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"oleanderpulley/internal/coordination/follower"
 	"oleanderpulley/internal/state/cataloger"
@@ -111,6 +114,32 @@
 	qt.Assert(t, h.Fresh(), qt.IsTrue)
 }
 
+// Guards against an instance that never serves without a line that names the cause: its
+// store has answered from the start on, but with nothing that could be used.
+func TestStoreThatWasNeverReachedIsLogged(t *testing.T) {
+	s := &fakeStore{unavailable: true}
+	f, _, _ := newFollower(s)
+	var log bytes.Buffer
+	f.Logger = zerolog.New(&log)
+	f.Period = time.Millisecond
+	ctx, cancel := context.WithCancel(context.Background())
+	rounds := 0
+	join := f.Store.Join
+	f.Store.Join = func(ctx context.Context, m cataloger.Instance) (bool, error) {
+		if rounds++; rounds == 9 {
+			cancel()
+		}
+		return join(ctx, m)
+	}
+	f.Run(ctx)
+	lines := strings.Split(strings.TrimSpace(log.String()), "\n")
+	qt.Assert(t, lines, qt.HasLen, 4, qt.Commentf("failures 1, 2, 4 and 8: %s", log.String()))
+	for _, line := range lines {
+		qt.Assert(t, line, qt.Contains, `"event":"store_lost"`)
+		qt.Assert(t, line, qt.Contains, errUnavailable.Error())
+	}
+}
+
 // Guards against reading lists that have not changed.
 func TestUnchangedRevisionReadsNothing(t *testing.T) {
 	s := &fakeStore{revision: 5, version: 1, configurationRevision: 3}
--- a/internal/coordination/follower/schedule.go
+++ b/internal/coordination/follower/schedule.go
@@ -73,15 +73,16 @@
 }
 
 // logStoreState counts failed rounds and logs when the store becomes unreachable
-// and reachable again.
+// and reachable again. While it stays so, also from the start on, a line follows each
+// time that the failures have doubled: the cause may be another one by then.
 func (f *Follower) logStoreState(err error) {
 	switch {
 	case errors.Is(err, ErrConnecting), errors.Is(err, errUnanswered):
 	case err != nil && !errors.Is(err, ErrNoConfiguration):
 		f.failures++
-		if f.storeReached {
-			f.storeReached = false
-			f.Logger.Warn().Str("event", "store_lost").Err(err).Send()
+		f.storeReached = false
+		if f.failures&(f.failures-1) == 0 {
+			f.Logger.Warn().Str("event", "store_lost").Int("failures", f.failures).Err(err).Send()
 		}
 	case !f.storeReached:
 		f.storeReached = true
