--- a/internal/bench/archiver/sample.go
+++ b/internal/bench/archiver/sample.go
@@ -7,6 +7,8 @@
 	"reflect"
 	"strings"
 	"time"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 // maxNumber bounds the numbers of samples, so that each fits into all types of
@@ -34,7 +36,9 @@
 	}
 	switch v.Kind() {
 	case reflect.Struct:
-		setFields(v, tag, path)
+		if !setNumber(v, path) {
+			setFields(v, tag, path)
+		}
 	case reflect.Pointer:
 		v.Set(reflect.New(v.Type().Elem()))
 		set(v.Elem(), tag, path)
@@ -52,6 +56,17 @@
 	}
 }
 
+// setNumber sets a value that messages have as a number, although its type is another
+// one. It reports whether the value is of that kind.
+func setNumber(v reflect.Value, path string) bool {
+	u, ok := v.Addr().Interface().(cbor.Unmarshaler)
+	if !ok {
+		return false
+	}
+	data, err := cbor.Marshal(number(path))
+	return err == nil && u.UnmarshalCBOR(data) == nil
+}
+
 func setFields(v reflect.Value, tag, path string) {
 	for i := range v.NumField() {
 		field := v.Type().Field(i)
--- a/internal/command/starter/control_test.go
+++ b/internal/command/starter/control_test.go
@@ -25,11 +25,11 @@
 // catalog returns a catalog of the size, with three backend servers a service.
 func (f fleetSize) catalog() *cataloger.Catalog {
 	c := &cataloger.Catalog{
-		Revision:  1,
+		Revision:  cataloger.Revision{Number: 1},
 		Instances: map[identifier.InstanceID]cataloger.Instance{},
 		Servers:   map[identifier.ServiceName][]cataloger.BackendServer{},
 		Configuration: &cataloger.Configuration{
-			Version: 1, Revision: 1,
+			Version: 1, Revision: cataloger.Revision{Number: 1},
 			Services:   map[identifier.ServiceName]cataloger.Service{},
 			Workspaces: map[identifier.WorkspaceName]cataloger.Workspace{},
 		},
@@ -39,7 +39,7 @@
 	}
 	for i := range f.instances {
 		id := identifier.InstanceID(fmt.Sprint("instance-", i))
-		c.Instances[id] = cataloger.Instance{ID: id, DataCentre: dataCentre(i), Address: fmt.Sprintf("10.%d.0.%d:7560", i/250, i%250), Revision: uint64(i)}
+		c.Instances[id] = cataloger.Instance{ID: id, DataCentre: dataCentre(i), Address: fmt.Sprintf("10.%d.0.%d:7560", i/250, i%250), Revision: cataloger.Revision{Number: uint64(i)}}
 	}
 	for i := range f.services {
 		name := identifier.ServiceName(fmt.Sprint("service-", i))
@@ -47,7 +47,7 @@
 		for j := range 3 {
 			c.Servers[name] = append(c.Servers[name], cataloger.BackendServer{
 				ID: identifier.BackendServerID(fmt.Sprintf("server-%d-%d", i, j)), Service: name,
-				DataCentre: dataCentre(i + j), Address: "10.9.0.1:5432", Slots: 3, Revision: uint64(3*i + j),
+				DataCentre: dataCentre(i + j), Address: "10.9.0.1:5432", Slots: 3, Revision: cataloger.Revision{Number: uint64(3*i + j)},
 			})
 		}
 	}
@@ -70,7 +70,7 @@
 		}
 		withServer := *base
 		withServer.Servers = maps.Clone(base.Servers)
-		withServer.Servers["service-0"] = append(slices.Clone(base.Servers["service-0"]), cataloger.BackendServer{ID: "new", Service: "service-0", DataCentre: "dc-0", Revision: 999})
+		withServer.Servers["service-0"] = append(slices.Clone(base.Servers["service-0"]), cataloger.BackendServer{ID: "new", Service: "service-0", DataCentre: "dc-0", Revision: cataloger.Revision{Number: 999}})
 		withRoute := *base
 		configuration := *base.Configuration
 		configuration.Version = 2
--- a/internal/command/starter/evacuation.go
+++ b/internal/command/starter/evacuation.go
@@ -26,7 +26,7 @@
 func (s *Starter) logEvacuations(c *cataloger.Catalog) {
 	for d, e := range c.Evacuations {
 		if _, known := s.evacuations[d]; !known {
-			s.Logger.Info().Str("event", "evacuation_began").Str("evacuated", string(d)).Uint64("revision", e.Revision).Send()
+			s.Logger.Info().Str("event", "evacuation_began").Str("evacuated", string(d)).Stringer("revision", e.Revision).Send()
 		}
 	}
 	for d := range s.evacuations {
--- a/internal/command/starter/format_test.go
+++ b/internal/command/starter/format_test.go
@@ -13,8 +13,8 @@
 )
 
 // messageVersions are the versions of the message formats above 1. Version 2 of those with
-// leadership records has the starts of terms and the promotions that were not answered.
-var messageVersions = map[string]int{"catalog": 2, "era_reply": 2, "leadership": 2, "leadership_reply": 2}
+// leadership records has the starts of terms and the promotions that were not answered, version 3 the last token.
+var messageVersions = map[string]int{"catalog": 3, "era_reply": 3, "leadership": 3, "leadership_reply": 3}
 
 // Guards against a message that the build before or after this one cannot read, or whose fields it drops.
 func TestMessageFormats(t *testing.T) {
--- a/internal/command/starter/invalid_entries.go
+++ b/internal/command/starter/invalid_entries.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/transport/reporter"
 	"oleanderpulley/platform"
 )
@@ -37,21 +38,21 @@
 
 // invalidKind has the invalid entries in the newest list of a kind.
 type invalidKind struct {
-	revision uint64
+	revision cataloger.Revision
 	byName   map[string]bool // Whether the entry has had a line.
 }
 
 // Observe compares the invalid entries of a list with those of the one before. It
 // writes one line when an entry appears and one when it goes. A list that is older than
 // the newest one is ignored.
-func (i *invalidEntries) Observe(kind string, revision uint64, entries []platform.InvalidEntry) {
+func (i *invalidEntries) Observe(kind string, revision cataloger.Revision, entries []platform.InvalidEntry) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	k := i.byKind[kind]
 	if k == nil && len(entries) > 0 {
 		k = i.addKind(kind)
 	}
-	if k == nil || revision < k.revision {
+	if k == nil || k.revision.IsAfter(revision) {
 		return
 	}
 	k.revision = revision
@@ -70,7 +71,7 @@
 
 // logChanges writes the lines on the entries that have appeared or gone since the earlier
 // list. It returns the entries that are tracked from now on, and whether each has had a line.
-func (i *invalidEntries) logChanges(kind string, revision uint64, earlier map[string]bool, entries []platform.InvalidEntry) map[string]bool {
+func (i *invalidEntries) logChanges(kind string, revision cataloger.Revision, earlier map[string]bool, entries []platform.InvalidEntry) map[string]bool {
 	present := make(map[string]bool, min(len(entries), maxTrackedEntries))
 	for _, e := range entries {
 		logged, known := earlier[e.Name]
@@ -91,11 +92,11 @@
 func (i *invalidEntries) logAppeared(kind string, e platform.InvalidEntry) bool {
 	i.Registry.Count(reporter.Series{Name: "invalid_entries_seen", Reason: kind}, 1)
 	return i.log(i.Logger.Warn().Str("event", "invalid_entry").Str("kind", kind).Str("name", e.Name).
-		Str("reason", e.Reason).Uint64("revision", e.Revision))
+		Str("reason", e.Reason).Stringer("revision", e.Revision))
 }
 
-func (i *invalidEntries) logGone(kind, name string, revision uint64) {
-	i.log(i.Logger.Info().Str("event", "invalid_entry_gone").Str("kind", kind).Str("name", name).Uint64("revision", revision))
+func (i *invalidEntries) logGone(kind, name string, revision cataloger.Revision) {
+	i.log(i.Logger.Info().Str("event", "invalid_entry_gone").Str("kind", kind).Str("name", name).Stringer("revision", revision))
 }
 
 // log writes the line if the bound allows it.
--- a/internal/command/starter/invalid_entries_test.go
+++ b/internal/command/starter/invalid_entries_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 
+	"oleanderpulley/internal/state/cataloger"
 	"oleanderpulley/internal/transport/reporter"
 	"oleanderpulley/platform"
 )
@@ -23,17 +24,18 @@
 func TestInvalidEntryHasOneLineWhenItAppearsAndOneWhenItGoes(t *testing.T) {
 	now := time.Unix(1000, 0)
 	i, logs, registry := newInvalidEntries(&now)
-	i.Observe("servers", 1, nil)
+	i.Observe("servers", cataloger.Revision{Number: 1}, nil)
 	qt.Assert(t, logs.Len(), qt.Equals, 0)
-	for revision := range uint64(50) { // It is rewritten with other reasons.
-		i.Observe("servers", 2+revision, []platform.InvalidEntry{{Name: "odd", Revision: 2 + revision, Reason: fmt.Sprint("reason ", revision)}})
+	for number := range uint64(50) { // It is rewritten with other reasons.
+		revision := cataloger.Revision{Number: 2 + number}
+		i.Observe("servers", revision, []platform.InvalidEntry{{Name: "odd", Revision: revision, Reason: fmt.Sprint("reason ", number)}})
 	}
-	i.Observe("leases", 3, []platform.InvalidEntry{{Name: "odd", Revision: 3, Reason: "other kind"}})
+	i.Observe("leases", cataloger.Revision{Number: 3}, []platform.InvalidEntry{{Name: "odd", Revision: cataloger.Revision{Number: 3}, Reason: "other kind"}})
 	qt.Assert(t, registry.GaugeValue(reporter.Series{Name: "invalid_entries", Reason: "servers"}), qt.Equals, int64(1))
-	i.Observe("servers", 40, nil) // The answer to an earlier call.
-	i.Observe("servers", 60, nil)
-	i.Observe("servers", 61, nil)
-	i.Observe("servers", 62, []platform.InvalidEntry{{Name: "odd", Revision: 62, Reason: "again"}, {Name: "odd", Revision: 62}})
+	i.Observe("servers", cataloger.Revision{Number: 40}, nil) // The answer to an earlier call.
+	i.Observe("servers", cataloger.Revision{Number: 60}, nil)
+	i.Observe("servers", cataloger.Revision{Number: 61}, nil)
+	i.Observe("servers", cataloger.Revision{Number: 62}, []platform.InvalidEntry{{Name: "odd", Revision: cataloger.Revision{Number: 62}, Reason: "again"}, {Name: "odd", Revision: cataloger.Revision{Number: 62}}})
 	qt.Assert(t, logs.String(), qt.Equals, `{"level":"warn","event":"invalid_entry","kind":"servers","name":"odd","reason":"reason 0","revision":2}
 {"level":"warn","event":"invalid_entry","kind":"leases","name":"odd","reason":"other kind","revision":3}
 {"level":"info","event":"invalid_entry_gone","kind":"servers","name":"odd","revision":60}
@@ -54,7 +56,7 @@
 		for n := range 500 {
 			entries = append(entries, platform.InvalidEntry{Name: fmt.Sprint(revision%2, "-", n), Reason: "x"})
 		}
-		i.Observe("servers", revision, entries)
+		i.Observe("servers", cataloger.Revision{Number: revision}, entries)
 	}
 	lines := strings.Count(logs.String(), "\n")
 	qt.Assert(t, lines <= maxEntryLines+int(rounds*100*time.Millisecond/entryLineInterval)+1, qt.IsTrue, qt.Commentf("%d lines", lines))
--- a/internal/command/starter/leadership.go
+++ b/internal/command/starter/leadership.go
@@ -42,7 +42,7 @@
 		s.balancer.RecordLeader(service, l.Server, l.Term, time.Now())
 	}
 	s.Logger.Info().Str("event", "leadership_changed").Str("service", string(service)).Str("server", string(l.Server)).
-		Uint64("term", uint64(l.Term)).Str("holder", string(l.Holder)).Uint64("revision", l.Revision).
+		Uint64("term", uint64(l.Term)).Str("holder", string(l.Holder)).Stringer("revision", l.Revision).
 		Func(func(e *zerolog.Event) {
 			if l.IsReplacing() {
 				e.Str("successor", string(l.Successor))
--- a/internal/command/starter/leadership_test.go
+++ b/internal/command/starter/leadership_test.go
@@ -15,7 +15,7 @@
 func (p *testPlatform) leadershipRecord() (l cataloger.Leadership) {
 	for _, o := range p.store.Objects("leases") {
 		qt.Assert(p.t, json.Unmarshal(o.Spec, &l), qt.IsNil)
-		l.Revision = o.Meta.Revision
+		l.Revision = cataloger.Revision{Number: o.Meta.Revision}
 	}
 	return l
 }
@@ -176,7 +176,7 @@
 		qt.Assert(t, promotion.Token >= highest, qt.IsTrue)
 		highest = promotion.Token
 	}
-	qt.Assert(t, cataloger.Era(highest), qt.Equals, uint64(1))
+	qt.Assert(t, highest>>40, qt.Equals, uint64(1), qt.Commentf("the form of the token that earlier releases expect"))
 }
 
 // Guards against the use or replacement of a primary whose record cannot be read, and a service that is lost with it for good.
--- a/internal/coordination/balancer/balancer.go
+++ b/internal/coordination/balancer/balancer.go
@@ -229,7 +229,7 @@
 		if !s.ClaimsPrimary || b.now().Sub(b.server(s.ID).notLeadingAt) < claimDistrust {
 			continue
 		}
-		if !found || s.Revision > best.Revision {
+		if !found || s.Revision.IsAfter(best.Revision) {
 			best, found = s, true
 		}
 	}
--- a/internal/coordination/fencer/fencer_test.go
+++ b/internal/coordination/fencer/fencer_test.go
@@ -39,11 +39,11 @@
 	now := time.Hour
 	f := newFencer(&now)
 	before, _ := f.Permit("rentals")
-	f.Observe("rentals", cataloger.Leadership{Holder: "two", Revision: 5})
+	f.Observe("rentals", cataloger.Leadership{Holder: "two", Revision: cataloger.Revision{Number: 5}})
 	qt.Assert(t, f.IsHeld(before), qt.IsFalse)
 	_, ok := f.Permit("rentals")
 	qt.Assert(t, ok, qt.IsFalse)
-	f.Observe("rentals", cataloger.Leadership{Server: "b", Term: 2, Revision: 6})
+	f.Observe("rentals", cataloger.Leadership{Server: "b", Term: 2, Revision: cataloger.Revision{Number: 6}})
 	qt.Assert(t, f.IsHeld(before), qt.IsFalse)
 	p, ok := f.Permit("rentals")
 	qt.Assert(t, ok, qt.IsTrue)
@@ -56,21 +56,21 @@
 func TestLateRecordIsIgnored(t *testing.T) {
 	now := time.Hour
 	f := newFencer(&now)
-	announced := cataloger.Leadership{Holder: "two", Revision: 5}
-	abandoned := cataloger.Leadership{Revision: 5}
+	announced := cataloger.Leadership{Holder: "two", Revision: cataloger.Revision{Number: 5}}
+	abandoned := cataloger.Leadership{Revision: cataloger.Revision{Number: 5}}
 	f.Observe("rentals", announced)
 	f.Observe("rentals", abandoned)
 	qt.Assert(t, f.Observe("rentals", announced), qt.Equals, abandoned)
-	granted := cataloger.Leadership{Server: "b", Term: 2, Revision: 9}
+	granted := cataloger.Leadership{Server: "b", Term: 2, Revision: cataloger.Revision{Number: 9}}
 	f.Observe("rentals", granted)
-	qt.Assert(t, f.Observe("rentals", cataloger.Leadership{Holder: "two", Revision: 7}), qt.Equals, granted)
+	qt.Assert(t, f.Observe("rentals", cataloger.Leadership{Holder: "two", Revision: cataloger.Revision{Number: 7}}), qt.Equals, granted)
 }
 
 // Guards against a check on the path of each statement that allocates.
 func TestPermitAllocatesNothing(t *testing.T) {
 	now := time.Hour
 	f := newFencer(&now)
-	f.Observe("rentals", cataloger.Leadership{Server: "b", Term: 2, Revision: 9})
+	f.Observe("rentals", cataloger.Leadership{Server: "b", Term: 2, Revision: cataloger.Revision{Number: 9}})
 	allocations := testing.AllocsPerRun(100, func() {
 		p, _ := f.Permit("rentals")
 		f.IsHeld(p)
@@ -83,14 +83,14 @@
 // counts, also after this instance has read the restored record, and whether or not
 // the peer has read it.
 func TestRecordToldByAPeerAfterARestore(t *testing.T) {
-	restored := cataloger.Leadership{Server: "b", Term: 2, Revision: cataloger.Revision(1, 9)}
+	restored := cataloger.Leadership{Server: "b", Term: 2, Revision: cataloger.Revision{Era: 1, Number: 9}}
 	for _, test := range []struct {
 		name    string
 		known   cataloger.Leadership // Of the peer, before the store came back.
 		allowed bool
 	}{
-		{"announced", cataloger.Leadership{Server: "b", Term: 2, Holder: "two", Revision: 12}, false},
-		{"finished", cataloger.Leadership{Server: "c", Term: 3, Revision: 14}, true},
+		{"announced", cataloger.Leadership{Server: "b", Term: 2, Holder: "two", Revision: cataloger.Revision{Number: 12}}, false},
+		{"finished", cataloger.Leadership{Server: "c", Term: 3, Revision: cataloger.Revision{Number: 14}}, true},
 	} {
 		for _, peerHasRead := range []bool{false, true} {
 			t.Run(fmt.Sprint(test.name, " ", peerHasRead), func(t *testing.T) {
@@ -119,18 +119,18 @@
 	} {
 		now := time.Hour
 		f := newFencer(&now)
-		f.Observe("rentals", cataloger.Leadership{Server: "b", Term: 2, Revision: 6})
-		f.Observe("rentals", cataloger.UnreadableLeadership(cataloger.Revision(uint64(era), 7)))
+		f.Observe("rentals", cataloger.Leadership{Server: "b", Term: 2, Revision: cataloger.Revision{Number: 6}})
+		f.Observe("rentals", cataloger.UnreadableLeadership(cataloger.Revision{Era: uint64(era), Number: 7}))
 		_, ok := f.Permit("rentals")
 		qt.Assert(t, ok, qt.IsFalse)
 		qt.Assert(t, f.Record("rentals").Term, qt.Equals, identifier.Term(2))
 		_, ok = f.Permit("others")
 		qt.Assert(t, ok, qt.IsTrue)
-		f.Observe("rentals", cataloger.Leadership{Server: "c", Term: 3, Revision: 6}) // The late end of a replacement.
-		f.Observe("rentals", cataloger.Leadership{Server: "a", Term: 1, Revision: 5})
+		f.Observe("rentals", cataloger.Leadership{Server: "c", Term: 3, Revision: cataloger.Revision{Number: 6}}) // The late end of a replacement.
+		f.Observe("rentals", cataloger.Leadership{Server: "a", Term: 1, Revision: cataloger.Revision{Number: 5}})
 		_, ok = f.Permit("rentals")
 		qt.Assert(t, ok, qt.IsFalse)
-		f.Observe("rentals", cataloger.Leadership{Server: "b", Term: 2, Revision: cataloger.Revision(1, 8)})
+		f.Observe("rentals", cataloger.Leadership{Server: "b", Term: 2, Revision: cataloger.Revision{Era: 1, Number: 8}})
 		p, ok := f.Permit("rentals")
 		qt.Assert(t, ok, qt.IsTrue)
 		qt.Assert(t, p.Allows(want.Server) && !p.Allows("a") && p.Term() == want.Term, qt.IsTrue)
--- a/internal/coordination/follower/era.go
+++ b/internal/coordination/follower/era.go
@@ -12,8 +12,8 @@
 // observeEra notices that the store came back from an older copy. Backend servers
 // and instances then write their entries again, so that missing ones are kept for
 // a while. It returns [ErrEraChanged] for a revision of an earlier era.
-func (f *Follower) observeEra(revision uint64) error {
-	era := cataloger.Era(revision)
+func (f *Follower) observeEra(revision cataloger.Revision) error {
+	era := revision.Era
 	if f.eraKnown && era < f.era {
 		return errors.Wrapf(ErrEraChanged, "answer of era %d, known era %d", era, f.era)
 	}
@@ -25,7 +25,7 @@
 		f.restored = true
 		f.joined = false // The copy may lack the registration of this instance.
 		f.Logger.Warn().Str("event", "store_restored").Uint64("era_before", f.era).Uint64("era", era).
-			Uint64("revision_before", f.knownRevision).Uint64("revision", revision).Send()
+			Stringer("revision_before", f.knownRevision).Stringer("revision", revision).Send()
 	}
 	f.era, f.eraKnown = era, true
 	if f.OnEra != nil {
--- a/internal/coordination/follower/evacuation_test.go
+++ b/internal/coordination/follower/evacuation_test.go
@@ -14,7 +14,7 @@
 func evacuated(dataCentres ...identifier.DataCentre) map[identifier.DataCentre]cataloger.Evacuation {
 	all := map[identifier.DataCentre]cataloger.Evacuation{}
 	for _, d := range dataCentres {
-		all[d] = cataloger.Evacuation{Revision: 6}
+		all[d] = cataloger.Evacuation{Revision: cataloger.Revision{Number: 6}}
 	}
 	return all
 }
@@ -58,19 +58,19 @@
 	qt.Assert(t, f.Round(context.Background()), qt.IsNil)
 	qt.Assert(t, f.Round(context.Background()), qt.IsNil)
 	s.evacuations = evacuated("south") // The copy is from before north was evacuated and south was not any more.
-	s.revision = cataloger.Revision(1, 4)
+	s.era, s.revision = 1, 4
 	*now += 400 * time.Millisecond
 	qt.Assert(t, f.Round(context.Background()), qt.IsNil)
 	qt.Assert(t, h.Catalog().Evacuations, qt.DeepEquals, evacuated("north"))
 	// The operators have written their changes again.
-	s.evacuations, s.revision = evacuated("north"), cataloger.Revision(1, 6)
+	s.evacuations, s.revision = evacuated("north"), 6
 	for range 8 {
 		*now += 400 * time.Millisecond
 		qt.Assert(t, f.Round(context.Background()), qt.IsNil)
 	}
 	qt.Assert(t, h.Catalog().Evacuations, qt.DeepEquals, evacuated("north"))
 	qt.Assert(t, h.Catalog().Retained, qt.Equals, 0)
-	s.evacuations, s.revision = nil, cataloger.Revision(1, 7)
+	s.evacuations, s.revision = nil, 7
 	*now += 400 * time.Millisecond
 	qt.Assert(t, f.Round(context.Background()), qt.IsNil)
 	qt.Assert(t, h.Catalog().Evacuations, qt.HasLen, 0)
--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -47,14 +47,14 @@
 // Store reads the lists of the catalog and registers this instance. Each read
 // returns the store's revision as of the answer. All calls are linearizable.
 type Store struct {
-	Revision      func(ctx context.Context) (uint64, error)
-	Leaderships   func(ctx context.Context) (map[identifier.ServiceName]cataloger.Leadership, uint64, error)
-	Configuration func(ctx context.Context) (*cataloger.Configuration, uint64, error)
-	Servers       func(ctx context.Context) (map[identifier.ServiceName][]cataloger.BackendServer, uint64, error)
-	Members       func(ctx context.Context) (map[identifier.InstanceID]cataloger.Instance, uint64, error)
+	Revision      func(ctx context.Context) (cataloger.Revision, error)
+	Leaderships   func(ctx context.Context) (map[identifier.ServiceName]cataloger.Leadership, cataloger.Revision, error)
+	Configuration func(ctx context.Context) (*cataloger.Configuration, cataloger.Revision, error)
+	Servers       func(ctx context.Context) (map[identifier.ServiceName][]cataloger.BackendServer, cataloger.Revision, error)
+	Members       func(ctx context.Context) (map[identifier.InstanceID]cataloger.Instance, cataloger.Revision, error)
 	// Evacuations reads the data centres that operators evacuate. Nil means that
 	// none can be evacuated.
-	Evacuations func(ctx context.Context) (map[identifier.DataCentre]cataloger.Evacuation, uint64, error)
+	Evacuations func(ctx context.Context) (map[identifier.DataCentre]cataloger.Evacuation, cataloger.Revision, error)
 	// Directory reads the registered instances as of some seconds ago, at a
 	// lower cost. May be nil.
 	Directory func(ctx context.Context) (map[identifier.InstanceID]cataloger.Instance, error)
@@ -107,7 +107,7 @@
 	joined          bool // Registered by this process.
 	relayed         bool // The last round was answered by a relay.
 	joinUncertain   bool // A registration was sent that may have been executed.
-	knownRevision   uint64
+	knownRevision   cataloger.Revision
 	storeReached    bool
 	failures        int
 	lastSuccess     time.Duration // Holder's clock before the last query that was answered.
@@ -187,7 +187,7 @@
 // none of them has to be read again.
 func (f *Follower) isCatalogComplete() bool {
 	c := f.Holder.Catalog()
-	return c != nil && c.Configuration != nil && f.knownRevision != 0
+	return c != nil && c.Configuration != nil && !f.knownRevision.IsZero()
 }
 
 // join registers this instance.
@@ -228,7 +228,7 @@
 	if old == nil || read.Version > old.Version {
 		return read
 	}
-	if read.Version == old.Version && read.Revision > old.Revision {
+	if read.Version == old.Version && read.Revision.IsAfter(old.Revision) {
 		return read
 	}
 	return old
@@ -246,10 +246,10 @@
 	if old == nil || old.Configuration == nil || old.Configuration.Version != next.Configuration.Version {
 		f.Logger.Info().Str("event", "configuration_read").
 			Uint64("version", uint64(next.Configuration.Version)).
-			Uint64("revision", next.Configuration.Revision).Send()
+			Stringer("revision", next.Configuration.Revision).Send()
 	}
 	f.Holder.Replace(next)
-	if next.Revision != 0 {
+	if !next.Revision.IsZero() {
 		f.history.add(next)
 	}
 	if f.OnChange != nil {
--- a/internal/coordination/follower/follower_test.go
+++ b/internal/coordination/follower/follower_test.go
@@ -22,7 +22,7 @@
 
 // fakeStore simulates a store whose calls can be made to fail.
 type fakeStore struct {
-	revision              uint64
+	era, revision         uint64 // Of the newest change.
 	version               identifier.ConfigVersion
 	configurationRevision uint64
 	unavailable           bool
@@ -35,40 +35,45 @@
 	joinAnswerLost bool // Of the next registration, which is nevertheless executed.
 }
 
+// current returns the revision of the newest change.
+func (s *fakeStore) current() cataloger.Revision {
+	return cataloger.Revision{Era: s.era, Number: s.revision}
+}
+
 func (s *fakeStore) store() follower.Store {
 	return follower.Store{
-		Revision: func(context.Context) (uint64, error) {
+		Revision: func(context.Context) (cataloger.Revision, error) {
 			if s.unavailable {
-				return 0, errUnavailable
+				return cataloger.Revision{}, errUnavailable
 			}
-			return s.revision, nil
+			return s.current(), nil
 		},
-		Leaderships: func(context.Context) (map[identifier.ServiceName]cataloger.Leadership, uint64, error) {
+		Leaderships: func(context.Context) (map[identifier.ServiceName]cataloger.Leadership, cataloger.Revision, error) {
 			if s.unavailable {
-				return nil, 0, errUnavailable
+				return nil, cataloger.Revision{}, errUnavailable
 			}
-			return nil, s.revision, nil
+			return nil, s.current(), nil
 		},
-		Configuration: func(context.Context) (*cataloger.Configuration, uint64, error) {
+		Configuration: func(context.Context) (*cataloger.Configuration, cataloger.Revision, error) {
 			if s.unavailable {
-				return nil, 0, errUnavailable
+				return nil, cataloger.Revision{}, errUnavailable
 			}
 			s.configurationReads++
-			return &cataloger.Configuration{Version: s.version, Revision: s.configurationRevision}, s.revision, nil
+			return &cataloger.Configuration{Version: s.version, Revision: cataloger.Revision{Number: s.configurationRevision}}, s.current(), nil
 		},
-		Servers: func(context.Context) (map[identifier.ServiceName][]cataloger.BackendServer, uint64, error) {
+		Servers: func(context.Context) (map[identifier.ServiceName][]cataloger.BackendServer, cataloger.Revision, error) {
 			if s.serversUnavailable {
-				return nil, 0, errUnavailable
+				return nil, cataloger.Revision{}, errUnavailable
 			}
 			servers := map[identifier.ServiceName][]cataloger.BackendServer{}
 			servers["rentals"] = append(servers["rentals"], s.servers...)
-			return servers, s.revision, nil
+			return servers, s.current(), nil
 		},
-		Evacuations: func(context.Context) (map[identifier.DataCentre]cataloger.Evacuation, uint64, error) {
-			return maps.Clone(s.evacuations), s.revision, nil
+		Evacuations: func(context.Context) (map[identifier.DataCentre]cataloger.Evacuation, cataloger.Revision, error) {
+			return maps.Clone(s.evacuations), s.current(), nil
 		},
-		Members: func(context.Context) (map[identifier.InstanceID]cataloger.Instance, uint64, error) {
-			return maps.Clone(s.members), s.revision, nil
+		Members: func(context.Context) (map[identifier.InstanceID]cataloger.Instance, cataloger.Revision, error) {
+			return maps.Clone(s.members), s.current(), nil
 		},
 		Join: func(_ context.Context, m cataloger.Instance) (bool, error) {
 			if s.joinAnswerLost {
@@ -298,17 +303,17 @@
 			f, _, _ := newFollower(s)
 			records := map[identifier.ServiceName]cataloger.Leadership{}
 			for i := range test.records {
-				records[identifier.ServiceName(fmt.Sprint("service-", i))] = cataloger.Leadership{Term: 2, Revision: 4}
+				records[identifier.ServiceName(fmt.Sprint("service-", i))] = cataloger.Leadership{Term: 2, Revision: cataloger.Revision{Number: 4}}
 			}
 			probes, lists := 0, 0
 			revision := f.Store.Revision
-			f.Store.Revision = func(ctx context.Context) (uint64, error) {
+			f.Store.Revision = func(ctx context.Context) (cataloger.Revision, error) {
 				probes++
 				return revision(ctx)
 			}
-			f.Store.Leaderships = func(context.Context) (map[identifier.ServiceName]cataloger.Leadership, uint64, error) {
+			f.Store.Leaderships = func(context.Context) (map[identifier.ServiceName]cataloger.Leadership, cataloger.Revision, error) {
 				lists++
-				return records, s.revision, nil
+				return records, s.current(), nil
 			}
 			qt.Assert(t, f.Round(context.Background()), qt.IsNil)
 			qt.Assert(t, f.Round(context.Background()), qt.IsNil)
@@ -335,19 +340,18 @@
 		t.Run(test.name, func(t *testing.T) {
 			s := &fakeStore{revision: 5, version: 1, configurationRevision: 3}
 			f, h, _ := newFollower(s)
-			record := cataloger.Leadership{Term: 2, Revision: 4}
-			f.Store.Leaderships = func(context.Context) (map[identifier.ServiceName]cataloger.Leadership, uint64, error) {
-				return map[identifier.ServiceName]cataloger.Leadership{"rentals": record}, s.revision, nil
+			record := cataloger.Leadership{Term: 2, Revision: cataloger.Revision{Number: 4}}
+			f.Store.Leaderships = func(context.Context) (map[identifier.ServiceName]cataloger.Leadership, cataloger.Revision, error) {
+				return map[identifier.ServiceName]cataloger.Leadership{"rentals": record}, s.current(), nil
 			}
 			qt.Assert(t, f.Round(context.Background()), qt.IsNil)
 			s.configurationReads = 0
-			known := s.revision
-			record.Holder, record.Revision = "two", known+1
+			record.Holder, record.Revision = "two", cataloger.Revision{Number: s.revision + 1}
 			s.revision += test.changes
 			qt.Assert(t, f.Round(context.Background()), qt.IsNil)
 			qt.Assert(t, s.configurationReads, qt.Equals, test.reads)
 			qt.Assert(t, h.Catalog().Leaderships["rentals"], qt.Equals, record)
-			qt.Assert(t, h.Catalog().Revision, qt.Equals, known+test.changes)
+			qt.Assert(t, h.Catalog().Revision, qt.Equals, s.current())
 		})
 	}
 }
--- a/internal/coordination/follower/history.go
+++ b/internal/coordination/follower/history.go
@@ -45,7 +45,7 @@
 // updateTo returns the update to the catalog for an instance that knows a revision
 // and the catalog with the digest. Instances that know the same get the same update,
 // so that it is computed and encoded once.
-func (h *history) updateTo(c *cataloger.Catalog, known, digest uint64) *cataloger.Update {
+func (h *history) updateTo(c *cataloger.Catalog, known cataloger.Revision, digest uint64) *cataloger.Update {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.target != c {
@@ -53,7 +53,7 @@
 	}
 	base := h.find(digest)
 	whole := c
-	if known > 0 {
+	if !known.IsZero() {
 		whole = c.Since(known)
 	}
 	key := updateBase{digest: digest}
--- a/internal/coordination/follower/lists.go
+++ b/internal/coordination/follower/lists.go
@@ -28,13 +28,13 @@
 // two revisions. Each change has a revision of its own, so that none is left for
 // another list if the entries have as many newer ones. An entry that was changed twice
 // is not covered, nor is a removed one other than a server.
-func (l *lists) coversChanges(known, revision uint64) bool {
-	if known == 0 || cataloger.Era(known) != cataloger.Era(revision) {
+func (l *lists) coversChanges(known, revision cataloger.Revision) bool {
+	if known.IsZero() || known.Era != revision.Era {
 		return false
 	}
 	changed := uint64(l.removedServers)
-	count := func(r uint64) {
-		if r > known && r <= revision {
+	count := func(r cataloger.Revision) {
+		if r.IsAfter(known) && !r.IsAfter(revision) {
 			changed++
 		}
 	}
@@ -54,13 +54,13 @@
 	for _, e := range l.evacuations {
 		count(e.Revision)
 	}
-	return changed == revision-known
+	return changed == revision.Number-known.Number
 }
 
 // readLists reads the lists that may have changed and proves the catalog as of sent,
 // the time before the query that returned the leadership records and the revision. If
 // that query returned no records, they are read as well.
-func (f *Follower) readLists(ctx context.Context, sent time.Duration, leaderships map[identifier.ServiceName]cataloger.Leadership, revision uint64) error {
+func (f *Follower) readLists(ctx context.Context, sent time.Duration, leaderships map[identifier.ServiceName]cataloger.Leadership, revision cataloger.Revision) error {
 	ctx, cancel := context.WithTimeout(ctx, listsTimeout)
 	defer cancel()
 	l := lists{leaderships: leaderships}
@@ -93,12 +93,12 @@
 // readUntilCovered reads the lists other than the configuration, which is the largest
 // one and changes most seldom, until they cover all changes since the known
 // revision. It reads nothing while entries are kept that the store does not have.
-func (f *Follower) readUntilCovered(ctx context.Context, l *lists, revision uint64) (covered bool, err error) {
+func (f *Follower) readUntilCovered(ctx context.Context, l *lists, revision cataloger.Revision) (covered bool, err error) {
 	c := f.Holder.Catalog()
 	if !f.isCatalogComplete() || c.Retained > 0 || f.lapseGraceEnd > 0 || f.restored || len(f.missingSince) > 0 {
 		return false, nil
 	}
-	for _, read := range []func(context.Context, *lists, uint64) error{f.readServers, f.readMembers, f.readEvacuations} {
+	for _, read := range []func(context.Context, *lists, cataloger.Revision) error{f.readServers, f.readMembers, f.readEvacuations} {
 		if l.coversChanges(f.knownRevision, revision) {
 			return true, nil
 		}
@@ -110,7 +110,7 @@
 }
 
 // readMissing reads the lists that have not been read in this round.
-func (f *Follower) readMissing(ctx context.Context, l *lists, revision uint64) error {
+func (f *Follower) readMissing(ctx context.Context, l *lists, revision cataloger.Revision) error {
 	if !l.hasServers {
 		if err := f.readServers(ctx, l, revision); err != nil {
 			return err
@@ -128,7 +128,7 @@
 }
 
 // readConfiguration reads the configuration and publishes it before the other lists.
-func (f *Follower) readConfiguration(ctx context.Context, l *lists, sent time.Duration, revision uint64) error {
+func (f *Follower) readConfiguration(ctx context.Context, l *lists, sent time.Duration, revision cataloger.Revision) error {
 	configuration, read, err := f.Store.Configuration(ctx)
 	if err != nil {
 		return err
@@ -139,15 +139,15 @@
 	f.updateCatalog(func(c *cataloger.Catalog) {
 		c.Configuration = newerConfiguration(c.Configuration, configuration)
 		c.Leaderships = l.leaderships
-		c.Revision = 0
+		c.Revision = cataloger.Revision{}
 	})
-	if f.knownRevision != 0 {
+	if !f.knownRevision.IsZero() {
 		f.Holder.SetProof(sent)
 	}
 	return nil
 }
 
-func (f *Follower) readServers(ctx context.Context, l *lists, revision uint64) error {
+func (f *Follower) readServers(ctx context.Context, l *lists, revision cataloger.Revision) error {
 	servers, read, err := f.Store.Servers(ctx)
 	if err != nil {
 		return err
@@ -181,7 +181,7 @@
 	return removed
 }
 
-func (f *Follower) readMembers(ctx context.Context, l *lists, _ uint64) error {
+func (f *Follower) readMembers(ctx context.Context, l *lists, _ cataloger.Revision) error {
 	members, err := f.members(ctx)
 	l.members, l.hasMembers = members, err == nil
 	return err
@@ -189,7 +189,7 @@
 
 // readEvacuations reads the evacuated data centres, none if they cannot be
 // evacuated.
-func (f *Follower) readEvacuations(ctx context.Context, l *lists, revision uint64) error {
+func (f *Follower) readEvacuations(ctx context.Context, l *lists, revision cataloger.Revision) error {
 	if f.Store.Evacuations == nil {
 		l.hasEvacuations = true
 		return nil
@@ -204,9 +204,9 @@
 
 // sameEra returns [ErrEraChanged] if the store came back from a copy between the
 // query of its revision and the answer with a list.
-func sameEra(list string, read, revision uint64) error {
-	if cataloger.Era(read) != cataloger.Era(revision) {
-		return errors.Wrapf(ErrEraChanged, "era %d in the list of %s, %d before", cataloger.Era(read), list, cataloger.Era(revision))
+func sameEra(list string, read, revision cataloger.Revision) error {
+	if read.Era != revision.Era {
+		return errors.Wrapf(ErrEraChanged, "era %d in the list of %s, %d before", read.Era, list, revision.Era)
 	}
 	return nil
 }
@@ -214,7 +214,7 @@
 // adoptLists publishes the catalog with the lists that were read, and proves it. The
 // first proof needs the complete catalog: an instance that does not see its own
 // registration has no share of any rate.
-func (f *Follower) adoptLists(l *lists, sent time.Duration, revision uint64) {
+func (f *Follower) adoptLists(l *lists, sent time.Duration, revision cataloger.Revision) {
 	c := cataloger.Catalog{}
 	if known := f.Holder.Catalog(); known != nil {
 		c = *known
--- a/internal/coordination/follower/lists_test.go
+++ b/internal/coordination/follower/lists_test.go
@@ -28,7 +28,7 @@
 		s.version++
 		s.configurationRevision = s.revision
 	case "record":
-		s.records[identifier.ServiceName(id)] = cataloger.Leadership{Revision: s.revision}
+		s.records[identifier.ServiceName(id)] = cataloger.Leadership{Revision: s.current()}
 	case "server", "server left":
 		kept := s.servers[:0:0]
 		for _, b := range s.servers {
@@ -37,13 +37,13 @@
 			}
 		}
 		if kind == "server" {
-			kept = append(kept, cataloger.BackendServer{ID: identifier.BackendServerID(id), Revision: s.revision})
+			kept = append(kept, cataloger.BackendServer{ID: identifier.BackendServerID(id), Revision: s.current()})
 		}
 		s.servers = kept
 	case "member":
-		s.members[identifier.InstanceID(id)] = cataloger.Instance{ID: identifier.InstanceID(id), Revision: s.revision}
+		s.members[identifier.InstanceID(id)] = cataloger.Instance{ID: identifier.InstanceID(id), Revision: s.current()}
 	case "evacuation":
-		s.evacuations[identifier.DataCentre(id)] = cataloger.Evacuation{Revision: s.revision}
+		s.evacuations[identifier.DataCentre(id)] = cataloger.Evacuation{Revision: s.current()}
 	case "evacuation ended":
 		delete(s.evacuations, identifier.DataCentre(id))
 	}
@@ -53,7 +53,7 @@
 	return &changingStore{
 		fakeStore: fakeStore{
 			revision: 5, version: 1, configurationRevision: 3,
-			members:     map[identifier.InstanceID]cataloger.Instance{"one": {ID: "one", Address: "x", Revision: 4}},
+			members:     map[identifier.InstanceID]cataloger.Instance{"one": {ID: "one", Address: "x", Revision: cataloger.Revision{Number: 4}}},
 			evacuations: map[identifier.DataCentre]cataloger.Evacuation{},
 		},
 		records: map[identifier.ServiceName]cataloger.Leadership{},
@@ -68,7 +68,7 @@
 		s := newChangingStore()
 		f, h, now := newFollower(&s.fakeStore)
 		leaderships := f.Store.Leaderships
-		f.Store.Leaderships = func(ctx context.Context) (map[identifier.ServiceName]cataloger.Leadership, uint64, error) {
+		f.Store.Leaderships = func(ctx context.Context) (map[identifier.ServiceName]cataloger.Leadership, cataloger.Revision, error) {
 			_, revision, err := leaderships(ctx)
 			return s.records, revision, err
 		}
@@ -81,12 +81,12 @@
 				t.Fatal(err)
 			}
 			want := cataloger.Catalog{
-				Configuration: &cataloger.Configuration{Version: s.version, Revision: s.configurationRevision},
+				Configuration: &cataloger.Configuration{Version: s.version, Revision: cataloger.Revision{Number: s.configurationRevision}},
 				Servers:       map[identifier.ServiceName][]cataloger.BackendServer{"rentals": s.servers},
 				Instances:     s.members, Leaderships: s.records, Evacuations: s.evacuations,
 			}
-			if got := h.Catalog(); got.Digest() != want.Digest() || got.Revision != s.revision {
-				t.Fatalf("got %+v at revision %d, want %+v at %d", got, got.Revision, want, s.revision)
+			if got := h.Catalog(); got.Digest() != want.Digest() || got.Revision != s.current() {
+				t.Fatalf("got %+v at revision %s, want %+v at %s", got, got.Revision, want, s.current())
 			}
 		}
 	})
@@ -128,8 +128,8 @@
 func TestUnreadableRecordCoversNoChange(t *testing.T) {
 	s := newChangingStore()
 	f, h, now := newFollower(&s.fakeStore)
-	f.Store.Leaderships = func(context.Context) (map[identifier.ServiceName]cataloger.Leadership, uint64, error) {
-		return map[identifier.ServiceName]cataloger.Leadership{"rentals": cataloger.UnreadableLeadership(s.revision)}, s.revision, nil
+	f.Store.Leaderships = func(context.Context) (map[identifier.ServiceName]cataloger.Leadership, cataloger.Revision, error) {
+		return map[identifier.ServiceName]cataloger.Leadership{"rentals": cataloger.UnreadableLeadership(s.current())}, s.current(), nil
 	}
 	for range 3 {
 		s.change("configuration", 0)
--- a/internal/coordination/follower/load_test.go
+++ b/internal/coordination/follower/load_test.go
@@ -130,31 +130,31 @@
 // carry makes the instance send over the links of the load.
 func (n *simulatedInstance) carry(l *load) {
 	leaderships, servers := n.follower.Store.Leaderships, n.follower.Store.Servers
-	n.follower.Store.Leaderships = func(ctx context.Context) (map[identifier.ServiceName]cataloger.Leadership, uint64, error) {
+	n.follower.Store.Leaderships = func(ctx context.Context) (map[identifier.ServiceName]cataloger.Leadership, cataloger.Revision, error) {
 		records, _, err := leaderships(ctx)
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		return records, l.revision, err
+		return records, cataloger.Revision{Number: l.revision}, err
 	}
-	n.follower.Store.Servers = func(ctx context.Context) (map[identifier.ServiceName][]cataloger.BackendServer, uint64, error) {
+	n.follower.Store.Servers = func(ctx context.Context) (map[identifier.ServiceName][]cataloger.BackendServer, cataloger.Revision, error) {
 		all, _, err := servers(ctx)
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		return all, l.revision, err
+		return all, cataloger.Revision{Number: l.revision}, err
 	}
-	n.follower.Store.Configuration = func(ctx context.Context) (*cataloger.Configuration, uint64, error) {
+	n.follower.Store.Configuration = func(ctx context.Context) (*cataloger.Configuration, cataloger.Revision, error) {
 		if err := n.callStore(ctx); err != nil {
-			return nil, 0, err
+			return nil, cataloger.Revision{Number: 0}, err
 		}
 		if err := sleepUntil(ctx, l.sendLists()); err != nil {
-			return nil, 0, err
+			return nil, cataloger.Revision{Number: 0}, err
 		}
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		return l.configuration, l.revision, nil
+		return l.configuration, cataloger.Revision{Number: l.revision}, nil
 	}
-	n.follower.Store.Members = func(ctx context.Context) (map[identifier.InstanceID]cataloger.Instance, uint64, error) {
-		return maps.Clone(n.fleet.members), 0, n.callStore(ctx)
+	n.follower.Store.Members = func(ctx context.Context) (map[identifier.InstanceID]cataloger.Instance, cataloger.Revision, error) {
+		return maps.Clone(n.fleet.members), cataloger.Revision{Number: 0}, n.callStore(ctx)
 	}
 	n.follower.Store.Directory = func(ctx context.Context) (map[identifier.InstanceID]cataloger.Instance, error) {
 		return maps.Clone(n.fleet.members), n.callStore(ctx)
--- a/internal/coordination/follower/query.go
+++ b/internal/coordination/follower/query.go
@@ -27,7 +27,7 @@
 
 type storeAnswer struct {
 	leaderships map[identifier.ServiceName]cataloger.Leadership
-	revision    uint64
+	revision    cataloger.Revision
 	err         error
 }
 
@@ -109,11 +109,11 @@
 		f.fallbackHops.Store(1)
 	}
 	switch c := f.Holder.Catalog(); {
-	case f.isCatalogComplete() && a.revision <= f.knownRevision:
+	case f.isCatalogComplete() && !a.revision.IsAfter(f.knownRevision):
 		// A relay may have sent a newer catalog since the query.
 		f.Holder.SetProof(q.sent)
 		return nil
-	case c != nil && a.revision < c.Revision:
+	case c != nil && c.Revision.IsAfter(a.revision):
 		return nil // The lists are read after the next query.
 	}
 	return f.readLists(ctx, q.sent, a.leaderships, a.revision)
@@ -126,11 +126,11 @@
 // revisionQuery returns the call that queries the store's revision. As long as
 // there are few leadership records, it lists them, so that a change takes one call
 // less; otherwise the returned records are nil.
-func (f *Follower) revisionQuery() func(context.Context) (map[identifier.ServiceName]cataloger.Leadership, uint64, error) {
+func (f *Follower) revisionQuery() func(context.Context) (map[identifier.ServiceName]cataloger.Leadership, cataloger.Revision, error) {
 	if c := f.Holder.Catalog(); c == nil || len(c.Leaderships) <= maxProbedRecords {
 		return f.Store.Leaderships
 	}
-	return func(ctx context.Context) (map[identifier.ServiceName]cataloger.Leadership, uint64, error) {
+	return func(ctx context.Context) (map[identifier.ServiceName]cataloger.Leadership, cataloger.Revision, error) {
 		revision, err := f.Store.Revision(ctx)
 		return nil, revision, err
 	}
--- a/internal/coordination/follower/relay.go
+++ b/internal/coordination/follower/relay.go
@@ -39,9 +39,9 @@
 // none, and gets the newest configuration and records even if the sender has no
 // proof of its catalog.
 type CatalogRequest struct {
-	Known    uint64 `cbor:"known"`
-	Retained int    `cbor:"retained"`         // [cataloger.Catalog.Retained] of the known one.
-	Digest   uint64 `cbor:"digest,omitempty"` // Of the known catalog, or 0 to get a whole one.
+	Known    cataloger.Revision `cbor:"known"`
+	Retained int                `cbor:"retained"`         // [cataloger.Catalog.Retained] of the known one.
+	Digest   uint64             `cbor:"digest,omitempty"` // Of the known catalog, or 0 to get a whole one.
 	// MaxAge is the age of a proof above which the requester continues with another
 	// instance. 0 means maxRelayedProofAge.
 	MaxAge time.Duration `cbor:"max_age,omitempty"`
@@ -93,20 +93,20 @@
 func (f *Follower) Answer(request CatalogRequest) CatalogReply {
 	age, proven := f.Holder.Age()
 	c := f.Holder.Catalog()
-	if c != nil && request.Known == 0 {
-		r := CatalogReply{Proven: proven && c.Revision != 0, Age: age}
+	if c != nil && request.Known.IsZero() {
+		r := CatalogReply{Proven: proven && !c.Revision.IsZero(), Age: age}
 		if request.ProvenOnly && !r.IsRecent() {
 			return r
 		}
-		return f.attach(r, f.history.updateTo(c, 0, 0), request)
+		return f.attach(r, f.history.updateTo(c, cataloger.Revision{}, 0), request)
 	}
-	if !proven || c == nil || c.Revision == 0 {
+	if !proven || c == nil || c.Revision.IsZero() {
 		return CatalogReply{}
 	}
 	r := CatalogReply{Proven: true, Age: age, Fallback: int(f.fallbackHops.Load()), Querying: f.observeRequest(request, age)}
 	// An older catalog of the relay proves the asker's newer one as well: the store
 	// had nothing newer when it answered the relay.
-	if c.Revision < request.Known || (c.Revision == request.Known && c.Retained == request.Retained) {
+	if request.Known.IsAfter(c.Revision) || (c.Revision == request.Known && c.Retained == request.Retained) {
 		return r
 	}
 	return f.attach(r, f.history.updateTo(c, request.Known, request.Digest), request)
@@ -186,7 +186,7 @@
 // did. It rejects a catalog that is older than the current one or does not
 // contain this instance; the round then queries the store.
 func (f *Follower) adoptCatalog(c *cataloger.Catalog) bool {
-	if c.Revision < f.knownRevision || c.Instances[f.Self.ID].Address != f.Self.Address {
+	if f.knownRevision.IsAfter(c.Revision) || c.Instances[f.Self.ID].Address != f.Self.Address {
 		return false
 	}
 	if f.observeEra(c.Revision) != nil {
--- a/internal/coordination/follower/relay_test.go
+++ b/internal/coordination/follower/relay_test.go
@@ -47,10 +47,10 @@
 		catalog cataloger.Catalog
 		adopted bool
 	}{
-		"newer":                   {cataloger.Catalog{Revision: 9, Instances: self, Configuration: &cataloger.Configuration{Version: 8, Revision: 9}}, true},
-		"older":                   {cataloger.Catalog{Revision: 4, Instances: self, Configuration: &cataloger.Configuration{Version: 8, Revision: 4}}, false},
-		"without this instance":   {cataloger.Catalog{Revision: 9, Configuration: &cataloger.Configuration{Version: 8, Revision: 9}}, false},
-		"without a configuration": {cataloger.Catalog{Revision: 9, Instances: self}, false},
+		"newer":                   {cataloger.Catalog{Revision: cataloger.Revision{Number: 9}, Instances: self, Configuration: &cataloger.Configuration{Version: 8, Revision: cataloger.Revision{Number: 9}}}, true},
+		"older":                   {cataloger.Catalog{Revision: cataloger.Revision{Number: 4}, Instances: self, Configuration: &cataloger.Configuration{Version: 8, Revision: cataloger.Revision{Number: 4}}}, false},
+		"without this instance":   {cataloger.Catalog{Revision: cataloger.Revision{Number: 9}, Configuration: &cataloger.Configuration{Version: 8, Revision: cataloger.Revision{Number: 9}}}, false},
+		"without a configuration": {cataloger.Catalog{Revision: cataloger.Revision{Number: 9}, Instances: self}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := &fakeStore{revision: 5, version: 7, configurationRevision: 5}
@@ -113,26 +113,28 @@
 	reply := f.Answer(follower.CatalogRequest{})
 	qt.Assert(t, reply.Proven, qt.IsFalse)
 	qt.Assert(t, reply.Update.Catalog.Configuration.Version, qt.Equals, identifier.ConfigVersion(2))
-	qt.Assert(t, f.Answer(follower.CatalogRequest{Known: 3}).Update, qt.IsNil)
+	qt.Assert(t, f.Answer(follower.CatalogRequest{Known: cataloger.Revision{Number: 3}}).Update, qt.IsNil)
 }
 
 // Guards against a relay that sends the whole configuration for each change of
 // another list, and against one that omits a configuration that the receiver
 // lacks.
 func TestRelayOmitsAnUnchangedConfiguration(t *testing.T) {
-	restored := cataloger.Revision(1, 4)
+	restored := cataloger.Revision{Era: 1, Number: 4}
+	after := func(number uint64) cataloger.Revision { return cataloger.Revision{Number: number} }
 	for _, test := range []struct {
 		name                  string
-		known, configuration  uint64
-		revision              uint64
+		known, configuration  cataloger.Revision
+		revision              cataloger.Revision
 		hasCatalog, hasConfig bool
 	}{
-		{"nothing changed", 9, 3, 9, false, false},
-		{"another list changed", 8, 3, 9, true, false},
-		{"configuration changed", 8, 9, 9, true, true},
-		{"nothing known", 0, 3, 9, true, true},
-		{"store came back without it", restored, 8, restored + 1, true, true},
-		{"receiver knows more", 10, 3, 9, false, false},
+		{"nothing changed", after(9), after(3), after(9), false, false},
+		{"another list changed", after(8), after(3), after(9), true, false},
+		{"configuration changed", after(8), after(9), after(9), true, true},
+		{"nothing known", after(0), after(3), after(9), true, true},
+		{"store came back without it", restored, after(8), cataloger.Revision{Era: 1, Number: 5}, true, true},
+		{"receiver knows more", after(10), after(3), after(9), false, false},
+		{"restored to lower numbers than 2^40", after(1 << 62), after(1 << 61), restored, true, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			f, h, now := newFollower(&fakeStore{})
@@ -235,7 +237,7 @@
 func TestStartingInstanceReadsNoLists(t *testing.T) {
 	s := &fakeStore{revision: 5, version: 1, configurationRevision: 3, unavailable: true}
 	c := &cataloger.Catalog{
-		Revision: 5, Configuration: &cataloger.Configuration{Version: 1, Revision: 3},
+		Revision: cataloger.Revision{Number: 5}, Configuration: &cataloger.Configuration{Version: 1, Revision: cataloger.Revision{Number: 3}},
 		Instances: map[identifier.InstanceID]cataloger.Instance{"one": {ID: "one", Address: "x"}},
 	}
 	f, h, _ := startingFollower(s, c)
@@ -250,7 +252,7 @@
 // and against one that waits long for its relay.
 func TestStartingInstanceRegistersAndGivesUpOnItsRelay(t *testing.T) {
 	s := &fakeStore{revision: 5, version: 1, configurationRevision: 3}
-	f, h, now := startingFollower(s, &cataloger.Catalog{Revision: 5, Configuration: &cataloger.Configuration{Version: 1, Revision: 3}})
+	f, h, now := startingFollower(s, &cataloger.Catalog{Revision: cataloger.Revision{Number: 5}, Configuration: &cataloger.Configuration{Version: 1, Revision: cataloger.Revision{Number: 3}}})
 	qt.Assert(t, f.Round(context.Background()), qt.ErrorIs, follower.ErrConnecting)
 	qt.Assert(t, s.members, qt.HasLen, 1)
 	qt.Assert(t, h.Fresh(), qt.IsFalse)
@@ -280,7 +282,7 @@
 // instance did.
 func TestRelaySendsChanges(t *testing.T) {
 	s := &fakeStore{revision: 5, version: 1, configurationRevision: 3, members: map[identifier.InstanceID]cataloger.Instance{
-		"one": {ID: "one", Address: "x", Revision: 1}, "two": {ID: "two", Revision: 2},
+		"one": {ID: "one", Address: "x", Revision: cataloger.Revision{Number: 1}}, "two": {ID: "two", Revision: cataloger.Revision{Number: 2}},
 	}}
 	relay, _, relayNow := newFollower(s)
 	child, h, now := newFollower(s)
@@ -294,7 +296,7 @@
 	}
 	// The copy of the child lacks an instance that the relay has already read at
 	// the same revision.
-	s.members["three"] = cataloger.Instance{ID: "three", Revision: 6}
+	s.members["three"] = cataloger.Instance{ID: "three", Revision: cataloger.Revision{Number: 6}}
 	s.revision = 6
 	*relayNow += 10 * time.Second
 	qt.Assert(t, relay.Round(context.Background()), qt.IsNil)
@@ -305,7 +307,7 @@
 	qt.Assert(t, h.Catalog().Revision, qt.Equals, uint64(6))
 
 	delete(s.members, "two")
-	s.servers = []cataloger.BackendServer{{ID: "a", Revision: 7}}
+	s.servers = []cataloger.BackendServer{{ID: "a", Revision: cataloger.Revision{Number: 7}}}
 	s.revision = 8
 	qt.Assert(t, relay.Round(context.Background()), qt.IsNil)
 	*relayNow += 10 * time.Second
@@ -321,7 +323,7 @@
 	qt.Assert(t, child.Round(context.Background()), qt.IsNil)
 	qt.Assert(t, reply.Update.Change.ConfigurationChange.Version, qt.Equals, identifier.ConfigVersion(2))
 
-	child.Holder.Replace(&cataloger.Catalog{Configuration: h.Catalog().Configuration, Revision: 10})
+	child.Holder.Replace(&cataloger.Catalog{Configuration: h.Catalog().Configuration, Revision: cataloger.Revision{Number: 10}})
 	s.revision = 11
 	qt.Assert(t, relay.Round(context.Background()), qt.IsNil)
 	qt.Assert(t, child.Round(context.Background()), qt.IsNil)
@@ -374,7 +376,7 @@
 		qt.Assert(t, slices.Contains(follower.Parents(members, "one"), "one"), qt.IsFalse)
 		qt.Assert(t, len(follower.Parents(members, "one")) > 0, qt.IsTrue)
 		leaderships := f.Store.Leaderships
-		f.Store.Leaderships = func(ctx context.Context) (map[identifier.ServiceName]cataloger.Leadership, uint64, error) {
+		f.Store.Leaderships = func(ctx context.Context) (map[identifier.ServiceName]cataloger.Leadership, cataloger.Revision, error) {
 			calls++
 			return leaderships(ctx)
 		}
--- a/internal/coordination/follower/retention.go
+++ b/internal/coordination/follower/retention.go
@@ -19,13 +19,13 @@
 	f.lastSuccess = now
 	for _, since := range f.missingSince {
 		if now-since >= f.Holder.MaxAge+defaultPeriod {
-			f.knownRevision = 0
+			f.knownRevision = cataloger.Revision{}
 		}
 	}
 	if f.lapseGraceEnd > 0 && now > f.lapseGraceEnd {
 		f.lapseGraceEnd = 0
 		f.restored = false
-		f.knownRevision = 0
+		f.knownRevision = cataloger.Revision{}
 	}
 }
 
--- a/internal/coordination/follower/schedule.go
+++ b/internal/coordination/follower/schedule.go
@@ -87,7 +87,7 @@
 	case !f.storeReached:
 		f.storeReached = true
 		f.failures = 0
-		f.Logger.Info().Str("event", "store_reached").Uint64("revision", f.knownRevision).Send()
+		f.Logger.Info().Str("event", "store_reached").Stringer("revision", f.knownRevision).Send()
 	default:
 		f.failures = 0
 	}
--- a/internal/coordination/follower/search.go
+++ b/internal/coordination/follower/search.go
@@ -117,7 +117,7 @@
 func (s *Search) Fetch(ctx context.Context, request CatalogRequest) (CatalogReply, error) {
 	now := s.Holder.Clock()
 	step := s.next(now)
-	if request.Known == 0 {
+	if request.Known.IsZero() {
 		step = s.nextOfStart(now, request.Late)
 	}
 	switch {
@@ -273,7 +273,7 @@
 		s.silent++
 	}
 	switch {
-	case request.Known == 0:
+	case request.Known.IsZero():
 		if err != nil || !r.IsRecent() {
 			s.excludeFor(step.ask, now+connectingPeriod, 0)
 		}
--- a/internal/coordination/follower/simulation_test.go
+++ b/internal/coordination/follower/simulation_test.go
@@ -97,27 +97,27 @@
 	leaderships, configuration, servers, members := s.Leaderships, s.Configuration, s.Servers, s.Members
 	return follower.Store{
 		Join: s.Join,
-		Leaderships: func(ctx context.Context) (map[identifier.ServiceName]cataloger.Leadership, uint64, error) {
+		Leaderships: func(ctx context.Context) (map[identifier.ServiceName]cataloger.Leadership, cataloger.Revision, error) {
 			if err := n.callStore(ctx); err != nil {
-				return nil, 0, err
+				return nil, cataloger.Revision{Number: 0}, err
 			}
 			return leaderships(ctx)
 		},
-		Configuration: func(ctx context.Context) (*cataloger.Configuration, uint64, error) {
+		Configuration: func(ctx context.Context) (*cataloger.Configuration, cataloger.Revision, error) {
 			if err := n.callStore(ctx); err != nil {
-				return nil, 0, err
+				return nil, cataloger.Revision{Number: 0}, err
 			}
 			return configuration(ctx)
 		},
-		Servers: func(ctx context.Context) (map[identifier.ServiceName][]cataloger.BackendServer, uint64, error) {
+		Servers: func(ctx context.Context) (map[identifier.ServiceName][]cataloger.BackendServer, cataloger.Revision, error) {
 			if err := n.callStore(ctx); err != nil {
-				return nil, 0, err
+				return nil, cataloger.Revision{Number: 0}, err
 			}
 			return servers(ctx)
 		},
-		Members: func(ctx context.Context) (map[identifier.InstanceID]cataloger.Instance, uint64, error) {
+		Members: func(ctx context.Context) (map[identifier.InstanceID]cataloger.Instance, cataloger.Revision, error) {
 			if err := n.callStore(ctx); err != nil {
-				return nil, 0, err
+				return nil, cataloger.Revision{Number: 0}, err
 			}
 			return members(ctx)
 		},
--- a/internal/coordination/follower/start.go
+++ b/internal/coordination/follower/start.go
@@ -88,7 +88,7 @@
 	}
 	c := r.Update.Catalog
 	switch {
-	case c.Configuration == nil || c.Revision == 0:
+	case c.Configuration == nil || c.Revision.IsZero():
 		return true, ErrConnecting
 	case c.Instances[f.Self.ID].Address != f.Self.Address && !f.joined:
 		f.relayLacksSelf = true
--- a/internal/coordination/follower/transfer_test.go
+++ b/internal/coordination/follower/transfer_test.go
@@ -17,7 +17,7 @@
 // largeConfiguration returns a configuration whose routes do not fit into an answer
 // to a request for a proof.
 func largeConfiguration(version uint64, routes int) *cataloger.Configuration {
-	c := &cataloger.Configuration{Version: identifier.ConfigVersion(version), Revision: version, Routes: map[string]cataloger.Route{}}
+	c := &cataloger.Configuration{Version: identifier.ConfigVersion(version), Revision: cataloger.Revision{Number: version}, Routes: map[string]cataloger.Route{}}
 	for i := range routes {
 		c.Routes[fmt.Sprintf("database-%x", (i+1)*104729)] = cataloger.Route{Service: identifier.ServiceName(fmt.Sprint("service-", i%8)), Priority: i % 3}
 	}
@@ -40,7 +40,7 @@
 	child, held, now := newFollower(s)
 	*relayNow, *now = time.Second, time.Second
 	qt.Assert(t, child.Round(context.Background()), qt.IsNil)
-	relayHolder.Replace(&cataloger.Catalog{Configuration: largeConfiguration(9, 1400), Instances: members, Revision: 9})
+	relayHolder.Replace(&cataloger.Catalog{Configuration: largeConfiguration(9, 1400), Instances: members, Revision: cataloger.Revision{Number: 9}})
 	relayHolder.SetProof(*relayNow)
 	p := &relayAndChild{relay: relay, child: child, held: held}
 	child.Relay = func(_ context.Context, r follower.CatalogRequest) (follower.CatalogReply, error) {
@@ -68,7 +68,7 @@
 func TestLargeUpdateIsTransferredOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newRelayAndChild(t)
-		reply := p.relay.Answer(follower.CatalogRequest{Known: 5})
+		reply := p.relay.Answer(follower.CatalogRequest{Known: cataloger.Revision{Number: 5}})
 		qt.Assert(t, reply.Update, qt.IsNil)
 		qt.Assert(t, reply.UpdateBytes > 0, qt.IsTrue)
 		round(t, p.child)
@@ -110,7 +110,7 @@
 	p := newRelayAndChild(t)
 	relay := p.relay
 	relay.LinkRate = 1.25e6
-	request := follower.CatalogRequest{Known: 5, Fetch: true}
+	request := follower.CatalogRequest{Known: cataloger.Revision{Number: 5}, Fetch: true}
 	sent, waits := 0, 0
 	const seconds = 2
 	for range seconds * 100 {
--- a/internal/coordination/reaper/reaper.go
+++ b/internal/coordination/reaper/reaper.go
@@ -64,7 +64,7 @@
 
 // suspicion is the state of a monitored instance that is unreachable.
 type suspicion struct {
-	revision uint64 // Of the registration.
+	revision cataloger.Revision // Of the registration.
 	since    time.Time
 	queried  time.Time
 	removed  time.Time // When the removal was tried.
--- a/internal/coordination/reaper/simulation_test.go
+++ b/internal/coordination/reaper/simulation_test.go
@@ -61,7 +61,7 @@
 		m := &simulatedInstance{number: i, links: map[identifier.InstanceID]bool{}, Instance: cataloger.Instance{
 			ID:         identifier.InstanceID(fmt.Sprintf("dc%02d-%04d", d, i)),
 			DataCentre: identifier.DataCentre(fmt.Sprintf("dc%02d", d)),
-			Revision:   uint64(i + 1),
+			Revision:   cataloger.Revision{Number: uint64(i + 1)},
 		}}
 		s.instances, s.byID[m.ID] = append(s.instances, m), m
 		s.start(m, seed)
@@ -135,7 +135,7 @@
 		for _, m := range s.instances {
 			if !m.down && !m.removed.IsZero() { // It registers again.
 				m.removed = time.Time{}
-				m.Revision += uint64(len(s.instances))
+				m.Revision.Number += uint64(len(s.instances))
 				s.writes++
 			}
 			if m.removed.IsZero() || s.now.Sub(m.removed) < simulatedRetention {
--- a/internal/coordination/replacer/candidate.go
+++ b/internal/coordination/replacer/candidate.go
@@ -135,7 +135,7 @@
 	for i, c := range candidates {
 		described[i] = c.String()
 	}
-	r.Logger.Info().Str("event", "successor_chosen").Str("service", string(p.service)).Uint64("token", p.record.Revision).
+	r.Logger.Info().Str("event", "successor_chosen").Str("service", string(p.service)).Uint64("token", p.record.Token()).
 		Str("successor", string(chosen.Server.ID)).Strs("candidates", described).
 		Func(func(e *zerolog.Event) {
 			if group.syncReplicas > 0 {
--- a/internal/coordination/replacer/check.go
+++ b/internal/coordination/replacer/check.go
@@ -16,7 +16,7 @@
 	}
 	known := r.Record(service)
 	stored, isStored := r.Catalog().Leaderships[service]
-	if stored.IsUnreadable() || (known.IsUnreadable() && (isStored || r.Catalog().Revision < known.Revision)) {
+	if stored.IsUnreadable() || (known.IsUnreadable() && (isStored || known.Revision.IsAfter(r.Catalog().Revision))) {
 		return // Operators have to rewrite or remove the record.
 	}
 	r.observeOpenPromotions(w, known)
--- a/internal/coordination/replacer/decide_test.go
+++ b/internal/coordination/replacer/decide_test.go
@@ -55,8 +55,8 @@
 // Guards against two instances that perform the same failover, and against a
 // failover that nobody completes after its holder has failed.
 func TestReplacementIsAvailable(t *testing.T) {
-	taken := cataloger.Leadership{Holder: "one", Term: 4, Revision: 9}
-	finished := cataloger.Leadership{Server: "b", Term: 4, Revision: 9}
+	taken := cataloger.Leadership{Holder: "one", Term: 4, Revision: cataloger.Revision{Number: 9}}
+	finished := cataloger.Leadership{Server: "b", Term: 4, Revision: cataloger.Revision{Number: 9}}
 	qt.Check(t, isAvailable(cataloger.Leadership{}, "two", 0), qt.IsTrue)
 	qt.Check(t, isAvailable(finished, "two", 0), qt.IsTrue)
 	qt.Check(t, isAvailable(taken, "one", 0), qt.IsTrue)
--- a/internal/coordination/replacer/discarded_test.go
+++ b/internal/coordination/replacer/discarded_test.go
@@ -19,7 +19,7 @@
 	s := newFakeService()
 	s.leader, s.term, s.down["a"] = "", 2, true
 	s.received["a"], s.received["b"], s.received["c"] = 8, 9, 8
-	s.stored = cataloger.Leadership{Term: 2, Server: "a", TermStarts: "2@1/8", Revision: 10}
+	s.stored = cataloger.Leadership{Term: 2, Server: "a", TermStarts: "2@1/8", Revision: cataloger.Revision{Number: 10}}
 	s.known = s.stored
 	return s, s.replacer()
 }
--- a/internal/coordination/replacer/durability.go
+++ b/internal/coordination/replacer/durability.go
@@ -68,7 +68,7 @@
 	}
 	stored := p.members.storedGroup()
 	g.primary = cmp.Or(g.primary, p.lastLeader, stored.Primary, onlyClaimant(servers))
-	if stored.Revision == 0 && g.primary == "" && p.silentFor < unknownGroupLimit {
+	if stored.Revision.IsZero() && g.primary == "" && p.silentFor < unknownGroupLimit {
 		return g, errors.Wrap(errCommitsUnknown, errGroupNotRecorded.Error())
 	}
 	members := p.members.members()
--- a/internal/coordination/replacer/durability_test.go
+++ b/internal/coordination/replacer/durability_test.go
@@ -80,7 +80,7 @@
 	for name, silent := range map[string]identifier.BackendServerID{"answers": "c", "silent": "b"} {
 		t.Run(name, func(t *testing.T) {
 			s, r := newSyncService()
-			s.stored = cataloger.Leadership{Term: 1, Server: "a", Revision: 10}
+			s.stored = cataloger.Leadership{Term: 1, Server: "a", Revision: cataloger.Revision{Number: 10}}
 			s.known = s.stored
 			s.catalog.Servers["rentals"][1].ClaimsPrimary = true // b, which is behind c.
 			s.received["b"], s.received["c"] = 7, 8
@@ -117,9 +117,9 @@
 			return r, w
 		},
 		"store from an older copy": func(s *fakeService, r *Replacer, w *serviceWatch) (*Replacer, *serviceWatch) {
-			s.group = cataloger.DatabaseGroup{Members: s.group.Members[:2], Revision: cataloger.Revision(1, 1)}
+			s.group = cataloger.DatabaseGroup{Members: s.group.Members[:2], Revision: cataloger.Revision{Era: 1, Number: 1}}
 			r.Era = func() uint64 { return 1 }
-			s.revision = cataloger.Revision(1, s.revision)
+			s.era = 1
 			return r, w
 		},
 		"group that was never recorded": func(s *fakeService, r *Replacer, w *serviceWatch) (*Replacer, *serviceWatch) {
@@ -224,7 +224,7 @@
 	s.check(r, &serviceWatch{})
 	s.removeEntry("c")
 	s.catalog.Servers["rentals"] = append(s.catalog.Servers["rentals"], cataloger.BackendServer{ID: "d", Service: "rentals", Address: "at-c"})
-	p := &replacement{service: "rentals", record: cataloger.Leadership{Holder: "one", Revision: 11}, members: &memberHistory{}}
+	p := &replacement{service: "rentals", record: cataloger.Leadership{Holder: "one", Revision: cataloger.Revision{Number: 11}}, members: &memberHistory{}}
 	g, err := s.syncReplacer().replicaGroup(t.Context(), p)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, g.replicas, qt.DeepEquals, []identifier.BackendServerID{"b", "d"})
@@ -236,7 +236,7 @@
 // nobody has completed.
 func TestFormerPrimaryHasAllCommits(t *testing.T) {
 	s, r := newSyncService()
-	s.stored = cataloger.Leadership{Term: 1, Server: "a", Revision: 10}
+	s.stored = cataloger.Leadership{Term: 1, Server: "a", Revision: cataloger.Revision{Number: 10}}
 	s.known = s.stored
 	s.catalog.Servers["rentals"][0].ClaimsPrimary = false
 	s.leader, s.down["c"] = "", true
@@ -264,7 +264,7 @@
 	for name, answers := range map[string]bool{"alone": false, "with a replica that is behind": true} {
 		t.Run(name, func(t *testing.T) {
 			s, r := newSyncService()
-			s.stored = cataloger.Leadership{Term: 1, Server: "a", Revision: 10}
+			s.stored = cataloger.Leadership{Term: 1, Server: "a", Revision: cataloger.Revision{Number: 10}}
 			s.known = s.stored
 			s.leader, s.lagging, s.received["a"] = "", true, 0
 			s.down["b"], s.down["c"] = !answers, true
--- a/internal/coordination/replacer/fence.go
+++ b/internal/coordination/replacer/fence.go
@@ -39,7 +39,7 @@
 			return nil
 		}
 		if round == 0 {
-			r.Logger.Warn().Str("event", "replacement_waits").Str("service", string(p.service)).Uint64("token", p.record.Revision).
+			r.Logger.Warn().Str("event", "replacement_waits").Str("service", string(p.service)).Uint64("token", p.record.Token()).
 				Int("instances", total).Int("unconfirmed", len(unconfirmed)).Bool("members_known", complete).Send()
 			steppedDown = r.stepDownPrimary(p)
 		}
--- a/internal/coordination/replacer/fence_test.go
+++ b/internal/coordination/replacer/fence_test.go
@@ -17,7 +17,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := newFakeService()
 			s.silent["two"] = true
-			s.stored = cataloger.Leadership{Server: "a", Term: 1, OpenPromotions: "a@5", Revision: 5}
+			s.stored = cataloger.Leadership{Server: "a", Term: 1, OpenPromotions: "a@5", Revision: cataloger.Revision{Number: 5}}
 			s.known = s.stored
 			r := s.replacer()
 			r.LateLimit = time.Minute
--- a/internal/coordination/replacer/group.go
+++ b/internal/coordination/replacer/group.go
@@ -122,7 +122,7 @@
 	}
 	h.adopt(written, time.Now())
 	r.Logger.Info().Str("event", "group_recorded").Str("service", string(service)).Strs("servers", memberTexts(written.Members)).
-		Str("primary", string(written.Primary)).Uint64("revision", written.Revision).Send()
+		Str("primary", string(written.Primary)).Stringer("revision", written.Revision).Send()
 	return nil
 }
 
@@ -185,7 +185,7 @@
 
 // adoptUnreadable records the revision of a group that cannot be read, so that it can be
 // replaced.
-func (h *memberHistory) adoptUnreadable(revision uint64) {
+func (h *memberHistory) adoptUnreadable(revision cataloger.Revision) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.stored, h.isRead = cataloger.DatabaseGroup{Revision: revision}, true
--- a/internal/coordination/replacer/late.go
+++ b/internal/coordination/replacer/late.go
@@ -18,7 +18,7 @@
 	until map[cataloger.OpenPromotion]time.Duration
 	// written is the revision of the record that this process wrote last. It knows
 	// which promotions under that record were not answered.
-	written uint64
+	written cataloger.Revision
 }
 
 // add records that the promotion may be executed until the clock reading.
@@ -91,7 +91,7 @@
 // addUnanswered records that the promotion of the server under the present record was
 // not answered.
 func (r *Replacer) addUnanswered(p *replacement, id identifier.BackendServerID) {
-	p.open.add(cataloger.NewOpenPromotion(id, p.record.Revision), r.Clock()+r.LateLimit)
+	p.open.add(cataloger.NewOpenPromotion(id, p.record.Token()), r.Clock()+r.LateLimit)
 }
 
 // mustAwaitPromotions reports whether the primary must not be replaced yet, because
--- a/internal/coordination/replacer/late_test.go
+++ b/internal/coordination/replacer/late_test.go
@@ -42,7 +42,7 @@
 	r := s.replacer()
 	r.TokensChecked, r.LateLimit = false, time.Minute
 	s.check(r, &serviceWatch{silentSince: silentLongEnough()})
-	qt.Assert(t, s.stored, qt.Equals, cataloger.Leadership{Server: "c", Term: 2, TermStarts: "2@1/8", OpenPromotions: "c@12", Revision: 13})
+	qt.Assert(t, s.stored, qt.Equals, cataloger.Leadership{Server: "c", Term: 2, TermStarts: "2@1/8", OpenPromotions: "c@12", Revision: cataloger.Revision{Number: 13}})
 
 	// Another instance that reads the record does not replace the server yet.
 	s.mu.Lock()
@@ -59,7 +59,7 @@
 func TestSuccessorOfAnotherHolderIsAwaited(t *testing.T) {
 	s := newFakeService()
 	s.down["a"] = true
-	s.stored = cataloger.Leadership{Holder: "two", Successor: "gone", Revision: 5}
+	s.stored = cataloger.Leadership{Holder: "two", Successor: "gone", Revision: cataloger.Revision{Number: 5}}
 	s.known = s.stored
 	w := &serviceWatch{}
 	r := s.replacer()
--- a/internal/coordination/replacer/members.go
+++ b/internal/coordination/replacer/members.go
@@ -83,7 +83,7 @@
 func (h *memberHistory) adopt(g cataloger.DatabaseGroup, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.isRead && cataloger.Era(g.Revision) == cataloger.Era(h.stored.Revision) {
+	if h.isRead && g.Revision.Era == h.stored.Revision.Era {
 		maps.DeleteFunc(h.sightings, func(id identifier.BackendServerID, s memberSighting) bool {
 			return !s.at.Equal(h.observed) && h.stored.Includes(id) && !g.Includes(id)
 		})
@@ -140,8 +140,8 @@
 	departed := h.departed()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	isCurrent := h.isRead && cataloger.Era(h.stored.Revision) == era && h.stored.Equal(wanted)
-	mayCreate := h.stored.Revision != 0 || !h.isRead || u.leads
+	isCurrent := h.isRead && h.stored.Revision.Era == era && h.stored.Equal(wanted)
+	mayCreate := !h.stored.Revision.IsZero() || !h.isRead || u.leads
 	if !mayCreate || (isCurrent && (len(departed) == 0 || !u.leads)) {
 		h.dueSince = time.Time{}
 		return false
--- a/internal/coordination/replacer/model_instance_test.go
+++ b/internal/coordination/replacer/model_instance_test.go
@@ -211,13 +211,14 @@
 		return replacer.ErrPromotionUnknown // An ended process requests nothing.
 	}
 	i.m.mu.Lock()
-	if holder, used := i.m.tokens[l.Revision]; used && holder != i.id {
-		i.m.broken = append(i.m.broken, fmt.Sprintf("token %d was used by %s and %s", l.Revision, holder, i.id))
+	token := l.Token()
+	if holder, used := i.m.tokens[token]; used && holder != i.id {
+		i.m.broken = append(i.m.broken, fmt.Sprintf("token %d was used by %s and %s", token, holder, i.id))
 	}
-	if l.Revision < i.m.highest {
-		i.m.broken = append(i.m.broken, fmt.Sprintf("token %d of %s is lower than %d", l.Revision, i.id, i.m.highest))
+	if token < i.m.highest {
+		i.m.broken = append(i.m.broken, fmt.Sprintf("token %d of %s is lower than %d", token, i.id, i.m.highest))
 	}
-	i.m.tokens[l.Revision], i.m.highest = i.id, max(i.m.highest, l.Revision)
+	i.m.tokens[token], i.m.highest = i.id, max(i.m.highest, token)
 	late, lateBy := i.m.late, minLateness
 	if !late && i.m.unanswered > 0 {
 		i.m.unanswered--
--- a/internal/coordination/replacer/model_store_test.go
+++ b/internal/coordination/replacer/model_store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"oleanderpulley/internal/coordination/replacer"
@@ -27,7 +28,7 @@
 	if !ok {
 		return l, replacer.ErrNoRecord
 	}
-	l.Revision = cataloger.Revision(i.m.era, l.Revision)
+	l.Revision.Era = i.m.era
 	return l, nil
 }
 
@@ -40,18 +41,18 @@
 	i.m.mu.Lock()
 	defer i.m.mu.Unlock()
 	stored, ok := i.m.objects["record"]
-	if (l.Revision == 0) == ok || (ok && stored.Revision != cataloger.ChangeNumber(l.Revision)) {
+	if l.Revision.IsZero() == ok || (ok && stored.Revision.Number != l.Revision.Number) {
 		return cataloger.Leadership{}, replacer.ErrRecordChanged
 	}
-	sameEra := l.Revision == 0 || cataloger.Era(l.Revision) == i.m.era
-	i.m.number++
-	l.Revision, l.Carried = i.m.number, false // The store does not keep Carried.
+	sameEra := l.Revision.IsZero() || l.Revision.Era == i.m.era
+	i.m.number += i.m.numbering.next()
+	l.Revision, l.Carried = cataloger.Revision{Number: i.m.number}, false // The store does not keep Carried.
 	i.m.objects["record"] = l
 	i.m.saveCopy()
 	if !sameEra {
 		return cataloger.Leadership{}, replacer.ErrRecordChanged
 	}
-	l.Revision = cataloger.Revision(i.m.era, l.Revision)
+	l.Revision.Era = i.m.era
 	return l, nil
 }
 
@@ -63,13 +64,39 @@
 	m.copies = append(m.copies, c)
 }
 
+// modelNumbering is how a store numbers its changes.
+type modelNumbering struct {
+	first, era uint64
+	steps      *rand.Rand // Nil for steps of one.
+}
+
+func (n modelNumbering) next() uint64 {
+	if n.steps == nil {
+		return 1
+	}
+	return 1 + n.steps.Uint64N(1<<n.steps.IntN(32))
+}
+
+// drawNumbering returns the numbering of the seed: a half of the stores count from 10 by
+// one, and the others as the pages allow.
+func drawNumbering(seed uint64) modelNumbering {
+	random := rand.New(rand.NewPCG(seed, 2))
+	others := []modelNumbering{
+		{1_796_000_000_000, 0, nil}, {1<<40 - 12, 0, nil}, {1<<40 - 12, 3, random}, {1 << 63, 1_796_000_000, random}, {10, 1<<24 - 1, random},
+	}
+	if random.IntN(2) == 0 {
+		return modelNumbering{first: 10}
+	}
+	return others[random.IntN(len(others))]
+}
+
 // restore brings the content of the store back from the newest copy that is at
 // least as old as the age.
 func (m *model) restore(age time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var found storeCopy
-	found.number = 10
+	found.number = m.numbering.first
 	for _, c := range m.copies {
 		if c.at <= time.Since(m.start)-age {
 			found = c
@@ -109,7 +136,7 @@
 	i.m.mu.Lock()
 	records := map[identifier.ServiceName]cataloger.Leadership{}
 	if l, ok := i.m.objects["record"]; ok {
-		l.Revision = cataloger.Revision(i.m.era, l.Revision)
+		l.Revision.Era = i.m.era
 		records[modelService] = l
 	}
 	era := i.m.era
@@ -122,7 +149,7 @@
 		go i.collectRecords(era)
 	}
 	c := i.m.catalog(records)
-	c.Revision = cataloger.Revision(era, 1)
+	c.Revision = cataloger.Revision{Era: era, Number: 1}
 	i.holder.Replace(c)
 	i.fencer.ObserveAll(c)
 	i.holder.SetProof(sent)
--- a/internal/coordination/replacer/model_test.go
+++ b/internal/coordination/replacer/model_test.go
@@ -60,6 +60,7 @@
 
 	objects   map[string]cataloger.Leadership // At most the record of the service.
 	copies    []storeCopy
+	numbering modelNumbering
 	number    uint64
 	era       uint64
 	storeAway bool
@@ -85,7 +86,7 @@
 func newModel(seed uint64, fenced bool, d defect) *model {
 	m := &model{
 		random: rand.New(rand.NewPCG(seed, 1)), fenced: fenced, defect: d, start: time.Now(),
-		objects: map[string]cataloger.Leadership{}, number: 10, tokens: map[uint64]identifier.InstanceID{}, term: 1,
+		objects: map[string]cataloger.Leadership{}, numbering: modelNumbering{first: 10}, number: 10, tokens: map[uint64]identifier.InstanceID{}, term: 1,
 	}
 	for i := range 3 {
 		m.servers = append(m.servers, &modelServer{id: identifier.BackendServerID(rune('a' + i)), term: 1})
@@ -187,22 +188,29 @@
 
 // playModel runs the model in simulated time.
 func playModel(t *testing.T, seed uint64, fenced bool, d defect, faults []modelFault) *model {
+	return playNumberedModel(t, seed, fenced, d, modelNumbering{first: 10}, faults)
+}
+
+func playNumberedModel(t *testing.T, seed uint64, fenced bool, d defect, n modelNumbering, faults []modelFault) *model {
 	var m *model
 	synctest.Test(t, func(*testing.T) {
 		m = newModel(seed, fenced, d)
+		m.numbering, m.number, m.era = n, n.first, n.era
 		m.run(faults)
 	})
 	return m
 }
 
 // Guards against a write that a replaced primary ran and that is acknowledged
-// (ONE, STALE), and against fencing tokens that two holders use or that fall.
+// (ONE, STALE), and against fencing tokens that two holders use or that fall, however the store
+// numbers its changes.
 func TestModelKeepsOnePrimary(t *testing.T) {
 	acked, promoted := 0, 0
 	rapid.Check(t, func(rt *rapid.T) {
 		faults := drawFaults(rt, faultKinds)
 		fenced := rapid.Bool().Draw(rt, "fenced")
-		m := playModel(t, rapid.Uint64().Draw(rt, "seed"), fenced, noDefect, faults)
+		seed := rapid.Uint64().Draw(rt, "seed")
+		m := playNumberedModel(t, seed, fenced, noDefect, drawNumbering(seed), faults)
 		acked, promoted = acked+m.acked, promoted+m.promoted
 		if len(m.broken) > 0 {
 			rt.Fatalf("%d broken, first: %s", len(m.broken), m.broken[0])
--- a/internal/coordination/replacer/promote.go
+++ b/internal/coordination/replacer/promote.go
@@ -112,7 +112,7 @@
 // a promotion under its record.
 func (r *Replacer) mayPromote(p *replacement) bool {
 	unchanged := r.Record(p.service).Revision == p.record.Revision
-	sameEra := r.Era() == cataloger.Era(p.record.Revision)
+	sameEra := r.Era() == p.record.Revision.Era
 	return unchanged && sameEra && r.Clock()-p.written <= promotionWindow
 }
 
--- a/internal/coordination/replacer/replace.go
+++ b/internal/coordination/replacer/replace.go
@@ -61,7 +61,7 @@
 		}
 	}
 	r.Logger.WithLevel(level).Err(err).Str("event", "replacement").Str("service", string(service)).
-		Str("server", string(p.record.Server)).Str("successor", string(p.record.Successor)).Uint64("term", uint64(p.record.Term)).Uint64("token", p.record.Revision).
+		Str("server", string(p.record.Server)).Str("successor", string(p.record.Successor)).Uint64("term", uint64(p.record.Term)).Uint64("token", p.record.Token()).
 		Bool("planned", draining != nil).Bool("resumed", p.resumed).Dur("took_ms", time.Since(started)).
 		Func(p.steps.addDurations).Send()
 	if r.Observe == nil {
--- a/internal/coordination/replacer/replacer_test.go
+++ b/internal/coordination/replacer/replacer_test.go
@@ -30,6 +30,7 @@
 	lagging  bool                 // No replica receives the rest of the log when the primary steps down.
 	stored   cataloger.Leadership // The record in the store.
 	known    cataloger.Leadership // The record that this instance knows.
+	era      uint64
 	revision uint64
 	silent   map[identifier.InstanceID]bool // Instances that do not confirm.
 	term     identifier.Term
@@ -71,7 +72,7 @@
 
 func (s *fakeService) recordWrite(l cataloger.Leadership) {
 	if l.IsReplacing() {
-		s.record("announce %d %s", l.Revision, l.Successor)
+		s.record("announce %d %s", l.Revision.Number, l.Successor)
 	} else {
 		s.record("grant %s in term %d", l.Server, l.Term)
 	}
@@ -156,7 +157,7 @@
 			}
 		},
 		ReadRecord: func(context.Context, identifier.ServiceName) (cataloger.Leadership, error) {
-			if s.stored.Revision == 0 {
+			if s.stored.Revision.IsZero() {
 				return cataloger.Leadership{}, ErrNoRecord
 			}
 			return s.stored, nil
@@ -166,7 +167,7 @@
 				return cataloger.Leadership{}, ErrRecordChanged
 			}
 			s.revision++
-			l.Revision = s.revision
+			l.Revision = cataloger.Revision{Era: s.era, Number: s.revision}
 			s.stored = l
 			return l, locked(func() error {
 				s.recordWrite(l)
@@ -183,7 +184,7 @@
 			if g.Revision != s.group.Revision {
 				return g, ErrRecordChanged
 			}
-			g.Revision++
+			g.Revision.Number++
 			s.group, s.groupErr = g, nil
 			return g, nil
 		},
@@ -195,7 +196,7 @@
 				if s.silent[id] {
 					return errDown
 				}
-				s.record("%s confirms %d", id, l.Revision)
+				s.record("%s confirms %d", id, l.Revision.Number)
 				return nil
 			}) == nil
 		},
@@ -206,7 +207,7 @@
 		IsProven: func() bool { return true },
 		Promote: func(_ context.Context, _ identifier.ServiceName, id identifier.BackendServerID, l cataloger.Leadership) error {
 			return locked(func() error {
-				s.record("promote %s under %d", id, l.Revision)
+				s.record("promote %s under %d", id, l.Token())
 				return s.promote(id)
 			})
 		},
@@ -275,7 +276,7 @@
 	w := &serviceWatch{}
 	r := s.replacer()
 	for term := range identifier.Term(2 * maxReplacements) {
-		s.known = cataloger.Leadership{Term: term + 1, Server: "a", Revision: uint64(term + 1)}
+		s.known = cataloger.Leadership{Term: term + 1, Server: "a", Revision: cataloger.Revision{Number: uint64(term + 1)}}
 		s.stored = s.known
 		s.check(r, w)
 	}
@@ -377,7 +378,7 @@
 func TestLeaseOfAnotherHolderIsRespected(t *testing.T) {
 	s := newFakeService()
 	s.down["a"] = true
-	s.stored = cataloger.Leadership{Holder: "two", Revision: 5}
+	s.stored = cataloger.Leadership{Holder: "two", Revision: cataloger.Revision{Number: 5}}
 	w := &serviceWatch{silentSince: silentLongEnough()}
 	r := s.replacer()
 	qt.Assert(t, s.check(r, w), qt.HasLen, 0)
@@ -467,7 +468,7 @@
 	calls := s.check(r, w)
 	qt.Assert(t, slices.Contains(calls, "promote c under 12"), qt.IsFalse)
 	qt.Assert(t, s.leader, qt.Equals, identifier.BackendServerID("a"))
-	qt.Assert(t, s.known, qt.Equals, cataloger.Leadership{Term: 2, Server: "a", TermStarts: "2@1/9", Revision: s.known.Revision})
+	qt.Assert(t, s.known, qt.Equals, cataloger.Leadership{Term: 2, Server: "a", TermStarts: "2@1/9", LastToken: s.known.Revision.Number - 1, Revision: s.known.Revision})
 	qt.Assert(t, w.pausedUntil.IsZero(), qt.IsFalse)
 }
 
@@ -507,7 +508,7 @@
 	p := &replacement{service: "rentals", written: r.Clock() - promotionWindow - time.Millisecond}
 	qt.Assert(t, r.promote(context.Background(), p, "c"), qt.ErrorIs, errWindowPassed)
 	qt.Assert(t, s.calls, qt.HasLen, 0)
-	s.known.Revision = 77 // Another instance has changed the record.
+	s.known.Revision = cataloger.Revision{Number: 77} // Another instance has changed the record.
 	p.written = r.Clock()
 	qt.Assert(t, r.promote(context.Background(), p, "c"), qt.ErrorIs, errWindowPassed)
 	qt.Assert(t, s.calls, qt.HasLen, 0)
@@ -567,17 +568,17 @@
 func TestServiceWithAnUnreadableRecordIsReplacedOnlyOnceItIsRemoved(t *testing.T) {
 	s := newFakeService()
 	s.down["a"] = true
-	s.known = cataloger.Leadership{Server: "a", Term: 1, Holder: cataloger.UnreadableLeadership(5).Holder, Revision: 5}
-	s.catalog.Leaderships = map[identifier.ServiceName]cataloger.Leadership{"rentals": cataloger.UnreadableLeadership(5)}
-	s.catalog.Revision = 5
-	r, w := s.replacer(), &serviceWatch{silentSince: silentLongEnough(), announcement: 5, announcedSince: time.Now().Add(-TakeoverTimeout)}
+	s.known = cataloger.Leadership{Server: "a", Term: 1, Holder: cataloger.UnreadableLeadership(cataloger.Revision{Number: 5}).Holder, Revision: cataloger.Revision{Number: 5}}
+	s.catalog.Leaderships = map[identifier.ServiceName]cataloger.Leadership{"rentals": cataloger.UnreadableLeadership(cataloger.Revision{Number: 5})}
+	s.catalog.Revision = cataloger.Revision{Number: 5}
+	r, w := s.replacer(), &serviceWatch{silentSince: silentLongEnough(), announcement: cataloger.Revision{Number: 5}, announcedSince: time.Now().Add(-TakeoverTimeout)}
 	qt.Assert(t, s.check(r, w), qt.HasLen, 0)
-	s.known = cataloger.Leadership{Server: "a", Term: 1, Revision: 4} // The catalog is newer.
+	s.known = cataloger.Leadership{Server: "a", Term: 1, Revision: cataloger.Revision{Number: 4}} // The catalog is newer.
 	qt.Assert(t, s.check(r, w), qt.HasLen, 0)
-	s.known = cataloger.Leadership{Server: "a", Term: 1, Holder: cataloger.UnreadableLeadership(5).Holder, Revision: 5}
-	s.catalog.Leaderships, s.catalog.Revision = nil, 4
+	s.known = cataloger.Leadership{Server: "a", Term: 1, Holder: cataloger.UnreadableLeadership(cataloger.Revision{Number: 5}).Holder, Revision: cataloger.Revision{Number: 5}}
+	s.catalog.Leaderships, s.catalog.Revision = nil, cataloger.Revision{Number: 4}
 	qt.Assert(t, s.check(r, w), qt.HasLen, 0) // The catalog is older.
-	s.catalog.Revision = 6
+	s.catalog.Revision = cataloger.Revision{Number: 6}
 	calls := s.check(r, w)
 	qt.Assert(t, calls[0], qt.Equals, "announce 11 ")
 	qt.Assert(t, calls[len(calls)-1], qt.Equals, "grant c in term 2")
@@ -587,9 +588,9 @@
 func TestTakeoverThatIsStoppedKeepsTheReplacement(t *testing.T) {
 	s := newFakeService()
 	s.silent["two"] = true
-	s.stored = cataloger.Leadership{Term: 1, Server: "a", Holder: "two", Successor: "b", Revision: 5}
+	s.stored = cataloger.Leadership{Term: 1, Server: "a", Holder: "two", Successor: "b", Revision: cataloger.Revision{Number: 5}}
 	s.known = s.stored
-	w := &serviceWatch{announcement: 5, announcedSince: time.Now().Add(-TakeoverTimeout - maxRankDelay)}
+	w := &serviceWatch{announcement: cataloger.Revision{Number: 5}, announcedSince: time.Now().Add(-TakeoverTimeout - maxRankDelay)}
 	r := s.replacer()
 	ctx, cancel := context.WithCancel(context.Background())
 	r.Revoke = func(context.Context, identifier.InstanceID, identifier.ServiceName, cataloger.Leadership) bool {
--- a/internal/coordination/replacer/watch.go
+++ b/internal/coordination/replacer/watch.go
@@ -16,7 +16,7 @@
 	lastLeader     identifier.BackendServerID // The server that this instance last saw leading; kept when it does not any more.
 	members        memberHistory              // Of a service with synchronous replication.
 	groupUpdate    *groupUpdate               // That is due after the check, nil if none is.
-	announcement   uint64                     // Revision of the newest known announcement of another instance.
+	announcement   cataloger.Revision         // Revision of the newest known announcement of another instance.
 	announcedSince time.Time                  // When this instance first knew that announcement.
 	leaving        identifier.BackendServerID // The primary that was last seen to drain or to be evacuated.
 	leavingSince   time.Time
--- a/internal/state/cataloger/catalog.go
+++ b/internal/state/cataloger/catalog.go
@@ -84,8 +84,8 @@
 	ColdRemaining time.Duration `cbor:"cold_remaining,omitempty"`
 	ColdUntil     time.Time     `cbor:"-"`
 
-	Born     int64  `cbor:"born"` // Start time in Unix milliseconds, which identifies the incarnation.
-	Revision uint64 `cbor:"revision"`
+	Born     int64    `cbor:"born"` // Start time in Unix milliseconds, which identifies the incarnation.
+	Revision Revision `cbor:"revision"`
 }
 
 // IsLeaving reports whether the server gets no reads and must not become the
@@ -102,13 +102,13 @@
 // Evacuation is the operators' request that no statements are sent to the backend
 // servers of a data centre. It holds until it is removed from the store.
 type Evacuation struct {
-	Revision uint64 `cbor:"revision"`
+	Revision Revision `cbor:"revision"`
 }
 
 // Configuration is one version of the configuration that the operators set.
 type Configuration struct {
 	Version     identifier.ConfigVersion               `cbor:"version"`
-	Revision    uint64                                 `cbor:"revision"`
+	Revision    Revision                               `cbor:"revision"`
 	Routes      map[string]Route                       `cbor:"routes"` // By database.
 	Services    map[identifier.ServiceName]Service     `cbor:"services"`
 	Workspaces  map[identifier.WorkspaceName]Workspace `cbor:"workspaces"`
@@ -123,8 +123,8 @@
 	Address    string                `json:"address" cbor:"address"` // For peers.
 	// Processor is the share of a processor core that the instance may use, in
 	// thousandths. It is 0 if the instance has not told it.
-	Processor int    `json:"processor,omitempty" cbor:"processor,omitempty"`
-	Revision  uint64 `json:"-" cbor:"revision"`
+	Processor int      `json:"processor,omitempty" cbor:"processor,omitempty"`
+	Revision  Revision `json:"-" cbor:"revision"`
 }
 
 // SortByRank sorts items by the rank of their instances for work that a few do for all
@@ -160,8 +160,8 @@
 	Evacuations   map[identifier.DataCentre]Evacuation       `cbor:"evacuations,omitempty"`
 
 	// Revision is the revision of the store as of which the catalog is
-	// complete. It is 0 while the catalog is still being read.
-	Revision uint64 `cbor:"revision"`
+	// complete. It is zero while the catalog is still being read.
+	Revision Revision `cbor:"revision"`
 	// Retained is the number of entries that the store no longer has and that
 	// are kept for a while. They go without a change of the revision.
 	Retained int `cbor:"retained"`
@@ -170,9 +170,8 @@
 // Since returns the catalog without its configuration if that has not changed
 // since the known revision. A configuration from before the store's era is always
 // included, because the store may lack it.
-func (c *Catalog) Since(known uint64) *Catalog {
-	unchanged := c.Configuration != nil && c.Configuration.Revision <= known && Era(c.Configuration.Revision) == Era(known)
-	if !unchanged {
+func (c *Catalog) Since(known Revision) *Catalog {
+	if c.Configuration == nil || c.Configuration.Revision.IsAfter(known) || c.Configuration.Revision.Era != known.Era {
 		return c
 	}
 	next := *c
--- a/internal/state/cataloger/change.go
+++ b/internal/state/cataloger/change.go
@@ -27,7 +27,7 @@
 	RemovedLeaderships []identifier.ServiceName                   `cbor:"removed_leaderships,omitempty"`
 	Evacuations        map[identifier.DataCentre]Evacuation       `cbor:"evacuations,omitempty"` // New and changed ones.
 	RemovedEvacuations []identifier.DataCentre                    `cbor:"removed_evacuations,omitempty"`
-	Revision           uint64                                     `cbor:"revision"`
+	Revision           Revision                                   `cbor:"revision"`
 	Retained           int                                        `cbor:"retained"`
 }
 
@@ -36,9 +36,9 @@
 // differ have different revisions.
 func (c *Catalog) Digest() uint64 {
 	var sum uint64
-	add := func(kind, name string, revision uint64) {
+	add := func(kind, name string, revision Revision) {
 		// The sum does not depend on the order of the entries.
-		sum += xxhash.Sum64String(kind + name + "/" + strconv.FormatUint(revision, 36))
+		sum += xxhash.Sum64String(kind + name + "/" + revision.digestText())
 	}
 	if c.Configuration != nil {
 		add("configuration/", strconv.FormatUint(uint64(c.Configuration.Version), 36), c.Configuration.Revision)
--- a/internal/state/cataloger/change_test.go
+++ b/internal/state/cataloger/change_test.go
@@ -21,24 +21,24 @@
 		Servers:       map[identifier.ServiceName][]cataloger.BackendServer{},
 		Instances:     map[identifier.InstanceID]cataloger.Instance{},
 		Leaderships:   map[identifier.ServiceName]cataloger.Leadership{},
-		Revision:      rapid.Uint64Range(1, 9).Draw(t, label+" revision"),
+		Revision:      cataloger.Revision{Number: rapid.Uint64Range(1, 9).Draw(t, label+" revision")},
 	}
 	revisions := rapid.MapOfN(rapid.IntRange(0, 5), rapid.Uint64Range(1, 3), 0, 6)
 	for i, revision := range revisions.Draw(t, label+" instances") {
 		id := identifier.InstanceID(fmt.Sprint("i", i))
-		c.Instances[id] = cataloger.Instance{ID: id, Revision: revision}
+		c.Instances[id] = cataloger.Instance{ID: id, Revision: cataloger.Revision{Number: revision}}
 	}
 	for i, revision := range revisions.Draw(t, label+" servers") {
 		service := identifier.ServiceName(fmt.Sprint("s", i%2))
 		id := identifier.BackendServerID(fmt.Sprint("b", i))
-		c.Servers[service] = append(c.Servers[service], cataloger.BackendServer{ID: id, Service: service, Revision: revision})
+		c.Servers[service] = append(c.Servers[service], cataloger.BackendServer{ID: id, Service: service, Revision: cataloger.Revision{Number: revision}})
 	}
 	for i, revision := range revisions.Draw(t, label+" records") {
-		c.Leaderships[identifier.ServiceName(fmt.Sprint("s", i))] = cataloger.Leadership{Revision: revision}
+		c.Leaderships[identifier.ServiceName(fmt.Sprint("s", i))] = cataloger.Leadership{Revision: cataloger.Revision{Number: revision}}
 	}
 	c.Evacuations = map[identifier.DataCentre]cataloger.Evacuation{}
 	for i, revision := range revisions.Draw(t, label+" evacuations") {
-		c.Evacuations[identifier.DataCentre(fmt.Sprint("d", i))] = cataloger.Evacuation{Revision: revision}
+		c.Evacuations[identifier.DataCentre(fmt.Sprint("d", i))] = cataloger.Evacuation{Revision: cataloger.Revision{Number: revision}}
 	}
 	return c
 }
@@ -46,7 +46,7 @@
 // configuration returns a configuration whose entries follow from its revision.
 func configuration(revision uint64) *cataloger.Configuration {
 	c := &cataloger.Configuration{
-		Version: 1, Revision: revision, IdleTxLimit: time.Duration(revision),
+		Version: 1, Revision: cataloger.Revision{Number: revision}, IdleTxLimit: time.Duration(revision),
 		Routes:     map[string]cataloger.Route{"both": {Service: "s", Priority: int(revision), Regions: []identifier.Region{"north"}}},
 		Services:   map[identifier.ServiceName]cataloger.Service{"s": {MaxConnections: int(revision)}},
 		Workspaces: map[identifier.WorkspaceName]cataloger.Workspace{"w": {Name: "w", Rate: float64(revision)}},
@@ -89,20 +89,24 @@
 // Guards against two catalogs that differ in the configuration alone and are taken
 // for the same one: a withdrawn key stayed in use.
 func TestDigestCoversEachPart(t *testing.T) {
-	c := cataloger.Catalog{Configuration: &cataloger.Configuration{Version: 1, Revision: 1}}
+	c := cataloger.Catalog{Configuration: &cataloger.Configuration{Version: 1, Revision: cataloger.Revision{Number: 1}}}
 	seen := map[uint64]bool{c.Digest(): true}
 	for _, change := range []func(*cataloger.Catalog){
-		func(c *cataloger.Catalog) { c.Configuration = &cataloger.Configuration{Version: 1, Revision: 2} },
-		func(c *cataloger.Catalog) { c.Configuration = &cataloger.Configuration{Version: 2, Revision: 1} },
+		func(c *cataloger.Catalog) {
+			c.Configuration = &cataloger.Configuration{Version: 1, Revision: cataloger.Revision{Number: 2}}
+		},
+		func(c *cataloger.Catalog) {
+			c.Configuration = &cataloger.Configuration{Version: 2, Revision: cataloger.Revision{Number: 1}}
+		},
 		func(c *cataloger.Catalog) { c.Instances = map[identifier.InstanceID]cataloger.Instance{"a": {}} },
 		func(c *cataloger.Catalog) {
 			c.Servers = map[identifier.ServiceName][]cataloger.BackendServer{"s": {{ID: "a"}}}
 		},
 		func(c *cataloger.Catalog) {
-			c.Leaderships = map[identifier.ServiceName]cataloger.Leadership{"a": {Revision: 1}}
+			c.Leaderships = map[identifier.ServiceName]cataloger.Leadership{"a": {Revision: cataloger.Revision{Number: 1}}}
 		},
 		func(c *cataloger.Catalog) {
-			c.Evacuations = map[identifier.DataCentre]cataloger.Evacuation{"a": {Revision: 1}}
+			c.Evacuations = map[identifier.DataCentre]cataloger.Evacuation{"a": {Revision: cataloger.Revision{Number: 1}}}
 		},
 	} {
 		changed := c
--- a/internal/state/cataloger/configuration_change.go
+++ b/internal/state/cataloger/configuration_change.go
@@ -12,7 +12,7 @@
 // routes and workspaces of all customers.
 type ConfigurationChange struct {
 	Version           identifier.ConfigVersion               `cbor:"version"`
-	Revision          uint64                                 `cbor:"revision"`
+	Revision          Revision                               `cbor:"revision"`
 	IdleTxLimit       time.Duration                          `cbor:"idle_tx_limit"`
 	Routes            map[string]Route                       `cbor:"routes,omitempty"` // New and changed ones, as in the other maps.
 	RemovedRoutes     []string                               `cbor:"removed_routes,omitempty"`
--- a/internal/state/cataloger/format_test.go
+++ b/internal/state/cataloger/format_test.go
@@ -39,7 +39,7 @@
 
 func updateFormat(name string, unstable bool) archiver.Format {
 	return archiver.Format{
-		Name: name, Version: 2, Unstable: unstable, // Leadership records have two more fields than in version 1.
+		Name: name, Version: 3, Unstable: unstable, // Leadership records have two more fields in version 2 and one in version 3.
 		Write: cbor.Marshal,
 		Read: func(data []byte) (any, error) {
 			u := &cataloger.Update{}
--- a/internal/state/cataloger/group.go
+++ b/internal/state/cataloger/group.go
@@ -16,8 +16,8 @@
 	// Primary led when the object was written, if the primary of the service had
 	// never been replaced; a leadership record names every later one.
 	Primary identifier.BackendServerID `json:"primary,omitempty"`
-	// Revision is that of the object in the store, 0 if the store has none.
-	Revision uint64 `json:"-"`
+	// Revision is that of the object in the store, zero if the store has none.
+	Revision Revision `json:"-"`
 }
 
 // GroupMember is a server of a [DatabaseGroup], with what is needed to query it once
--- a/internal/state/cataloger/leadership.go
+++ b/internal/state/cataloger/leadership.go
@@ -29,9 +29,12 @@
 	// executed. Those of the holder for Successor are added once another server is
 	// chosen or the replacement ends. Releases before this field neither read nor keep it.
 	OpenPromotions OpenPromotions `json:"open_promotions,omitempty" cbor:"open_promotions,omitempty"`
-	// Revision is that of the record in the store. It is the fencing token of
-	// the holder.
-	Revision uint64 `json:"-" cbor:"revision"`
+	// LastToken is the highest fencing token that may have been used before the record
+	// was written, see [Leadership.Token]. Releases before this field neither read nor
+	// keep it: their token is the packed revision.
+	LastToken uint64 `json:"last_token,omitempty" cbor:"last_token,omitempty"`
+	// Revision is that of the record in the store.
+	Revision Revision `json:"-" cbor:"revision"`
 	// Carried reports that the record is from before the store came back from an
 	// older copy, and has the revision of the record that the store then had.
 	Carried bool `json:"-" cbor:"carried"`
@@ -49,6 +52,6 @@
 // UnreadableLeadership returns what is known of a record that cannot be read. It is
 // never the same as no record: no server may be used as the primary, and none promoted,
 // until the record can be read again or is removed.
-func UnreadableLeadership(revision uint64) Leadership {
+func UnreadableLeadership(revision Revision) Leadership {
 	return Leadership{Holder: unreadableHolder, Revision: revision}
 }
--- a/internal/state/cataloger/merge.go
+++ b/internal/state/cataloger/merge.go
@@ -6,13 +6,14 @@
 // another one of the service, read from the store or told by a peer. A peer may tell a record
 // from before the store came back from an older copy that the instance has already read.
 func (l Leadership) Merge(o Leadership) Leadership {
+	merged := l
 	switch {
-	case Era(o.Revision) < Era(l.Revision):
-		return mergeRecord(o, l)
+	case o.Revision.Era < l.Revision.Era:
+		merged = mergeRecord(o, l)
 	case o.Supersedes(l):
-		return mergeRecord(l, o)
+		merged = mergeRecord(l, o)
 	}
-	return l
+	return merged.mergeToken(l).mergeToken(o)
 }
 
 // Supersedes reports whether l is newer than the other record of the service.
@@ -23,7 +24,7 @@
 func (l Leadership) Supersedes(o Leadership) bool {
 	switch {
 	case l.Revision != o.Revision:
-		return l.Revision > o.Revision
+		return l.Revision.IsAfter(o.Revision)
 	case l.Carried != o.Carried:
 		return l.Carried
 	case l.Term != o.Term:
@@ -42,7 +43,7 @@
 	if later.IsUnreadable() {
 		return mergeUnreadable(earlier, later)
 	}
-	restored := Era(later.Revision) > Era(earlier.Revision)
+	restored := later.Revision.Era > earlier.Revision.Era
 	if _, requested := earlier.RequestedPromotion(); earlier.IsUnreadable() && restored && requested {
 		earlier.Holder = unknownHolder // Nothing tells that the replacement has ended.
 	} else if earlier.IsUnreadable() {
--- a/internal/state/cataloger/merge_test.go
+++ b/internal/state/cataloger/merge_test.go
@@ -29,7 +29,7 @@
 
 func (h *history) write(l cataloger.Leadership) {
 	h.number++
-	l.Revision, l.Carried = cataloger.Revision(h.era, h.number), false
+	l.Revision, l.Carried = cataloger.Revision{Era: h.era, Number: h.number}, false
 	h.record = l
 	h.written = append(h.written, l)
 	h.told = append(h.told, l)
@@ -57,7 +57,7 @@
 	case "give up":
 		next, err = l.GiveUp(l.Holder)
 	case "damage":
-		h.write(cataloger.UnreadableLeadership(0))
+		h.write(cataloger.UnreadableLeadership(cataloger.Revision{Number: 0}))
 		return
 	case "mend": // The operators write the newest record that could be read.
 		for _, written := range h.written {
@@ -68,7 +68,7 @@
 	case "restore":
 		if len(h.written) > 0 {
 			restored := rapid.SampledFrom(h.written).Draw(t, "copy")
-			h.era, h.number = h.era+1, cataloger.ChangeNumber(restored.Revision)-1
+			h.era, h.number = h.era+1, restored.Revision.Number-1
 			h.write(restored)
 		}
 		return
@@ -116,7 +116,7 @@
 		if a.Merge(a) != a || merged.Merge(b) != merged || merged.Merge(a) != merged {
 			t.Fatalf("not idempotent:\n%+v\n%+v\nmerged %+v", a, b, merged)
 		}
-		if cataloger.Era(a.Revision) != cataloger.Era(b.Revision) && merged != reverse {
+		if a.Revision.Era != b.Revision.Era && merged != reverse {
 			t.Fatalf("not commutative:\n%+v\n%+v\nmerged %+v and %+v", a, b, merged, reverse)
 		}
 	})
@@ -129,7 +129,7 @@
 		h := drawHistory(t)
 		era := rapid.Uint64Range(0, h.era).Draw(t, "era")
 		for _, l := range h.told {
-			if cataloger.Era(l.Revision) == era && !l.IsUnreadable() {
+			if l.Revision.Era == era && !l.IsUnreadable() {
 				readable = append(readable, l)
 			}
 		}
@@ -152,7 +152,7 @@
 		for _, l := range drawTold(t, drawHistory(t)) {
 			before := known
 			known = known.Merge(l)
-			sameEra := cataloger.Era(l.Revision) == cataloger.Era(before.Revision)
+			sameEra := l.Revision.Era == before.Revision.Era
 			ended := known != before && !l.IsReplacing() && (l.Term > before.Term || sameEra)
 			_, chosen := known.RequestedPromotion()
 			requested = (requested && !ended) || chosen
@@ -164,11 +164,11 @@
 				fail("an earlier term")
 			case known.Term == before.Term && known.Server != before.Server:
 				fail("another server of the term")
-			case known.Revision < before.Revision:
+			case before.Revision.IsAfter(known.Revision):
 				fail("an earlier revision")
-			case !before.IsReplacing() && known.IsReplacing() && sameEra && l.Revision <= before.Revision:
+			case !before.IsReplacing() && known.IsReplacing() && sameEra && !l.Revision.IsAfter(before.Revision):
 				fail("a replacement that has ended")
-			case !before.IsReplacing() && known.IsReplacing() && l.Term < before.Term && !l.IsUnreadable() && cataloger.Era(l.Revision) < cataloger.Era(before.Revision):
+			case !before.IsReplacing() && known.IsReplacing() && l.Term < before.Term && !l.IsUnreadable() && l.Revision.Era < before.Revision.Era:
 				fail("a replacement of an earlier term")
 			case requested && !known.IsReplacing():
 				fail("a primary whose successor may have been promoted")
@@ -179,12 +179,12 @@
 
 // Guards against the use of the old primary because another instance tells a record from before its replacement was announced.
 func TestCarriedReplacementIsNotEndedByARecordFromBeforeIt(t *testing.T) {
-	finished := cataloger.Leadership{Term: 2, Server: "b", Revision: 5}
-	restored := cataloger.Leadership{Term: 1, Server: "a", Revision: cataloger.Revision(1, 3)}
+	finished := cataloger.Leadership{Term: 2, Server: "b", Revision: cataloger.Revision{Number: 5}}
+	restored := cataloger.Leadership{Term: 1, Server: "a", Revision: cataloger.Revision{Era: 1, Number: 3}}
 	other := finished.Merge(restored)
 	for _, replacing := range []cataloger.Leadership{
-		{Term: 2, Server: "b", Holder: "one", Revision: 6},
-		{Term: 2, Server: "b", Holder: "one", Successor: "c", Revision: 7},
+		{Term: 2, Server: "b", Holder: "one", Revision: cataloger.Revision{Number: 6}},
+		{Term: 2, Server: "b", Holder: "one", Successor: "c", Revision: cataloger.Revision{Number: 7}},
 	} {
 		known := replacing.Merge(restored)
 		qt.Check(t, known.IsReplacing(), qt.IsTrue)
@@ -197,19 +197,19 @@
 // Guards against the use of the old primary because the record could not be read before the store came back without the
 // replacement, and against a service that stays blocked although the record in the store can be read.
 func TestReplacementIsKnownAfterAnUnreadableRecordAndARestore(t *testing.T) {
-	known := cataloger.Leadership{Term: 2, Server: "b", Holder: "one", Successor: "c", Revision: 6}.Merge(cataloger.UnreadableLeadership(7))
+	known := cataloger.Leadership{Term: 2, Server: "b", Holder: "one", Successor: "c", Revision: cataloger.Revision{Number: 6}}.Merge(cataloger.UnreadableLeadership(cataloger.Revision{Number: 7}))
 	for _, restored := range []cataloger.Leadership{
-		{Term: 2, Server: "b", Revision: cataloger.Revision(1, 5)},
-		{Term: 1, Server: "a", Revision: cataloger.Revision(1, 4)},
-		{Term: 2, Server: "b", Holder: "one", Revision: cataloger.Revision(1, 5)},
+		{Term: 2, Server: "b", Revision: cataloger.Revision{Era: 1, Number: 5}},
+		{Term: 1, Server: "a", Revision: cataloger.Revision{Era: 1, Number: 4}},
+		{Term: 2, Server: "b", Holder: "one", Revision: cataloger.Revision{Era: 1, Number: 5}},
 	} {
 		l := known.Merge(restored)
 		qt.Check(t, l.State(), qt.Equals, cataloger.SuccessorChosen)
 		qt.Check(t, restored.Merge(known), qt.Equals, l)
 		next, err := restored.TakeOver("two", l)
 		qt.Check(t, err, qt.IsNil)
-		qt.Check(t, next, qt.Equals, cataloger.Leadership{Term: 2, Server: "b", Holder: "two", Successor: "c", Revision: restored.Revision, Carried: true})
+		qt.Check(t, next, qt.Equals, cataloger.Leadership{Term: 2, Server: "b", Holder: "two", Successor: "c", LastToken: l.Token(), Revision: restored.Revision, Carried: true})
 	}
-	rewritten := cataloger.Leadership{Term: 2, Server: "b", Revision: 8}
+	rewritten := cataloger.Leadership{Term: 2, Server: "b", Revision: cataloger.Revision{Number: 8}}
 	qt.Check(t, known.Merge(rewritten), qt.Equals, rewritten) // By the operators.
 }
--- a/internal/state/cataloger/replacement.go
+++ b/internal/state/cataloger/replacement.go
@@ -99,7 +99,7 @@
 	if !l.IsReplacing() || l.Successor == "" {
 		return "", false
 	}
-	return NewOpenPromotion(l.Successor, l.Revision), true
+	return NewOpenPromotion(l.Successor, l.Token()), true
 }
 
 // Announce returns the record by which the holder announces a replacement. l is the
@@ -144,7 +144,7 @@
 	// An instance of an earlier release does not keep the starts that this one knows.
 	next.TermStarts = cmp.Or(next.TermStarts, l.TermStarts, known.TermStarts)
 	next.Holder, next.Revision = holder, l.Revision
-	return next
+	return next.withTokenAfter(l, known)
 }
 
 // ChooseSuccessor returns the record by which the holder chooses the server, before it
@@ -154,8 +154,9 @@
 	if err := l.checkHolder(holder); err != nil {
 		return Leadership{}, err
 	}
-	l.Successor = server
-	return l, nil
+	next := l.withTokenAfter(l)
+	next.Successor = server
+	return next, nil
 }
 
 // Finish returns the record by which the holder ends a replacement: the server leads
@@ -168,7 +169,7 @@
 	if server == "" || l.Successor != server {
 		return Leadership{}, errors.Wrapf(ErrNotSuccessor, "server %q, successor %q", server, l.Successor)
 	}
-	return Leadership{Term: term, Server: server, TermStarts: starts, Revision: l.Revision}, nil
+	return Leadership{Term: term, Server: server, TermStarts: starts, Revision: l.Revision}.withTokenAfter(l), nil
 }
 
 // GiveUp returns the record by which the holder ends a replacement without a new
@@ -182,7 +183,7 @@
 	if l.State() == SuccessorChosen {
 		return Leadership{}, errors.Wrapf(ErrSuccessorChosen, "successor %s", l.Successor)
 	}
-	return Leadership{Term: l.Term, Server: l.Server, TermStarts: l.TermStarts, Revision: l.Revision}, nil
+	return Leadership{Term: l.Term, Server: l.Server, TermStarts: l.TermStarts, Revision: l.Revision}.withTokenAfter(l), nil
 }
 
 // Restore returns the known record of a replacement that has ended, as it is written over
@@ -195,8 +196,9 @@
 	case known.IsReplacing():
 		return Leadership{}, errors.Wrapf(ErrReplacing, "holder %s", known.Holder)
 	}
-	known.Revision = l.Revision
-	return known, nil
+	restored := known.withTokenAfter(l, known)
+	restored.Revision = l.Revision
+	return restored, nil
 }
 
 // checkHolder returns an error unless the instance holds a replacement.
--- a/internal/state/cataloger/replacement_test.go
+++ b/internal/state/cataloger/replacement_test.go
@@ -11,10 +11,10 @@
 
 // Records of each state, of the service whose server a leads term 2.
 var (
-	idle       = cataloger.Leadership{Term: 2, Server: "a", TermStarts: "2@1/8", OpenPromotions: "b@3", Revision: 5}
-	announced  = cataloger.Leadership{Term: 2, Server: "a", TermStarts: "2@1/8", OpenPromotions: "b@3", Holder: "one", Revision: 5}
-	chosen     = cataloger.Leadership{Term: 2, Server: "a", TermStarts: "2@1/8", OpenPromotions: "b@3", Holder: "one", Successor: "b", Revision: 5}
-	unreadable = cataloger.UnreadableLeadership(5)
+	idle       = cataloger.Leadership{Term: 2, Server: "a", TermStarts: "2@1/8", OpenPromotions: "b@3", Revision: cataloger.Revision{Number: 5}}
+	announced  = cataloger.Leadership{Term: 2, Server: "a", TermStarts: "2@1/8", OpenPromotions: "b@3", Holder: "one", Revision: cataloger.Revision{Number: 5}}
+	chosen     = cataloger.Leadership{Term: 2, Server: "a", TermStarts: "2@1/8", OpenPromotions: "b@3", Holder: "one", Successor: "b", Revision: cataloger.Revision{Number: 5}}
+	unreadable = cataloger.UnreadableLeadership(cataloger.Revision{Number: 5})
 )
 
 // Guards against a record whose state is taken for another, also one of a release with other fields.
@@ -49,14 +49,14 @@
 	qt.Assert(t, requested && p == "b@5", qt.IsTrue)
 	_, requested = unreadable.RequestedPromotion()
 	qt.Assert(t, requested, qt.IsFalse)
-	p, requested = chosen.Merge(cataloger.UnreadableLeadership(6)).RequestedPromotion()
+	p, requested = chosen.Merge(cataloger.UnreadableLeadership(cataloger.Revision{Number: 6})).RequestedPromotion()
 	qt.Assert(t, requested && p == "b@6", qt.IsTrue)
 }
 
 // Guards against a confirmation of another replacement, or of the end of this one, that is taken for one of the announcement.
 func TestConfirmationIsOfTheSameReplacement(t *testing.T) {
 	other, later := announced, announced
-	other.Holder, later.Revision = "two", 6
+	other.Holder, later.Revision = "two", cataloger.Revision{Number: 6}
 	qt.Assert(t, announced.IsSameReplacement(announced), qt.IsTrue)
 	for _, l := range []cataloger.Leadership{idle, unreadable, other, later} {
 		qt.Check(t, l.IsSameReplacement(announced), qt.IsFalse, qt.Commentf("%+v", l))
@@ -65,11 +65,11 @@
 
 // Guards against a late announcement that ends a replacement or gives permits; it may only begin one that was given up again.
 func TestLateAnnouncementOfAnEarlierEra(t *testing.T) {
-	givenUp := cataloger.Leadership{Term: 2, Server: "a", Revision: cataloger.Revision(1, 8)}
-	finished := cataloger.Leadership{Term: 3, Server: "b", Revision: cataloger.Revision(1, 8)}
+	givenUp := cataloger.Leadership{Term: 2, Server: "a", Revision: cataloger.Revision{Era: 1, Number: 8}}
+	finished := cataloger.Leadership{Term: 3, Server: "b", Revision: cataloger.Revision{Era: 1, Number: 8}}
 	qt.Assert(t, givenUp.Merge(announced).State(), qt.Equals, cataloger.Announced)
 	qt.Assert(t, finished.Merge(announced).State(), qt.Equals, cataloger.NotReplacing)
-	taken := cataloger.Leadership{Term: 2, Server: "a", Holder: "two", Successor: "c", Revision: cataloger.Revision(1, 8)}
+	taken := cataloger.Leadership{Term: 2, Server: "a", Holder: "two", Successor: "c", Revision: cataloger.Revision{Era: 1, Number: 8}}
 	qt.Assert(t, taken.Merge(announced).State(), qt.Equals, cataloger.SuccessorChosen)
 }
 
@@ -83,21 +83,21 @@
 	}
 	giveUp := func(l cataloger.Leadership) (cataloger.Leadership, error) { return l.GiveUp("one") }
 	restore := func(l cataloger.Leadership) (cataloger.Leadership, error) {
-		return l.Restore(cataloger.Leadership{Term: 3, Server: "c", Revision: 4})
+		return l.Restore(cataloger.Leadership{Term: 3, Server: "c", Revision: cataloger.Revision{Number: 4}})
 	}
 	held := func(successor string) cataloger.Leadership {
 		l := idle
-		l.Holder, l.Successor = "two", announced.Successor
+		l.Holder, l.Successor, l.LastToken = "two", announced.Successor, 5
 		if successor != "" {
 			l.Successor = chosen.Successor
 		}
 		return l
 	}
 	chosenC := chosen
-	chosenC.Successor = "c"
-	finished := cataloger.Leadership{Term: 3, Server: "b", TermStarts: "2@1/8 3@2/9", Revision: 5}
-	givenUp := cataloger.Leadership{Term: 2, Server: "a", TermStarts: "2@1/8", Revision: 5}
-	restored := cataloger.Leadership{Term: 3, Server: "c", Revision: 5}
+	chosenC.Successor, chosenC.LastToken = "c", 5
+	finished := cataloger.Leadership{Term: 3, Server: "b", TermStarts: "2@1/8 3@2/9", LastToken: 5, Revision: cataloger.Revision{Number: 5}}
+	givenUp := cataloger.Leadership{Term: 2, Server: "a", TermStarts: "2@1/8", LastToken: 5, Revision: cataloger.Revision{Number: 5}}
+	restored := cataloger.Leadership{Term: 3, Server: "c", LastToken: 5, Revision: cataloger.Revision{Number: 5}}
 	for _, test := range []struct {
 		name       string
 		transition func(cataloger.Leadership) (cataloger.Leadership, error)
@@ -148,8 +148,8 @@
 // Guards against a successor that is forgotten because the store came back from a copy without it, or the record was removed.
 func TestReplacementThatTheStoreLacksIsContinued(t *testing.T) {
 	known := chosen
-	known.Revision = 9
-	stored := cataloger.Leadership{Term: 1, Server: "c", Revision: 7}
+	known.Revision = cataloger.Revision{Number: 9}
+	stored := cataloger.Leadership{Term: 1, Server: "c", Revision: cataloger.Revision{Number: 7}}
 	_, err := stored.Announce("two", known)
 	qt.Assert(t, err, qt.ErrorIs, cataloger.ErrReplacing)
 	for name, test := range map[string]struct {
@@ -158,10 +158,10 @@
 	}{
 		"restored":                      {stored, known, "b"},
 		"removed":                       {cataloger.Leadership{}, known, "b"},
-		"unreadable and removed":        {cataloger.Leadership{}, cataloger.UnreadableLeadership(9), ""},
-		"unreadable and rewritten":      {stored, cataloger.UnreadableLeadership(9), ""},
-		"another successor":             {cataloger.Leadership{Holder: "three", Successor: "d", Revision: 7}, known, "d"},
-		"known replacement has ended":   {announced, cataloger.Leadership{Term: 3, Server: "c", Revision: 5}, ""},
+		"unreadable and removed":        {cataloger.Leadership{}, cataloger.UnreadableLeadership(cataloger.Revision{Number: 9}), ""},
+		"unreadable and rewritten":      {stored, cataloger.UnreadableLeadership(cataloger.Revision{Number: 9}), ""},
+		"another successor":             {cataloger.Leadership{Holder: "three", Successor: "d", Revision: cataloger.Revision{Number: 7}}, known, "d"},
+		"known replacement has ended":   {announced, cataloger.Leadership{Term: 3, Server: "c", Revision: cataloger.Revision{Number: 5}}, ""},
 		"known announcement is earlier": {chosen, announced, "b"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/state/cataloger/update_test.go
+++ b/internal/state/cataloger/update_test.go
@@ -15,7 +15,7 @@
 // configured returns a catalog with as many routes as large customers have.
 func configured(version int) *cataloger.Catalog {
 	c := &cataloger.Configuration{
-		Version: identifier.ConfigVersion(version), Revision: uint64(version),
+		Version: identifier.ConfigVersion(version), Revision: cataloger.Revision{Number: uint64(version)},
 		Routes: map[string]cataloger.Route{}, Workspaces: map[identifier.WorkspaceName]cataloger.Workspace{},
 	}
 	for i := range 1400 {
@@ -24,7 +24,7 @@
 			MaxStaleness: 2500 * time.Millisecond, StatementTimeout: 800 * time.Millisecond, TargetLatency: 250 * time.Millisecond,
 		}
 	}
-	return &cataloger.Catalog{Configuration: c, Revision: uint64(version)}
+	return &cataloger.Catalog{Configuration: c, Revision: cataloger.Revision{Number: uint64(version)}}
 }
 
 // Guards against a change of one route that sends the whole configuration to each
--- a/internal/transport/sessioner/fenced_test.go
+++ b/internal/transport/sessioner/fenced_test.go
@@ -30,7 +30,7 @@
 				k := pending[0].Kind
 				pending = pending[1:]
 				if k == replacedAt {
-					s.Fencer.Observe("rentals", cataloger.Leadership{Holder: "other", Revision: 7})
+					s.Fencer.Observe("rentals", cataloger.Leadership{Holder: "other", Revision: cataloger.Revision{Number: 7}})
 				}
 				return answers.answer(k, identifier.Position{Term: 1, Offset: 5}), nil
 			},
@@ -112,7 +112,7 @@
 func TestReplacedPrimaryIsNotUsed(t *testing.T) {
 	s, _ := newTestServer()
 	replaceDuring(s, requester.Unknown)
-	s.Fencer.Observe("rentals", cataloger.Leadership{Server: "other", Term: 2, Revision: 7})
+	s.Fencer.Observe("rentals", cataloger.Leadership{Server: "other", Term: 2, Revision: cataloger.Revision{Number: 7}})
 	r := s.Execute("peer", primaryRequest(requester.Write, "WRITE x 1"))
 	qt.Assert(t, r.Result.Code, qt.Equals, requester.Overloaded)
 }
@@ -126,7 +126,7 @@
 	request := primaryRequest(requester.Read, "READ x")
 	request.Route.Consistency = cataloger.BoundedStaleness
 	request.Route.MaxStaleness = time.Second
-	s.Fencer.Observe("rentals", cataloger.Leadership{Holder: "other", Successor: "b", Revision: 8})
+	s.Fencer.Observe("rentals", cataloger.Leadership{Holder: "other", Successor: "b", Revision: cataloger.Revision{Number: 8}})
 	qt.Assert(t, s.Execute("peer", request).Result.Code, qt.Equals, requester.Lagging)
 
 	s.Sampler("rentals").Add(sampler.Sample{Position: identifier.Position{Term: 1, Offset: 4}, RequestedAt: clock.now()})
--- a/internal/transport/sessioner/floor_test.go
+++ b/internal/transport/sessioner/floor_test.go
@@ -19,7 +19,7 @@
 	replaceDuring(s, requester.Unknown)
 	clock := setClock(s)
 	qt.Assert(t, s.Execute("peer", primaryRequest(requester.Write, "WRITE x 1")).Result.Code, qt.Equals, requester.OK)
-	s.Fencer.Observe("rentals", cataloger.Leadership{Holder: "other", Revision: 7})
+	s.Fencer.Observe("rentals", cataloger.Leadership{Holder: "other", Revision: cataloger.Revision{Number: 7}})
 	read := primaryRequest(requester.Read, "READ x")
 	read.Route.Consistency, read.Route.MaxStaleness = cataloger.BoundedStaleness, time.Second
 	qt.Assert(t, s.Execute("peer", read).Result.Code, qt.Equals, requester.OK)
@@ -63,7 +63,7 @@
 func TestReadsWithoutASampleShareTheRequestToPeers(t *testing.T) {
 	s, _ := newTestServer()
 	replaceDuring(s, requester.Unknown)
-	s.Fencer.Observe("rentals", cataloger.Leadership{Holder: "other", Revision: 7})
+	s.Fencer.Observe("rentals", cataloger.Leadership{Holder: "other", Revision: cataloger.Revision{Number: 7}})
 	var fetches atomic.Int32
 	s.FetchPeerSample = func(identifier.ServiceName, time.Duration) {
 		fetches.Add(1)
--- a/internal/transport/sessioner/lost_log_test.go
+++ b/internal/transport/sessioner/lost_log_test.go
@@ -44,7 +44,7 @@
 		for statement, k := range map[string]requester.Kind{"READ x": requester.Read, "WRITE x 1": requester.Write} {
 			t.Run(name+"/"+statement, func(t *testing.T) {
 				s, _ := newTestServer()
-				s.Fencer.Observe("rentals", cataloger.Leadership{Server: "a", Term: 2, Revision: 7})
+				s.Fencer.Observe("rentals", cataloger.Leadership{Server: "a", Term: 2, Revision: cataloger.Revision{Number: 7}})
 				end := identifier.Position{Term: 2, Offset: 50}
 				reportPositions(s, &end)
 				qt.Assert(t, s.Execute("peer", primaryRequest(requester.Write, "WRITE x 1")).Result.Code, qt.Equals, requester.OK)
@@ -69,7 +69,7 @@
 		{ID: "a", Service: "rentals", ClaimsPrimary: true, Slots: 3}, {ID: "b", Service: "rentals", Slots: 3},
 	}}
 	s.Holder.Replace(&c)
-	s.Fencer.Observe("rentals", cataloger.Leadership{Server: "a", Term: 1, Revision: 7})
+	s.Fencer.Observe("rentals", cataloger.Leadership{Server: "a", Term: 1, Revision: cataloger.Revision{Number: 7}})
 	var connect Server
 	connect.Lender = &lender.Lender{}
 	ends := map[identifier.BackendServerID]*identifier.Position{"a": {Term: 1, Offset: 2}, "b": {Term: 1, Offset: 50}}
@@ -92,7 +92,7 @@
 	write := primaryRequest(requester.Write, "WRITE x 1")
 	qt.Assert(t, s.Execute("peer", write).Result.Code, qt.Equals, requester.OK)
 	end.Offset = 40
-	s.Fencer.Observe("rentals", cataloger.Leadership{Server: "a", Term: 2, Revision: 7})
+	s.Fencer.Observe("rentals", cataloger.Leadership{Server: "a", Term: 2, Revision: cataloger.Revision{Number: 7}})
 	qt.Assert(t, s.Execute("peer", write).Result.Code, qt.Equals, requester.OK)
 }
 
@@ -124,7 +124,7 @@
 	qt.Assert(t, s.ShowsLostLog("rentals", sampler.Sample{Position: shorter, RequestedAt: s.Holder.Clock()}), qt.IsTrue)
 	qt.Assert(t, s.ShowsLostLog("rentals", sampler.Sample{Position: end, RequestedAt: s.Holder.Clock()}), qt.IsFalse)
 	qt.Assert(t, s.ShowsLostLog("rentals", sampler.Sample{Position: shorter, RequestedAt: earlier}), qt.IsFalse)
-	s.Fencer.Observe("rentals", cataloger.Leadership{Server: "b", Term: 2, Revision: 7})
+	s.Fencer.Observe("rentals", cataloger.Leadership{Server: "b", Term: 2, Revision: cataloger.Revision{Number: 7}})
 	qt.Assert(t, s.ShowsLostLog("rentals", sampler.Sample{Position: shorter, RequestedAt: s.Holder.Clock()}), qt.IsFalse)
 }
 
@@ -133,7 +133,7 @@
 	s, _ := newTestServer()
 	now := s.Holder.Clock()
 	s.Holder.Now = func() time.Duration { return now }
-	s.Fencer.Observe("rentals", cataloger.Leadership{Server: "a", Term: 2, Revision: 7})
+	s.Fencer.Observe("rentals", cataloger.Leadership{Server: "a", Term: 2, Revision: cataloger.Revision{Number: 7}})
 	end := identifier.Position{Term: 2, Offset: 50}
 	reportPositions(s, &end)
 	qt.Assert(t, s.Execute("peer", primaryRequest(requester.Write, "WRITE x 1")).Result.Code, qt.Equals, requester.OK)
