internal/coordination/replacer: a token that is too low is raised

A promotion that the platform refuses with 409 names a server that is not running or a token that is lower than an earlier one. The second was never considered. It leaves a service without a primary for good where no instance knows the record of the higher token: operators remove a record that cannot be read, or the store came back from a copy without it, and all instances have started again since. Until now the packed revision hid this mostly, as it rises with each change of the store.

--- a/internal/command/starter/numbering_test.go
+++ b/internal/command/starter/numbering_test.go
@@ -1,6 +1,7 @@
 package starter_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"strings"
 	"testing"
@@ -19,6 +20,7 @@
 	for name, n := range map[string]struct {
 		first, later imitator.Numbering // Later is set while all run, unless it is zero.
 	}{
+		"from_1_by_one":                   {},
 		"unix_time_in_milliseconds":       {first: imitator.Numbering{Revision: 1_796_000_000_000}},
 		"passes_2^40":                     {later: imitator.Numbering{Revision: 1<<40 - 2}},
 		"64_bits_and_irregular_steps":     {first: imitator.Numbering{Revision: 1 << 63, Step: steps}},
@@ -59,6 +61,29 @@
 	}
 }
 
+// Guards against a service without a primary for good, because no instance knows the record under which a higher fencing
+// token was used: operators have removed it, or it was lost with an older copy of the store.
+func TestTokenThatIsTooLowIsRaised(t *testing.T) {
+	for _, token := range []uint64{9, 1_000, 1 << 45} {
+		for _, revision := range []uint64{0, 1_796_000_000_000} {
+			t.Run(fmt.Sprintf("token_%d_revisions_from_%d", token, revision), func(t *testing.T) {
+				t.Parallel()
+				p := newTestPlatform(t)
+				p.store.SetNumbering(imitator.Numbering{Revision: revision})
+				p.registerServers()
+				p.writeConfiguration()
+				p.store.RequireToken("rentals", token)
+				one := p.startInstance("one")
+				p.startInstance("two")
+				c := dialLine(t, one.address)
+				c.send("STARTUP booking key-1")
+				waitUntil(t, "a write is served", func() bool { return strings.HasPrefix(c.send("QUERY w0 WRITE x 1")[0], "COMPLETE") })
+				p.replacePrimary(c, 1)
+			})
+		}
+	}
+}
+
 // awaitConfiguration writes a configuration and waits until each instance has it.
 func (p *testPlatform) awaitConfiguration() {
 	p.writeConfiguration()
--- a/internal/coordination/replacer/promote.go
+++ b/internal/coordination/replacer/promote.go
@@ -24,12 +24,14 @@
 	if err != nil {
 		return err
 	}
-	if err := r.write(ctx, p, next); err != nil {
+	if err := r.write(ctx, p, next.RaiseToken(p.refusals.gap())); err != nil {
 		return err
 	}
 	p.requested = true
 	r.Announce(p.service, p.record)
-	if err := r.promote(ctx, p, b.ID); err != nil {
+	err = r.promote(ctx, p, b.ID)
+	r.observePromotion(p, b, err)
+	if err != nil {
 		return err
 	}
 	p.steps.begin("lead")
--- a/internal/coordination/replacer/replace.go
+++ b/internal/coordination/replacer/replace.go
@@ -29,6 +29,7 @@
 	requested  bool
 	reinstated bool // The draining primary was promoted again.
 	open       *openPromotions
+	refusals   *tokenRefusals
 	steps      stepTimer
 }
 
@@ -41,7 +42,7 @@
 	started := time.Now()
 	p := &replacement{
 		service: service, draining: draining, lastLeader: w.lastLeader, members: &w.members, silentFor: w.silentFor(),
-		open: &w.open,
+		open: &w.open, refusals: &w.refusals,
 	}
 	p.steps.begin("announce")
 	err := r.announce(ctx, p, w, basis)
--- a/internal/coordination/replacer/replacer.go
+++ b/internal/coordination/replacer/replacer.go
@@ -26,6 +26,9 @@
 	// a newer token was seen, the server is not running, or there were too many
 	// requests.
 	ErrPromotionRefused = errors.New("promotion was refused")
+	// ErrPromotionConflict is an [ErrPromotionRefused] of a server that is not running, or
+	// of a token that is lower than one of an earlier promotion.
+	ErrPromotionConflict = errors.WithMessage(ErrPromotionRefused, "server is not running or token is too low")
 	// ErrPromotionUnknown reports a promotion that was not answered. It may
 	// still be executed.
 	ErrPromotionUnknown = errors.New("promotion has an unknown outcome")
--- a/internal/coordination/replacer/watch.go
+++ b/internal/coordination/replacer/watch.go
@@ -25,6 +25,7 @@
 	pausedUntil    time.Time
 	budget         replacementBudget
 	open           openPromotions
+	refusals       tokenRefusals
 }
 
 // silentFor returns how long the service has had no primary, as far as this instance knows: the
--- a/internal/state/cataloger/token.go
+++ b/internal/state/cataloger/token.go
@@ -1,5 +1,7 @@
 package cataloger
 
+import "math"
+
 // Token returns the fencing token of the promotions under the record. It is higher than
 // that of every record from which this one follows.
 //
@@ -30,6 +32,14 @@
 	return max(l.LastToken, packed)
 }
 
+// RaiseToken returns the record with a token that is higher by the gap.
+func (l Leadership) RaiseToken(gap uint64) Leadership {
+	if gap > 0 {
+		l.LastToken = l.Token() + min(gap, math.MaxUint64-l.Token()) - 1
+	}
+	return l
+}
+
 // withTokenAfter returns the record with a token that is higher than those of the others.
 func (l Leadership) withTokenAfter(others ...Leadership) Leadership {
 	for _, o := range others {
