--- a/internal/bench/soaker/environment.go
+++ b/internal/bench/soaker/environment.go
@@ -98,6 +98,7 @@
 	e.group.Unfenced, e.store.Unfenced = s.Unfenced, s.Unfenced
 	e.promotionDelay = minPromotionDelay + time.Duration(rand.New(rand.NewPCG(s.Seed, 2)).Int64N(int64(maxPromotionDelay-minPromotionDelay)))
 	e.store.Promote = e.promote
+	e.store.SetNumbering(s.drawNumbering())
 	address, err := e.store.Start()
 	if err != nil {
 		return nil, errors.Wrap(err, "starting the store")
