internal/transport/lender: prepared statements of a connection are bounded

Cause: each shape that a session executes is prepared on the backend connection and kept there with its text until the connection is closed, and a connection that is used at least every 3 s is never closed. A DEALLOCATE of the client concerns the session alone.

A connection whose prepared statements take more than 256 KiB is closed when it is returned, which frees the memory at the server as well. Small shapes count with 128 bytes each besides their text, so that their number is bounded, too.

TestConnectionIsReplacedAfterManyPreparedStatements failed before: one connection for 40 shapes of 96 KiB in place of 14.

--- a/internal/transport/lender/conn.go
+++ b/internal/transport/lender/conn.go
@@ -59,12 +59,15 @@
 	pool     *serverPool
 	settings Settings
 	prepared map[requester.PreparedStatement]string // Names on this connection.
-	lastName uint64                                 // Number in the last name that was given to a prepared statement.
-	pinned   bool                                   // Lent to a transaction.
-	broken   bool
-	failed   bool // An error was received.
-	stale    bool // To a retired pool; close on return.
-	returned time.Time
+	// preparedBytes is the memory that the prepared statements take, about as much as on
+	// the server.
+	preparedBytes int
+	lastName      uint64 // Number in the last name that was given to a prepared statement.
+	pinned        bool   // Lent to a transaction.
+	broken        bool
+	failed        bool // An error was received.
+	stale         bool // To a retired pool; close on return.
+	returned      time.Time
 
 	unnamed   bool // An error or an unsigned success was received.
 	checked   bool // Was open and without unread data; nothing was sent since.
@@ -332,7 +335,7 @@
 	var todo []requester.Statement
 	if !c.settings.namesWithin(settings) {
 		todo = append(todo, requester.Statement{Kind: requester.Discard})
-		c.settings, c.prepared = nil, nil
+		c.settings, c.prepared, c.preparedBytes = nil, nil, 0
 	}
 	for _, e := range settings {
 		if !c.settings.contains(e) {
@@ -354,10 +357,25 @@
 			c.prepared = map[requester.PreparedStatement]string{}
 		}
 		c.prepared[*shape] = name
+		c.preparedBytes += len(shape.Text) + preparedOverhead
 	}
 	return name, nil
 }
 
+const (
+	// maxPreparedBytes is the memory of prepared statements above which a connection is
+	// closed once it is returned. The clients that use them may have ended long ago.
+	maxPreparedBytes = 256 << 10
+	// preparedOverhead is the memory of a prepared statement besides its text.
+	preparedOverhead = 128
+)
+
+// isSpent reports whether the connection must not be lent again, because what has to be
+// remembered of its answers and prepared statements takes too much memory.
+func (c *Conn) isSpent() bool {
+	return c.answers.isFull() || c.preparedBytes > maxPreparedBytes
+}
+
 // preparedName returns the name of the prepared statement of a shape, or "" if the
 // shape is nil or no statement of it is prepared.
 func (c *Conn) preparedName(shape *requester.PreparedStatement) string {
--- a/internal/transport/lender/lender.go
+++ b/internal/transport/lender/lender.go
@@ -197,8 +197,8 @@
 }
 
 // Return takes back a borrowed connection. It closes the connection if it is
-// broken, stale, in a transaction or over the limit, if it has carried many answers, and
-// if the server may send an answer again that nothing tells from another.
+// broken, stale, in a transaction or over the limit, if it has carried many answers or
+// prepared statements, and if the server may send an answer again that nothing tells from another.
 func (l *Lender) Return(c *Conn) {
 	l.mu.Lock()
 	c.pool.finish(c.statement)
@@ -219,7 +219,7 @@
 	s := c.pool
 	s.markReturned(c)
 	c.statement = nil
-	isUsable := !c.broken && !c.stale && !c.answers.inTransaction() && !c.answers.isFull() && !s.mayRepeat(c)
+	isUsable := !c.broken && !c.stale && !c.answers.inTransaction() && !c.isSpent() && !s.mayRepeat(c)
 	if !isUsable || s.total() >= l.Limit(c.Server) {
 		c.link.Close()
 	} else {
--- a/internal/transport/lender/lender_test.go
+++ b/internal/transport/lender/lender_test.go
@@ -1,6 +1,7 @@
 package lender_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -154,6 +155,27 @@
 	})
 }
 
+// Guards against memory that grows with each shape that clients ever prepared, here and on the server, until the process
+// is ended (review/12).
+func TestConnectionIsReplacedAfterManyPreparedStatements(t *testing.T) {
+	for _, test := range []struct{ shapes, bytes, connections int }{
+		{1, 1 << 20, 1}, {40, 96 << 10, 14}, {10_000, 100, 9}, {200, 100, 1},
+	} {
+		b := newFakeServer(1)
+		for i := range test.shapes {
+			c := b.borrow(t, "shops")
+			text := fmt.Sprintf("%0*d", test.bytes, i)
+			for range 2 {
+				_, err := c.ApplySession(time.Now().Add(time.Second), nil, &requester.PreparedStatement{Text: text})
+				qt.Assert(t, err, qt.IsNil)
+			}
+			b.lender.Return(c)
+		}
+		qt.Assert(t, b.sent, qt.HasLen, test.shapes)
+		qt.Assert(t, b.dialed, qt.Equals, test.connections, qt.Commentf("%+v", test))
+	}
+}
+
 // preparedShape returns the shape that was prepared last under the name and not
 // discarded.
 func (b *fakeServer) preparedShape(name string) (shape requester.PreparedStatement) {
